--- /dev/null
+++ b/crates/base/src/key.rs
@@ -0,0 +1,57 @@
+//! Small `Copy` keys of the things that a deployment names.
+//!
+//! A key is the 64-bit XXH3 hash of the name, so it is the same on every VM and under every
+//! configuration version. A deployment with two names of one kind that collide is refused.
+
+use {
+    derive_more::{Debug, Display},
+    serde::{Deserialize, Serialize},
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+macro_rules! keys {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+        )]
+        #[debug("{}({_0:016x})", stringify!($name))]
+        #[display("{_0:016x}")]
+        #[serde(transparent)]
+        pub struct $name(u64);
+
+        impl $name {
+            /// Returns the key of a name.
+            pub fn of(name: &str) -> Self {
+                Self(xxh3_64(name.as_bytes()))
+            }
+
+            /// Rebuilds a key from its raw value, as carried by the inner protocol.
+            pub const fn from_raw(raw: u64) -> Self {
+                Self(raw)
+            }
+
+            /// Returns the raw value, for the inner protocol.
+            pub const fn raw(self) -> u64 {
+                self.0
+            }
+        }
+    )*};
+}
+
+keys! {
+    /// A customer.
+    Customer;
+    /// A service: a group of targets behind one name.
+    Service;
+    /// A target: one model engine or one process of a plain service.
+    Target;
+    /// An entry VM.
+    Vm;
+    /// A data centre.
+    DataCentre;
+    /// A model, an adapter or a version of one, as engines name it.
+    Model;
+    /// A request; the name is the request id.
+    Request;
+}
--- /dev/null
+++ b/crates/base/src/verdict.rs
@@ -0,0 +1,28 @@
+//! Whether a request may have run.
+
+use {
+    derive_more::Display,
+    serde::{Deserialize, Serialize},
+};
+
+/// What is known of the execution of a request.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Verdict {
+    /// No byte of it can have reached a target, or the target refused before it started.
+    #[display("not_run")]
+    NotRun,
+    /// It was handed over and its fate is unknown.
+    #[display("may_have_run")]
+    MayHaveRun,
+    /// A target ran it.
+    #[display("ran")]
+    Ran,
+}
+
+impl Verdict {
+    /// Returns whether the request may be sent again without running twice.
+    pub fn is_repeatable(self) -> bool {
+        self == Self::NotRun
+    }
+}
--- /dev/null
+++ b/crates/cli/src/bin/fakes.rs
@@ -0,0 +1,3 @@
+//! The stand-ins as a program, for tests with real processes.
+
+fn main() {}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The `mastictrail` command.
+
+fn main() {}
--- /dev/null
+++ b/crates/config/src/ini.rs
@@ -0,0 +1,226 @@
+//! INI text with line numbers, and a reader that collects every fault.
+//!
+//! The syntax is `rust-ini`'s; it keeps no positions, so lines are found again in the text.
+
+use {
+    crate::Fault,
+    ini::{Ini, ParseOption},
+    std::{cell::RefCell, collections::HashSet, fmt::Display},
+};
+
+/// One section; `[customer anna]` has the kind `customer` and the name `anna`.
+#[derive(Clone, Debug)]
+pub struct Section {
+    /// First word of the header.
+    pub kind: Box<str>,
+    /// The rest of the header.
+    pub name: Box<str>,
+    /// Line of the header, from 1.
+    pub line: usize,
+    /// Keys in order.
+    pub entries: Vec<Entry>,
+}
+
+/// One key with its value.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// The key.
+    pub key: Box<str>,
+    /// The value, trimmed.
+    pub value: Box<str>,
+    /// Line of the key, from 1.
+    pub line: usize,
+}
+
+/// Reads INI text into sections.
+///
+/// # Errors
+/// Returns the place of a syntax error, of a key outside any section, or of one given twice.
+pub fn sections(file: &str, text: &str) -> Result<Vec<Section>, Vec<Fault>> {
+    let options = ParseOption {
+        enabled_quote: false,
+        enabled_escape: false,
+        ..ParseOption::default()
+    };
+    let parsed = Ini::load_from_str_opt(text, options).map_err(|error| {
+        vec![Fault {
+            file: file.into(),
+            line: error.line + 1,
+            section: Box::default(),
+            key: Box::default(),
+            message: error.msg.as_ref().into(),
+            permitted: "[section] headers and `key = value` lines".into(),
+        }]
+    })?;
+    let mut lines = text.lines().enumerate();
+    let mut sections = Vec::new();
+    for (header, properties) in &parsed {
+        let Some(header) = header else {
+            if properties.is_empty() {
+                continue;
+            }
+            return Err(vec![stray_key(file, text)]);
+        };
+        let line = next_line(&mut lines, |line| is_header(line, header));
+        let entries = properties
+            .iter()
+            .map(|(key, value)| Entry {
+                key: key.into(),
+                value: value.trim().into(),
+                line: next_line(&mut lines, |line| is_key(line, key)),
+            })
+            .collect();
+        let (kind, name) = header
+            .trim()
+            .split_once(char::is_whitespace)
+            .unwrap_or((header.trim(), ""));
+        sections.push(Section {
+            kind: kind.into(),
+            name: name.trim().into(),
+            line,
+            entries,
+        });
+    }
+    Ok(sections)
+}
+
+fn stray_key(file: &str, text: &str) -> Fault {
+    let line = text
+        .lines()
+        .position(|line| line.contains(['=', ':']))
+        .unwrap_or(0);
+    Fault {
+        file: file.into(),
+        line: line + 1,
+        section: Box::default(),
+        key: Box::default(),
+        message: "a key stands before the first section".into(),
+        permitted: "keys below a [section] header".into(),
+    }
+}
+
+/// Advances to the next line that matches and returns its number.
+fn next_line<'a>(
+    lines: &mut impl Iterator<Item = (usize, &'a str)>,
+    matches: impl Fn(&str) -> bool,
+) -> usize {
+    lines
+        .find(|(_, line)| matches(line))
+        .map_or(0, |(index, _)| index + 1)
+}
+
+fn is_header(line: &str, header: &str) -> bool {
+    let Some(inner) = line.trim().strip_prefix('[') else {
+        return false;
+    };
+    inner
+        .split(']')
+        .next()
+        .is_some_and(|found| found.trim() == header.trim())
+}
+
+fn is_key(line: &str, key: &str) -> bool {
+    line.split(['=', ':'])
+        .next()
+        .is_some_and(|found| found.trim() == key)
+}
+
+/// Reads the keys of one section and collects faults.
+#[derive(Debug)]
+pub struct Reader<'a> {
+    file: &'a str,
+    section: &'a Section,
+    faults: &'a RefCell<Vec<Fault>>,
+    seen: RefCell<HashSet<&'static str>>,
+}
+
+impl<'a> Reader<'a> {
+    /// Starts to read a section.
+    pub fn new(file: &'a str, section: &'a Section, faults: &'a RefCell<Vec<Fault>>) -> Self {
+        Self {
+            file,
+            section,
+            faults,
+            seen: RefCell::default(),
+        }
+    }
+
+    /// Reads a key that must be there; a fault is noted and the default returned otherwise.
+    pub fn required<T: Default, P: Display>(
+        &self,
+        key: &'static str,
+        permitted: &str,
+        parse: impl Fn(&str) -> Result<T, P>,
+    ) -> T {
+        if let Some(value) = self.optional(key, parse) {
+            return value;
+        }
+        if self.entry(key).is_none() {
+            self.fault(self.section.line, key, "the key is missing", permitted);
+        }
+        T::default()
+    }
+
+    /// Reads a key if it is there; `parse` returns what is permitted as its error.
+    pub fn optional<T, P: Display>(
+        &self,
+        key: &'static str,
+        parse: impl Fn(&str) -> Result<T, P>,
+    ) -> Option<T> {
+        self.seen.borrow_mut().insert(key);
+        let entry = self.entry(key)?;
+        match parse(&entry.value) {
+            Ok(value) => Some(value),
+            Err(permitted) => {
+                let message = format!("`{}` is not permitted", entry.value);
+                self.fault(entry.line, key, &message, &permitted.to_string());
+                None
+            }
+        }
+    }
+
+    /// Notes a fault of a key's value that only shows beside other sections.
+    pub fn reject(&self, key: &'static str, message: &str, permitted: &str) {
+        let line = self
+            .entry(key)
+            .map_or(self.section.line, |entry| entry.line);
+        self.fault(line, key, message, permitted);
+    }
+
+    /// Notes a fault for each key that was not asked for, and each one given twice.
+    pub fn finish(self) {
+        let seen = self.seen.borrow();
+        let mut names: Vec<_> = seen.iter().copied().collect();
+        names.sort_unstable();
+        let permitted = names.join(", ");
+        let mut given = HashSet::new();
+        for entry in &self.section.entries {
+            if !seen.contains(&*entry.key) {
+                self.fault(entry.line, &entry.key, "the key is unknown", &permitted);
+            } else if !given.insert(&entry.key) {
+                self.fault(
+                    entry.line,
+                    &entry.key,
+                    "the key is given twice",
+                    "each key once",
+                );
+            }
+        }
+    }
+
+    fn entry(&self, key: &str) -> Option<&'a Entry> {
+        self.section.entries.iter().find(|entry| &*entry.key == key)
+    }
+
+    fn fault(&self, line: usize, key: &str, message: &str, permitted: &str) {
+        let header = format!("{} {}", self.section.kind, self.section.name);
+        self.faults.borrow_mut().push(Fault {
+            file: self.file.into(),
+            line,
+            section: header.trim_end().into(),
+            key: key.into(),
+            message: message.into(),
+            permitted: permitted.into(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,15 @@
+//! Deployment files and process settings.
+//!
+//! A deployment is published as one INI value and read into a [`Snapshot`] as a whole or not at
+//! all. Process settings are a smaller INI file of each entry VM.
+
+pub mod deployment;
+pub mod fault;
+pub mod ini;
+pub mod parse;
+pub mod settings;
+pub mod unit;
+
+pub use deployment::Snapshot;
+pub use fault::Fault;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/config/src/settings.rs
@@ -0,0 +1,286 @@
+//! Process settings of one entry VM.
+
+use {
+    crate::{
+        Fault,
+        ini::{Reader, sections},
+        unit,
+    },
+    derive_more::Debug,
+    std::{
+        cell::RefCell,
+        net::{Ipv4Addr, SocketAddr},
+        path::PathBuf,
+        time::Duration,
+    },
+};
+
+/// Settings of one process; each default stands in the `Default` of its section.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    /// `[vm]`
+    pub vm: Vm,
+    /// `[listen]`
+    pub listen: Listen,
+    /// `[platform]`
+    pub platform: Platform,
+    /// `[keys]`
+    pub keys: Keys,
+    /// `[log]`
+    pub log: Log,
+    /// `[limits]`
+    pub limits: Limits,
+}
+
+/// Which VM this is.
+#[derive(Clone, Debug, Default)]
+pub struct Vm {
+    /// Name, as in the deployment.
+    pub name: Box<str>,
+    /// Data centre, as in the deployment.
+    pub data_centre: Box<str>,
+    /// Addresses of other entry VMs to begin with, before a list is known.
+    pub peers: Vec<SocketAddr>,
+}
+
+/// Addresses that the process listens on.
+#[derive(Clone, Debug)]
+pub struct Listen {
+    /// Callers, HTTP.
+    pub caller: SocketAddr,
+    /// Entry VMs, TCP and UDP.
+    pub inner: SocketAddr,
+    /// Operators: health, metrics, status.
+    pub admin: SocketAddr,
+}
+
+impl Default for Listen {
+    fn default() -> Self {
+        let address = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        Self {
+            caller: address(8080),
+            inner: address(8081),
+            admin: address(8082),
+        }
+    }
+}
+
+/// Where the platform answers.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    /// Address of the configuration service and of the list of VMs.
+    pub address: SocketAddr,
+    /// Longest wait of a watch.
+    pub watch: Duration,
+    /// Time between two reads of the list of VMs.
+    pub list_interval: Duration,
+}
+
+impl Default for Platform {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8090)),
+            watch: Duration::from_secs(10),
+            list_interval: Duration::from_secs(1),
+        }
+    }
+}
+
+/// Secrets, by file.
+#[derive(Clone, Debug, Default)]
+pub struct Keys {
+    /// File with the deployment's key, for the inner protocol and tokens.
+    pub deployment: PathBuf,
+}
+
+/// Logs.
+#[derive(Clone, Debug)]
+pub struct Log {
+    /// File to append to; standard output if `None`.
+    pub file: Option<PathBuf>,
+    /// Least severe level that is written.
+    pub level: log::LevelFilter,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            file: None,
+            level: log::LevelFilter::Info,
+        }
+    }
+}
+
+/// Limits against slow and oversized callers.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Most connections of callers at once.
+    pub connections: u32,
+    /// Longest time for a caller to send its headers.
+    pub header_timeout: Duration,
+    /// Longest time for a caller to send its body.
+    pub body_timeout: Duration,
+    /// Longest time to connect to a target or a peer.
+    pub connect_timeout: Duration,
+    /// Longest time for a planned stop to wait for requests in flight.
+    pub drain_timeout: Duration,
+    /// Worker threads of the executor.
+    pub threads: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 4096,
+            header_timeout: Duration::from_secs(10),
+            body_timeout: Duration::from_secs(30),
+            connect_timeout: Duration::from_secs(1),
+            drain_timeout: Duration::from_secs(600),
+            threads: 2,
+        }
+    }
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+/// Returns every fault that was found.
+pub fn parse(file: &str, text: &str) -> Result<Settings, Vec<Fault>> {
+    const KINDS: &str = "vm, listen, platform, keys, log, limits";
+    let sections = sections(file, text)?;
+    let faults = RefCell::default();
+    let mut settings = Settings::default();
+    for section in &sections {
+        let reader = Reader::new(file, section, &faults);
+        match &*section.kind {
+            "vm" => read_vm(&mut settings.vm, &reader),
+            "listen" => read_listen(&mut settings.listen, &reader),
+            "platform" => read_platform(&mut settings.platform, &reader),
+            "keys" => read_keys(&mut settings.keys, &reader),
+            "log" => read_log(&mut settings.log, &reader),
+            "limits" => read_limits(&mut settings.limits, &reader),
+            _ => {
+                reader.reject("", "the section is unknown", KINDS);
+                continue;
+            }
+        }
+        reader.finish();
+    }
+    for required in ["vm", "keys"] {
+        if !sections.iter().any(|section| &*section.kind == required) {
+            faults.borrow_mut().push(Fault {
+                file: file.into(),
+                line: 0,
+                section: required.into(),
+                key: Box::default(),
+                message: "the section is missing".into(),
+                permitted: KINDS.into(),
+            });
+        }
+    }
+    let faults = faults.into_inner();
+    if faults.is_empty() {
+        return Ok(settings);
+    }
+    Err(faults)
+}
+
+fn set<T>(place: &mut T, value: Option<T>) {
+    if let Some(value) = value {
+        *place = value;
+    }
+}
+
+fn read_vm(vm: &mut Vm, reader: &Reader<'_>) {
+    vm.name = reader.required("name", "a name", text);
+    vm.data_centre = reader.required("data_centre", "a name", text);
+    set(&mut vm.peers, reader.optional("peers", addresses));
+}
+
+fn read_listen(listen: &mut Listen, reader: &Reader<'_>) {
+    set(&mut listen.caller, reader.optional("caller", address));
+    set(&mut listen.inner, reader.optional("inner", address));
+    set(&mut listen.admin, reader.optional("admin", address));
+}
+
+fn read_platform(platform: &mut Platform, reader: &Reader<'_>) {
+    set(&mut platform.address, reader.optional("address", address));
+    set(
+        &mut platform.watch,
+        reader.optional("watch", unit::duration),
+    );
+    set(
+        &mut platform.list_interval,
+        reader.optional("list_interval", unit::duration),
+    );
+}
+
+fn read_keys(keys: &mut Keys, reader: &Reader<'_>) {
+    keys.deployment = reader.required("deployment", "a path", file);
+}
+
+fn read_log(log: &mut Log, reader: &Reader<'_>) {
+    log.file = reader.optional("file", file);
+    set(&mut log.level, reader.optional("level", level));
+}
+
+fn read_limits(limits: &mut Limits, reader: &Reader<'_>) {
+    set(
+        &mut limits.connections,
+        reader.optional("connections", positive),
+    );
+    set(
+        &mut limits.header_timeout,
+        reader.optional("header_timeout", unit::duration),
+    );
+    set(
+        &mut limits.body_timeout,
+        reader.optional("body_timeout", unit::duration),
+    );
+    set(
+        &mut limits.connect_timeout,
+        reader.optional("connect_timeout", unit::duration),
+    );
+    set(
+        &mut limits.drain_timeout,
+        reader.optional("drain_timeout", unit::duration),
+    );
+    set(&mut limits.threads, reader.optional("threads", positive));
+}
+
+fn text(value: &str) -> Result<Box<str>, &'static str> {
+    if value.is_empty() {
+        return Err("a name");
+    }
+    Ok(value.into())
+}
+
+fn file(value: &str) -> Result<PathBuf, &'static str> {
+    if value.is_empty() {
+        return Err("a path");
+    }
+    Ok(PathBuf::from(value))
+}
+
+fn address(value: &str) -> Result<SocketAddr, &'static str> {
+    value
+        .parse()
+        .map_err(|_error| "an IP address with a port, such as 127.0.0.1:8080")
+}
+
+fn addresses(value: &str) -> Result<Vec<SocketAddr>, &'static str> {
+    value.split(',').map(|item| address(item.trim())).collect()
+}
+
+fn level(value: &str) -> Result<log::LevelFilter, &'static str> {
+    value
+        .parse()
+        .map_err(|_error| "off, error, warn, info, debug or trace")
+}
+
+fn positive(value: &str) -> Result<u32, &'static str> {
+    match value.parse() {
+        Ok(value) if value > 0 => Ok(value),
+        _ => Err("a whole number from 1"),
+    }
+}
--- /dev/null
+++ b/crates/config/src/unit.rs
@@ -0,0 +1,60 @@
+//! Values with units: durations (`15s`, `250ms`) and sizes (`64MiB`).
+
+use std::time::Duration;
+
+const SIZE_UNITS: [(&str, u64); 7] = [
+    ("GiB", 1 << 30),
+    ("MiB", 1 << 20),
+    ("KiB", 1 << 10),
+    ("GB", 1_000_000_000),
+    ("MB", 1_000_000),
+    ("KB", 1_000),
+    ("B", 1),
+];
+
+/// Parses a duration such as `15s` or `250ms`.
+///
+/// # Errors
+/// Returns the permitted form as text.
+pub fn duration(text: &str) -> Result<Duration, Box<str>> {
+    humantime::parse_duration(text)
+        .map_err(|_error| "a duration with a unit, such as 250ms, 15s or 5m".into())
+}
+
+/// Parses a size such as `64MiB`.
+///
+/// # Errors
+/// Returns the permitted form as text.
+pub fn size(text: &str) -> Result<u64, Box<str>> {
+    let permitted = || Box::from("a size with a unit, such as 512B, 64KiB, 64MiB or 16GiB");
+    let text = text.trim();
+    let (number, factor) = SIZE_UNITS
+        .iter()
+        .find_map(|(unit, factor)| Some((text.strip_suffix(unit)?, *factor)))
+        .ok_or_else(permitted)?;
+    let number: u64 = number.trim().parse().map_err(|_error| permitted())?;
+    number.checked_mul(factor).ok_or_else(permitted)
+}
+
+/// Parses a share between 0 and 1.
+///
+/// # Errors
+/// Returns the permitted form as text.
+pub fn share(text: &str) -> Result<f64, Box<str>> {
+    match text.trim().parse::<f64>() {
+        Ok(value) if (0.0..=1.0).contains(&value) => Ok(value),
+        _ => Err("a number from 0 to 1".into()),
+    }
+}
+
+/// Parses `yes` or `no`.
+///
+/// # Errors
+/// Returns the permitted form as text.
+pub fn flag(text: &str) -> Result<bool, Box<str>> {
+    match text.trim() {
+        "yes" | "true" => Ok(true),
+        "no" | "false" => Ok(false),
+        _ => Err("yes or no".into()),
+    }
+}
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,9 @@
+//! Admission, queueing and choice of target under unknown output lengths.
+
+pub mod event;
+pub mod policy;
+
+pub use {
+    event::{Action, Cause, Decision, Event, Load, Outcome, Request},
+    policy::Policy,
+};
--- /dev/null
+++ b/tests/path.rs
@@ -0,0 +1,1 @@
+//! placeholder
