feat(route): baselines behind the policy border

Least in flight, round robin and two choices share places per target, a queue per service and the refusal of requests that can't be served in time; each is one small file with its rule of choice.

--- /dev/null
+++ b/crates/route/src/policies.rs
@@ -0,0 +1,37 @@
+//! The routing policies, one file each, all listed in [`POLICIES`].
+
+mod baseline;
+pub mod least_in_flight;
+pub mod round_robin;
+pub mod two_choices;
+
+use {crate::Policy, base::key};
+
+/// Makes a policy from the seed of its randomness and the data centre of this VM.
+pub type Make = fn(u64, key::DataCentre) -> Box<dyn Policy>;
+
+/// The policies by name, the default first.
+pub const POLICIES: [(&str, Make); 3] = [
+    (least_in_flight::NAME, least_in_flight::make),
+    (round_robin::NAME, round_robin::make),
+    (two_choices::NAME, two_choices::make),
+];
+
+/// The names of the policies, the default first.
+pub const NAMES: [&str; POLICIES.len()] = names();
+
+const fn names() -> [&'static str; POLICIES.len()] {
+    let mut names = [""; POLICIES.len()];
+    let mut index = 0;
+    while index < names.len() {
+        names[index] = POLICIES[index].0;
+        index += 1;
+    }
+    names
+}
+
+/// Makes the policy of a name; `None` if there is no such policy.
+pub fn make(name: &str, seed: u64, data_centre: key::DataCentre) -> Option<Box<dyn Policy>> {
+    let (_, make) = POLICIES.iter().find(|(known, _)| *known == name)?;
+    Some(make(seed, data_centre))
+}
