feat(cli): check deployment files together, with every fault at its line

Several files form one deployment: sections carry their file, and the value to publish is their text without comments. Faults are drawn by miette at file and line with what is permitted; bad input gives exit code 2. Positions of syntax errors were one line too far and could lie past the end of the file.

--- /dev/null
+++ b/crates/cli/src/check.rs
@@ -0,0 +1,98 @@
+//! `check`: validates deployment files together, or the settings of a process.
+
+use {
+    crate::{cli::BAD_INPUT, input},
+    clap::{Arg, ArgAction, ArgMatches, Command},
+    config::{Fault, Snapshot, Source, parse, settings},
+    serde_json::json,
+    std::process::ExitCode,
+};
+
+const EXAMPLES: &str = "Examples:
+  mastictrail check examples/wielkopolanka/*.ini
+  mastictrail check --json examples/association/*.ini
+  mastictrail check --settings examples/wielkopolanka/entry.settings.ini";
+
+/// Describes the subcommand.
+pub fn command() -> Command {
+    Command::new("check")
+        .about("Validates deployment files together, before they are published")
+        .after_help(EXAMPLES)
+        .arg(input::files())
+        .arg(input::json())
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .help("Reads each file as the settings of a process instead")
+                .action(ArgAction::SetTrue),
+        )
+}
+
+/// Checks the files and shows every fault at once.
+pub fn run(arguments: &ArgMatches) -> ExitCode {
+    let is_json = arguments.get_flag("json");
+    let sources = match input::read(&input::paths(arguments, "files")) {
+        Ok(sources) => sources,
+        Err(faults) => return reject(&faults, &[], is_json),
+    };
+    if arguments.get_flag("settings") {
+        return check_settings(&sources, is_json);
+    }
+    match parse::deployment(&sources) {
+        Ok(snapshot) => accept(&snapshot, is_json),
+        Err(faults) => reject(&faults, &sources, is_json),
+    }
+}
+
+fn check_settings(sources: &[Source], is_json: bool) -> ExitCode {
+    let faults: Vec<_> = sources
+        .iter()
+        .filter_map(|source| settings::parse(&source.file, &source.text).err())
+        .flatten()
+        .collect();
+    if !faults.is_empty() {
+        return reject(&faults, sources, is_json);
+    }
+    if is_json {
+        println!("{}", json!({"valid": true, "faults": []}));
+    } else {
+        println!("valid: {} files", sources.len());
+    }
+    ExitCode::SUCCESS
+}
+
+fn accept(snapshot: &Snapshot, is_json: bool) -> ExitCode {
+    if is_json {
+        let report = json!({
+            "valid": true,
+            "faults": [],
+            "name": snapshot.name,
+            "version": snapshot.version,
+            "bytes": snapshot.value.len(),
+        });
+        println!("{report}");
+        return ExitCode::SUCCESS;
+    }
+    println!(
+        "valid: {} version {}, {} bytes: {} data centres, {} VMs, {} services, {} models, \
+         {} targets, {} customers",
+        snapshot.name,
+        snapshot.version,
+        snapshot.value.len(),
+        snapshot.data_centres.len(),
+        snapshot.vms.len(),
+        snapshot.services.len(),
+        snapshot.models.len(),
+        snapshot.targets.len(),
+        snapshot.customers.len(),
+    );
+    ExitCode::SUCCESS
+}
+
+fn reject(faults: &[Fault], sources: &[Source], is_json: bool) -> ExitCode {
+    if !is_json {
+        return input::reject(faults, sources);
+    }
+    println!("{}", json!({"valid": false, "faults": faults}));
+    ExitCode::from(BAD_INPUT)
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,11 @@
 //! The `mastictrail` command.
 
-fn main() {}
+mod check;
+mod cli;
+mod input;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::run()
+}
--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -1,9 +1,12 @@
 //! What is wrong with a file, and where.
 
-use derive_more::{Display, Error};
+use {
+    derive_more::{Display, Error},
+    serde::Serialize,
+};
 
 /// One fault in an INI file.
-#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq, Serialize)]
 #[display("{file}:{line}: [{section}] {key}: {message}; permitted: {permitted}")]
 pub struct Fault {
     /// Path of the file, or a name for a published value.
--- a/crates/config/src/ini.rs
+++ b/crates/config/src/ini.rs
@@ -11,6 +11,8 @@
 /// One section; `[customer anna]` has the kind `customer` and the name `anna`.
 #[derive(Clone, Debug)]
 pub struct Section {
+    /// Path of the file that the section stands in.
+    pub file: Box<str>,
     /// First word of the header.
     pub kind: Box<str>,
     /// The rest of the header.
@@ -45,7 +47,7 @@
     let parsed = Ini::load_from_str_opt(text, options).map_err(|error| {
         vec![Fault {
             file: file.into(),
-            line: error.line + 1,
+            line: error.line.min(text.lines().count()),
             section: Box::default(),
             key: Box::default(),
             message: error.msg.as_ref().into(),
@@ -75,6 +77,7 @@
             .split_once(char::is_whitespace)
             .unwrap_or((header.trim(), ""));
         sections.push(Section {
+            file: file.into(),
             kind: kind.into(),
             name: name.trim().into(),
             line,
@@ -99,14 +102,17 @@
     }
 }
 
-/// Advances to the next line that matches and returns its number.
-fn next_line<'a>(
-    lines: &mut impl Iterator<Item = (usize, &'a str)>,
-    matches: impl Fn(&str) -> bool,
-) -> usize {
-    lines
-        .find(|(_, line)| matches(line))
-        .map_or(0, |(index, _)| index + 1)
+/// Advances to the next line that matches and returns its number; stays put if there is none.
+fn next_line<'a, I>(lines: &mut I, matches: impl Fn(&str) -> bool) -> usize
+where
+    I: Iterator<Item = (usize, &'a str)> + Clone,
+{
+    let start = lines.clone();
+    if let Some((index, _)) = lines.find(|(_, line)| matches(line)) {
+        return index + 1;
+    }
+    *lines = start;
+    0
 }
 
 fn is_header(line: &str, header: &str) -> bool {
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,12 +4,15 @@
 //! all. Process settings are a smaller INI file of each entry VM.
 
 pub mod deployment;
+pub mod diagnostic;
 pub mod fault;
 pub mod ini;
 pub mod parse;
 pub mod settings;
+pub mod source;
 pub mod unit;
 
 pub use deployment::Snapshot;
 pub use fault::Fault;
 pub use settings::Settings;
+pub use source::Source;
--- a/crates/config/src/parse.rs
+++ b/crates/config/src/parse.rs
@@ -2,12 +2,12 @@
 
 use {
     crate::{
-        Fault, Snapshot,
+        Fault, Snapshot, Source,
         deployment::{
             Class, Customer, DataCentre, Fencing, Kind, Model, Route, Service, Target, Vm,
         },
-        ini::{Reader, Section, sections},
-        unit,
+        ini::{Reader, Section},
+        source, unit,
     },
     base::{arena::Arena, key},
     sha2::{Digest, Sha256},
@@ -35,24 +35,36 @@
 /// # Errors
 /// Returns every fault that was found, in the order of the lines.
 pub fn snapshot(file: &str, text: &str) -> Result<Snapshot, Vec<Fault>> {
-    let sections = sections(file, text)?;
+    read(&[Source::new(file, text)], text)
+}
+
+/// Reads and checks the files of a deployment together, as the one value to publish.
+///
+/// # Errors
+/// Returns every fault that was found, in the order of the files and their lines. Faults of the
+/// syntax come alone, since they hide what else is in a file.
+pub fn deployment(sources: &[Source]) -> Result<Snapshot, Vec<Fault>> {
+    read(sources, &source::render(sources))
+}
+
+fn read(sources: &[Source], value: &str) -> Result<Snapshot, Vec<Fault>> {
+    let sections = source::sections(sources)?;
     let faults = RefCell::default();
     let parser = Parser {
-        file,
         sections: &sections,
         faults: &faults,
     };
-    let snapshot = parser.snapshot(text);
+    let snapshot = parser.snapshot(value);
     let mut faults = faults.into_inner();
     if faults.is_empty() {
         return Ok(snapshot);
     }
-    faults.sort_by_key(|fault| fault.line);
+    let position = |fault: &Fault| sources.iter().position(|source| source.file == fault.file);
+    faults.sort_by_key(|fault| (position(fault), fault.line));
     Err(faults)
 }
 
 struct Parser<'a> {
-    file: &'a str,
     sections: &'a [Section],
     faults: &'a RefCell<Vec<Fault>>,
 }
@@ -90,7 +102,7 @@
     }
 
     fn reader(&self, section: &'a Section) -> Reader<'a> {
-        Reader::new(self.file, section, self.faults)
+        Reader::new(&section.file, section, self.faults)
     }
 
     fn check_kinds(&self) {
@@ -116,7 +128,7 @@
     fn read_deployment(&self, snapshot: &mut Snapshot) {
         let Some(section) = self.of_kind("deployment").next() else {
             self.faults.borrow_mut().push(Fault {
-                file: self.file.into(),
+                file: Box::default(),
                 line: 0,
                 section: "deployment".into(),
                 key: Box::default(),
