feat(entry): daemon between callers, targets, the platform and other entry VMs

Callers authenticate by customer key; a model service answers a stream or one body, a plain service passes calls through. A call with an idempotency key that another entry VM owns crosses by the inner protocol. The configuration comes from the platform as a whole and each decision is logged with its version. SIGTERM drains. Not yet run against stand-ins.

--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line: its subcommands and exit codes.
 
 use {
-    crate::check,
+    crate::{check, serve},
     clap::{ArgMatches, Command},
     std::process::ExitCode,
 };
@@ -20,10 +20,16 @@
 }
 
 /// Every subcommand, in the order of `--help`.
-const SUBCOMMANDS: [Subcommand; 1] = [Subcommand {
-    command: check::command,
-    run: check::run,
-}];
+const SUBCOMMANDS: [Subcommand; 2] = [
+    Subcommand {
+        command: serve::command,
+        run: serve::run,
+    },
+    Subcommand {
+        command: check::command,
+        run: check::run,
+    },
+];
 
 /// Describes the whole command line.
 pub fn command() -> Command {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod check;
 mod cli;
 mod input;
+mod serve;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/crates/cli/src/serve.rs
@@ -0,0 +1,72 @@
+//! `mastictrail serve`: one entry VM's process.
+
+use {
+    crate::{cli::BAD_INPUT, input},
+    async_signal::{Signal, Signals},
+    clap::{Arg, ArgMatches, Command, value_parser},
+    config::{Settings, settings},
+    entry::{Daemon, logs},
+    futures_lite::StreamExt,
+    std::{error::Error, path::PathBuf, process::ExitCode},
+};
+
+/// Describes the subcommand.
+pub fn command() -> Command {
+    Command::new("serve")
+        .about("Runs one entry VM's process until SIGTERM or SIGINT, then drains")
+        .arg(
+            Arg::new("settings")
+                .value_name("SETTINGS")
+                .help("The process settings, an INI file")
+                .required(true)
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .after_help("Example: mastictrail serve /etc/mastictrail/entry.ini")
+}
+
+/// Runs the subcommand.
+pub fn run(arguments: &ArgMatches) -> ExitCode {
+    let sources = match input::read(&input::paths(arguments, "settings")) {
+        Ok(sources) => sources,
+        Err(faults) => return input::reject(&faults, &[]),
+    };
+    let Some(source) = sources.first() else {
+        return ExitCode::from(BAD_INPUT);
+    };
+    match settings::parse(&source.file, &source.text) {
+        Ok(settings) => serve(settings),
+        Err(faults) => input::reject(&faults, &sources),
+    }
+}
+
+fn serve(settings: Settings) -> ExitCode {
+    if let Err(error) = logs::start(&settings.log, &settings.vm.name) {
+        return fail(&error);
+    }
+    smol::block_on(async {
+        let daemon = match Daemon::start(settings).await {
+            Ok(daemon) => daemon,
+            Err(error) => return fail(&error),
+        };
+        if let Err(error) = stop_signal().await {
+            return fail(&error);
+        }
+        if daemon.stop().await {
+            ExitCode::SUCCESS
+        } else {
+            ExitCode::FAILURE
+        }
+    })
+}
+
+/// Waits for SIGTERM or SIGINT.
+async fn stop_signal() -> std::io::Result<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+    signals.next().await.transpose()?;
+    Ok(())
+}
+
+fn fail(error: &dyn Error) -> ExitCode {
+    eprintln!("error: {error}");
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/crates/entry/src/answer.rs
@@ -0,0 +1,96 @@
+//! Answers to callers: bodies, streams and the error body.
+
+use {
+    crate::{Context, Exchange},
+    base::{Reason, Refusal},
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody},
+    hyper::{
+        Response, StatusCode,
+        body::Frame,
+        header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+    },
+    serde_json::json,
+    smol::{channel::Receiver, stream::StreamExt},
+    std::convert::Infallible,
+};
+
+/// The body of an answer.
+pub type Body = UnsyncBoxBody<Bytes, Infallible>;
+
+/// Makes a body of known bytes.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).boxed_unsync()
+}
+
+/// Makes a body of bytes to come; it ends when the sender is dropped.
+pub fn stream(receiver: Receiver<Bytes>) -> Body {
+    StreamBody::new(receiver.map(|bytes| Ok(Frame::data(bytes)))).boxed_unsync()
+}
+
+/// Makes a JSON answer.
+pub fn json(status: StatusCode, value: &serde_json::Value) -> Response<Body> {
+    let mut response = Response::new(full(value.to_string()));
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+/// Returns the error body of a refusal.
+pub fn error_body(refusal: &Refusal, request: &str, version: u64) -> serde_json::Value {
+    json!({"error": {
+        "verdict": refusal.verdict,
+        "reason": refusal.reason,
+        "message": refusal.message,
+        "retry_after_ms": refusal.retry_after.map(|delay| delay.as_millis() as u64),
+        "request": request,
+        "configuration_version": version,
+    }})
+}
+
+/// Makes the answer of a refusal.
+pub fn refusal(refusal: &Refusal, request: &str, version: u64) -> Response<Body> {
+    let body = error_body(refusal, request, version);
+    let mut response = json(status(refusal.reason), &body);
+    if let Some(delay) = refusal.retry_after {
+        let seconds = delay.as_millis().div_ceil(1000) as u64;
+        response
+            .headers_mut()
+            .insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+}
+
+/// Adds the headers that every answer bears.
+pub fn mark(response: &mut Response<Body>, context: &Context, exchange: Option<&Exchange>) {
+    let headers = response.headers_mut();
+    let version = exchange.map_or_else(|| context.snapshot().version, Exchange::version);
+    headers.insert("x-configuration-version", HeaderValue::from(version));
+    if let Some(id) = exchange.and_then(|exchange| HeaderValue::from_str(&exchange.id).ok()) {
+        headers.insert("x-request-id", id);
+    }
+    if context.drain.is_leaving() {
+        headers.insert(hyper::header::CONNECTION, HeaderValue::from_static("close"));
+    }
+}
+
+fn status(reason: Reason) -> StatusCode {
+    match reason {
+        Reason::BadRequest | Reason::BadTicket => StatusCode::BAD_REQUEST,
+        Reason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        Reason::Unauthorized => StatusCode::UNAUTHORIZED,
+        Reason::Forbidden => StatusCode::FORBIDDEN,
+        Reason::NotFound => StatusCode::NOT_FOUND,
+        Reason::CustomerLimit => StatusCode::TOO_MANY_REQUESTS,
+        Reason::Overloaded | Reason::NoTarget | Reason::NotReady | Reason::TargetRefused => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+        Reason::Deadline => StatusCode::GATEWAY_TIMEOUT,
+        Reason::TargetLost | Reason::TargetInvalid | Reason::PeerLost => StatusCode::BAD_GATEWAY,
+        Reason::TicketVmGone | Reason::KeyInDoubt | Reason::RecordDropped => StatusCode::CONFLICT,
+        Reason::KeyConflict => StatusCode::UNPROCESSABLE_ENTITY,
+        Reason::Internal => StatusCode::INTERNAL_SERVER_ERROR,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/caller.rs
@@ -0,0 +1,183 @@
+//! HTTP towards callers: connections, authentication and the choice of what a path means.
+
+use {
+    crate::{
+        Context, Exchange,
+        answer::{self, Body},
+        call, generation,
+        runtime::within,
+    },
+    base::{Reason, Refusal, key},
+    bytes::Bytes,
+    config::deployment::Kind,
+    http_body_util::{BodyExt, Limited},
+    hyper::{
+        Method, Request, Response, body::Incoming, header::AUTHORIZATION, http::request::Parts,
+        server::conn::http1, service::service_fn,
+    },
+    smol::net::{TcpListener, TcpStream},
+    smol_hyper::rt::{FuturesIo, SmolTimer},
+    std::{convert::Infallible, pin::pin, sync::Arc, time::Duration},
+};
+
+/// Path of a generation within its service.
+pub const COMPLETIONS: &str = "/v1/completions";
+
+/// Accepts callers until the planned stop closes the listener.
+pub async fn listen(context: Arc<Context>, listener: TcpListener) {
+    loop {
+        let accepted = smol::future::or(async { Some(listener.accept().await) }, async {
+            context.drain.closed().await;
+            None
+        });
+        match accepted.await {
+            Some(Ok((stream, _peer))) => context.spawn(connection(Arc::clone(&context), stream)),
+            Some(Err(error)) => {
+                log::warn!(target: "caller", error:% = error; "a connection was not accepted");
+                smol::Timer::after(Duration::from_millis(10)).await;
+            }
+            None => return,
+        }
+    }
+}
+
+async fn connection(context: Arc<Context>, stream: TcpStream) {
+    let guard = context.drain.enter();
+    if guard.count() > context.settings.limits.connections as usize {
+        return;
+    }
+    let _ = stream.set_nodelay(true);
+    let serving = Arc::clone(&context);
+    let service = service_fn(move |request| {
+        let context = Arc::clone(&serving);
+        async move { Ok::<_, Infallible>(serve(&context, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(context.settings.limits.header_timeout)
+        .serve_connection(FuturesIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let finished = smol::future::or(async { Some(connection.as_mut().await) }, async {
+        context.drain.closed().await;
+        None
+    })
+    .await;
+    if finished.is_none() {
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
+    }
+}
+
+/// Answers one request.
+async fn serve(context: &Arc<Context>, request: Request<Incoming>) -> Response<Body> {
+    let (parts, body) = request.into_parts();
+    let exchange = match begin(context, &parts) {
+        Ok(exchange) => exchange,
+        Err(refusal) => {
+            let mut response = answer::refusal(&refusal, "", context.snapshot().version);
+            answer::mark(&mut response, context, None);
+            return response;
+        }
+    };
+    let mut response = match dispatch(context, &exchange, &parts, body).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            log::info!(
+                target: "answer", request:% = exchange.id, verdict:% = refusal.verdict,
+                reason:% = refusal.reason, configuration_version = exchange.version();
+                "refused: {}", refusal.message
+            );
+            answer::refusal(&refusal, &exchange.id, exchange.version())
+        }
+    };
+    answer::mark(&mut response, context, Some(&exchange));
+    response
+}
+
+/// Finds the customer and the service.
+fn begin(context: &Context, parts: &Parts) -> Result<Exchange, Refusal> {
+    let deployment = context.deployment.load_full();
+    if deployment.snapshot.version == 0 {
+        let refusal = Refusal::not_run(Reason::NotReady, "no configuration is in force yet");
+        return Err(refusal.retry_after(Duration::from_secs(1)));
+    }
+    let customer = parts
+        .headers
+        .get(AUTHORIZATION)
+        .and_then(|value| value.to_str().ok()?.strip_prefix("Bearer "))
+        .and_then(|key| deployment.customer(key))
+        .ok_or_else(|| {
+            Refusal::not_run(Reason::Unauthorized, "the customer key is missing or wrong")
+        })?;
+    let (name, _) = split_path(parts.uri.path());
+    let service = key::Service::of(name);
+    if !deployment.snapshot.services.contains(service) {
+        return Err(Refusal::not_run(
+            Reason::NotFound,
+            format!("there is no service `{name}`"),
+        ));
+    }
+    let mut exchange = Exchange::new(context, deployment, customer, service);
+    if let Some(limit) = deadline(parts) {
+        exchange.shorten(context.now(), limit);
+    }
+    Ok(exchange)
+}
+
+fn deadline(parts: &Parts) -> Option<Duration> {
+    let value = parts.headers.get("x-deadline-ms")?.to_str().ok()?;
+    Some(Duration::from_millis(value.parse().ok()?))
+}
+
+/// Splits `/SERVICE/PATH` into `SERVICE` and `/PATH`.
+fn split_path(path: &str) -> (&str, &str) {
+    let path = path.strip_prefix('/').unwrap_or(path);
+    path.find('/')
+        .map_or((path, "/"), |slash| path.split_at(slash))
+}
+
+async fn dispatch(
+    context: &Arc<Context>,
+    exchange: &Exchange,
+    parts: &Parts,
+    body: Incoming,
+) -> Result<Response<Body>, Refusal> {
+    let service = exchange
+        .service()
+        .ok_or_else(|| Refusal::not_run(Reason::NotFound, "the service is gone"))?;
+    let body = read_body(context, body, service.body_limit as usize).await?;
+    let (_, path) = split_path(parts.uri.path());
+    match (service.kind, &parts.method, path) {
+        (Kind::Model, &Method::POST, COMPLETIONS) => {
+            generation::serve(context, exchange, parts, &body).await
+        }
+        (Kind::Model, ..) => {
+            let message = format!("a model service answers POST {COMPLETIONS}");
+            Err(Refusal::not_run(Reason::NotFound, message))
+        }
+        (Kind::Plain, ..) => {
+            let path = match parts.uri.query() {
+                Some(query) => format!("{path}?{query}"),
+                None => path.to_owned(),
+            };
+            let call = call::Call::new(&parts.method, &path, &parts.headers, body);
+            call::serve(context, exchange, call).await
+        }
+    }
+}
+
+async fn read_body(context: &Context, body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+    let reading = Limited::new(body, limit).collect();
+    match within(context.settings.limits.body_timeout, reading).await {
+        Some(Ok(body)) => Ok(body.to_bytes()),
+        Some(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            let message = format!("the body is longer than {limit} bytes");
+            Err(Refusal::not_run(Reason::TooLarge, message))
+        }
+        Some(Err(error)) => Err(Refusal::not_run(Reason::BadRequest, error.to_string())),
+        None => Err(Refusal::not_run(
+            Reason::BadRequest,
+            "the body did not come in time",
+        )),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/daemon.rs
@@ -0,0 +1,124 @@
+//! One entry VM's process: start, run, planned stop.
+
+use {
+    crate::{
+        Context, Error, admin, caller, configuration,
+        context::Identity,
+        drain::Drain,
+        inner, probe,
+        router::{self, Router},
+        runtime::Runtime,
+    },
+    arc_swap::ArcSwap,
+    base::{clock, key},
+    config::Settings,
+    smol::{Timer, net::TcpListener},
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, SystemTime},
+    },
+};
+
+/// Time between the readiness going off and the listener's close, for the balancer to notice.
+pub const LEAVE_DELAY: Duration = Duration::from_secs(2);
+/// Time between two looks at the work in flight during a planned stop.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// A running entry VM's process.
+#[derive(Debug)]
+pub struct Daemon {
+    context: Arc<Context>,
+}
+
+impl Daemon {
+    /// Binds the addresses of the settings and starts every task.
+    ///
+    /// # Errors
+    /// Returns an error that names the file or the address at fault.
+    pub async fn start(settings: Settings) -> Result<Self, Error> {
+        let key = read_key(&settings)?;
+        let caller = bind(settings.listen.caller).await?;
+        let inner = bind(settings.listen.inner).await?;
+        let admin = bind(settings.listen.admin).await?;
+        let context = Arc::new(build(settings, key)?);
+        context.spawn(caller::listen(Arc::clone(&context), caller));
+        context.spawn(inner::listen(Arc::clone(&context), inner));
+        context.spawn(admin::listen(Arc::clone(&context), admin));
+        context.spawn(configuration::watch(Arc::clone(&context)));
+        context.spawn(configuration::list(Arc::clone(&context)));
+        context.spawn(probe::run(Arc::clone(&context)));
+        context.spawn(router::tick(Arc::clone(&context)));
+        Ok(Self { context })
+    }
+
+    /// Returns the shared state.
+    pub fn context(&self) -> &Arc<Context> {
+        &self.context
+    }
+
+    /// Stops as planned: readiness off, then no new connections, then waits for the work in flight.
+    ///
+    /// Returns whether all of it ended before the drain timeout.
+    pub async fn stop(&self) -> bool {
+        let drain = &self.context.drain;
+        drain.leave();
+        log::info!(target: "stop", connections = drain.in_flight(); "leaving");
+        Timer::after(LEAVE_DELAY).await;
+        drain.close();
+        let limit = self.context.now() + self.context.settings.limits.drain_timeout;
+        while drain.in_flight() > 0 && self.context.now() < limit {
+            Timer::after(DRAIN_POLL).await;
+        }
+        log::info!(target: "stop", connections = drain.in_flight(); "stopped");
+        drain.in_flight() == 0
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| Error::listen(address, error))
+}
+
+fn read_key(settings: &Settings) -> Result<Box<[u8]>, Error> {
+    const SHORTEST: usize = 16;
+    let path = &settings.keys.deployment;
+    let key = std::fs::read(path).map_err(|error| Error::file(path, error))?;
+    let key = key.trim_ascii();
+    if key.len() < SHORTEST {
+        return Err(Error::new(format!(
+            "{}: the key is shorter than {SHORTEST} bytes",
+            path.display()
+        )));
+    }
+    Ok(key.into())
+}
+
+fn build(settings: Settings, key: Box<[u8]>) -> Result<Context, Error> {
+    let started = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
+    let identity = Identity {
+        vm: key::Vm::of(&settings.vm.name),
+        data_centre: key::DataCentre::of(&settings.vm.data_centre),
+        name: settings.vm.name.clone(),
+        incarnation: started.as_micros() as u64,
+    };
+    let policy = route::policies::make(
+        "least_in_flight",
+        identity.incarnation,
+        identity.data_centre,
+    )
+    .ok_or_else(|| Error::new("the routing policy is unknown"))?;
+    Ok(Context {
+        clock: Arc::new(clock::System::new()),
+        identity,
+        key,
+        deployment: ArcSwap::default(),
+        router: Router::new(policy),
+        drain: Drain::default(),
+        runtime: Runtime::start(settings.limits.threads),
+        settings,
+    })
+}
--- /dev/null
+++ b/crates/entry/src/exchange.rs
@@ -0,0 +1,76 @@
+//! One request of a caller, on its way through the process.
+
+use {
+    crate::{Context, deployment::Deployment},
+    base::{Instant, key},
+    rand::Rng,
+    std::{sync::Arc, time::Duration},
+};
+
+/// Who asked, for what, and until when.
+#[derive(Clone, Debug)]
+pub struct Exchange {
+    /// Request id, unique over all VMs.
+    pub id: Box<str>,
+    /// Key of the id.
+    pub key: key::Request,
+    /// The customer.
+    pub customer: key::Customer,
+    /// The service.
+    pub service: key::Service,
+    /// When the answer is due.
+    pub deadline: Instant,
+    /// The configuration that the request began under.
+    pub deployment: Arc<Deployment>,
+}
+
+impl Exchange {
+    /// Begins a request with a new id; it is due at the service's deadline.
+    pub fn new(
+        context: &Context,
+        deployment: Arc<Deployment>,
+        customer: key::Customer,
+        service: key::Service,
+    ) -> Self {
+        let limit = deployment
+            .snapshot
+            .services
+            .get(service)
+            .map_or(config::parse::DEADLINE, |service| service.deadline);
+        let id = new_id();
+        Self {
+            key: key::Request::of(&id),
+            id,
+            customer,
+            service,
+            deadline: context.now() + limit,
+            deployment,
+        }
+    }
+
+    /// Brings the deadline forward; a later one is ignored.
+    pub fn shorten(&mut self, now: Instant, limit: Duration) {
+        self.deadline = self.deadline.min(now + limit);
+    }
+
+    /// Returns the time left.
+    pub fn remaining(&self, now: Instant) -> Duration {
+        self.deadline.since(now)
+    }
+
+    /// Returns the service's settings.
+    pub fn service(&self) -> Option<&config::deployment::Service> {
+        self.deployment.snapshot.services.get(self.service)
+    }
+
+    /// Returns the configuration version that the request began under.
+    pub fn version(&self) -> u64 {
+        self.deployment.snapshot.version
+    }
+}
+
+/// Makes a request id.
+pub fn new_id() -> Box<str> {
+    let bits: u128 = rand::rng().random();
+    format!("r-{bits:032x}").into()
+}
--- /dev/null
+++ b/crates/entry/src/inner.rs
@@ -0,0 +1,337 @@
+//! TCP between entry VMs: calls that belong to another VM.
+
+use {
+    crate::{
+        Context, Exchange,
+        call::{self, Call, Reply},
+        runtime::within,
+    },
+    base::{Reason, Refusal, Verdict, key},
+    bytes::{Bytes, BytesMut},
+    futures_util::{SinkExt, StreamExt},
+    hyper::{
+        HeaderMap, Method, StatusCode,
+        header::{HeaderName, HeaderValue},
+    },
+    prost::Message,
+    rand::Rng,
+    smol::net::{TcpListener, TcpStream},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio_util::{
+        codec::{Framed, LengthDelimitedCodec},
+        compat::{Compat, FuturesAsyncReadCompatExt},
+    },
+    wire::{
+        Error,
+        channel::Channel,
+        frame,
+        handshake::{self, Side},
+        msg::{self, Envelope, Hello, envelope::Body},
+    },
+};
+
+/// Longest wait for the other end's greeting.
+const HELLO_LIMIT: Duration = Duration::from_secs(5);
+
+type Stream = Framed<Compat<TcpStream>, LengthDelimitedCodec>;
+
+/// An authenticated connection to another entry VM.
+#[derive(Debug)]
+pub struct Link {
+    stream: Stream,
+    channel: Channel,
+    /// The greeting of the other end.
+    pub peer: Hello,
+}
+
+impl Link {
+    /// Connects to another entry VM.
+    ///
+    /// # Errors
+    /// Returns a [`Reason::PeerLost`] refusal with the verdict `NotRun`.
+    pub async fn connect(context: &Context, address: SocketAddr) -> Result<Self, Refusal> {
+        let lost =
+            |message: &str| Refusal::not_run(Reason::PeerLost, format!("{address}: {message}"));
+        let limit = context.settings.limits.connect_timeout;
+        let stream = within(limit, TcpStream::connect(address))
+            .await
+            .ok_or_else(|| lost("the connection timed out"))?
+            .map_err(|error| lost(&error.to_string()))?;
+        within(
+            HELLO_LIMIT.min(limit),
+            Self::greet(context, stream, Side::Client),
+        )
+        .await
+        .ok_or_else(|| lost("no greeting in time"))?
+        .map_err(|error| lost(&error.to_string()))
+    }
+
+    async fn greet(context: &Context, stream: TcpStream, side: Side) -> Result<Self, Error> {
+        let _ = stream.set_nodelay(true);
+        let mut stream = Framed::new(stream.compat(), frame::codec());
+        let nonce = rand::rng().random();
+        let identity = &context.identity;
+        let ours = handshake::hello(&identity.name, identity.incarnation, nonce);
+        let bytes = Bytes::from(ours.encode_to_vec());
+        stream.send(bytes).await.map_err(|_error| Error::Closed)?;
+        let bytes = next(&mut stream).await?;
+        let peer = Hello::decode(bytes).map_err(|_error| Error::Malformed)?;
+        let channel = handshake::channel(&context.key, side, &ours, &peer)?;
+        Ok(Self {
+            stream,
+            channel,
+            peer,
+        })
+    }
+
+    /// Sends a message.
+    ///
+    /// # Errors
+    /// Returns [`Error::Closed`] if the connection is gone.
+    pub async fn send(&mut self, body: Body) -> Result<(), Error> {
+        let bytes = self.channel.seal(&Envelope { body: Some(body) });
+        self.stream
+            .send(bytes)
+            .await
+            .map_err(|_error| Error::Closed)
+    }
+
+    /// Receives a message.
+    ///
+    /// # Errors
+    /// Returns what is wrong with the frame, or [`Error::Closed`].
+    pub async fn receive(&mut self) -> Result<Body, Error> {
+        let bytes = next(&mut self.stream).await?;
+        self.channel.open(bytes)?.body.ok_or(Error::Malformed)
+    }
+}
+
+async fn next(stream: &mut Stream) -> Result<BytesMut, Error> {
+    match stream.next().await {
+        Some(Ok(bytes)) => Ok(bytes),
+        Some(Err(error)) if error.kind() == std::io::ErrorKind::InvalidData => Err(Error::TooLong),
+        _ => Err(Error::Closed),
+    }
+}
+
+/// Sends one message to another entry VM and waits for its answer.
+///
+/// # Errors
+/// The refusal's verdict is `NotRun` if the message can't have left, `MayHaveRun` otherwise.
+pub async fn ask(
+    context: &Context,
+    vm: key::Vm,
+    body: Body,
+    limit: Duration,
+) -> Result<Body, Refusal> {
+    let snapshot = context.snapshot();
+    let vm = snapshot.vms.get(vm).ok_or_else(|| {
+        Refusal::not_run(Reason::PeerLost, "the entry VM is not in the configuration")
+    })?;
+    let mut link = Link::connect(context, vm.inner).await?;
+    let exchange = async {
+        link.send(body).await?;
+        link.receive().await
+    };
+    let lost =
+        |message: &str| Refusal::may_have_run(Reason::PeerLost, format!("{}: {message}", vm.name));
+    within(limit, exchange)
+        .await
+        .ok_or_else(|| lost("no answer in time"))?
+        .map_err(|error| lost(&error.to_string()))
+}
+
+/// Has another entry VM run a call.
+///
+/// # Errors
+/// Returns the other VM's refusal, or one of [`Reason::PeerLost`].
+pub async fn forward(
+    context: &Context,
+    exchange: &Exchange,
+    call: &Call,
+    vm: key::Vm,
+) -> Result<Reply, Refusal> {
+    let snapshot = &exchange.deployment.snapshot;
+    let remaining = exchange.remaining(context.now());
+    let message = msg::Call {
+        number: 1,
+        request: exchange.id.to_string(),
+        customer: snapshot
+            .customers
+            .get(exchange.customer)
+            .map_or_else(String::new, |c| c.name.to_string()),
+        service: exchange
+            .service()
+            .map_or_else(String::new, |service| service.name.to_string()),
+        method: call.method.to_string(),
+        path: call.path.to_string(),
+        headers: encode_headers(&call.headers),
+        body: call.body.to_vec(),
+        deadline_ms: remaining.as_millis() as u64,
+        configuration_version: exchange.version(),
+        ..msg::Call::default()
+    };
+    log::info!(
+        target: "forward", request:% = exchange.id, to:% = snapshot.vms.get(vm).map_or("", |vm| &*vm.name),
+        configuration_version = exchange.version(); "handed to the entry VM that owns the call"
+    );
+    match ask(context, vm, Body::Call(message), remaining).await? {
+        Body::Reply(reply) => decode_reply(reply),
+        _ => Err(Refusal::may_have_run(
+            Reason::PeerLost,
+            "the entry VM answered something else",
+        )),
+    }
+}
+
+/// Accepts other entry VMs for as long as the process runs.
+pub async fn listen(context: Arc<Context>, listener: TcpListener) {
+    loop {
+        if let Ok((stream, _peer)) = listener.accept().await {
+            context.spawn(connection(Arc::clone(&context), stream));
+        }
+    }
+}
+
+async fn connection(context: Arc<Context>, stream: TcpStream) {
+    let greeting = within(HELLO_LIMIT, Link::greet(&context, stream, Side::Server)).await;
+    let Some(Ok(mut link)) = greeting else {
+        log::warn!(target: "inner", "a connection was refused");
+        return;
+    };
+    loop {
+        let body = match link.receive().await {
+            Ok(body) => body,
+            Err(Error::Closed) => return,
+            Err(error) => {
+                log::warn!(target: "inner", peer:% = link.peer.vm, error:% = error; "the connection was closed");
+                return;
+            }
+        };
+        let _guard = context.drain.enter();
+        let Some(answer) = answer(&context, body).await else {
+            return;
+        };
+        if link.send(answer).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Answers a message of another entry VM; `None` closes the connection.
+async fn answer(context: &Arc<Context>, body: Body) -> Option<Body> {
+    match body {
+        Body::Call(call) => Some(Body::Reply(run(context, call).await)),
+        _ => None,
+    }
+}
+
+async fn run(context: &Arc<Context>, message: msg::Call) -> msg::Reply {
+    let number = message.number;
+    let result = match decode_call(context, message) {
+        Ok((exchange, call)) => call::run(context, &exchange, &call).await,
+        Err(refusal) => Err(refusal),
+    };
+    encode_reply(number, result)
+}
+
+fn decode_call(context: &Context, message: msg::Call) -> Result<(Exchange, Call), Refusal> {
+    let bad =
+        |error: &dyn std::fmt::Display| Refusal::not_run(Reason::BadRequest, error.to_string());
+    let deployment = context.deployment.load_full();
+    let customer = key::Customer::of(&message.customer);
+    let service = key::Service::of(&message.service);
+    if !deployment.snapshot.customers.contains(customer)
+        || !deployment.snapshot.services.contains(service)
+    {
+        return Err(bad(&"the customer or the service is not in force here"));
+    }
+    let mut exchange = Exchange::new(context, deployment, customer, service);
+    exchange.shorten(context.now(), Duration::from_millis(message.deadline_ms));
+    exchange.key = key::Request::of(&message.request);
+    exchange.id = message.request.into();
+    let method: Method = message.method.parse().map_err(|error| bad(&error))?;
+    let headers = decode_headers(&message.headers);
+    let call = Call::new(&method, &message.path, &headers, message.body.into());
+    Ok((exchange, call))
+}
+
+fn encode_reply(number: u64, result: Result<Reply, Refusal>) -> msg::Reply {
+    match result {
+        Ok(reply) => msg::Reply {
+            number,
+            verdict: msg::Verdict::Ran.into(),
+            status: reply.status.as_u16().into(),
+            headers: encode_headers(&reply.headers),
+            body: reply.body.to_vec(),
+            ..msg::Reply::default()
+        },
+        Err(refusal) => msg::Reply {
+            number,
+            verdict: encode_verdict(refusal.verdict).into(),
+            reason: refusal.reason.to_string(),
+            retry_after_ms: refusal
+                .retry_after
+                .map_or(0, |delay| delay.as_millis() as u64),
+            body: refusal.message.as_bytes().to_vec(),
+            ..msg::Reply::default()
+        },
+    }
+}
+
+fn decode_reply(reply: msg::Reply) -> Result<Reply, Refusal> {
+    if reply.reason.is_empty() {
+        let invalid =
+            |_error| Refusal::may_have_run(Reason::PeerLost, "the entry VM answered no status");
+        return Ok(Reply {
+            status: StatusCode::from_u16(reply.status as u16).map_err(invalid)?,
+            headers: decode_headers(&reply.headers),
+            body: reply.body.into(),
+        });
+    }
+    let verdict = decode_verdict(reply.verdict());
+    let reason = serde_json::from_value(reply.reason.into()).unwrap_or(Reason::Internal);
+    Err(Refusal {
+        verdict,
+        reason,
+        retry_after: (reply.retry_after_ms > 0)
+            .then(|| Duration::from_millis(reply.retry_after_ms)),
+        message: String::from_utf8_lossy(&reply.body).into(),
+    })
+}
+
+fn encode_verdict(verdict: Verdict) -> msg::Verdict {
+    match verdict {
+        Verdict::NotRun => msg::Verdict::NotRun,
+        Verdict::MayHaveRun => msg::Verdict::MayHaveRun,
+        Verdict::Ran => msg::Verdict::Ran,
+    }
+}
+
+fn decode_verdict(verdict: msg::Verdict) -> Verdict {
+    match verdict {
+        msg::Verdict::NotRun => Verdict::NotRun,
+        msg::Verdict::Ran => Verdict::Ran,
+        msg::Verdict::MayHaveRun | msg::Verdict::Unspecified => Verdict::MayHaveRun,
+    }
+}
+
+fn encode_headers(headers: &HeaderMap) -> Vec<msg::Header> {
+    headers
+        .iter()
+        .map(|(name, value)| msg::Header {
+            name: name.to_string(),
+            value: value.as_bytes().to_vec(),
+        })
+        .collect()
+}
+
+fn decode_headers(headers: &[msg::Header]) -> HeaderMap {
+    headers
+        .iter()
+        .filter_map(|header| {
+            let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+            Some((name, HeaderValue::from_bytes(&header.value).ok()?))
+        })
+        .collect()
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,26 @@
-//! placeholder
+//! The entry daemon: sockets and timers around the state machines.
+//!
+//! [`daemon::Daemon`] starts one entry VM's process. Every other module does one job of it and takes
+//! the shared [`context::Context`].
+
+pub mod admin;
+pub mod answer;
+pub mod call;
+pub mod caller;
+pub mod configuration;
+pub mod context;
+pub mod daemon;
+pub mod deployment;
+pub mod drain;
+pub mod error;
+pub mod exchange;
+pub mod generation;
+pub mod http;
+pub mod inner;
+pub mod logs;
+pub mod probe;
+pub mod router;
+pub mod runtime;
+pub mod sse;
+
+pub use {context::Context, daemon::Daemon, error::Error, exchange::Exchange};
--- /dev/null
+++ b/crates/entry/src/probe.rs
@@ -0,0 +1,68 @@
+//! Reads the load of targets for the policy.
+
+use {
+    crate::{Context, http},
+    base::key,
+    config::deployment::Target,
+    route::{Event, Load},
+    serde_json::Value,
+    smol::Timer,
+    std::{sync::Arc, time::Duration},
+};
+
+/// Time between two reads of one target's load.
+pub const INTERVAL: Duration = Duration::from_millis(500);
+/// Longest wait for a load report.
+const LIMIT: Duration = Duration::from_secs(2);
+
+/// Reads the load of every target, for as long as the process runs.
+pub async fn run(context: Arc<Context>) {
+    loop {
+        let snapshot = context.snapshot();
+        for (key, target) in snapshot.targets.iter() {
+            let probe = probe(Arc::clone(&context), key, target.clone());
+            context.spawn(probe);
+        }
+        Timer::after(INTERVAL).await;
+    }
+}
+
+async fn probe(context: Arc<Context>, target: key::Target, settings: Target) {
+    let answer = http::get_json(&context, settings.address, "/v1/load", LIMIT).await;
+    let now = context.now();
+    let reachable = answer.is_ok();
+    context
+        .router
+        .handle(now, Event::Reachable { target, reachable });
+    let Ok(value) = answer else { return };
+    let load = Box::new(load(&value));
+    context.router.handle(now, Event::Report { target, load });
+    if value["leaving"] == Value::Bool(true) {
+        context.router.handle(
+            now,
+            Event::Leaving {
+                target,
+                leaving: true,
+            },
+        );
+    }
+}
+
+fn load(value: &Value) -> Load {
+    let number = |name: &str| value[name].as_u64().unwrap_or(0);
+    let models = value["models"].as_array().into_iter().flatten();
+    Load {
+        sequence: number("sequence"),
+        age: Duration::from_millis(number("age_ms")),
+        running: number("running") as u32,
+        waiting: number("waiting") as u32,
+        memory_total: number("memory_total"),
+        memory_used: number("memory_used"),
+        preemptions: number("preemptions"),
+        tokens_per_second: value["tokens_per_second"].as_f64().unwrap_or(0.0),
+        models: models
+            .filter_map(Value::as_str)
+            .map(|name| key::Model::of(name.split('@').next().unwrap_or(name)))
+            .collect(),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/router.rs
@@ -0,0 +1,224 @@
+//! The asynchronous front of the routing policy.
+
+use {
+    crate::Context,
+    base::{Instant, Reason, Refusal, key},
+    derive_more::Debug,
+    route::{Action, Decision, Event, Outcome, Policy},
+    smol::{
+        Timer,
+        channel::{Receiver, Sender, bounded},
+    },
+    std::{
+        collections::HashMap,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+};
+
+/// Longest time between two ticks of the policy.
+const TICK: Duration = Duration::from_millis(50);
+
+type Answer = Result<Box<Decision>, Refusal>;
+
+/// Admission and choice of targets, shared by all requests of the process.
+///
+/// The policy is one state machine behind a lock; a decision takes microseconds and a VM takes a few
+/// requests a second, so the lock is not contended.
+#[derive(Debug)]
+pub struct Router {
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    policy: Box<dyn Policy>,
+    actions: Vec<Action>,
+    waiting: HashMap<key::Request, Sender<Answer>>,
+}
+
+/// A place on a target; free again when dropped.
+#[derive(Debug)]
+pub struct Grant {
+    context: Arc<Context>,
+    /// The decision that gave the place.
+    pub decision: Box<Decision>,
+    outcome: Outcome,
+}
+
+/// Withdraws a request whose caller went away while it waited.
+struct Waiter<'a> {
+    context: &'a Context,
+    request: key::Request,
+    answer: Receiver<Answer>,
+}
+
+impl Router {
+    /// Puts a front before a policy.
+    pub fn new(policy: Box<dyn Policy>) -> Self {
+        Self {
+            state: Mutex::new(State {
+                policy,
+                actions: Vec::new(),
+                waiting: HashMap::new(),
+            }),
+        }
+    }
+
+    /// Tells the policy what happened.
+    pub fn handle(&self, now: Instant, event: Event) {
+        self.lock().handle(now, event);
+    }
+
+    /// Returns the number of requests that wait for a target.
+    pub fn queued(&self) -> usize {
+        self.lock().policy.queued()
+    }
+
+    /// Returns the name of the policy.
+    pub fn policy(&self) -> &'static str {
+        self.lock().policy.name()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn arrive(&self, now: Instant, request: route::Request) -> Receiver<Answer> {
+        let (sender, receiver) = bounded(1);
+        let mut state = self.lock();
+        state.waiting.insert(request.key, sender);
+        state.handle(now, Event::Arrived(Box::new(request)));
+        receiver
+    }
+}
+
+impl State {
+    fn handle(&mut self, now: Instant, event: Event) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.policy.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.perform(action);
+        }
+        self.actions = actions;
+    }
+
+    fn perform(&mut self, action: Action) {
+        let (request, answer) = match action {
+            Action::Dispatch(decision) => (decision.request, Ok(decision)),
+            Action::Refuse { request, refusal } => (request, Err(refusal)),
+        };
+        if let Some(waiting) = self.waiting.remove(&request) {
+            let _ = waiting.try_send(answer);
+        }
+    }
+}
+
+/// Waits for a place on a target.
+///
+/// # Errors
+/// Returns the policy's refusal, at once when it gives up.
+pub async fn acquire(context: &Arc<Context>, request: route::Request) -> Result<Grant, Refusal> {
+    let key = request.key;
+    let waiter = Waiter {
+        context,
+        request: key,
+        answer: context.router.arrive(context.now(), request),
+    };
+    let answer = waiter.answer.recv().await;
+    drop(waiter);
+    let decision = answer.unwrap_or_else(|_closed| {
+        Err(Refusal::not_run(
+            Reason::Internal,
+            "the router dropped the request",
+        ))
+    })?;
+    Ok(Grant {
+        context: Arc::clone(context),
+        decision,
+        outcome: Outcome::Cancelled,
+    })
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        let router = &self.context.router;
+        let now = self.context.now();
+        let mut state = router.lock();
+        if state.waiting.remove(&self.request).is_some() {
+            state.handle(now, Event::Withdrawn(self.request));
+        } else if let Ok(Ok(decision)) = self.answer.try_recv() {
+            state.handle(
+                now,
+                Event::Ended {
+                    request: decision.request,
+                    outcome: Outcome::Cancelled,
+                },
+            );
+        }
+    }
+}
+
+impl Grant {
+    /// Counts tokens that came from the target.
+    pub fn progress(&self, tokens: u32) {
+        let request = self.decision.request;
+        self.context
+            .router
+            .handle(self.context.now(), Event::Progress { request, tokens });
+    }
+
+    /// Ends the attempt.
+    pub fn end(mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+
+    /// Returns the chosen target.
+    pub fn target(&self) -> key::Target {
+        self.decision.target
+    }
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        let event = Event::Ended {
+            request: self.decision.request,
+            outcome: self.outcome,
+        };
+        self.context.router.handle(self.context.now(), event);
+    }
+}
+
+/// Ticks the policy for as long as the process runs.
+pub async fn tick(context: Arc<Context>) {
+    loop {
+        Timer::after(TICK).await;
+        context.router.handle(context.now(), Event::Tick);
+    }
+}
+
+/// Writes the log line of a routing decision.
+pub fn log_decision(exchange: &crate::Exchange, grant: &Grant) {
+    let decision = &grant.decision;
+    let snapshot = &exchange.deployment.snapshot;
+    let name = |target| {
+        let target = snapshot.targets.get(target);
+        target.map_or("", |target| &*target.name)
+    };
+    let candidates = decision
+        .candidates
+        .iter()
+        .map(|&(target, score)| format!("{}={score:.3}", name(target)))
+        .collect::<Vec<_>>()
+        .join(" ");
+    let customer = snapshot.customers.get(exchange.customer);
+    log::info!(
+        target: "route", request:% = exchange.id,
+        customer:% = customer.map_or("", |customer| &*customer.name),
+        service:% = exchange.service().map_or("", |service| &*service.name),
+        candidates:% = candidates, chosen:% = name(decision.target), cause:% = decision.cause,
+        waited_ms = decision.waited.as_millis() as u64, expected_tokens = decision.expected_tokens,
+        configuration_version = exchange.version();
+        "dispatched"
+    );
+}
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -17,6 +17,9 @@
     /// The sequence number was seen before.
     #[display("the message is a replay")]
     Replayed,
+    /// The connection is gone.
+    #[display("the connection is closed")]
+    Closed,
     /// The versions of the two ends do not overlap.
     #[display("no common protocol version")]
     Version,
