--- a/crates/cli/src/bin/fakes.rs
+++ b/crates/cli/src/bin/fakes.rs
@@ -1,3 +1,5 @@
 //! The stand-ins as a program, for tests with real processes.
 
-fn main() {}
+fn main() -> std::io::Result<()> {
+    fakes::run()
+}
