--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line: its subcommands and exit codes.
 
 use {
-    crate::{check, serve},
+    crate::{check, demo, serve},
     clap::{ArgMatches, Command},
     std::process::ExitCode,
 };
@@ -20,7 +20,11 @@
 }
 
 /// Every subcommand, in the order of `--help`.
-const SUBCOMMANDS: [Subcommand; 2] = [
+const SUBCOMMANDS: [Subcommand; 3] = [
+    Subcommand {
+        command: demo::command,
+        run: demo::run,
+    },
     Subcommand {
         command: serve::command,
         run: serve::run,
--- /dev/null
+++ b/crates/cli/src/demo.rs
@@ -0,0 +1,194 @@
+//! `mastictrail demo`: the whole path in one process.
+
+use {
+    crate::{
+        client::{self, Answer, Failure},
+        embedded::{CUSTOMER_KEY, MODEL, MODEL_SERVICE, OPERATION, PLAIN_SERVICE, Path, Plan},
+    },
+    clap::{Arg, ArgAction, ArgMatches, Command, value_parser},
+    fakes::{engine, service},
+    serde_json::{Value, json},
+    smol::Timer,
+    std::{
+        net::SocketAddr,
+        process::ExitCode,
+        time::{Duration, Instant},
+    },
+};
+
+const DRAFT: &str = "Draft the batch sheet for a run of pierogi. #tokens=48";
+const LOOKUP: &str = "Does the allergen swap hold? #lookup #tokens=6";
+const RELEASE: &str = "{\"recipe\": \"bigos\", \"lot\": 7}";
+const OPERATION_NAME: &str = "release-bigos-7";
+/// Longest wait for the entry VMs to have a configuration.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+
+type Check = Result<(), Failure>;
+
+/// Describes the subcommand.
+pub fn command() -> Command {
+    Command::new("demo")
+        .about("Runs the whole path in one process, with embedded stand-ins")
+        .arg(
+            Arg::new("once")
+                .long("once")
+                .help("Serves one draft, one lookup and one release, then exits")
+                .action(ArgAction::SetTrue),
+        )
+        .arg(
+            Arg::new("listen")
+                .long("listen")
+                .value_name("ADDRESS")
+                .help("Address for callers of the first entry VM [default: 127.0.0.1:8080, any free one with --once]")
+                .value_parser(value_parser!(SocketAddr)),
+        )
+        .after_help("Examples:\n  mastictrail demo\n  mastictrail demo --once")
+}
+
+/// Runs the subcommand.
+pub fn run(arguments: &ArgMatches) -> ExitCode {
+    let once = arguments.get_flag("once");
+    let listen = arguments.get_one::<SocketAddr>("listen").copied();
+    let caller = match (listen, once) {
+        (None, false) => Some(config::settings::Listen::default().caller),
+        _ => listen,
+    };
+    let plan = Plan {
+        caller,
+        ..Plan::default()
+    };
+    match smol::block_on(serve(plan, once)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(plan: Plan, once: bool) -> Check {
+    let path = Path::start(plan).await?;
+    wait_until_ready(&path).await?;
+    if !once {
+        print_examples(&path);
+        crate::serve::stop_signal().await?;
+        path.stop().await;
+        return Ok(());
+    }
+    check_draft(&path).await?;
+    check_lookup(&path).await?;
+    check_release(&path).await?;
+    check_generations(&path).await
+}
+
+async fn wait_until_ready(path: &Path) -> Check {
+    let started = Instant::now();
+    for &admin in &path.admins {
+        while client::get(admin, "/ready").await?.status != 200 {
+            if started.elapsed() > READY_LIMIT {
+                return Err("the entry VMs are not ready".into());
+            }
+            Timer::after(Duration::from_millis(20)).await;
+        }
+    }
+    Ok(())
+}
+
+fn print_examples(path: &Path) {
+    let caller = path.callers[0];
+    let key = format!("-H 'Authorization: Bearer {CUSTOMER_KEY}'");
+    println!("Two entry VMs, two engines, one plain service and a platform run in this process.");
+    println!("A draft, token by token:");
+    println!(
+        "  curl -N {key} http://{caller}/{MODEL_SERVICE}/v1/completions -d '{{\"model\": \"{MODEL}\", \"prompt\": \"Draft a batch sheet\", \"stream\": true}}'"
+    );
+    println!("A lookup, in one body:");
+    println!(
+        "  curl {key} http://{caller}/{MODEL_SERVICE}/v1/completions -d '{{\"model\": \"{MODEL}\", \"class\": \"lookup\", \"prompt\": \"Does the swap hold? #lookup\"}}'"
+    );
+    println!("A release, at most once:");
+    println!(
+        "  curl {key} -H 'Idempotency-Key: bigos-7' http://{caller}/{PLAIN_SERVICE}/releases -d '{RELEASE}'"
+    );
+    println!("What one entry VM believes:");
+    println!("  curl http://{}/status", path.admins[0]);
+    println!("Stop with Ctrl-C.");
+}
+
+/// Compares a streamed draft with what the engine made.
+async fn check_draft(path: &Path) -> Check {
+    let answer = complete(
+        path,
+        json!({"model": MODEL, "prompt": DRAFT, "stream": true}),
+    )
+    .await?;
+    let mut text = String::new();
+    for event in answer.events() {
+        text.push_str(event["choices"][0]["text"].as_str().unwrap_or(""));
+    }
+    println!("draft: {text}");
+    compare("draft", &text, &made(DRAFT))
+}
+
+/// Compares a lookup's body with what the engine made.
+async fn check_lookup(path: &Path) -> Check {
+    let prompt = json!({"model": MODEL, "class": "lookup", "prompt": LOOKUP});
+    let answer: Value = serde_json::from_slice(&complete(path, prompt).await?.body)?;
+    let text = answer["choices"][0]["text"].as_str().unwrap_or("");
+    println!("lookup: {text}");
+    compare("lookup", text, &made(LOOKUP))
+}
+
+/// Sends a release and counts its runs.
+async fn check_release(path: &Path) -> Check {
+    let headers = [
+        ("authorization", authorization()),
+        ("idempotency-key", OPERATION_NAME.to_owned()),
+        (OPERATION, OPERATION_NAME.to_owned()),
+    ];
+    let url = format!("/{PLAIN_SERVICE}/releases");
+    let answer = client::post(path.callers[0], &url, &headers, RELEASE).await?;
+    let value: Value = serde_json::from_slice(&answer.body)?;
+    println!("release: {value}");
+    let digest = service::digest(RELEASE.as_bytes());
+    compare("release", value["digest"].as_str().unwrap_or(""), &digest)?;
+    let runs: Value = serde_json::from_slice(&client::get(path.service, "/test/runs").await?.body)?;
+    compare(
+        "runs of the release",
+        &runs["runs"][OPERATION_NAME].to_string(),
+        "1",
+    )
+}
+
+/// Counts the generations that the engines ran.
+async fn check_generations(path: &Path) -> Check {
+    let mut runs = 0;
+    for &engine in &path.engines {
+        let counted: Value =
+            serde_json::from_slice(&client::get(engine, "/test/runs").await?.body)?;
+        runs += counted["runs"].as_object().map_or(0, serde_json::Map::len);
+    }
+    compare("number of generations", &runs.to_string(), "2")
+}
+
+async fn complete(path: &Path, prompt: Value) -> Result<Answer, Failure> {
+    let url = format!("/{MODEL_SERVICE}/v1/completions");
+    let headers = [("authorization", authorization())];
+    Ok(client::post(path.callers[0], &url, &headers, &prompt.to_string()).await?)
+}
+
+fn authorization() -> String {
+    format!("Bearer {CUSTOMER_KEY}")
+}
+
+fn made(prompt: &str) -> String {
+    let seed = engine::Settings::default().seed;
+    engine::tokens(seed, prompt, u32::MAX).concat()
+}
+
+fn compare(what: &str, got: &str, wanted: &str) -> Check {
+    if got == wanted {
+        return Ok(());
+    }
+    Err(format!("the {what} differs: got `{got}`, wanted `{wanted}`").into())
+}
--- /dev/null
+++ b/crates/cli/src/embedded.rs
@@ -0,0 +1,231 @@
+//! The whole path in one process: stand-ins, and entry VMs that serve through them.
+
+use {
+    config::{
+        Settings,
+        settings::{Listen, Platform, Vm},
+    },
+    entry::{Daemon, Error},
+    fakes::{engine, platform, service},
+    sha2::{Digest, Sha256},
+    smol::net::TcpListener,
+    std::{
+        fmt::Write,
+        io,
+        net::{Ipv4Addr, SocketAddr, TcpListener as Probe},
+    },
+};
+
+/// Name of the model service.
+pub const MODEL_SERVICE: &str = "kucharz";
+/// Name of the plain service.
+pub const PLAIN_SERVICE: &str = "receptury";
+/// Name of the only model.
+pub const MODEL: &str = "batch-sheet";
+/// Key of the only customer.
+pub const CUSTOMER_KEY: &str = "night-shift-key";
+/// Header that names an operation to the plain service's run counter.
+pub const OPERATION: &str = "x-operation";
+
+const DATA_CENTRE: &str = "wlkp-a";
+const DEPLOYMENT_KEY: &[u8] = b"embedded stand-ins only, no secret";
+const THREADS: u32 = 1;
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Settings of each engine.
+    pub engines: Vec<engine::Settings>,
+    /// Number of entry VMs.
+    pub vms: usize,
+    /// Routing policy of the entry VMs.
+    pub policy: Box<str>,
+    /// Address of the first entry VM for callers; a free one if `None`.
+    pub caller: Option<SocketAddr>,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            engines: vec![engine::Settings::default(); 2],
+            vms: 2,
+            policy: config::settings::Routing::default().policy,
+            caller: None,
+        }
+    }
+}
+
+/// A running path.
+#[derive(Debug)]
+pub struct Path {
+    /// Addresses for callers, one per entry VM.
+    pub callers: Vec<SocketAddr>,
+    /// Addresses for operators, one per entry VM.
+    pub admins: Vec<SocketAddr>,
+    /// Addresses of the engines.
+    pub engines: Vec<SocketAddr>,
+    /// Address of the plain service.
+    pub service: SocketAddr,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    daemons: Vec<Daemon>,
+}
+
+impl Path {
+    /// Starts everything in this process.
+    ///
+    /// # Errors
+    /// Returns an error that names the address at fault.
+    pub async fn start(plan: Plan) -> Result<Self, Error> {
+        let engines = start_engines(&plan).await?;
+        let (listener, service) = listen().await?;
+        smol::spawn(service::serve(listener, service::Settings::default())).detach();
+        let listens = (0..plan.vms)
+            .map(|_| free_addresses())
+            .collect::<io::Result<Vec<_>>>()
+            .map_err(|error| Error::new(error.to_string()))?;
+        let value = value(&listens, &engines, service);
+        let platform = start_platform(value).await?;
+        let mut path = Self {
+            callers: Vec::new(),
+            admins: Vec::new(),
+            engines,
+            service,
+            platform,
+            daemons: Vec::new(),
+        };
+        for (index, mut listen) in listens.into_iter().enumerate() {
+            if let (0, Some(caller)) = (index, plan.caller) {
+                listen.caller = caller;
+            }
+            path.start_daemon(&plan, index, listen).await?;
+        }
+        Ok(path)
+    }
+
+    /// Stops the entry VMs as planned; returns whether all work in flight ended.
+    pub async fn stop(&self) -> bool {
+        let mut ended = true;
+        for daemon in &self.daemons {
+            ended &= daemon.stop().await;
+        }
+        ended
+    }
+
+    async fn start_daemon(
+        &mut self,
+        plan: &Plan,
+        index: usize,
+        listen: Listen,
+    ) -> Result<(), Error> {
+        self.callers.push(listen.caller);
+        self.admins.push(listen.admin);
+        let mut settings = Settings {
+            vm: Vm {
+                name: vm_name(index).into(),
+                data_centre: DATA_CENTRE.into(),
+                peers: Vec::new(),
+            },
+            listen,
+            platform: Platform {
+                address: self.platform,
+                ..Platform::default()
+            },
+            ..Settings::default()
+        };
+        settings.limits.threads = THREADS;
+        settings.routing.policy = plan.policy.clone();
+        let daemon = Daemon::with_key(settings, DEPLOYMENT_KEY.into()).await?;
+        self.daemons.push(daemon);
+        Ok(())
+    }
+}
+
+async fn start_engines(plan: &Plan) -> Result<Vec<SocketAddr>, Error> {
+    let mut addresses = Vec::new();
+    for (index, settings) in plan.engines.iter().enumerate() {
+        let (listener, address) = listen().await?;
+        let settings = engine::Settings {
+            name: engine_name(index).into(),
+            ..settings.clone()
+        };
+        smol::spawn(engine::serve(listener, settings)).detach();
+        addresses.push(address);
+    }
+    Ok(addresses)
+}
+
+async fn start_platform(value: String) -> Result<SocketAddr, Error> {
+    let (listener, address) = listen().await?;
+    let settings = platform::Settings {
+        value: Some((1, value.into())),
+        ..platform::Settings::default()
+    };
+    smol::spawn(platform::serve(listener, settings)).detach();
+    Ok(address)
+}
+
+async fn listen() -> Result<(TcpListener, SocketAddr), Error> {
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let listener = TcpListener::bind(any)
+        .await
+        .map_err(|error| Error::listen(any, error))?;
+    let address = listener
+        .local_addr()
+        .map_err(|error| Error::listen(any, error))?;
+    Ok((listener, address))
+}
+
+/// Finds three free addresses; all are held until the last is found, so that they differ.
+fn free_addresses() -> io::Result<Listen> {
+    let probes = [(); 3].map(|()| Probe::bind((Ipv4Addr::LOCALHOST, 0)));
+    let [caller, inner, admin] = probes;
+    Ok(Listen {
+        caller: caller?.local_addr()?,
+        inner: inner?.local_addr()?,
+        admin: admin?.local_addr()?,
+    })
+}
+
+fn vm_name(index: usize) -> String {
+    format!("entry-{}", index + 1)
+}
+
+fn engine_name(index: usize) -> String {
+    format!("{MODEL_SERVICE}-{}", index + 1)
+}
+
+/// Writes the deployment's published value.
+fn value(listens: &[Listen], engines: &[SocketAddr], service: SocketAddr) -> String {
+    let digest = Sha256::digest(CUSTOMER_KEY);
+    let mut text = format!(
+        "[deployment]\nname = demo\nversion = 1\n\
+         [data_centre {DATA_CENTRE}]\nregion = wlkp\n\
+         [model {MODEL}]\nversion = 1\nweight = 1GiB\n\
+         [service {MODEL_SERVICE}]\nkind = model\nmodels = {MODEL}\n\
+         [class {MODEL_SERVICE} draft]\npriority = 1\n\
+         [class {MODEL_SERVICE} lookup]\npriority = 5\nheadroom = 0.1\nmax_tokens = 256\n\
+         [service {PLAIN_SERVICE}]\nkind = plain\n\
+         [route {PLAIN_SERVICE} release]\nmethod = POST\npath = /releases\nidempotent = no\n\
+         [target {PLAIN_SERVICE}-1]\nservice = {PLAIN_SERVICE}\ndata_centre = {DATA_CENTRE}\n\
+         address = {service}\n\
+         [customer night-shift]\nkey_sha256 = {digest:x}\n"
+    );
+    for (index, listen) in listens.iter().enumerate() {
+        let (name, inner) = (vm_name(index), listen.inner);
+        let _ = write!(
+            text,
+            "[vm {name}]\ndata_centre = {DATA_CENTRE}\ninner = {inner}\n"
+        );
+    }
+    let memory = engine::Settings::default().memory;
+    for (index, address) in engines.iter().enumerate() {
+        let name = engine_name(index);
+        let _ = write!(
+            text,
+            "[target {name}]\nservice = {MODEL_SERVICE}\ndata_centre = {DATA_CENTRE}\n\
+             address = {address}\nmemory_tokens = {memory}\nweights = 16GiB\nfencing = checked\n"
+        );
+    }
+    text
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,9 @@
 
 mod check;
 mod cli;
+mod client;
+mod demo;
+mod embedded;
 mod input;
 mod serve;
 
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -60,7 +60,10 @@
 }
 
 /// Waits for SIGTERM or SIGINT.
-async fn stop_signal() -> std::io::Result<()> {
+///
+/// # Errors
+/// Returns an error if the signals can't be watched.
+pub async fn stop_signal() -> std::io::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     signals.next().await.transpose()?;
     Ok(())
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -30,6 +30,8 @@
     pub log: Log,
     /// `[limits]`
     pub limits: Limits,
+    /// `[routing]`
+    pub routing: Routing,
 }
 
 /// Which VM this is.
@@ -111,6 +113,21 @@
     }
 }
 
+/// Routing.
+#[derive(Clone, Debug)]
+pub struct Routing {
+    /// Name of the policy.
+    pub policy: Box<str>,
+}
+
+impl Default for Routing {
+    fn default() -> Self {
+        Self {
+            policy: "least_in_flight".into(),
+        }
+    }
+}
+
 /// Limits against slow and oversized callers.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -146,7 +163,7 @@
 /// # Errors
 /// Returns every fault that was found.
 pub fn parse(file: &str, text: &str) -> Result<Settings, Vec<Fault>> {
-    const KINDS: &str = "vm, listen, platform, keys, log, limits";
+    const KINDS: &str = "vm, listen, platform, keys, log, limits, routing";
     let sections = sections(file, text)?;
     let faults = RefCell::default();
     let mut settings = Settings::default();
@@ -159,6 +176,7 @@
             "keys" => read_keys(&mut settings.keys, &reader),
             "log" => read_log(&mut settings.log, &reader),
             "limits" => read_limits(&mut settings.limits, &reader),
+            "routing" => read_routing(&mut settings.routing, &reader),
             _ => {
                 reader.reject("", "the section is unknown", KINDS);
                 continue;
@@ -248,6 +266,10 @@
     set(&mut limits.threads, reader.optional("threads", positive));
 }
 
+fn read_routing(routing: &mut Routing, reader: &Reader<'_>) {
+    set(&mut routing.policy, reader.optional("policy", text));
+}
+
 fn text(value: &str) -> Result<Box<str>, &'static str> {
     if value.is_empty() {
         return Err("a name");
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -38,6 +38,14 @@
     /// Returns an error that names the file or the address at fault.
     pub async fn start(settings: Settings) -> Result<Self, Error> {
         let key = read_key(&settings)?;
+        Self::with_key(settings, key).await
+    }
+
+    /// Starts with a deployment key that is not read from a file.
+    ///
+    /// # Errors
+    /// Returns an error that names the address at fault.
+    pub async fn with_key(settings: Settings, key: Box<[u8]>) -> Result<Self, Error> {
         let caller = bind(settings.listen.caller).await?;
         let inner = bind(settings.listen.inner).await?;
         let admin = bind(settings.listen.admin).await?;
@@ -106,11 +114,11 @@
         incarnation: started.as_micros() as u64,
     };
     let policy = route::policies::make(
-        "least_in_flight",
+        &settings.routing.policy,
         identity.incarnation,
         identity.data_centre,
     )
-    .ok_or_else(|| Error::new("the routing policy is unknown"))?;
+    .ok_or_else(|| unknown_policy(&settings))?;
     Ok(Context {
         clock: Arc::new(clock::System::new()),
         identity,
@@ -122,3 +130,11 @@
         settings,
     })
 }
+
+fn unknown_policy(settings: &Settings) -> Error {
+    let permitted = route::policies::NAMES.join(", ");
+    let policy = &settings.routing.policy;
+    Error::new(format!(
+        "[routing] policy: `{policy}` is unknown; permitted: {permitted}"
+    ))
+}
