--- a/crates/config/src/ini.rs
+++ b/crates/config/src/ini.rs
@@ -34,11 +34,14 @@
     pub line: usize,
 }
 
+const SYNTAX: &str = "[section] headers, `key = value` lines, and comments on lines of their own";
+
 /// Reads INI text into sections.
 ///
 /// # Errors
-/// Returns the place of a syntax error, of a key outside any section, or of one given twice.
+/// Returns the places of a syntax error, of a key outside any section, or of lines without `=`.
 pub fn sections(file: &str, text: &str) -> Result<Vec<Section>, Vec<Fault>> {
+    check_headers(file, text)?;
     let options = ParseOption {
         enabled_quote: false,
         enabled_escape: false,
@@ -50,12 +53,13 @@
             line: error.line.min(text.lines().count()),
             section: Box::default(),
             key: Box::default(),
-            message: error.msg.as_ref().into(),
-            permitted: "[section] headers and `key = value` lines".into(),
+            message: format!("the line is not INI: {}", error.msg).into(),
+            permitted: SYNTAX.into(),
         }]
     })?;
     let mut lines = text.lines().enumerate();
     let mut sections = Vec::new();
+    let mut faults = Vec::new();
     for (header, properties) in &parsed {
         let Some(header) = header else {
             if properties.is_empty() {
@@ -64,14 +68,24 @@
             return Err(vec![stray_key(file, text)]);
         };
         let line = next_line(&mut lines, |line| is_header(line, header));
-        let entries = properties
-            .iter()
-            .map(|(key, value)| Entry {
-                key: key.into(),
+        let mut entries = Vec::new();
+        for (key, value) in properties {
+            // A line without `=` becomes part of the next key.
+            let (stray, key) = key.rsplit_once('\n').unwrap_or(("", key));
+            let line = next_line(&mut lines, |line| is_key(line, key));
+            if !stray.is_empty() {
+                faults.push(stray_line(
+                    file,
+                    header,
+                    line - stray.lines().count().min(line),
+                ));
+            }
+            entries.push(Entry {
+                key: key.trim().into(),
                 value: value.trim().into(),
-                line: next_line(&mut lines, |line| is_key(line, key)),
-            })
-            .collect();
+                line,
+            });
+        }
         let (kind, name) = header
             .trim()
             .split_once(char::is_whitespace)
@@ -84,7 +98,42 @@
             entries,
         });
     }
-    Ok(sections)
+    if faults.is_empty() {
+        return Ok(sections);
+    }
+    Err(faults)
+}
+
+/// Notes each header that isn't closed on its line, since `rust-ini` reads on to the next `]`.
+fn check_headers(file: &str, text: &str) -> Result<(), Vec<Fault>> {
+    let faults: Vec<_> = text
+        .lines()
+        .enumerate()
+        .filter(|(_, line)| line.trim_start().starts_with('[') && !line.contains(']'))
+        .map(|(index, line)| Fault {
+            file: file.into(),
+            line: index + 1,
+            section: line.trim().trim_start_matches('[').into(),
+            key: Box::default(),
+            message: "the header has no `]`".into(),
+            permitted: SYNTAX.into(),
+        })
+        .collect();
+    if faults.is_empty() {
+        return Ok(());
+    }
+    Err(faults)
+}
+
+fn stray_line(file: &str, header: &str, line: usize) -> Fault {
+    Fault {
+        file: file.into(),
+        line,
+        section: header.into(),
+        key: Box::default(),
+        message: "the line has no `=`".into(),
+        permitted: SYNTAX.into(),
+    }
 }
 
 fn stray_key(file: &str, text: &str) -> Fault {
@@ -128,7 +177,7 @@
 fn is_key(line: &str, key: &str) -> bool {
     line.split(['=', ':'])
         .next()
-        .is_some_and(|found| found.trim() == key)
+        .is_some_and(|found| found.trim() == key.trim())
 }
 
 /// Reads the keys of one section and collects faults.
@@ -157,6 +206,17 @@
         key: &'static str,
         permitted: &str,
         parse: impl Fn(&str) -> Result<T, P>,
+    ) -> T {
+        self.required_or(key, permitted, T::default(), parse)
+    }
+
+    /// Reads a key that must be there; a fault is noted and the fallback returned otherwise.
+    pub fn required_or<T, P: Display>(
+        &self,
+        key: &'static str,
+        permitted: &str,
+        fallback: T,
+        parse: impl Fn(&str) -> Result<T, P>,
     ) -> T {
         if let Some(value) = self.optional(key, parse) {
             return value;
@@ -164,7 +224,7 @@
         if self.entry(key).is_none() {
             self.fault(self.section.line, key, "the key is missing", permitted);
         }
-        T::default()
+        fallback
     }
 
     /// Reads a key if it is there; `parse` returns what is permitted as its error.
@@ -193,6 +253,11 @@
         self.fault(line, key, message, permitted);
     }
 
+    /// Notes a fault of one line of a section whose keys are names.
+    pub fn reject_entry(&self, entry: &Entry, message: &str, permitted: &str) {
+        self.fault(entry.line, &entry.key, message, permitted);
+    }
+
     /// Notes a fault for each key that was not asked for, and each one given twice.
     pub fn finish(self) {
         let seen = self.seen.borrow();
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod settings;
 pub mod source;
 pub mod unit;
+mod value;
 
 pub use deployment::Snapshot;
 pub use fault::Fault;
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -4,11 +4,12 @@
     crate::{
         Fault,
         ini::{Reader, sections},
-        unit,
+        value,
     },
     derive_more::Debug,
     std::{
         cell::RefCell,
+        collections::HashSet,
         net::{Ipv4Addr, SocketAddr},
         path::PathBuf,
         time::Duration,
@@ -150,8 +151,12 @@
     let sections = sections(file, text)?;
     let faults = RefCell::default();
     let mut settings = Settings::default();
+    let mut kinds = HashSet::new();
     for section in &sections {
         let reader = Reader::new(file, section, &faults);
+        if !kinds.insert(&section.kind) {
+            reader.reject("", "the section is given twice", "each section once");
+        }
         match &*section.kind {
             "vm" => read_vm(&mut settings.vm, &reader),
             "listen" => read_listen(&mut settings.listen, &reader),
@@ -192,26 +197,32 @@
 }
 
 fn read_vm(vm: &mut Vm, reader: &Reader<'_>) {
-    vm.name = reader.required("name", "a name", text);
-    vm.data_centre = reader.required("data_centre", "a name", text);
+    vm.name = reader.required("name", value::NAME, value::name);
+    vm.data_centre = reader.required("data_centre", "a name", value::text);
     set(&mut vm.peers, reader.optional("peers", addresses));
 }
 
 fn read_listen(listen: &mut Listen, reader: &Reader<'_>) {
-    set(&mut listen.caller, reader.optional("caller", address));
-    set(&mut listen.inner, reader.optional("inner", address));
-    set(&mut listen.admin, reader.optional("admin", address));
+    set(
+        &mut listen.caller,
+        reader.optional("caller", value::address),
+    );
+    set(&mut listen.inner, reader.optional("inner", value::address));
+    set(&mut listen.admin, reader.optional("admin", value::address));
 }
 
 fn read_platform(platform: &mut Platform, reader: &Reader<'_>) {
-    set(&mut platform.address, reader.optional("address", address));
+    set(
+        &mut platform.address,
+        reader.optional("address", value::address),
+    );
     set(
         &mut platform.watch,
-        reader.optional("watch", unit::duration),
+        reader.optional("watch", value::duration),
     );
     set(
         &mut platform.list_interval,
-        reader.optional("list_interval", unit::duration),
+        reader.optional("list_interval", value::duration),
     );
 }
 
@@ -227,32 +238,28 @@
 fn read_limits(limits: &mut Limits, reader: &Reader<'_>) {
     set(
         &mut limits.connections,
-        reader.optional("connections", positive),
+        reader.optional("connections", value::positive),
     );
     set(
         &mut limits.header_timeout,
-        reader.optional("header_timeout", unit::duration),
+        reader.optional("header_timeout", value::duration),
     );
     set(
         &mut limits.body_timeout,
-        reader.optional("body_timeout", unit::duration),
+        reader.optional("body_timeout", value::duration),
     );
     set(
         &mut limits.connect_timeout,
-        reader.optional("connect_timeout", unit::duration),
+        reader.optional("connect_timeout", value::duration),
     );
     set(
         &mut limits.drain_timeout,
-        reader.optional("drain_timeout", unit::duration),
+        reader.optional("drain_timeout", value::duration),
+    );
+    set(
+        &mut limits.threads,
+        reader.optional("threads", value::positive),
     );
-    set(&mut limits.threads, reader.optional("threads", positive));
-}
-
-fn text(value: &str) -> Result<Box<str>, &'static str> {
-    if value.is_empty() {
-        return Err("a name");
-    }
-    Ok(value.into())
 }
 
 fn file(value: &str) -> Result<PathBuf, &'static str> {
@@ -262,14 +269,11 @@
     Ok(PathBuf::from(value))
 }
 
-fn address(value: &str) -> Result<SocketAddr, &'static str> {
-    value
-        .parse()
-        .map_err(|_error| "an IP address with a port, such as 127.0.0.1:8080")
-}
-
 fn addresses(value: &str) -> Result<Vec<SocketAddr>, &'static str> {
-    value.split(',').map(|item| address(item.trim())).collect()
+    value
+        .split(',')
+        .map(|item| value::address(item.trim()))
+        .collect()
 }
 
 fn level(value: &str) -> Result<log::LevelFilter, &'static str> {
@@ -277,10 +281,3 @@
         .parse()
         .map_err(|_error| "off, error, warn, info, debug or trace")
 }
-
-fn positive(value: &str) -> Result<u32, &'static str> {
-    match value.parse() {
-        Ok(value) if value > 0 => Ok(value),
-        _ => Err("a whole number from 1"),
-    }
-}
--- a/crates/config/src/unit.rs
+++ b/crates/config/src/unit.rs
@@ -36,6 +36,15 @@
     number.checked_mul(factor).ok_or_else(permitted)
 }
 
+/// Writes a size in the largest unit that divides it, as [`size`] reads it.
+pub fn format_size(bytes: u64) -> Box<str> {
+    let (unit, factor) = SIZE_UNITS
+        .iter()
+        .find(|(_, factor)| bytes >= *factor && bytes.is_multiple_of(*factor))
+        .unwrap_or(&("B", 1));
+    format!("{}{unit}", bytes / factor).into()
+}
+
 /// Parses a share between 0 and 1.
 ///
 /// # Errors
