--- a/crates/route/src/policies.rs
+++ b/crates/route/src/policies.rs
@@ -2,6 +2,7 @@
 
 mod baseline;
 pub mod least_in_flight;
+pub mod predictive;
 pub mod round_robin;
 pub mod two_choices;
 
@@ -11,7 +12,8 @@
 pub type Make = fn(u64, key::DataCentre) -> Box<dyn Policy>;
 
 /// The policies by name, the default first.
-pub const POLICIES: [(&str, Make); 3] = [
+pub const POLICIES: [(&str, Make); 4] = [
+    (predictive::NAME, predictive::make),
     (least_in_flight::NAME, least_in_flight::make),
     (round_robin::NAME, round_robin::make),
     (two_choices::NAME, two_choices::make),
@@ -31,7 +33,12 @@
 }
 
 /// Makes the policy of a name; `None` if there is no such policy.
+///
+/// `predictive-MECHANISM` is the product's policy with that mechanism switched off.
 pub fn make(name: &str, seed: u64, data_centre: key::DataCentre) -> Option<Box<dyn Policy>> {
+    if let Some((predictive::NAME, mechanism)) = name.split_once('-') {
+        return predictive::make_without(mechanism, seed, data_centre);
+    }
     let (_, make) = POLICIES.iter().find(|(known, _)| *known == name)?;
     Some(make(seed, data_centre))
 }
