--- a/crates/fakes/src/command.rs
+++ b/crates/fakes/src/command.rs
@@ -22,7 +22,7 @@
             "engine" => engine::serve(listener, engine_settings(matches)).await,
             "service" => service::serve(listener, service::Settings::default()).await,
             "platform" => platform::serve(listener, platform_settings(matches)?).await,
-            _ => proxy::serve(listener, proxy::Settings).await,
+            _ => proxy::serve(listener, proxy_settings(matches)).await,
         }
     })
 }
@@ -42,7 +42,7 @@
         .subcommand(engine_command())
         .subcommand(stand_in("service", "A plain service"))
         .subcommand(platform_command())
-        .subcommand(stand_in("proxy", "A faulty network, ordered by lines"))
+        .subcommand(proxy_command())
 }
 
 fn stand_in(name: &'static str, about: &'static str) -> Command {
@@ -121,6 +121,28 @@
         )
 }
 
+fn proxy_command() -> Command {
+    stand_in(
+        "proxy",
+        "A faulty network, ordered by lines on its listener",
+    )
+    .arg(number("seed", "Seed of the datagrams that are dropped"))
+    .arg(
+        Arg::new("order")
+            .long("order")
+            .action(ArgAction::Append)
+            .help("An order to carry out at the start; may be given several times"),
+    )
+}
+
+fn proxy_settings(matches: &ArgMatches) -> proxy::Settings {
+    let orders = matches.get_many::<String>("order").unwrap_or_default();
+    proxy::Settings {
+        seed: matches.get_one("seed").copied().unwrap_or_default(),
+        orders: orders.map(|order| order.as_str().into()).collect(),
+    }
+}
+
 fn engine_settings(matches: &ArgMatches) -> engine::Settings {
     let default = engine::Settings::default();
     let number = |name, default| matches.get_one(name).copied().unwrap_or(default);
