--- /dev/null
+++ b/crates/fakes/src/service/echo.rs
@@ -0,0 +1,74 @@
+//! A connection that can send what it wrote a second time.
+
+use {
+    smol::io::{AsyncRead, AsyncWrite},
+    std::{
+        io,
+        pin::Pin,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        task::{Context, Poll, ready},
+    },
+};
+
+/// Repeats the answer before the next flush, once for each time that it is armed.
+#[derive(Debug)]
+pub(super) struct Echo<S> {
+    inner: S,
+    armed: Arc<AtomicBool>,
+    written: Vec<u8>,
+    repeat: Vec<u8>,
+}
+
+impl<S> Echo<S> {
+    pub(super) fn new(inner: S, armed: Arc<AtomicBool>) -> Self {
+        Self {
+            inner,
+            armed,
+            written: Vec::new(),
+            repeat: Vec::new(),
+        }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Echo<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let length = ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
+        self.written.clear();
+        Poll::Ready(Ok(length))
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Echo<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let length = ready!(Pin::new(&mut self.inner).poll_write(cx, buf))?;
+        self.written.extend_from_slice(&buf[..length]);
+        Poll::Ready(Ok(length))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let this = &mut *self;
+        if !this.written.is_empty() && this.armed.swap(false, Ordering::SeqCst) {
+            this.repeat = std::mem::take(&mut this.written);
+        }
+        while !this.repeat.is_empty() {
+            let length = ready!(Pin::new(&mut this.inner).poll_write(cx, &this.repeat))?;
+            this.repeat.drain(..length);
+        }
+        Pin::new(&mut this.inner).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_close(cx)
+    }
+}
--- a/crates/fakes/src/service.rs
+++ b/crates/fakes/src/service/mod.rs
@@ -1,6 +1,9 @@
 //! Stand-in for a plain service: runs calls, counts them and fails as ordered.
 
+mod echo;
+
 use {
+    self::echo::Echo,
     crate::{
         http::{self, Answer, Body, Request},
         sync::lock,
@@ -13,7 +16,10 @@
     std::{
         collections::BTreeMap,
         io,
-        sync::{Arc, Mutex},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, Ordering},
+        },
         time::Duration,
     },
     xxhash_rust::xxh3::xxh3_64,
@@ -89,11 +95,23 @@
         behaviour: settings.behaviour,
         ..State::default()
     }));
-    http::serve(listener, move |request| {
+    loop {
+        let (stream, _peer) = listener.accept().await?;
+        stream.set_nodelay(true)?;
+        let twice = Arc::new(AtomicBool::new(false));
+        let stream = Echo::new(stream, Arc::clone(&twice));
         let state = Arc::clone(&state);
-        async move { answer(&state, &request).await }
-    })
-    .await
+        let served = http::connection(stream, move |request| {
+            let (state, twice) = (Arc::clone(&state), Arc::clone(&twice));
+            async move {
+                let answer = answer(&state, &request).await;
+                let test = request.path.starts_with("/test/");
+                twice.store(!test && lock(&state).behaviour.twice, Ordering::SeqCst);
+                answer
+            }
+        });
+        smol::spawn(served).detach();
+    }
 }
 
 /// Returns the digest that the service gives for a body.
