--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod key;
 pub mod machine;
 pub mod refusal;
+pub mod rendezvous;
 pub mod verdict;
 
 pub use clock::{Clock, Instant};
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -196,6 +196,7 @@
     pub members: ::prost::alloc::vec::Vec<Member>,
     #[prost(uint64, tag = "6")]
     pub configuration_version: u64,
+    /// First eight bytes of the SHA-256 of the value.
     #[prost(bytes = "vec", tag = "7")]
     pub configuration_digest: ::prost::alloc::vec::Vec<u8>,
     #[prost(message, repeated, tag = "8")]
@@ -204,6 +205,18 @@
     pub counters: ::prost::alloc::vec::Vec<Counter>,
     #[prost(message, repeated, tag = "10")]
     pub demands: ::prost::alloc::vec::Vec<Demand>,
+    /// The newest answer of the platform in the sender's data centre.
+    #[prost(message, optional, tag = "11")]
+    pub platform_answer: ::core::option::Option<PlatformAnswer>,
+}
+/// When the platform last answered an entry VM.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PlatformAnswer {
+    /// Key of the entry VM that was answered.
+    #[prost(fixed64, tag = "1")]
+    pub vm: u64,
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Probe {
@@ -227,6 +240,9 @@
     pub address: ::prost::alloc::string::String,
     #[prost(string, tag = "5")]
     pub data_centre: ::prost::alloc::string::String,
+    /// Rises when the member contradicts a report that it is suspect or dead.
+    #[prost(uint32, tag = "6")]
+    pub refutation: u32,
 }
 /// A target that is leaving, with the sequence of the news.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -258,8 +274,9 @@
     pub customer: u64,
     #[prost(uint32, tag = "2")]
     pub requests: u32,
+    /// Requests in flight.
     #[prost(uint32, tag = "3")]
-    pub tokens: u32,
+    pub in_flight: u32,
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
