--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,12 @@
 //! The `mastictrail` command.
 
-fn main() {}
+mod check;
+mod cli;
+mod input;
+mod serve;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::run()
+}
