--- /dev/null
+++ b/crates/stream/tests/stream/main.rs
@@ -0,0 +1,5 @@
+//! The stream's state machine under faults.
+
+mod order;
+mod session;
+mod support;
