--- a/crates/stream/src/token.rs
+++ b/crates/stream/src/token.rs
@@ -71,7 +71,7 @@
     /// Reads a token that `customer` presents.
     ///
     /// # Errors
-    /// Returns [`Error`] for any text that is not a token of this deployment and customer.
+    /// Returns [`enum@Error`] for any text that is not a token of this deployment and customer.
     pub fn open(text: &str, key: &[u8], customer: key::Customer) -> Result<Self, Error> {
         if text.len() > LIMIT {
             return Err(Error::Malformed);
