--- /dev/null
+++ b/tests/support/deployment.rs
@@ -0,0 +1,65 @@
+//! The published value of a test's deployment.
+
+use {
+    super::{CUSTOMERS, Cluster, DESK, LEDGER, client},
+    hyper::Method,
+    sha2::{Digest, Sha256},
+    std::fmt::Write as _,
+};
+
+impl Cluster {
+    /// Returns the published value of a version, with further sections.
+    pub fn value(&self, version: u64, sections: &str) -> String {
+        let mut value = format!("[deployment]\nname = test\nversion = {version}\n");
+        let setup = &self.setup;
+        let mut add = |text: String| value.push_str(&text);
+        for number in 1..=setup.data_centres {
+            add(format!("[data_centre dc-{number}]\nregion = region-1\n"));
+        }
+        let place = |kind: &str, name: &str, each, part: &str| {
+            let address = self.addresses[&format!("link:{name}")];
+            let data_centre = Self::data_centre(name, each);
+            format!("[{kind} {name}]\ndata_centre = {data_centre}\n{part} = {address}\n")
+        };
+        for vm in self.vms() {
+            add(place("vm", &vm, setup.vms, "inner"));
+        }
+        for engine in self.engines() {
+            add(place("target", &engine, setup.engines, "address"));
+            add(format!(
+                "service = {DESK}\nmemory_tokens = 65536\nweights = 64GiB\n"
+            ));
+        }
+        for service in self.services() {
+            add(place("target", &service, setup.services, "address"));
+            add(format!("service = {LEDGER}\n"));
+        }
+        for (name, key) in CUSTOMERS {
+            let digest = Sha256::digest(key)
+                .iter()
+                .fold(String::new(), |mut text, byte| {
+                    let _ = write!(text, "{byte:02x}");
+                    text
+                });
+            add(format!("[customer {name}]\nkey_sha256 = {digest}\n"));
+        }
+        add(include_str!("services.ini").into());
+        add(setup.configuration.clone());
+        add(sections.into());
+        value
+    }
+
+    /// Publishes a version on the platform.
+    pub fn publish(&self, version: u64, sections: &str) {
+        let headers = [("x-version", &*version.to_string())];
+        let value = self.value(version, sections);
+        let answer = client::ask(
+            self.addresses["platform"],
+            &Method::POST,
+            "/test/publish",
+            &headers,
+            &value,
+        );
+        assert_eq!(answer.expect("the platform answers").status, 200);
+    }
+}
