--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -74,7 +74,10 @@
     contacts: Vec<SocketAddr>,
     remotes: Vec<Vec<SocketAddr>>,
     version: Version,
-    answer: Option<(key::Vm, Instant)>,
+    /// When the platform last answered this VM.
+    own_answer: Option<Instant>,
+    /// The platform's newest answer to another VM of this data centre.
+    other_answer: Option<(key::Vm, Instant)>,
     last: Instant,
     next_period: Instant,
     next_push: Instant,
@@ -151,7 +154,8 @@
             targets: HashSet::new(),
             remotes: Vec::new(),
             version: Version::default(),
-            answer: None,
+            own_answer: None,
+            other_answer: None,
             last: now,
             next_period: now,
             next_push: now,
@@ -196,9 +200,9 @@
         (rank, self.open().count().max(1))
     }
 
-    /// Returns which VM of this data centre the platform answered last, and how long ago.
-    pub fn platform_answer(&self, now: Instant) -> Option<(key::Vm, Duration)> {
-        self.answer.map(|(vm, at)| (vm, now.since(at)))
+    /// Returns which other VM of this data centre the platform answered last, and how long ago.
+    pub fn other_answer(&self, now: Instant) -> Option<(key::Vm, Duration)> {
+        self.other_answer.map(|(vm, at)| (vm, now.since(at)))
     }
 
     fn observe(&mut self, now: Instant, actions: &mut Vec<Action>) {
@@ -336,7 +340,7 @@
                 let value = (requests, in_flight);
                 self.demands.insert(customer, Own { value, told: false });
             }
-            Event::PlatformAnswered => self.answer = Some((self.own.key, now)),
+            Event::PlatformAnswered => self.own_answer = Some(now),
             Event::Leave => self.leave(),
             Event::Tick => self.tick(now, actions),
         }
--- a/crates/fleet/src/membership/compose.rs
+++ b/crates/fleet/src/membership/compose.rs
@@ -135,7 +135,7 @@
             members: vec![self.own.write(&self.data_centre)],
             configuration_version: self.version.number,
             configuration_digest: self.version.prefix().to_vec(),
-            platform_answer: self.answer.map(|(vm, at)| msg::PlatformAnswer {
+            platform_answer: self.newest_answer().map(|(vm, at)| msg::PlatformAnswer {
                 vm: vm.raw(),
                 age_ms: u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX),
             }),
@@ -143,6 +143,13 @@
         }
     }
 
+    fn newest_answer(&self) -> Option<(key::Vm, Instant)> {
+        let own = self.own_answer.map(|at| (self.own.key, at));
+        own.into_iter()
+            .chain(self.other_answer)
+            .max_by_key(|(_, at)| *at)
+    }
+
     /// Tells a suspect or dead member so, that it can contradict.
     fn add_receiver(&self, draft: &mut Draft, to: SocketAddr) {
         let doubted = self.members.values().find(|member| {
--- a/crates/fleet/src/membership/detect.rs
+++ b/crates/fleet/src/membership/detect.rs
@@ -66,6 +66,7 @@
         self.send(now, address, Some(probe), Use::Full, actions);
     }
 
+    /// Pings a member again that did not answer, and has a few others ping it too.
     fn probe_through_others(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let Some(current) = &mut self.prober.current else {
             return;
@@ -78,7 +79,9 @@
         let Some(member) = self.members.get(subject) else {
             return;
         };
-        let name = member.name.clone();
+        let (name, address) = (member.name.clone(), member.address);
+        let again = probe(msg::ProbeKind::Ping, number, "");
+        self.send(now, address, Some(again), Use::Brief, actions);
         let others = self.members.values();
         let others = others.filter(|other| other.is_present() && other.key != subject);
         let others = others.map(|other| other.address);
--- a/crates/fleet/src/membership/receive.rs
+++ b/crates/fleet/src/membership/receive.rs
@@ -138,8 +138,10 @@
         };
         let age = u64::from(answer.age_ms) * 1000;
         let at = Instant::from_micros(now.as_micros().saturating_sub(age));
-        if self.answer.is_none_or(|(_, known)| known < at) {
-            self.answer = Some((key::Vm::from_raw(answer.vm), at));
+        let vm = key::Vm::from_raw(answer.vm);
+        let newer = self.other_answer.is_none_or(|(_, known)| known < at);
+        if newer && vm != self.own.key {
+            self.other_answer = Some((vm, at));
         }
     }
 
--- /dev/null
+++ b/crates/fleet/tests/membership.rs
@@ -0,0 +1,285 @@
+//! What holds of the membership under loss, pauses, partitions and restarts.
+
+mod support;
+
+use {
+    base::{Machine, key},
+    mastictrail_fleet::{Action, Event, Notice, State, budget},
+    proptest::prelude::*,
+    std::{sync::Arc, time::Duration},
+    support::{Net, snapshot},
+};
+
+/// Longest time for members to agree on each other.
+const AGREE: Duration = Duration::from_secs(60);
+/// Time in which news of a leaving target must reach its data centre.
+const LEAVING_BOUND: Duration = Duration::from_secs(3);
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn converged(seed: u64, loss: f64, vms: usize) -> Net {
+    let mut net = Net::with_deployment(seed, loss, 1, vms);
+    assert!(net.until(AGREE, Net::is_joined).is_some(), "seed {seed}");
+    net
+}
+
+#[test]
+fn crashed_member_is_declared_dead_everywhere_and_rejoins_with_a_new_incarnation() {
+    for seed in 0..5 {
+        let mut net = converged(seed, 0.1, 8);
+        net.nodes[3].up = false;
+        assert!(
+            net.until(AGREE, |net| net.all_view(3, State::Dead))
+                .is_some(),
+            "seed {seed}"
+        );
+        net.restart(3, "dc0", 2, snapshot(1, 1, 8, 8));
+        assert!(net.until(AGREE, Net::is_converged).is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn no_member_is_declared_dead_while_it_answers() {
+    for seed in 0..8 {
+        let mut net = converged(seed, 0.1, 12);
+        net.run(seconds(300));
+        for on in 0..12 {
+            assert_eq!(net.declared_dead(on), 0, "seed {seed}, member {on}");
+        }
+    }
+}
+
+#[test]
+fn partition_heals_without_a_restart() {
+    for seed in 0..5 {
+        let mut net = converged(seed, 0.05, 8);
+        let (one, other) = ([0, 1, 2], [3, 4, 5, 6, 7]);
+        net.set_cut(&one, &other, true);
+        assert!(
+            net.until(AGREE, |net| net.view(0, 5) == Some(State::Dead))
+                .is_some()
+        );
+        net.run(seconds(100));
+        net.set_cut(&one, &other, false);
+        assert!(net.until(AGREE, Net::is_converged).is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn leaving_member_stays_leaving_for_its_incarnation() {
+    for seed in 0..5 {
+        let mut net = converged(seed, 0.2, 6);
+        net.event(2, Event::Leave);
+        assert!(
+            net.until(AGREE, |net| net.all_view(2, State::Leaving))
+                .is_some(),
+            "seed {seed}"
+        );
+        net.nodes[2].frozen = true;
+        net.run(seconds(2));
+        net.nodes[2].frozen = false;
+        for _ in 0..600 {
+            net.run(Duration::from_millis(100));
+            for of in (0..6).filter(|&of| of != 2) {
+                let state = net.view(of, 2);
+                assert!(
+                    matches!(state, Some(State::Leaving | State::Dead)),
+                    "seed {seed}: {state:?}"
+                );
+            }
+        }
+        net.restart(2, "dc0", 2, snapshot(1, 1, 6, 8));
+        assert!(
+            net.until(AGREE, |net| net.all_view(2, State::Live))
+                .is_some(),
+            "seed {seed}"
+        );
+    }
+}
+
+#[test]
+fn paused_process_is_stale_until_peers_answer_and_accuses_nobody() {
+    for seed in 0..5 {
+        let mut net = converged(seed, 0.0, 6);
+        assert!(
+            net.until(AGREE, |net| net.nodes[1].machine.is_fresh())
+                .is_some()
+        );
+        net.nodes[1].frozen = true;
+        net.run(seconds(20));
+        net.nodes[1].log.clear();
+        net.nodes[1].frozen = false;
+        let others: Vec<_> = (0..6).filter(|&other| other != 1).collect();
+        net.set_cut(&[1], &others, true);
+        net.run(seconds(2));
+        assert!(!net.nodes[1].machine.is_fresh(), "seed {seed}");
+        let log = &net.nodes[1].log;
+        assert!(
+            matches!(log.first(), Some((_, Action::Paused(_)))),
+            "seed {seed}"
+        );
+        let accused = log.iter().any(
+            |(_, action)| matches!(action, Action::Member(member) if member.state == State::Dead),
+        );
+        assert!(!accused, "seed {seed}");
+        net.set_cut(&[1], &others, false);
+        assert!(
+            net.until(AGREE, |net| net.nodes[1].machine.is_fresh())
+                .is_some()
+        );
+        assert!(net.until(AGREE, Net::is_converged).is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn news_of_a_leaving_target_reaches_the_data_centre_in_time() {
+    let target = key::Target::of("t1");
+    for seed in 0..10 {
+        for vms in [3, 8, 32] {
+            let mut net = converged(seed, 0.1, vms);
+            let notice = Notice::Refused;
+            net.event(0, Event::Target { target, notice });
+            let told = net.until(LEAVING_BOUND, |net| {
+                net.nodes
+                    .iter()
+                    .all(|node| node.machine.departures().is_leaving(target))
+            });
+            assert!(told.is_some(), "seed {seed}, {vms} members");
+        }
+    }
+}
+
+#[test]
+fn lagging_list_and_report_do_not_bring_a_leaving_target_back() {
+    let target = key::Target::of("t1");
+    let mut net = converged(1, 0.0, 3);
+    net.event(
+        0,
+        Event::Target {
+            target,
+            notice: Notice::Refused,
+        },
+    );
+    net.run(seconds(2));
+    for _ in 0..30 {
+        for vm in 0..3 {
+            net.event(
+                vm,
+                Event::List(vec![("t1".into(), false), ("t2".into(), false)]),
+            );
+            net.event(
+                vm,
+                Event::Target {
+                    target,
+                    notice: Notice::ReportedLive,
+                },
+            );
+        }
+        net.run(seconds(1));
+        for node in &net.nodes {
+            assert!(node.machine.departures().is_leaving(target));
+        }
+    }
+}
+
+#[test]
+fn target_gone_from_the_list_is_leaving_and_an_empty_list_is_ignored() {
+    let mut net = converged(1, 0.0, 3);
+    let named =
+        |names: &[&str]| Event::List(names.iter().map(|name| ((*name).into(), false)).collect());
+    net.event(0, named(&["t0", "t1", "t2"]));
+    net.event(0, named(&[]));
+    assert!(
+        !net.nodes[0]
+            .machine
+            .departures()
+            .is_leaving(key::Target::of("t0"))
+    );
+    net.event(0, named(&["t0", "t2"]));
+    assert!(
+        net.nodes[0]
+            .machine
+            .departures()
+            .is_leaving(key::Target::of("t1"))
+    );
+    assert!(
+        !net.nodes[0]
+            .machine
+            .departures()
+            .is_leaving(key::Target::of("t0"))
+    );
+}
+
+#[test]
+fn news_crosses_data_centres_over_bridges() {
+    let target = key::Target::of("t1");
+    let mut net = Net::with_deployment(3, 0.1, 3, 12);
+    net.run(seconds(10));
+    net.event(
+        0,
+        Event::Target {
+            target,
+            notice: Notice::Refused,
+        },
+    );
+    let told = net.until(AGREE, |net| {
+        net.nodes
+            .iter()
+            .all(|node| node.machine.departures().is_leaving(target))
+    });
+    assert!(told.is_some());
+}
+
+#[test]
+fn replayed_datagram_teaches_nothing() {
+    let mut net = converged(1, 0.0, 3);
+    net.run(seconds(5));
+    let mut actions = Vec::new();
+    let now = net.now;
+    net.nodes[0].machine.handle(now, Event::Leave, &mut actions);
+    let send = actions.into_iter().find_map(|action| match action {
+        Action::Send { message, .. } => Some(message),
+        _ => None,
+    });
+    let message = send.expect("a datagram");
+    let from = net.nodes[0].address;
+    net.event(
+        1,
+        Event::Received {
+            from,
+            message: message.clone(),
+        },
+    );
+    let before = format!("{:?}", net.nodes[1].machine.members().collect::<Vec<_>>());
+    net.now = net.now + Duration::from_millis(50);
+    net.event(1, Event::Received { from, message });
+    let after = format!("{:?}", net.nodes[1].machine.members().collect::<Vec<_>>());
+    assert_eq!(before, after);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    /// Whatever happens, no node passes its bytes a second and no datagram the limit.
+    #[test]
+    fn budget_is_kept(seed in 0_u64..1000, vms in 2_usize..40, loss in 0.0..0.4, targets in 0_usize..60) {
+        let mut net = Net::with_deployment(seed, loss, 1, vms);
+        let snapshot = snapshot(2, 1, vms, targets);
+        net.event(0, Event::Configuration(Arc::clone(&snapshot)));
+        for target in 0..targets {
+            let target = key::Target::of(&format!("t{target}"));
+            for vm in 0..vms {
+                net.event(vm, Event::Use { target, sent: 1 << 40, finished: 5, tokens: 1 << 30 });
+                net.event(vm, Event::Target { target, notice: Notice::Refused });
+            }
+        }
+        let time = 20;
+        net.run(seconds(time));
+        for node in &net.nodes {
+            prop_assert!(node.sent <= budget::RATE * time + budget::BURST);
+        }
+        prop_assert!(net.longest <= wire::datagram::LIMIT);
+    }
+}
