--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -1,37 +1,40 @@
 //! The retry budget of a service: a share of first attempts, so that retries can't amplify overload.
 
-/// Retries that may be saved up.
-const FULL: f64 = 10.0;
+/// Parts that one retry costs, so that shares add up exactly.
+const RETRY: u64 = 10_000;
+/// Parts that may be saved up.
+const FULL: u64 = 10 * RETRY;
 
 /// Retries that are left.
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
-    left: f64,
+    parts: u64,
 }
 
 impl Default for Budget {
     fn default() -> Self {
-        Self { left: FULL }
+        Self { parts: FULL }
     }
 }
 
 impl Budget {
-    /// Counts a first attempt, which earns its share of a retry.
+    /// Counts a first attempt, which earns its share of a retry, 0 to 1.
     pub fn earn(&mut self, share: f64) {
-        self.left = (self.left + share).min(FULL);
+        let parts = (share * RETRY as f64).round() as u64;
+        self.parts = (self.parts + parts).min(FULL);
     }
 
     /// Gives a retry back that the target's planned stop caused.
     pub fn give_back(&mut self) {
-        self.left = (self.left + 1.0).min(FULL);
+        self.parts = (self.parts + RETRY).min(FULL);
     }
 
     /// Spends one retry; returns whether there was one.
     pub fn spend(&mut self) -> bool {
-        if self.left < 1.0 {
+        let Some(parts) = self.parts.checked_sub(RETRY) else {
             return false;
-        }
-        self.left -= 1.0;
+        };
+        self.parts = parts;
         true
     }
 }
--- /dev/null
+++ b/crates/route/tests/support/mod.rs
@@ -0,0 +1,165 @@
+//! A policy under a script of events, for tests and benchmarks.
+#![allow(dead_code, reason = "each test binary uses its own part")]
+
+use {
+    base::{Instant, Refusal, key},
+    config::{Snapshot, parse},
+    mastictrail_route::{
+        self as route, Action, Decision, Event, Load, Outcome, Policy, Request, policies,
+    },
+    std::{fmt::Write, sync::Arc, time::Duration},
+};
+
+/// The model service of the deployments made here.
+pub const SERVICE: &str = "kucharz";
+/// Its class of short requests; the drafts are class 1.
+pub const LOOKUP: usize = 0;
+/// Its class of long requests.
+pub const DRAFT: usize = 1;
+
+/// A deployment with one model service.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub targets: usize,
+    pub concurrency: u32,
+    pub memory: u64,
+    pub headroom: f64,
+    pub customers: Vec<(String, String)>,
+}
+
+impl Default for Deployment {
+    fn default() -> Self {
+        Self {
+            targets: 4,
+            concurrency: 4,
+            memory: 16_384,
+            headroom: 0.25,
+            customers: vec![("anna".into(), String::new())],
+        }
+    }
+}
+
+impl Deployment {
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        let mut text = format!(
+            "[deployment]\nname = test\nversion = 1\n[data_centre a]\nregion = r\n\
+             [model m]\nversion = 1\nweight = 1GiB\n\
+             [service {SERVICE}]\nkind = model\nmodels = m\ndeadline = 60s\n\
+             [class {SERVICE} lookup]\npriority = 5\nmax_tokens = 256\nheadroom = {}\n\
+             [class {SERVICE} draft]\npriority = 1\nmax_tokens = 16384\n",
+            self.headroom
+        );
+        for index in 0..self.targets {
+            writeln!(
+                text,
+                "[target t{index}]\nservice = {SERVICE}\ndata_centre = a\n\
+                 address = 127.0.0.1:{}\nmemory_tokens = {}\nconcurrency = {}",
+                9000 + index,
+                self.memory,
+                self.concurrency
+            )
+            .expect("a string takes all");
+        }
+        let digest = "00".repeat(32);
+        for (name, settings) in &self.customers {
+            writeln!(text, "[customer {name}]\nkey_sha256 = {digest}\n{settings}")
+                .expect("a string takes all");
+        }
+        Arc::new(parse::snapshot("test", &text).expect("the deployment is sound"))
+    }
+}
+
+/// A policy and the clock that it is told.
+#[derive(Debug)]
+pub struct Script {
+    pub policy: Box<dyn Policy>,
+    pub now: Instant,
+    serial: u64,
+}
+
+impl Script {
+    pub fn new(policy: &str, seed: u64, deployment: &Deployment) -> Self {
+        let home = key::DataCentre::of("a");
+        let policy = policies::make(policy, seed, home).expect("the policy is known");
+        let mut script = Self {
+            policy,
+            now: Instant::default() + Duration::from_secs(1),
+            serial: 0,
+        };
+        script.tell(Event::Configuration(deployment.snapshot()));
+        script
+    }
+
+    pub fn tell(&mut self, event: Event) -> Vec<Action> {
+        route::policy::step(&mut *self.policy, self.now, event)
+    }
+
+    pub fn advance(&mut self, duration: Duration) -> Vec<Action> {
+        self.now = self.now + duration;
+        self.tell(Event::Tick)
+    }
+
+    pub fn request(&mut self, customer: &str, class: usize) -> Request {
+        self.serial += 1;
+        Request {
+            key: key::Request::from_raw(self.serial),
+            customer: key::Customer::of(customer),
+            service: key::Service::of(SERVICE),
+            class,
+            model: Some(key::Model::of("m")),
+            prompt_tokens: 128,
+            max_tokens: 16_384,
+            prefixes: Box::default(),
+            deadline: self.now + Duration::from_secs(60),
+            excluded: Vec::new(),
+        }
+    }
+
+    pub fn arrive(&mut self, customer: &str, class: usize) -> (key::Request, Vec<Action>) {
+        let request = self.request(customer, class);
+        (request.key, self.tell(Event::Arrived(Box::new(request))))
+    }
+
+    pub fn end(&mut self, request: key::Request, outcome: Outcome) -> Vec<Action> {
+        self.tell(Event::Ended { request, outcome })
+    }
+
+    /// Runs one request from arrival to a whole answer of so many tokens.
+    pub fn run(&mut self, customer: &str, class: usize, tokens: u32) -> Option<key::Target> {
+        let (request, actions) = self.arrive(customer, class);
+        let target = dispatched(&actions).first()?.target;
+        for _ in 0..tokens {
+            self.now = self.now + Duration::from_millis(20);
+            self.tell(Event::Progress { request, tokens: 1 });
+        }
+        self.end(request, Outcome::Complete);
+        Some(target)
+    }
+
+    pub fn report(&mut self, target: usize, load: Load) -> Vec<Action> {
+        self.tell(Event::Report {
+            target: target_key(target),
+            load: Box::new(load),
+        })
+    }
+}
+
+pub fn target_key(index: usize) -> key::Target {
+    key::Target::of(&format!("t{index}"))
+}
+
+pub fn dispatched(actions: &[Action]) -> Vec<&Decision> {
+    let decisions = actions.iter().filter_map(|action| match action {
+        Action::Dispatch(decision) => Some(&**decision),
+        Action::Refuse { .. } => None,
+    });
+    decisions.collect()
+}
+
+pub fn refused(actions: &[Action]) -> Vec<(key::Request, &Refusal)> {
+    let refusals = actions.iter().filter_map(|action| match action {
+        Action::Refuse { request, refusal } => Some((*request, refusal)),
+        Action::Dispatch(_) => None,
+    });
+    refusals.collect()
+}
