--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,7 +2,11 @@
 
 mod check;
 mod cli;
+mod client;
+mod demo;
+mod embedded;
 mod input;
+mod serve;
 
 use std::process::ExitCode;
 
