feat(entry): join the membership and the configuration spread

The platform is asked by two VMs of a data centre and the others take newer values from peers over the inner TCP protocol; a VM is ready when it has a configuration and has asked its peers. News of leaving targets goes through the membership.

--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -57,7 +57,10 @@
 
 fn status(context: &Context) -> serde_json::Value {
     let snapshot = context.snapshot();
+    let members = members(context);
     json!({
+        "members": members,
+        "fresh": context.gossip.membership().is_fresh(),
         "vm": context.identity.name,
         "incarnation": context.identity.incarnation,
         "ready": context.is_ready(),
@@ -68,3 +71,12 @@
         "connections": context.drain.in_flight(),
     })
 }
+
+/// Returns what this VM believes of its peers, by name.
+fn members(context: &Context) -> serde_json::Value {
+    let membership = context.gossip.membership();
+    let members = membership
+        .members()
+        .map(|member| (member.name.to_string(), json!(member.state.to_string())));
+    serde_json::Value::Object(members.collect())
+}
--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -1,118 +1,243 @@
-//! The platform's configuration and list of VMs.
+//! The platform's configuration and list of VMs, and the values that peers hand over.
 
 use {
-    crate::{Context, deployment::Deployment, http, runtime::within},
-    base::{Refusal, key},
+    crate::{
+        Context, context::Identity, deployment::Deployment, gossip, http, inner::Link,
+        runtime::within,
+    },
+    base::{Instant, Machine, Refusal},
     bytes::Bytes,
-    config::Snapshot,
-    hyper::Method,
-    route::Event,
+    config::{Fault, Settings, Snapshot},
+    derive_more::Debug,
+    fleet::{
+        Spread,
+        spread::{self, Action, Answer, Event, Source},
+    },
+    hyper::{Method, StatusCode},
     serde_json::Value,
     smol::Timer,
-    std::{sync::Arc, time::Duration},
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
+    wire::msg::{self, envelope::Body},
 };
 
 /// Largest value that the platform holds, in bytes.
 pub const VALUE_LIMIT: usize = 1 << 20;
-/// Wait after a failed call to the platform.
-const BACKOFF: Duration = Duration::from_secs(1);
 /// Longest wait for an answer beyond the watch itself.
 const ANSWER_LIMIT: Duration = Duration::from_secs(2);
 
-/// Watches the published value, for as long as the process runs.
-pub async fn watch(context: Arc<Context>) {
-    loop {
-        let after = context.snapshot().version;
-        match read(&context, after).await {
-            Ok(Some(value)) => {
-                if !apply(&context, &value) {
-                    Timer::after(BACKOFF).await;
-                }
-            }
-            Ok(None) => {}
-            Err(refusal) => {
-                log::warn!(target: "configuration", error:% = refusal; "the platform did not answer");
-                Timer::after(BACKOFF).await;
-            }
+/// The search for newer configurations, shared by the tasks of the process.
+#[derive(Debug)]
+pub struct Configuration {
+    spread: Mutex<Spread>,
+    ready: AtomicBool,
+    installing: Mutex<()>,
+}
+
+impl Configuration {
+    /// Starts without a configuration.
+    pub fn new(now: Instant, settings: &Settings, identity: &Identity) -> Self {
+        let spread = Spread::builder()
+            .now(now)
+            .name(&identity.name)
+            .address(settings.listen.inner)
+            .seed(identity.incarnation ^ identity.vm.raw())
+            .seeds(settings.vm.peers.clone())
+            .build();
+        Self {
+            spread: Mutex::new(spread),
+            ready: AtomicBool::new(false),
+            installing: Mutex::default(),
         }
     }
+
+    /// Returns whether a configuration is known and the peers were asked for a newer one.
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire)
+    }
+
+    fn spread(&self) -> MutexGuard<'_, Spread> {
+        self.spread.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
-/// Reads a value newer than `after`; `None` if there was none within the watch.
-async fn read(context: &Context, after: u64) -> Result<Option<Box<str>>, Refusal> {
-    let platform = &context.settings.platform;
-    let wait = platform.watch.as_millis();
-    let path = format!("/v1/config?after={after}&wait_ms={wait}");
-    let asking = async {
-        let mut request = http::request(Method::GET, &path, Bytes::new())?;
-        if let Ok(name) = context.identity.name.parse() {
-            request.headers_mut().insert("x-vm", name);
+/// Ticks the search for as long as the process runs.
+pub async fn run(context: Arc<Context>) {
+    loop {
+        handle(&context, Event::Tick);
+        Timer::after(spread::TICK).await;
+    }
+}
+
+/// Tells the search what happened, and does what follows.
+pub fn handle(context: &Arc<Context>, event: Event) {
+    let mut actions = Vec::new();
+    context
+        .configuration
+        .spread()
+        .handle(context.now(), event, &mut actions);
+    for action in actions {
+        perform(context, action);
+    }
+}
+
+fn perform(context: &Arc<Context>, action: Action) {
+    match action {
+        Action::Watch { after, wait } => {
+            context.spawn(watch(Arc::clone(context), after, wait));
         }
-        let response = http::send(context, platform.address, request).await?;
-        if !response.status().is_success() {
-            return Ok(None);
+        Action::Pull { peer, above } => context.spawn(pull(Arc::clone(context), peer, above)),
+        Action::Apply { snapshot, source } => install(context, snapshot, source),
+        Action::Refuse {
+            version,
+            source,
+            faults,
+        } => log_refused(context, version, source, &faults),
+        Action::Conflict { kept, dropped } => {
+            log::warn!(
+                target: "configuration", kept:% = kept, dropped:% = dropped;
+                "two values were published with one version; the higher digest is kept"
+            );
         }
-        let body = http::read(response.into_body(), VALUE_LIMIT).await?;
-        Ok(Some(String::from_utf8_lossy(&body).into()))
-    };
-    within(platform.watch + ANSWER_LIMIT, asking)
-        .await
-        .unwrap_or(Ok(None))
+        Action::Answered => gossip::handle(context, fleet::Event::PlatformAnswered),
+        Action::Ready => {
+            context.configuration.ready.store(true, Ordering::Release);
+            log::info!(
+                target: "configuration", configuration_version = context.snapshot().version;
+                "ready to serve"
+            );
+        }
+    }
 }
 
-/// Brings a value into force if it is newer and free of faults; returns whether it did.
-pub fn apply(context: &Context, value: &str) -> bool {
-    let snapshot = match config::parse::snapshot("published value", value) {
-        Ok(snapshot) => snapshot,
-        Err(faults) => {
-            let first = faults.first().map(ToString::to_string).unwrap_or_default();
-            log::error!(target: "configuration", faults = faults.len(), first:% = first; "the value was refused");
-            return false;
+async fn watch(context: Arc<Context>, after: u64, wait: Duration) {
+    let limit = wait + ANSWER_LIMIT;
+    let answer = match within(limit, read(&context, after, wait)).await {
+        Some(Ok(answer)) => answer,
+        Some(Err(refusal)) => {
+            log::debug!(target: "configuration", error:% = refusal; "the platform did not answer");
+            Answer::Failed
         }
+        None => Answer::Failed,
+    };
+    handle(&context, Event::Platform(answer));
+}
+
+/// Reads a value newer than `after` from the platform.
+async fn read(context: &Context, after: u64, wait: Duration) -> Result<Answer, Refusal> {
+    let wait = wait.as_millis();
+    let path = format!("/v1/config?after={after}&wait_ms={wait}");
+    let mut request = http::request(Method::GET, &path, Bytes::new())?;
+    if let Ok(name) = context.identity.name.parse() {
+        request.headers_mut().insert("x-vm", name);
+    }
+    let response = http::send(context, context.settings.platform.address, request).await?;
+    if response.status() == StatusCode::NOT_MODIFIED {
+        return Ok(Answer::Unchanged);
+    }
+    if !response.status().is_success() {
+        return Ok(Answer::Failed);
+    }
+    let version = response.headers().get("x-version");
+    let version = version.and_then(|version| version.to_str().ok()?.parse().ok());
+    let body = http::read(response.into_body(), VALUE_LIMIT).await?;
+    Ok(Answer::Value {
+        version: version.unwrap_or(0),
+        text: String::from_utf8_lossy(&body).into(),
+    })
+}
+
+async fn pull(context: Arc<Context>, peer: SocketAddr, above: u64) {
+    let event = match within(spread::PULL_TIMEOUT, ask(&context, peer, above)).await {
+        Some(Some((version, value))) => Event::Pulled {
+            peer,
+            version,
+            value,
+        },
+        _ => Event::PullFailed(peer),
+    };
+    handle(&context, event);
+}
+
+/// Asks a peer for its value; returns its version, and the value if that is newer.
+async fn ask(context: &Context, peer: SocketAddr, above: u64) -> Option<(u64, Option<Box<str>>)> {
+    let mut link = Link::connect(context, peer).await.ok()?;
+    let query = msg::ConfigurationQuery {
+        number: 1,
+        version: above,
     };
-    let in_force = context.snapshot().version;
-    if snapshot.version <= in_force {
-        log::warn!(target: "configuration", offered = snapshot.version, in_force; "an older value was ignored");
-        return false;
+    link.send(Body::ConfigurationQuery(query)).await.ok()?;
+    let Body::Configuration(answer) = link.receive().await.ok()? else {
+        return None;
+    };
+    let value = (!answer.value.is_empty()).then(|| String::from_utf8_lossy(&answer.value).into());
+    Some((answer.version, value))
+}
+
+/// Answers a peer that asks for a newer value.
+pub fn answer(context: &Context, query: msg::ConfigurationQuery) -> msg::Configuration {
+    let snapshot = context.snapshot();
+    let value = if snapshot.version > query.version {
+        snapshot.value.as_bytes().to_vec()
+    } else {
+        Vec::new()
+    };
+    msg::Configuration {
+        number: query.number,
+        version: snapshot.version,
+        value,
     }
-    install(context, snapshot);
-    true
 }
 
-fn install(context: &Context, snapshot: Snapshot) {
-    let snapshot = Arc::new(snapshot);
+fn install(context: &Arc<Context>, snapshot: Arc<Snapshot>, source: Source) {
     let version = snapshot.version;
+    let installing = context.configuration.installing.lock();
+    if fleet::Version::from(&*snapshot) <= fleet::Version::from(&*context.snapshot()) {
+        return;
+    }
     let deployment = Deployment::new(Arc::clone(&snapshot));
     context.deployment.store(Arc::new(deployment));
-    context
-        .router
-        .handle(context.now(), Event::Configuration(snapshot));
-    log::info!(target: "configuration", configuration_version = version; "in force");
+    let event = route::Event::Configuration(Arc::clone(&snapshot));
+    context.router.handle(context.now(), event);
+    drop(installing);
+    log::info!(
+        target: "configuration", configuration_version = version, source:% = source;
+        "in force"
+    );
+    gossip::handle(context, fleet::Event::Configuration(snapshot));
 }
 
-/// Reads the list of VMs, for as long as the process runs.
+fn log_refused(context: &Context, version: u64, source: Source, faults: &[Fault]) {
+    let first = faults.first().map(ToString::to_string).unwrap_or_default();
+    log::error!(
+        target: "configuration", version, source:% = source, faults = faults.len(),
+        first:% = first, configuration_version = context.snapshot().version;
+        "a value was refused as a whole; the version in force stays"
+    );
+}
+
+/// Reads the list of VMs while this VM is one of those that ask the platform.
 pub async fn list(context: Arc<Context>) {
     loop {
         let platform = &context.settings.platform;
-        let answer = http::get_json(&context, platform.address, "/v1/vms", ANSWER_LIMIT).await;
-        if let Ok(value) = answer {
-            apply_list(&context, &value);
+        if context.configuration.spread().is_watcher(context.now()) {
+            let answer = http::get_json(&context, platform.address, "/v1/vms", ANSWER_LIMIT).await;
+            if let Ok(value) = answer {
+                gossip::handle(&context, fleet::Event::List(read_list(&value)));
+            }
         }
         Timer::after(platform.list_interval).await;
     }
 }
 
-fn apply_list(context: &Context, value: &Value) {
-    for vm in value["vms"].as_array().into_iter().flatten() {
-        let Some(name) = vm["name"].as_str() else {
-            continue;
-        };
-        let target = key::Target::of(name);
-        let leaving = vm["state"] == "leaving";
-        if context.snapshot().targets.contains(target) {
-            context
-                .router
-                .handle(context.now(), Event::Leaving { target, leaving });
-        }
-    }
+fn read_list(value: &Value) -> Vec<(Box<str>, bool)> {
+    let vms = value["vms"].as_array().into_iter().flatten();
+    vms.filter_map(|vm| Some((vm["name"].as_str()?.into(), vm["state"] == "leaving")))
+        .collect()
 }
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -1,7 +1,10 @@
 //! What every part of the process shares.
 
 use {
-    crate::{deployment::Deployment, drain::Drain, router::Router, runtime::Runtime},
+    crate::{
+        configuration::Configuration, deployment::Deployment, drain::Drain, gossip::Gossip,
+        router::Router, runtime::Runtime,
+    },
     arc_swap::ArcSwap,
     base::{Clock, Instant, key},
     config::{Settings, Snapshot},
@@ -36,6 +39,10 @@
     pub key: Box<[u8]>,
     /// The configuration in force; version 0 before one is known.
     pub deployment: ArcSwap<Deployment>,
+    /// The search for newer configurations.
+    pub configuration: Configuration,
+    /// The other entry VMs.
+    pub gossip: Gossip,
     /// Admission and choice of targets.
     pub router: Router,
     /// Requests in flight and the planned stop.
@@ -57,7 +64,7 @@
 
     /// Returns whether the balancer may send callers here.
     pub fn is_ready(&self) -> bool {
-        self.deployment.load().snapshot.version > 0 && !self.drain.is_leaving()
+        self.configuration.is_ready() && !self.drain.is_leaving()
     }
 
     /// Runs a task until its end or that of the process.
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -2,19 +2,21 @@
 
 use {
     crate::{
-        Context, Error, admin, caller, configuration,
+        Context, Error, admin, caller,
+        configuration::{self, Configuration},
         context::Identity,
         drain::Drain,
+        gossip::{self, Gossip},
         inner, probe,
         router::{self, Router},
         runtime::Runtime,
     },
     arc_swap::ArcSwap,
-    base::{clock, key},
+    base::{Clock, clock, key},
     config::Settings,
-    smol::{Timer, net::TcpListener},
+    smol::{Async, Timer, net::TcpListener},
     std::{
-        net::SocketAddr,
+        net::{SocketAddr, UdpSocket},
         sync::Arc,
         time::{Duration, SystemTime},
     },
@@ -49,12 +51,15 @@
         let caller = bind(settings.listen.caller).await?;
         let inner = bind(settings.listen.inner).await?;
         let admin = bind(settings.listen.admin).await?;
-        let context = Arc::new(build(settings, key)?);
+        let socket = gossip::bind(settings.listen.inner)?;
+        let context = Arc::new(build(settings, key, socket)?);
         context.spawn(caller::listen(Arc::clone(&context), caller));
         context.spawn(inner::listen(Arc::clone(&context), inner));
         context.spawn(admin::listen(Arc::clone(&context), admin));
-        context.spawn(configuration::watch(Arc::clone(&context)));
+        context.spawn(configuration::run(Arc::clone(&context)));
         context.spawn(configuration::list(Arc::clone(&context)));
+        context.spawn(gossip::receive(Arc::clone(&context)));
+        context.spawn(gossip::run(Arc::clone(&context)));
         context.spawn(probe::run(Arc::clone(&context)));
         context.spawn(router::tick(Arc::clone(&context)));
         Ok(Self { context })
@@ -71,6 +76,7 @@
     pub async fn stop(&self) -> bool {
         let drain = &self.context.drain;
         drain.leave();
+        gossip::handle(&self.context, fleet::Event::Leave);
         log::info!(target: "stop", connections = drain.in_flight(); "leaving");
         Timer::after(LEAVE_DELAY).await;
         drain.close();
@@ -103,7 +109,7 @@
     Ok(key.into())
 }
 
-fn build(settings: Settings, key: Box<[u8]>) -> Result<Context, Error> {
+fn build(settings: Settings, key: Box<[u8]>, socket: Async<UdpSocket>) -> Result<Context, Error> {
     let started = SystemTime::now()
         .duration_since(SystemTime::UNIX_EPOCH)
         .unwrap_or_default();
@@ -119,8 +125,12 @@
         identity.data_centre,
     )
     .ok_or_else(|| unknown_policy(&settings))?;
+    let clock = clock::System::new();
+    let now = clock.now();
     Ok(Context {
-        clock: Arc::new(clock::System::new()),
+        configuration: Configuration::new(now, &settings, &identity),
+        gossip: Gossip::new(now, &settings, &identity, socket),
+        clock: Arc::new(clock),
         identity,
         key,
         deployment: ArcSwap::default(),
--- /dev/null
+++ b/crates/entry/src/gossip.rs
@@ -0,0 +1,235 @@
+//! UDP between entry VMs: the membership's datagrams and what follows from them.
+
+mod usage;
+
+use {
+    crate::{Context, Error, configuration, context::Identity},
+    base::{Instant, Machine},
+    config::Settings,
+    derive_more::Debug,
+    fleet::{Action, Event, Member, Membership, State, event::DEMAND_WINDOW, spread},
+    log::Level,
+    smol::{Async, Timer},
+    std::{
+        net::{SocketAddr, UdpSocket},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+    },
+    usage::Usage,
+    wire::{datagram, msg},
+};
+
+/// The membership, its socket and what this VM has on targets.
+#[derive(Debug)]
+pub struct Gossip {
+    membership: Mutex<Membership>,
+    usage: Mutex<Usage>,
+    socket: Async<UdpSocket>,
+}
+
+impl Gossip {
+    /// Starts the membership of this process.
+    pub fn new(
+        now: Instant,
+        settings: &Settings,
+        identity: &Identity,
+        socket: Async<UdpSocket>,
+    ) -> Self {
+        let membership = Membership::builder()
+            .now(now)
+            .name(&identity.name)
+            .data_centre(&settings.vm.data_centre)
+            .address(settings.listen.inner)
+            .incarnation(identity.incarnation)
+            .seed(identity.incarnation ^ identity.vm.raw())
+            .seeds(settings.vm.peers.clone())
+            .build();
+        Self {
+            membership: Mutex::new(membership),
+            usage: Mutex::default(),
+            socket,
+        }
+    }
+
+    /// Returns what this VM has on targets, to change it.
+    pub fn usage(&self) -> MutexGuard<'_, Usage> {
+        self.usage.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the membership.
+    pub fn membership(&self) -> MutexGuard<'_, Membership> {
+        self.membership
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Binds the socket of the inner protocol's datagrams.
+///
+/// # Errors
+/// Returns an error that names the address.
+pub fn bind(address: SocketAddr) -> Result<Async<UdpSocket>, Error> {
+    Async::<UdpSocket>::bind(address).map_err(|error| Error::listen(address, error))
+}
+
+/// Receives datagrams for as long as the process runs.
+pub async fn receive(context: Arc<Context>) {
+    let mut buffer = [0; datagram::LIMIT + 1];
+    loop {
+        let Ok((length, from)) = context.gossip.socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        match datagram::open(&context.key, &buffer[..length]) {
+            Ok(message) => {
+                let message = Box::new(message);
+                handle(&context, Event::Received { from, message });
+            }
+            Err(error) => {
+                log::debug!(target: "gossip", from:% = from, error:% = error; "a datagram was refused");
+            }
+        }
+    }
+}
+
+/// Ticks the membership for as long as the process runs.
+pub async fn run(context: Arc<Context>) {
+    loop {
+        Timer::after(fleet::membership::TICK).await;
+        let now = context.now();
+        let events = context.gossip.usage().flush(now);
+        for event in events {
+            handle(&context, event);
+        }
+        handle(&context, Event::Tick);
+        let (rank, answer) = {
+            let membership = context.gossip.membership();
+            (membership.rank(), membership.other_answer(now))
+        };
+        let (rank, count) = rank;
+        configuration::handle(&context, spread::Event::Rank { rank, count });
+        if let Some((vm, age)) = answer {
+            configuration::handle(&context, spread::Event::OtherAnswered { vm, age });
+        }
+    }
+}
+
+/// Tells the membership what happened, and does what follows.
+pub fn handle(context: &Arc<Context>, event: Event) {
+    let mut actions = Vec::new();
+    context
+        .gossip
+        .membership()
+        .handle(context.now(), event, &mut actions);
+    for action in actions {
+        perform(context, action);
+    }
+}
+
+fn perform(context: &Arc<Context>, action: Action) {
+    let now = context.now();
+    match action {
+        Action::Send { to, message } => send(context, to, &message),
+        Action::Member(member) => {
+            log_member(context, &member);
+            let vms = count_vms(context);
+            context.router.handle(now, route::Event::Vms(vms));
+        }
+        Action::Heard { peer, version } => {
+            configuration::handle(context, spread::Event::Heard { peer, version });
+        }
+        Action::Departure {
+            target,
+            leaving,
+            notice,
+        } => {
+            let event = route::Event::Leaving { target, leaving };
+            context.router.handle(now, event);
+            log_departure(context, target, leaving, notice);
+        }
+        Action::PeerUse {
+            vm,
+            target,
+            requests,
+            tokens,
+        } => context.router.handle(
+            now,
+            route::Event::PeerUse {
+                vm,
+                target,
+                requests,
+                tokens,
+            },
+        ),
+        Action::PeerDemand {
+            vm,
+            customer,
+            requests,
+            in_flight,
+        } => context.router.handle(
+            now,
+            route::Event::PeerDemand {
+                vm,
+                customer,
+                requests_per_second: f64::from(requests) / DEMAND_WINDOW.as_secs_f64(),
+                in_flight,
+            },
+        ),
+        Action::Paused(time) => {
+            log::warn!(target: "pause", paused_ms = time.as_millis() as u64; "the process was paused");
+        }
+        Action::Refreshed => log::info!(
+            target: "pause", members = context.gossip.membership().members().count();
+            "the view of the peers is fresh"
+        ),
+    }
+}
+
+/// Sends a datagram; one that the socket can't take now is lost like any other.
+fn send(context: &Context, to: SocketAddr, message: &msg::Gossip) {
+    match datagram::seal(&context.key, message) {
+        Ok(bytes) => {
+            let _ = context.gossip.socket.get_ref().send_to(&bytes, to);
+        }
+        Err(error) => {
+            log::error!(target: "gossip", error:% = error; "a datagram was not sent");
+        }
+    }
+}
+
+/// Counts the entry VMs that share the load: those of this data centre that take work, and the
+/// configured ones of the others.
+fn count_vms(context: &Context) -> u32 {
+    let snapshot = context.snapshot();
+    let own = context.identity.data_centre;
+    let others = snapshot.vms.values().filter(|vm| vm.data_centre != own);
+    let local = context.gossip.membership().open().count();
+    (others.count() + local).max(1) as u32
+}
+
+fn log_member(context: &Context, member: &Member) {
+    let level = match member.state {
+        State::Live | State::Leaving => Level::Info,
+        State::Suspect | State::Dead => Level::Warn,
+    };
+    log::log!(
+        target: "member", level, member:% = member.name, state:% = member.state,
+        incarnation = member.incarnation, configuration_version = context.snapshot().version;
+        "what is believed of a member changed"
+    );
+}
+
+fn log_departure(
+    context: &Context,
+    target: base::key::Target,
+    leaving: bool,
+    notice: Option<fleet::Notice>,
+) {
+    let snapshot = context.snapshot();
+    let name = snapshot.targets.get(target);
+    let name = name.map_or("", |target| &*target.name);
+    let cause = notice.map_or_else(|| "peer".to_owned(), |notice| notice.to_string());
+    log::info!(
+        target: "departure", departing:% = name, leaving, cause:% = cause,
+        configuration_version = snapshot.version;
+        "what is believed of a target changed"
+    );
+}
--- a/crates/entry/src/inner.rs
+++ b/crates/entry/src/inner.rs
@@ -4,6 +4,7 @@
     crate::{
         Context, Exchange,
         call::{self, Call, Reply},
+        configuration,
         runtime::within,
     },
     base::{Reason, Refusal, Verdict, key},
@@ -222,6 +223,9 @@
 async fn answer(context: &Arc<Context>, body: Body) -> Option<Body> {
     match body {
         Body::Call(call) => Some(Body::Reply(run(context, call).await)),
+        Body::ConfigurationQuery(query) => {
+            Some(Body::Configuration(configuration::answer(context, query)))
+        }
         _ => None,
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod error;
 pub mod exchange;
 pub mod generation;
+pub mod gossip;
 pub mod http;
 pub mod inner;
 pub mod logs;
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -1,9 +1,10 @@
 //! Reads the load of targets for the policy.
 
 use {
-    crate::{Context, http},
+    crate::{Context, gossip, http},
     base::key,
     config::deployment::Target,
+    fleet::Notice,
     route::{Event, Load},
     serde_json::Value,
     smol::Timer,
@@ -37,15 +38,12 @@
     let Ok(value) = answer else { return };
     let load = Box::new(load(&value));
     context.router.handle(now, Event::Report { target, load });
-    if value["leaving"] == Value::Bool(true) {
-        context.router.handle(
-            now,
-            Event::Leaving {
-                target,
-                leaving: true,
-            },
-        );
-    }
+    let notice = match value["leaving"].as_bool() {
+        Some(true) => Notice::ReportedLeaving,
+        Some(false) => Notice::ReportedLive,
+        None => return,
+    };
+    gossip::handle(&context, fleet::Event::Target { target, notice });
 }
 
 fn load(value: &Value) -> Load {
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -1,9 +1,10 @@
 //! The asynchronous front of the routing policy.
 
 use {
-    crate::Context,
+    crate::{Context, gossip},
     base::{Instant, Reason, Refusal, key},
     derive_more::Debug,
+    fleet::Notice,
     route::{Action, Decision, Event, Outcome, Policy},
     smol::{
         Timer,
@@ -11,7 +12,10 @@
     },
     std::{
         collections::HashMap,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
         time::Duration,
     },
 };
@@ -44,6 +48,9 @@
     /// The decision that gave the place.
     pub decision: Box<Decision>,
     outcome: Outcome,
+    customer: key::Customer,
+    /// Tokens of context that the request holds on the target.
+    tokens: AtomicU64,
 }
 
 /// Withdraws a request whose caller went away while it waited.
@@ -119,7 +126,8 @@
 /// # Errors
 /// Returns the policy's refusal, at once when it gives up.
 pub async fn acquire(context: &Arc<Context>, request: route::Request) -> Result<Grant, Refusal> {
-    let key = request.key;
+    let (key, customer) = (request.key, request.customer);
+    let tokens = u64::from(request.prompt_tokens);
     let waiter = Waiter {
         context,
         request: key,
@@ -133,10 +141,16 @@
             "the router dropped the request",
         ))
     })?;
+    context
+        .gossip
+        .usage()
+        .start(decision.target, customer, tokens);
     Ok(Grant {
         context: Arc::clone(context),
         decision,
         outcome: Outcome::Cancelled,
+        customer,
+        tokens: AtomicU64::new(tokens),
     })
 }
 
@@ -163,6 +177,12 @@
     /// Counts tokens that came from the target.
     pub fn progress(&self, tokens: u32) {
         let request = self.decision.request;
+        let tokens_held = u64::from(tokens);
+        self.tokens.fetch_add(tokens_held, Ordering::Relaxed);
+        self.context
+            .gossip
+            .usage()
+            .grow(self.decision.target, tokens_held);
         self.context
             .router
             .handle(self.context.now(), Event::Progress { request, tokens });
@@ -181,6 +201,16 @@
 
 impl Drop for Grant {
     fn drop(&mut self) {
+        let target = self.decision.target;
+        let tokens = self.tokens.load(Ordering::Relaxed);
+        self.context
+            .gossip
+            .usage()
+            .end(target, self.customer, tokens);
+        if self.outcome == Outcome::Leaving {
+            let notice = Notice::Refused;
+            gossip::handle(&self.context, fleet::Event::Target { target, notice });
+        }
         let event = Event::Ended {
             request: self.decision.request,
             outcome: self.outcome,
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -9,6 +9,9 @@
     wire::msg::Gossip,
 };
 
+/// Time over which the requests of [`Event::Demand`] are counted.
+pub const DEMAND_WINDOW: Duration = Duration::from_secs(5);
+
 /// What the world tells the membership.
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/crates/fleet/src/spread.rs
+++ b/crates/fleet/src/spread.rs
@@ -180,6 +180,8 @@
 #[derive(Debug)]
 pub struct Spread {
     own: key::Vm,
+    address: SocketAddr,
+    /// Peers that a starting VM asks.
     seeds: Vec<SocketAddr>,
     #[debug(skip)]
     rng: SmallRng,
@@ -208,11 +210,14 @@
     pub fn new(
         now: Instant,
         name: &str,
+        address: SocketAddr,
         seed: u64,
-        #[builder(default)] seeds: Vec<SocketAddr>,
+        #[builder(default)] mut seeds: Vec<SocketAddr>,
     ) -> Self {
+        seeds.retain(|peer| *peer != address);
         Self {
             own: key::Vm::of(name),
+            address,
             seeds,
             rng: SmallRng::seed_from_u64(seed),
             in_force: None,
@@ -251,6 +256,16 @@
         self.start.is_none()
     }
 
+    /// Returns whether this VM is one of the few of its data centre that ask the platform.
+    pub fn is_watcher(&self, now: Instant) -> bool {
+        self.rank < WATCHERS || self.is_sole(now)
+    }
+
+    /// Returns whether the platform answers this VM and no other one is known to be answered.
+    fn is_sole(&self, now: Instant) -> bool {
+        is_fresh(now, self.own_answer) && !is_fresh(now, self.other_answer)
+    }
+
     fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.pulls
             .retain(|pull| now.since(pull.sent) < PULL_TIMEOUT);
@@ -354,12 +369,10 @@
         if self.in_force.is_none() {
             return Some(Duration::ZERO);
         }
-        let fresh = |answer: Option<Instant>| answer.is_some_and(|at| now.since(at) < STALE);
-        let sole = fresh(self.own_answer) && !fresh(self.other_answer);
-        if self.rank < WATCHERS || sole {
+        if self.is_watcher(now) {
             return Some(WATCH);
         }
-        let rate = if fresh(self.other_answer) {
+        let rate = if is_fresh(now, self.other_answer) {
             SAMPLE_RATE
         } else {
             SEARCH_RATE
@@ -417,6 +430,12 @@
         let snapshot = Arc::new(snapshot);
         self.version = offered;
         self.in_force = Some(Arc::clone(&snapshot));
+        if self.start.is_some() {
+            let vms = snapshot.vms.values().map(|vm| vm.inner);
+            self.seeds.extend(vms.filter(|peer| *peer != self.address));
+            self.seeds.sort_unstable();
+            self.seeds.dedup();
+        }
         actions.push(Action::Apply { snapshot, source });
     }
 
@@ -475,6 +494,10 @@
     }
 }
 
+fn is_fresh(now: Instant, answer: Option<Instant>) -> bool {
+    answer.is_some_and(|at| now.since(at) < STALE)
+}
+
 fn mismatch(announced: u64, found: u64) -> Fault {
     Fault {
         file: "configuration".into(),
--- a/crates/fleet/tests/spread.rs
+++ b/crates/fleet/tests/spread.rs
@@ -66,6 +66,7 @@
         let mut spread = Spread::builder()
             .now(self.now)
             .name(&format!("vm{index}"))
+            .address(address(index))
             .seed(self.rng.random())
             .seeds(others.map(address).collect())
             .build();
