feat(entry): streams are driven by their state machine

A stream's connections, its place on an engine and its caller are driven by stream::Session: checked events, resume over new connections, restart before the first token, explicit error events, resume tokens as event ids and GET with Last-Event-ID. The entry VM that owned a stream is told when its caller goes on over another one (Adopt), so that it does not cancel the generation after the grace.

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -11,7 +11,7 @@
         header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
     },
     serde_json::json,
-    smol::{channel::Receiver, stream::StreamExt},
+    smol::stream::{Stream, StreamExt},
     std::convert::Infallible,
 };
 
@@ -23,9 +23,9 @@
     Full::new(bytes.into()).boxed_unsync()
 }
 
-/// Makes a body of bytes to come; it ends when the sender is dropped.
-pub fn stream(receiver: Receiver<Bytes>) -> Body {
-    StreamBody::new(receiver.map(|bytes| Ok(Frame::data(bytes)))).boxed_unsync()
+/// Makes a body of bytes to come.
+pub fn stream(parts: impl Stream<Item = Bytes> + Send + 'static) -> Body {
+    StreamBody::new(parts.map(|bytes| Ok(Frame::data(bytes)))).boxed_unsync()
 }
 
 /// Makes a JSON answer.
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -151,8 +151,11 @@
         (Kind::Model, &Method::POST, COMPLETIONS) => {
             generation::serve(context, exchange, parts, &body).await
         }
+        (Kind::Model, &Method::GET, COMPLETIONS) => {
+            generation::resume(context, exchange, parts).await
+        }
         (Kind::Model, ..) => {
-            let message = format!("a model service answers POST {COMPLETIONS}");
+            let message = format!("a model service answers GET and POST {COMPLETIONS}");
             Err(Refusal::not_run(Reason::NotFound, message))
         }
         (Kind::Plain, ..) => {
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -1,7 +1,9 @@
 //! What every part of the process shares.
 
 use {
-    crate::{deployment::Deployment, drain::Drain, router::Router, runtime::Runtime},
+    crate::{
+        deployment::Deployment, drain::Drain, router::Router, runtime::Runtime, session::Sessions,
+    },
     arc_swap::ArcSwap,
     base::{Clock, Instant, key},
     config::{Settings, Snapshot},
@@ -38,6 +40,8 @@
     pub deployment: ArcSwap<Deployment>,
     /// Admission and choice of targets.
     pub router: Router,
+    /// Streams that this process carries.
+    pub sessions: Sessions,
     /// Requests in flight and the planned stop.
     pub drain: Drain,
     /// The executor.
--- /dev/null
+++ b/crates/entry/src/engine.rs
@@ -0,0 +1,230 @@
+//! Connections to model engines: begin, resume, cancel.
+
+use {
+    crate::{
+        Context, Exchange,
+        http::{self, is_refused_before_start},
+        prompt::Prompt,
+        runtime::within,
+        sse::{Item, Parser},
+    },
+    base::{Refusal, key},
+    bytes::Bytes,
+    http_body_util::BodyExt,
+    hyper::{
+        Method, Response, StatusCode,
+        body::Incoming,
+        header::{CONTENT_TYPE, HeaderValue},
+    },
+    serde::Deserialize,
+    smol::{Timer, channel::Sender},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    stream::{Chunk, Event, Finish, Loss, Start},
+};
+
+/// Last data of an engine's stream.
+const DONE: &str = "[DONE]";
+/// Attempts to cancel a generation.
+const CANCEL_ATTEMPTS: u32 = 3;
+/// Longest wait for the answer to a cancel.
+const CANCEL_LIMIT: Duration = Duration::from_secs(2);
+/// Wait before a cancel is repeated.
+const CANCEL_BACKOFF: Duration = Duration::from_secs(1);
+
+/// One connection to an engine, as a session asks for it.
+#[derive(Clone, Debug)]
+pub struct Connection {
+    /// Its number within the session.
+    pub number: u32,
+    /// The engine.
+    pub target: key::Target,
+    /// Id of the attempt.
+    pub request: Box<str>,
+    /// Whether to begin or to resume.
+    pub start: Start,
+    /// What the caller asked; `None` for a stream that is only resumed.
+    pub prompt: Option<Arc<Prompt>>,
+}
+
+/// Opens a connection and passes its events on until it is lost or the session is gone.
+pub async fn read(
+    context: Arc<Context>,
+    exchange: Exchange,
+    connection: Connection,
+    events: Sender<Event>,
+) {
+    let number = connection.number;
+    let loss = match open(&context, &exchange, &connection).await {
+        Ok(response) => match copy(response.into_body(), number, &events).await {
+            Some(loss) => loss,
+            None => return,
+        },
+        Err(loss) => loss,
+    };
+    let connection = number;
+    let _ = events.send(Event::Lost { connection, loss }).await;
+}
+
+async fn open(
+    context: &Context,
+    exchange: &Exchange,
+    connection: &Connection,
+) -> Result<Response<Incoming>, Loss> {
+    let address = address(exchange, connection.target).ok_or(Loss::Unreachable)?;
+    let request = match &connection.start {
+        Start::Begin => begin(exchange, connection),
+        Start::Resume { generation, index } => {
+            let path = format!("/v1/generations/{generation}/events?from={index}");
+            http::request(Method::GET, &path, Bytes::new())
+        }
+    };
+    let mut request = request.map_err(|_refusal| Loss::Rejected)?;
+    if let Ok(id) = connection.request.parse() {
+        request.headers_mut().insert("x-request-id", id);
+    }
+    let response = http::send(context, address, request).await;
+    let response = response.map_err(|refusal| {
+        if refusal.verdict.is_repeatable() {
+            Loss::Unreachable
+        } else {
+            Loss::Cut
+        }
+    })?;
+    check(&response, &connection.start)?;
+    Ok(response)
+}
+
+fn begin(
+    exchange: &Exchange,
+    connection: &Connection,
+) -> Result<hyper::Request<http_body_util::Full<Bytes>>, Refusal> {
+    let prompt = connection.prompt.as_ref();
+    let body = prompt.map(|prompt| prompt.body()).unwrap_or_default();
+    let priority = prompt.map_or(0, |prompt| prompt.priority(exchange));
+    let mut request = http::request(Method::POST, "/v1/completions", body)?;
+    let headers = request.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert("x-priority", HeaderValue::from(u16::from(priority)));
+    Ok(request)
+}
+
+fn check(response: &Response<Incoming>, start: &Start) -> Result<(), Loss> {
+    if is_refused_before_start(response) {
+        return Err(if response.headers().contains_key("x-leaving") {
+            Loss::Leaving
+        } else {
+            Loss::Refused
+        });
+    }
+    let status = response.status();
+    if status.is_success() {
+        return Ok(());
+    }
+    let is_resume = *start != Start::Begin;
+    Err(match status {
+        StatusCode::NOT_FOUND if is_resume => Loss::Unknown,
+        _ if status.is_client_error() && !is_resume => Loss::Rejected,
+        _ => Loss::Cut,
+    })
+}
+
+/// Passes events on; `None` if the session is gone.
+async fn copy(mut body: Incoming, connection: u32, events: &Sender<Event>) -> Option<Loss> {
+    let mut parser = Parser::default();
+    while let Some(Ok(frame)) = body.frame().await {
+        let Some(bytes) = frame.data_ref() else {
+            continue;
+        };
+        let Some(items) = parser.push(bytes) else {
+            return Some(Loss::Crossed);
+        };
+        for item in items {
+            let Some(event) = event(connection, &item) else {
+                continue;
+            };
+            events.send(event).await.ok()?;
+        }
+    }
+    Some(Loss::Cut)
+}
+
+fn event(connection: u32, item: &Item) -> Option<Event> {
+    let Item::Event(event) = item else {
+        return Some(Event::Heartbeat { connection });
+    };
+    if event.data == DONE {
+        return None;
+    }
+    Some(match parse(&event.data) {
+        Some(chunk) => Event::Chunk { connection, chunk },
+        None => Event::Lost {
+            connection,
+            loss: Loss::Crossed,
+        },
+    })
+}
+
+#[derive(Deserialize)]
+struct Data<'a> {
+    id: Box<str>,
+    request: Box<str>,
+    index: u32,
+    #[serde(borrow)]
+    choices: [Choice<'a>; 1],
+}
+
+#[derive(Deserialize)]
+struct Choice<'a> {
+    text: Box<str>,
+    #[serde(borrow)]
+    finish_reason: Option<std::borrow::Cow<'a, str>>,
+}
+
+fn parse(data: &str) -> Option<Chunk> {
+    let data: Data<'_> = serde_json::from_str(data).ok()?;
+    let [choice] = data.choices;
+    let finish = match choice.finish_reason {
+        Some(reason) => Some(Finish::parse(&reason)?),
+        None => None,
+    };
+    Some(Chunk {
+        generation: data.id,
+        request: data.request,
+        index: data.index,
+        text: choice.text,
+        finish,
+    })
+}
+
+/// Cancels an attempt on its engine; repeated, since an engine that can't be reached may still run.
+pub async fn cancel(
+    context: Arc<Context>,
+    exchange: Exchange,
+    target: key::Target,
+    request: Box<str>,
+) {
+    let _guard = context.drain.enter();
+    let Some(address) = address(&exchange, target) else {
+        return;
+    };
+    let path = format!("/v1/requests/{request}");
+    for _ in 0..CANCEL_ATTEMPTS {
+        if within(CANCEL_LIMIT, delete(&context, address, &path)).await == Some(true) {
+            return;
+        }
+        Timer::after(CANCEL_BACKOFF).await;
+    }
+}
+
+async fn delete(context: &Context, address: SocketAddr, path: &str) -> bool {
+    let Ok(request) = http::request(Method::DELETE, path, Bytes::new()) else {
+        return true;
+    };
+    http::send(context, address, request).await.is_ok()
+}
+
+/// Finds an engine under the configuration in force, or that of the request's beginning.
+fn address(exchange: &Exchange, target: key::Target) -> Option<SocketAddr> {
+    let targets = &exchange.deployment.snapshot.targets;
+    targets.get(target).map(|target| target.address)
+}
--- a/crates/entry/src/inner.rs
+++ b/crates/entry/src/inner.rs
@@ -184,6 +184,20 @@
     }
 }
 
+/// Tells another entry VM that a stream's caller went on with it here; returns whether it knows now.
+///
+/// A VM that is not in the configuration any more cancels nothing, so it need not know.
+pub async fn adopt(context: &Context, vm: key::Vm, request: &str, limit: Duration) -> bool {
+    if !context.snapshot().vms.contains(vm) {
+        return true;
+    }
+    let message = msg::Adopt {
+        number: 1,
+        request: request.to_owned(),
+    };
+    ask(context, vm, Body::Adopt(message), limit).await.is_ok()
+}
+
 /// Accepts other entry VMs for as long as the process runs.
 pub async fn listen(context: Arc<Context>, listener: TcpListener) {
     loop {
@@ -222,6 +236,11 @@
 async fn answer(context: &Arc<Context>, body: Body) -> Option<Body> {
     match body {
         Body::Call(call) => Some(Body::Reply(run(context, call).await)),
+        Body::Adopt(adopt) => {
+            context.sessions.adopt(&adopt.request);
+            let number = adopt.number;
+            Some(Body::Adopted(msg::Adopted { number }))
+        }
         _ => None,
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod daemon;
 pub mod deployment;
 pub mod drain;
+pub mod engine;
 pub mod error;
 pub mod exchange;
 pub mod generation;
@@ -19,8 +20,10 @@
 pub mod inner;
 pub mod logs;
 pub mod probe;
+pub mod prompt;
 pub mod router;
 pub mod runtime;
+pub mod session;
 pub mod sse;
 
 pub use {context::Context, daemon::Daemon, error::Error, exchange::Exchange};
--- /dev/null
+++ b/crates/entry/src/prompt.rs
@@ -0,0 +1,117 @@
+//! What a caller asks of a model engine.
+
+use {
+    crate::Exchange,
+    base::{Reason, Refusal, key},
+    bytes::Bytes,
+    hyper::http::request::Parts,
+    serde_json::{Value, json},
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+/// Bytes of a prompt that make one token, roughly.
+const BYTES_PER_TOKEN: usize = 4;
+/// Length of the shortest hashed prefix in bytes; each further one is twice as long.
+const SHORTEST_PREFIX: usize = 256;
+
+/// What a caller asks of a model engine.
+#[derive(Clone, Debug)]
+pub struct Prompt {
+    model: Box<str>,
+    text: Box<str>,
+    class: usize,
+    max_tokens: u32,
+    /// Whether the caller wants each token as an event.
+    pub is_stream: bool,
+}
+
+impl Prompt {
+    /// Reads the body of a completion request.
+    ///
+    /// # Errors
+    /// Returns a [`Reason::BadRequest`] refusal that names the field.
+    pub fn parse(exchange: &Exchange, parts: &Parts, body: &[u8]) -> Result<Self, Refusal> {
+        let bad = |message: String| Refusal::not_run(Reason::BadRequest, message);
+        let value: Value = serde_json::from_slice(body)
+            .map_err(|error| bad(format!("the body is no JSON: {error}")))?;
+        let text = |field: &str| {
+            let value = value[field].as_str();
+            value.ok_or_else(|| bad(format!("`{field}` must be a string")))
+        };
+        let model = text("model")?;
+        let service = exchange
+            .service()
+            .ok_or_else(|| bad("the service is gone".into()))?;
+        if !service.models.contains(&key::Model::of(model)) {
+            return Err(bad(format!("the service has no model `{model}`")));
+        }
+        let header = parts
+            .headers
+            .get("x-class")
+            .and_then(|value| value.to_str().ok());
+        let name = value["class"].as_str().or(header);
+        let class = service.class(name).ok_or_else(|| {
+            bad(format!(
+                "the service has no class `{}`",
+                name.unwrap_or_default()
+            ))
+        })?;
+        let limit = service.classes[class].max_tokens;
+        let max_tokens = match &value["max_tokens"] {
+            Value::Null => limit,
+            number => number
+                .as_u64()
+                .filter(|&number| number > 0)
+                .map(|number| (number.min(u64::from(limit))) as u32)
+                .ok_or_else(|| bad("`max_tokens` must be a number from 1".into()))?,
+        };
+        Ok(Self {
+            model: model.into(),
+            text: text("prompt")?.into(),
+            class,
+            max_tokens,
+            is_stream: value["stream"] == Value::Bool(true),
+        })
+    }
+
+    /// Makes the request to the router, without the targets that already failed it.
+    pub fn request(&self, exchange: &Exchange, excluded: Vec<key::Target>) -> route::Request {
+        route::Request {
+            key: exchange.key,
+            customer: exchange.customer,
+            service: exchange.service,
+            class: self.class,
+            model: Some(key::Model::of(&self.model)),
+            prompt_tokens: (self.text.len() / BYTES_PER_TOKEN) as u32,
+            max_tokens: self.max_tokens,
+            prefixes: prefixes(self.text.as_bytes()),
+            deadline: exchange.deadline,
+            excluded,
+        }
+    }
+
+    /// Returns the priority of the class.
+    pub fn priority(&self, exchange: &Exchange) -> u8 {
+        exchange
+            .service()
+            .map_or(0, |service| service.classes[self.class].priority)
+    }
+
+    /// Makes the body of the engine's request.
+    pub fn body(&self) -> Bytes {
+        let body = json!({
+            "model": self.model,
+            "prompt": self.text,
+            "max_tokens": self.max_tokens,
+            "stream": true,
+        });
+        body.to_string().into()
+    }
+}
+
+fn prefixes(prompt: &[u8]) -> Box<[u64]> {
+    std::iter::successors(Some(SHORTEST_PREFIX), |length| length.checked_mul(2))
+        .take_while(|&length| length <= prompt.len())
+        .map(|length| xxh3_64(&prompt[..length]))
+        .collect()
+}
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -20,7 +20,7 @@
 /// One message on an authenticated connection.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Envelope {
-    #[prost(oneof = "envelope::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "envelope::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 20, 21, 22")]
     pub body: ::core::option::Option<envelope::Body>,
 }
 /// Nested message and enum types in `Envelope`.
@@ -43,6 +43,12 @@
         Handover(super::Handover),
         #[prost(message, tag = "8")]
         HandoverDone(super::HandoverDone),
+        #[prost(message, tag = "20")]
+        Adopt(super::Adopt),
+        #[prost(message, tag = "21")]
+        Adopted(super::Adopted),
+        #[prost(message, tag = "22")]
+        Reclaim(super::Reclaim),
     }
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -104,6 +110,23 @@
     /// When to come back, in milliseconds; 0 if not said.
     #[prost(uint64, tag = "7")]
     pub retry_after_ms: u64,
+    /// Key of the entry VM to ask instead; 0 if the call was answered.
+    #[prost(uint64, tag = "8")]
+    pub elsewhere: u64,
+}
+/// Tells an entry VM that the caller of a stream went on with it over the sender.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Adopt {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Id of the attempt, as the engine knows it.
+    #[prost(string, tag = "2")]
+    pub request: ::prost::alloc::string::String,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Adopted {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
 }
 /// Asks for the configuration in force, if it is newer than what the sender has.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -143,13 +166,12 @@
     #[prost(uint64, tag = "3")]
     pub incarnation_age_ms: u64,
 }
-/// One record of a key that moves in a planned stop.
+/// One record that moves in a planned stop.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Record {
-    #[prost(string, tag = "1")]
-    pub customer: ::prost::alloc::string::String,
-    #[prost(string, tag = "2")]
-    pub key: ::prost::alloc::string::String,
+    /// Digest of the ticket, or of the customer and the key.
+    #[prost(bytes = "vec", tag = "1")]
+    pub id: ::prost::alloc::vec::Vec<u8>,
     #[prost(bytes = "vec", tag = "3")]
     pub fingerprint: ::prost::alloc::vec::Vec<u8>,
     #[prost(enumeration = "Verdict", tag = "4")]
@@ -163,17 +185,32 @@
     /// Time until the record may be dropped, in milliseconds.
     #[prost(uint64, tag = "8")]
     pub retention_ms: u64,
+    /// Reason code of a refusal, empty with an answer.
+    #[prost(string, tag = "9")]
+    pub reason: ::prost::alloc::string::String,
 }
-/// Records of keys whose next home is the receiver.
+/// Records whose next owner is the receiver.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Handover {
     #[prost(uint64, tag = "1")]
     pub number: u64,
     #[prost(message, repeated, tag = "2")]
     pub records: ::prost::alloc::vec::Vec<Record>,
-    /// Whether these are the last of the sender's records.
+    /// Whether these are the last of the sender's records; the right to run passes with them.
     #[prost(bool, tag = "3")]
     pub last: bool,
+    /// Digest of the list of entry VMs that the sender goes by.
+    #[prost(uint64, tag = "4")]
+    pub list: u64,
+    /// Whether the sender had no doubt about any key that it was home to.
+    #[prost(bool, tag = "5")]
+    pub settled: bool,
+}
+/// Asks for the records and the rights that an earlier incarnation of the sender handed over.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Reclaim {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HandoverDone {
