--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -108,6 +108,9 @@
 #[bon]
 impl Membership {
     /// Starts the membership of one process.
+    ///
+    /// It says nothing before it is told a configuration, which gives the address that peers use;
+    /// `address` is what they use if the configuration does not name this VM.
     #[builder]
     pub fn new(
         now: Instant,
@@ -244,6 +247,9 @@
         let own = key::DataCentre::of(&self.data_centre);
         let mut remotes: HashMap<key::DataCentre, Vec<SocketAddr>> = HashMap::new();
         self.contacts = self.seeds.clone();
+        if let Some(vm) = snapshot.vms.get(self.own.key) {
+            self.own.address = vm.inner;
+        }
         for vm in snapshot.vms.values() {
             if vm.data_centre == own {
                 self.contacts.push(vm.inner);
--- a/crates/fleet/src/membership/compose.rs
+++ b/crates/fleet/src/membership/compose.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Membership, Own},
-    crate::{Action, State, message::Draft},
+    crate::{Action, State, Version, message::Draft},
     base::{Instant, arena::Arena, key},
     derive_more::Debug,
     rand::seq::IteratorRandom,
@@ -94,6 +94,9 @@
         purpose: Use,
         actions: &mut Vec<Action>,
     ) {
+        if self.version == Version::default() {
+            return;
+        }
         let left = self.budget.left(now);
         if purpose == Use::Urgent && left < RESERVE {
             return;
--- a/crates/fleet/src/membership/receive.rs
+++ b/crates/fleet/src/membership/receive.rs
@@ -38,14 +38,14 @@
         }
         self.learn_departures(now, message, actions);
         self.learn_uses(sender, is_local, message, actions);
+        let peer = record.and_then(|record| record.address.parse().ok());
+        let peer = peer.unwrap_or(from);
         let version = Version::announced(message);
         if version > self.version {
-            let peer = record.and_then(|record| record.address.parse().ok());
-            let peer = peer.unwrap_or(from);
             actions.push(Action::Heard { peer, version });
         }
         if let Some(probe) = &message.probe {
-            self.answer(now, from, sender, probe, actions);
+            self.answer(now, peer, sender, probe, actions);
         }
     }
 
@@ -207,7 +207,7 @@
     fn answer(
         &mut self,
         now: Instant,
-        from: SocketAddr,
+        peer: SocketAddr,
         sender: key::Vm,
         received: &msg::Probe,
         actions: &mut Vec<Action>,
@@ -216,7 +216,7 @@
             msg::ProbeKind::Unspecified => {}
             msg::ProbeKind::Ping => {
                 let answer = probe(msg::ProbeKind::Ack, received.number, "");
-                self.send(now, from, Some(answer), Use::Full, actions);
+                self.send(now, peer, Some(answer), Use::Full, actions);
             }
             msg::ProbeKind::PingRequest => {
                 let subject = key::Vm::of(&received.subject);
@@ -225,7 +225,7 @@
                 };
                 let address = member.address;
                 let number = self.prober.number();
-                self.prober.relay(now, number, received.number, from);
+                self.prober.relay(now, number, received.number, peer);
                 let ping = probe(msg::ProbeKind::Ping, number, "");
                 self.send(now, address, Some(ping), Use::Brief, actions);
             }
--- a/crates/fleet/src/spread.rs
+++ b/crates/fleet/src/spread.rs
@@ -180,7 +180,6 @@
 #[derive(Debug)]
 pub struct Spread {
     own: key::Vm,
-    address: SocketAddr,
     /// Peers that a starting VM asks.
     seeds: Vec<SocketAddr>,
     #[debug(skip)]
@@ -217,7 +216,6 @@
         seeds.retain(|peer| *peer != address);
         Self {
             own: key::Vm::of(name),
-            address,
             seeds,
             rng: SmallRng::seed_from_u64(seed),
             in_force: None,
@@ -431,8 +429,8 @@
         self.version = offered;
         self.in_force = Some(Arc::clone(&snapshot));
         if self.start.is_some() {
-            let vms = snapshot.vms.values().map(|vm| vm.inner);
-            self.seeds.extend(vms.filter(|peer| *peer != self.address));
+            let vms = snapshot.vms.iter().filter(|(vm, _)| *vm != self.own);
+            self.seeds.extend(vms.map(|(_, vm)| vm.inner));
             self.seeds.sort_unstable();
             self.seeds.dedup();
         }
