test(fleet): a deployment without targets has no service

The check of deployment files now refuses a service without targets, which the support of the membership tests wrote; seen failing in budget_is_kept, passes after.

--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -61,7 +61,9 @@
     for centre in 0..centres {
         write!(text, "[data_centre dc{centre}]\nregion = r\n").unwrap();
     }
-    text.push_str("[service s]\nkind = plain\n");
+    if targets > 0 {
+        text.push_str("[service s]\nkind = plain\n");
+    }
     for vm in 0..vms {
         let centre = vm % centres;
         let inner = address(vm);
