feat(cli): diff, render, status, explain and completions

diff compares what two versions mean, not their text, and fails when the version does not rise. render prints the one value with its digest and version. explain joins the JSON logs of several VMs by request and generation in the order of time. A folder stands for its .ini files.

--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -1,7 +1,7 @@
 //! `check`: validates deployment files together, or the settings of a process.
 
 use {
-    crate::{cli::BAD_INPUT, input},
+    crate::{cli::BAD_INPUT, input, output},
     clap::{Arg, ArgAction, ArgMatches, Command},
     config::{Fault, Snapshot, Source, parse, settings},
     serde_json::json,
@@ -54,28 +54,24 @@
         return reject(&faults, sources, is_json);
     }
     if is_json {
-        println!("{}", json!({"valid": true, "faults": []}));
-    } else {
-        println!("valid: {} files", sources.len());
+        return output::print_json(&json!({"valid": true, "faults": []}));
     }
-    ExitCode::SUCCESS
+    output::print(&format!("valid: {} files\n", sources.len()))
 }
 
 fn accept(snapshot: &Snapshot, is_json: bool) -> ExitCode {
     if is_json {
-        let report = json!({
+        return output::print_json(&json!({
             "valid": true,
             "faults": [],
             "name": snapshot.name,
             "version": snapshot.version,
             "bytes": snapshot.value.len(),
-        });
-        println!("{report}");
-        return ExitCode::SUCCESS;
+        }));
     }
-    println!(
+    output::print(&format!(
         "valid: {} version {}, {} bytes: {} data centres, {} VMs, {} services, {} models, \
-         {} targets, {} customers",
+         {} targets, {} customers\n",
         snapshot.name,
         snapshot.version,
         snapshot.value.len(),
@@ -85,14 +81,13 @@
         snapshot.models.len(),
         snapshot.targets.len(),
         snapshot.customers.len(),
-    );
-    ExitCode::SUCCESS
+    ))
 }
 
 fn reject(faults: &[Fault], sources: &[Source], is_json: bool) -> ExitCode {
     if !is_json {
         return input::reject(faults, sources);
     }
-    println!("{}", json!({"valid": false, "faults": faults}));
+    output::print_json(&json!({"valid": false, "faults": faults}));
     ExitCode::from(BAD_INPUT)
 }
--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line: its subcommands and exit codes.
 
 use {
-    crate::{check, demo, serve},
+    crate::{check, completions, demo, diff, explain, render, serve, status},
     clap::{ArgMatches, Command},
     std::process::ExitCode,
 };
@@ -19,20 +19,22 @@
     run: fn(&ArgMatches) -> ExitCode,
 }
 
+impl Subcommand {
+    const fn new(command: fn() -> Command, run: fn(&ArgMatches) -> ExitCode) -> Self {
+        Self { command, run }
+    }
+}
+
 /// Every subcommand, in the order of `--help`.
-const SUBCOMMANDS: [Subcommand; 3] = [
-    Subcommand {
-        command: demo::command,
-        run: demo::run,
-    },
-    Subcommand {
-        command: serve::command,
-        run: serve::run,
-    },
-    Subcommand {
-        command: check::command,
-        run: check::run,
-    },
+const SUBCOMMANDS: [Subcommand; 8] = [
+    Subcommand::new(serve::command, serve::run),
+    Subcommand::new(check::command, check::run),
+    Subcommand::new(diff::command, diff::run),
+    Subcommand::new(render::command, render::run),
+    Subcommand::new(status::command, status::run),
+    Subcommand::new(explain::command, explain::run),
+    Subcommand::new(demo::command, demo::run),
+    Subcommand::new(completions::command, completions::run),
 ];
 
 /// Describes the whole command line.
--- a/crates/cli/src/input.rs
+++ b/crates/cli/src/input.rs
@@ -3,10 +3,10 @@
 use {
     crate::cli::BAD_INPUT,
     clap::{Arg, ArgAction, ArgMatches, value_parser},
-    config::{Fault, Source, diagnostic},
+    config::{Fault, Snapshot, Source, diagnostic, parse},
     std::{
         fs,
-        io::{IsTerminal, stderr},
+        io::{self, IsTerminal, stderr},
         path::{Path, PathBuf},
         process::ExitCode,
     },
@@ -16,7 +16,7 @@
 pub fn files() -> Arg {
     Arg::new("files")
         .value_name("FILES")
-        .help("Files that together form one deployment")
+        .help("Files, or folders of .ini files, that together form one deployment")
         .required(true)
         .num_args(1..)
         .value_parser(value_parser!(PathBuf))
@@ -36,25 +36,24 @@
     paths.unwrap_or_default().map(PathBuf::as_path).collect()
 }
 
-/// Reads files whole.
+/// Reads files whole; a folder stands for its `.ini` files in the order of their names.
 ///
 /// # Errors
-/// Returns a fault for each file that can't be read as UTF-8 text.
+/// Returns a fault for each path that can't be read as UTF-8 text.
 pub fn read(paths: &[&Path]) -> Result<Vec<Source>, Vec<Fault>> {
     let mut sources = Vec::new();
     let mut faults = Vec::new();
     for path in paths {
-        let file = path.to_string_lossy();
-        match fs::read_to_string(path) {
-            Ok(text) => sources.push(Source::new(&*file, text)),
-            Err(error) => faults.push(Fault {
-                file: file.into(),
-                line: 0,
-                section: Box::default(),
-                key: Box::default(),
-                message: error.to_string().into(),
-                permitted: "a readable file of UTF-8 text".into(),
-            }),
+        match expand(path) {
+            Ok(files) => {
+                for file in files {
+                    match fs::read_to_string(&file) {
+                        Ok(text) => sources.push(Source::new(&*file.to_string_lossy(), text)),
+                        Err(error) => faults.push(unreadable(&file, &error)),
+                    }
+                }
+            }
+            Err(error) => faults.push(unreadable(path, &error)),
         }
     }
     if faults.is_empty() {
@@ -63,6 +62,41 @@
     Err(faults)
 }
 
+/// Reads and checks the files of one deployment.
+///
+/// # Errors
+/// Returns the exit code of bad input, after the faults have been printed.
+pub fn deployment(paths: &[&Path]) -> Result<Snapshot, ExitCode> {
+    let sources = read(paths).map_err(|faults| reject(&faults, &[]))?;
+    parse::deployment(&sources).map_err(|faults| reject(&faults, &sources))
+}
+
+fn expand(path: &Path) -> io::Result<Vec<PathBuf>> {
+    if !path.is_dir() {
+        return Ok(vec![path.into()]);
+    }
+    let mut files = Vec::new();
+    for entry in fs::read_dir(path)? {
+        let file = entry?.path();
+        if file.extension().is_some_and(|extension| extension == "ini") {
+            files.push(file);
+        }
+    }
+    files.sort();
+    Ok(files)
+}
+
+fn unreadable(path: &Path, error: &io::Error) -> Fault {
+    Fault {
+        file: path.to_string_lossy().into(),
+        line: 0,
+        section: Box::default(),
+        key: Box::default(),
+        message: error.to_string().into(),
+        permitted: "a readable file of UTF-8 text, or a folder of .ini files".into(),
+    }
+}
+
 /// Prints faults for a person and returns the exit code of bad input.
 pub fn reject(faults: &[Fault], sources: &[Source]) -> ExitCode {
     let text = diagnostic::render(faults, sources, stderr().is_terminal());
--- /dev/null
+++ b/crates/cli/tests/command.rs
@@ -0,0 +1,237 @@
+//! What operators see of each subcommand, and its exit code.
+
+use std::{
+    fs,
+    io::{Read, Write},
+    net::TcpListener,
+    path::{Path, PathBuf},
+    process::{Command, Output, Stdio},
+    thread,
+};
+
+const SUCCESS: Option<i32> = Some(0);
+const FAILURE: Option<i32> = Some(1);
+const BAD_INPUT: Option<i32> = Some(2);
+
+fn mastictrail(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_mastictrail"))
+        .args(arguments)
+        .output()
+        .expect("the command runs")
+}
+
+fn stdout(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into()
+}
+
+fn stderr(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into()
+}
+
+fn example(name: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    path.join(name).to_string_lossy().into()
+}
+
+fn write(folder: &tempfile::TempDir, name: &str, text: &str) -> String {
+    let path: PathBuf = folder.path().join(name);
+    fs::write(&path, text).expect("the folder is writable");
+    path.to_string_lossy().into()
+}
+
+/// Renders an example with pieces of its text exchanged.
+fn render(folder: &tempfile::TempDir, name: &str, edits: &[(&str, &str)]) -> String {
+    let output = mastictrail(&["render", &example("wielkopolanka")]);
+    let mut value = stdout(&output);
+    for (from, to) in edits {
+        assert!(value.contains(from), "`{from}` is in the example");
+        value = value.replacen(from, to, 1);
+    }
+    write(folder, name, &value)
+}
+
+#[test]
+fn check_accepts_the_examples() {
+    for name in ["wielkopolanka", "association"] {
+        let output = mastictrail(&["check", &example(name)]);
+        assert_eq!(output.status.code(), SUCCESS, "{}", stderr(&output));
+        assert!(stdout(&output).starts_with(&format!("valid: {name} version 1")));
+        let settings = mastictrail(&["check", "--settings", &example(&format!("{name}/settings"))]);
+        assert_eq!(settings.status.code(), SUCCESS, "{}", stderr(&settings));
+    }
+}
+
+#[test]
+fn check_points_at_an_unknown_settings_key() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let text = "[vm]\nname = a\ndata_centre = b\n[keys]\ndeployment = k\n[log]\nlevels = info\n";
+    let path = write(&folder, "entry.ini", text);
+    let output = mastictrail(&["check", "--settings", &path]);
+    assert_eq!(output.status.code(), BAD_INPUT);
+    insta::with_settings!({filters => vec![(folder.path().to_str().expect("a path"), "FOLDER")]}, {
+        insta::assert_snapshot!("settings_key", stderr(&output));
+    });
+    let output = mastictrail(&["check", "--settings", "--json", &path]);
+    assert_eq!(output.status.code(), BAD_INPUT);
+    let report: serde_json::Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    let fault = &report["faults"][0];
+    assert_eq!(fault["line"], 7);
+    assert_eq!(fault["section"], "log");
+    assert_eq!(fault["key"], "levels");
+    assert_eq!(fault["permitted"], "file, level");
+}
+
+#[test]
+fn bad_usage_has_the_exit_code_of_bad_input() {
+    for arguments in [
+        &["serv"][..],
+        &["check"],
+        &["check", "no such file"],
+        &["diff", "one"],
+        &["status", "localhost"],
+        &["completions", "no such shell"],
+    ] {
+        let output = mastictrail(arguments);
+        assert_eq!(output.status.code(), BAD_INPUT, "{arguments:?}");
+    }
+}
+
+#[test]
+fn render_gives_the_value_with_its_digest_and_version() {
+    let output = mastictrail(&["render", "--json", &example("association")]);
+    assert_eq!(output.status.code(), SUCCESS);
+    let report: serde_json::Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    assert_eq!(report["name"], "association");
+    assert_eq!(report["version"], 1);
+    let value = report["value"].as_str().expect("text");
+    assert_eq!(report["bytes"], value.len());
+    let plain = mastictrail(&["render", &example("association")]);
+    assert_eq!(stdout(&plain), value);
+    let digest = report["sha256"].as_str().expect("text");
+    assert!(stderr(&plain).contains(digest));
+}
+
+#[test]
+fn diff_shows_what_a_publication_would_change() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let old = render(&folder, "old.ini", &[]);
+    let new = render(
+        &folder,
+        "new.ini",
+        &[
+            ("version = 1\n", "version = 2\n"),
+            ("deadline = 60s", "deadline = 90s"),
+            ("headroom = 0.15\n", ""),
+            ("[target receptury-d1]", "[target receptury-d2]"),
+            ("planners = ", "planning = "),
+        ],
+    );
+    let output = mastictrail(&["diff", &old, &new]);
+    assert_eq!(output.status.code(), SUCCESS);
+    insta::assert_snapshot!("diff", stdout(&output));
+}
+
+#[test]
+fn diff_fails_when_the_version_does_not_rise() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let old = render(&folder, "old.ini", &[]);
+    let new = render(&folder, "new.ini", &[("headroom = 0.15", "headroom = 0.2")]);
+    let output = mastictrail(&["diff", &old, &new]);
+    assert_eq!(output.status.code(), FAILURE);
+    assert!(stderr(&output).contains("does not rise"));
+    let same = mastictrail(&["diff", &old, &example("wielkopolanka")]);
+    assert_eq!(same.status.code(), SUCCESS);
+    assert_eq!(stdout(&same), "version 1 to 1: 0 changes\n");
+}
+
+const LOG_OF_A: &str = r#"
+{"time":"2026-05-01T10:00:00.000100Z","level":"INFO","vm":"entry-a1","event":"route","message":"dispatched","request":"r-1","chosen":"engine-1","reason":"least predicted memory","candidates":"engine-1=0.100 engine-2=0.900"}
+{"time":"2026-05-01T10:00:00.000200Z","level":"INFO","vm":"entry-a1","event":"route","message":"dispatched","request":"r-9","chosen":"engine-1"}
+cut off in the midd
+{"time":"2026-05-01T10:00:00.000300Z","level":"INFO","vm":"entry-a1","event":"retry","message":"the call is sent again","request":"r-1","reason":"target_refused","verdict":"not_run"}
+{"time":"2026-05-01T10:00:00.000500Z","level":"INFO","vm":"entry-a1","event":"route","message":"dispatched","request":"r-1","generation":"g-7","chosen":"engine-2"}
+"#;
+const LOG_OF_B: &str = r#"
+{"time":"2026-05-01T10:00:00.000400Z","level":"INFO","vm":"entry-b1","event":"call","message":"taken","request":"r-1"}
+{"time":"2026-05-01T10:00:02.000000Z","level":"INFO","vm":"entry-b1","event":"resume","message":"resumed","request":"r-2","generation":"g-7","index":40}
+"#;
+
+#[test]
+fn explain_tells_in_order_what_happened_to_a_request() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let first = write(&folder, "b.log", LOG_OF_B);
+    let second = write(&folder, "a.log", LOG_OF_A);
+    let output = mastictrail(&["explain", "r-1", &first, &second]);
+    assert_eq!(output.status.code(), SUCCESS);
+    assert!(stderr(&output).starts_with("1 lines are not JSON objects"));
+    insta::assert_snapshot!("explain", stdout(&output));
+    let json = mastictrail(&["explain", "--json", "r-1", &first, &second]);
+    let lines: serde_json::Value = serde_json::from_slice(&json.stdout).expect("JSON");
+    assert_eq!(lines.as_array().map(Vec::len), Some(5));
+    let none = mastictrail(&["explain", "r-3", &first]);
+    assert_eq!(none.status.code(), FAILURE);
+}
+
+#[test]
+fn closed_pipe_is_no_failure() {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_mastictrail"))
+        .args(["render", &example("wielkopolanka")])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the command runs");
+    drop(child.stdout.take());
+    assert_eq!(child.wait().expect("the command ends").code(), SUCCESS);
+}
+
+#[test]
+fn status_shows_what_the_vm_answers() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let body = r#"{"vm":"entry-a1","ready":true,"members":[{"vm":"entry-a2","state":"live"}]}"#;
+    let server = thread::spawn(move || {
+        for _ in 0..2 {
+            let (mut stream, _peer) = listener.accept().expect("a caller");
+            let mut head = [0; 1024];
+            let length = stream.read(&mut head).expect("a request");
+            assert!(head[..length].starts_with(b"GET /status "));
+            let length = body.len();
+            write!(
+                stream,
+                "HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}"
+            )
+            .expect("the caller reads");
+        }
+    });
+    let plain = mastictrail(&["status", &address]);
+    assert_eq!(plain.status.code(), SUCCESS, "{}", stderr(&plain));
+    insta::assert_snapshot!("status", stdout(&plain));
+    let json = mastictrail(&["status", "--json", &address]);
+    let answer: serde_json::Value = serde_json::from_slice(&json.stdout).expect("JSON");
+    assert_eq!(answer["vm"], "entry-a1");
+    server.join().expect("the server ends");
+    let gone = mastictrail(&["status", &address]);
+    assert_eq!(gone.status.code(), FAILURE);
+}
+
+#[test]
+fn every_subcommand_has_examples_and_completions() {
+    let help = stdout(&mastictrail(&["--help"]));
+    assert!(help.contains("Exit codes: 0 success, 1 failure, 2 bad input or usage"));
+    let script = stdout(&mastictrail(&["completions", "bash"]));
+    for name in [
+        "serve",
+        "check",
+        "diff",
+        "render",
+        "status",
+        "explain",
+        "demo",
+        "completions",
+    ] {
+        assert!(help.contains(name), "{name} is in the help");
+        assert!(script.contains(name), "{name} is in the completions");
+        let own = stdout(&mastictrail(&[name, "--help"]));
+        assert!(own.contains("Example"), "{name} has examples");
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod deployment;
 pub mod diagnostic;
+pub mod difference;
 pub mod fault;
 pub mod ini;
 pub mod parse;
