--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,314 @@
+//! Promises about configurations and leaving VMs, with real processes behind the fault proxy.
+
+mod support;
+
+use {
+    serde_json::json,
+    std::{
+        thread,
+        time::{Duration, Instant},
+    },
+    support::{Cluster, End, Setup, until},
+};
+
+const PROMPT: &str = "a sheet for forty trays of pierogi #tokens=8";
+
+impl Cluster {
+    fn version(&self, vm: &str) -> u64 {
+        let answer = self.get(&format!("{vm}/admin"), "/status");
+        answer.map_or(0, |answer| {
+            answer.json()["configuration_version"].as_u64().unwrap_or(0)
+        })
+    }
+
+    fn wait_for_version(&self, vms: &[String], version: u64) {
+        for vm in vms {
+            until(&format!("{vm} has version {version}"), || {
+                self.version(vm) >= version
+            });
+            assert_eq!(self.version(vm), version);
+        }
+    }
+
+    /// Returns the versions that a VM brought into force, in order.
+    fn versions(&self, vm: &str) -> Vec<u64> {
+        let log = self.log(vm);
+        let lines = log
+            .lines()
+            .filter(|line| line.contains("\"message\":\"in force\""));
+        let versions = lines.filter_map(|line| {
+            let line: serde_json::Value = serde_json::from_str(line).ok()?;
+            line["configuration_version"].as_u64()
+        });
+        versions.collect()
+    }
+
+    fn assert_versions_rise(&self) {
+        for vm in self.vms() {
+            assert!(
+                self.versions(&vm).is_sorted(),
+                "{vm}: {:?}",
+                self.versions(&vm)
+            );
+        }
+    }
+
+    /// Waits until every VM has heard from every other one of its data centre.
+    fn wait_for_members(&self) {
+        let each = self.setup.vms;
+        for vm in self.vms() {
+            until(&format!("{vm} knows its peers"), || {
+                let answer = self.get(&format!("{vm}/admin"), "/status");
+                let members = answer.map(|answer| answer.json()["members"].clone());
+                let members = members.unwrap_or_default();
+                members
+                    .as_object()
+                    .is_some_and(|members| members.len() == each - 1)
+            });
+        }
+    }
+
+    fn has_departure(&self, vm: &str, target: &str, cause: &str) -> bool {
+        self.log(vm).lines().any(|line| {
+            line.contains("\"event\":\"departure\"")
+                && line.contains(&format!("\"departing\":\"{target}\""))
+                && line.contains(&format!("\"cause\":\"{cause}\""))
+        })
+    }
+
+    fn configuration_calls(&self) -> u64 {
+        let calls = self.get("platform", "/test/calls").unwrap().json();
+        let vms = calls["calls"].as_object().cloned().unwrap_or_default();
+        vms.values()
+            .filter_map(|vm| vm["/v1/config"].as_u64())
+            .sum()
+    }
+}
+
+#[test]
+fn a_configuration_spreads_though_the_platform_answers_one_vm_of_each_data_centre() {
+    let setup = Setup {
+        data_centres: 2,
+        vms: 3,
+        engines: 1,
+        ..Setup::default()
+    };
+    let cluster = setup.start();
+    cluster.wait_for_members();
+    for (version, answered) in [
+        (2, ["vm-1", "vm-4"]),
+        (3, ["vm-2", "vm-5"]),
+        (4, ["vm-3", "vm-6"]),
+    ] {
+        for vm in cluster.vms() {
+            let order = if answered.contains(&&*vm) {
+                "heal"
+            } else {
+                "block"
+            };
+            cluster.proxy(&format!("{order} platform/{vm}"));
+        }
+        cluster.publish(version, "");
+        cluster.wait_for_version(&cluster.vms(), version);
+    }
+    cluster.assert_versions_rise();
+}
+
+#[test]
+fn a_configuration_crosses_to_a_data_centre_without_the_platform_under_loss() {
+    let setup = Setup {
+        data_centres: 2,
+        vms: 2,
+        engines: 1,
+        ..Setup::default()
+    };
+    let cluster = setup.start();
+    for vm in ["vm-3", "vm-4"] {
+        cluster.proxy(&format!("block platform/{vm}"));
+    }
+    for vm in cluster.vms() {
+        cluster.proxy(&format!("drop {vm} 20"));
+    }
+    cluster.publish(2, "");
+    cluster.wait_for_version(&cluster.vms(), 2);
+}
+
+#[test]
+fn a_replaced_vm_takes_the_newest_from_its_peers_while_the_platform_is_stale() {
+    let setup = Setup {
+        vms: 4,
+        engines: 1,
+        ..Setup::default()
+    };
+    let mut cluster = setup.start();
+    cluster.publish(2, "");
+    cluster.publish(3, "");
+    cluster.wait_for_version(&cluster.vms(), 3);
+    cluster.order("platform", "/test/mode", &json!({"stale": 1}));
+    cluster.process("vm-2").kill();
+    cluster.process("vm-3").freeze();
+    cluster.start_vm("vm-2");
+    until("vm-2 is ready", || cluster.is_ready("vm-2"));
+    assert_eq!(cluster.version("vm-2"), 3);
+    cluster.process("vm-3").thaw();
+    cluster.order("platform", "/test/mode", &json!({"down": true}));
+    cluster.process("vm-1").kill();
+    cluster.start_vm("vm-1");
+    until("vm-1 is ready", || cluster.is_ready("vm-1"));
+    cluster.wait_for_version(&cluster.vms(), 3);
+}
+
+#[test]
+fn a_process_that_was_frozen_during_a_publication_catches_up_and_never_goes_back() {
+    let setup = Setup {
+        vms: 3,
+        engines: 1,
+        ..Setup::default()
+    };
+    let mut cluster = setup.start();
+    cluster.wait_for_members();
+    cluster.process("vm-2").freeze();
+    let others = ["vm-1".to_owned(), "vm-3".to_owned()];
+    cluster.publish(2, "");
+    cluster.wait_for_version(&others, 2);
+    cluster.publish(3, "");
+    cluster.wait_for_version(&others, 3);
+    cluster.order("platform", "/test/mode", &json!({"stale": 2}));
+    thread::sleep(fleet::membership::PAUSE * 2);
+    cluster.process("vm-2").thaw();
+    cluster.wait_for_version(&cluster.vms(), 3);
+    until("vm-2 notices its pause", || {
+        cluster.log("vm-2").contains("the process was paused")
+    });
+    cluster.assert_versions_rise();
+}
+
+#[test]
+fn a_faulty_configuration_is_refused_as_a_whole_with_the_reason() {
+    let cluster = Setup {
+        vms: 3,
+        engines: 1,
+        ..Setup::default()
+    }
+    .start();
+    let sections = "[customer gamma]\nkey_sha256 = 12\n[data_centre dc-9]\nregion = region-1\n";
+    cluster.publish(2, sections);
+    until("a VM refuses it", || {
+        cluster.vms().iter().any(|vm| {
+            let log = cluster.log(vm);
+            log.contains("refused as a whole") && log.contains("key_sha256")
+        })
+    });
+    cluster.wait_for_version(&cluster.vms(), 1);
+    cluster.publish(3, "");
+    cluster.wait_for_version(&cluster.vms(), 3);
+    for vm in cluster.vms() {
+        assert_eq!(cluster.versions(&vm), [1, 3]);
+    }
+}
+
+#[test]
+fn calls_to_the_platform_do_not_come_from_every_vm() {
+    const WINDOW: Duration = Duration::from_secs(20);
+    let cluster = Setup {
+        vms: 8,
+        engines: 1,
+        ..Setup::default()
+    }
+    .start();
+    cluster.wait_for_members();
+    let (start, before) = (Instant::now(), cluster.configuration_calls());
+    thread::sleep(WINDOW);
+    let calls = (cluster.configuration_calls() - before) as f64;
+    let watched = fleet::spread::WATCHERS as f64 / fleet::spread::WATCH.as_secs_f64();
+    let rate = watched + fleet::spread::SAMPLE_RATE;
+    let elapsed = start.elapsed().as_secs_f64();
+    assert!(
+        calls <= 2.0 * rate * elapsed,
+        "{calls} calls in {elapsed} s"
+    );
+}
+
+#[test]
+fn a_leaving_engine_gets_no_new_work_from_any_vm_while_the_list_lags() {
+    let setup = Setup {
+        vms: 3,
+        engines: 2,
+        ..Setup::default()
+    };
+    let cluster = setup.start();
+    cluster.wait_for_members();
+    cluster.order("platform", "/test/mode", &json!({"list_lag_ms": 30_000}));
+    cluster.behave("engine-1", &json!({"leaving": true}));
+    until("vm-1 is refused", || {
+        let draft = cluster.stream("vm-1", PROMPT).unwrap().finish();
+        assert_eq!(draft.end, End::Complete("stop".into()));
+        cluster.has_departure("vm-1", "engine-1", "refused")
+    });
+    for vm in ["vm-2", "vm-3"] {
+        until("the others are told", || {
+            cluster.has_departure(vm, "engine-1", "peer")
+        });
+    }
+    cluster.behave("engine-1", &json!({}));
+    for _ in 0..8 {
+        for vm in cluster.vms() {
+            let draft = cluster.stream(&vm, PROMPT).unwrap().finish();
+            assert_eq!(cluster.engine_of(&draft), "engine-2");
+        }
+    }
+}
+
+#[test]
+fn a_target_that_the_list_names_as_leaving_gets_no_new_work_and_its_stream_is_not_cut() {
+    let setup = Setup {
+        vms: 3,
+        engines: 2,
+        ..Setup::default()
+    };
+    let cluster = setup.start();
+    cluster.wait_for_members();
+    let mut stream = cluster.stream("vm-1", "a long sheet #tokens=120").unwrap();
+    let first = stream.read(1);
+    let engine = cluster.engine_of(&first);
+    let other = cluster
+        .engines()
+        .into_iter()
+        .find(|name| *name != engine)
+        .unwrap();
+    let list = json!({"vms": [
+        {"name": engine, "state": "leaving"},
+        {"name": other, "state": "live"},
+    ]});
+    cluster.order("platform", "/test/vms", &list);
+    for vm in cluster.vms() {
+        until(&format!("{vm} learns it"), || {
+            cluster.has_departure(&vm, &engine, "listed_leaving")
+                || cluster.has_departure(&vm, &engine, "peer")
+        });
+    }
+    for vm in cluster.vms() {
+        let draft = cluster.stream(&vm, PROMPT).unwrap().finish();
+        assert_eq!(cluster.engine_of(&draft), other);
+    }
+    assert_eq!(stream.finish().end, End::Complete("stop".into()));
+}
+
+#[test]
+fn a_planned_stop_is_told_to_the_peers() {
+    let setup = Setup {
+        vms: 3,
+        engines: 1,
+        ..Setup::default()
+    };
+    let mut cluster = setup.start();
+    cluster.wait_for_members();
+    cluster.process("vm-1").terminate();
+    for vm in ["vm-2", "vm-3"] {
+        until("the peers are told", || {
+            cluster.log(vm).lines().any(|line| {
+                line.contains("\"member\":\"vm-1\"") && line.contains("\"state\":\"leaving\"")
+            })
+        });
+    }
+}
