test(route): a key of its own for each customer

The check of deployment files now refuses two customers with one key, which the support of the policy tests wrote; seen failing in four property tests, passes after.

--- a/crates/route/tests/support/mod.rs
+++ b/crates/route/tests/support/mod.rs
@@ -60,10 +60,12 @@
             )
             .expect("a string takes all");
         }
-        let digest = "00".repeat(32);
-        for (name, settings) in &self.customers {
-            writeln!(text, "[customer {name}]\nkey_sha256 = {digest}\n{settings}")
-                .expect("a string takes all");
+        for (index, (name, settings)) in self.customers.iter().enumerate() {
+            writeln!(
+                text,
+                "[customer {name}]\nkey_sha256 = {index:064x}\n{settings}"
+            )
+            .expect("a string takes all");
         }
         Arc::new(parse::snapshot("test", &text).expect("the deployment is sound"))
     }
