--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod machine;
 pub mod refusal;
 pub mod rendezvous;
+pub mod sealed;
 pub mod verdict;
 
 pub use clock::{Clock, Instant};
