--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -103,6 +103,8 @@
     pub file: Option<PathBuf>,
     /// Least severe level that is written.
     pub level: log::LevelFilter,
+    /// Lines that may wait to be written; further ones are dropped and counted.
+    pub queue: u32,
 }
 
 impl Default for Log {
@@ -110,6 +112,7 @@
         Self {
             file: None,
             level: log::LevelFilter::Info,
+            queue: 8192,
         }
     }
 }
@@ -251,6 +254,7 @@
 fn read_log(log: &mut Log, reader: &Reader<'_>) {
     log.file = reader.optional("file", file);
     set(&mut log.level, reader.optional("level", level));
+    set(&mut log.queue, reader.optional("queue", value::positive));
 }
 
 fn read_limits(limits: &mut Limits, reader: &Reader<'_>) {
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -1,4 +1,4 @@
-//! HTTP towards operators: health and status.
+//! HTTP towards operators: health, metrics and status.
 
 use {
     crate::{
@@ -6,45 +6,101 @@
         answer::{self, Body},
     },
     hyper::{
-        Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+        Method, Request, Response, StatusCode,
+        body::Incoming,
+        header::{CONTENT_TYPE, HeaderValue},
+        server::conn::http1,
+        service::service_fn,
     },
     serde_json::json,
-    smol::net::{TcpListener, TcpStream},
-    smol_hyper::rt::FuturesIo,
-    std::{convert::Infallible, sync::Arc},
+    smol::{
+        Timer,
+        net::{TcpListener, TcpStream},
+    },
+    smol_hyper::rt::{FuturesIo, SmolTimer},
+    std::{
+        convert::Infallible,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
 };
 
+/// Most connections of operators at once.
+const CONNECTIONS: usize = 64;
+/// Wait after a connection that could not be accepted.
+const BACKOFF: Duration = Duration::from_millis(10);
+/// Paths and what they answer.
+const PATHS: [&str; 4] = ["/live", "/ready", "/metrics", "/status"];
+/// Media type of Prometheus' text format.
+const METRICS_TYPE: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4");
+
 /// Accepts operators for as long as the process runs.
 pub async fn listen(context: Arc<Context>, listener: TcpListener) {
+    let open = Arc::new(AtomicUsize::new(0));
     loop {
-        if let Ok((stream, _peer)) = listener.accept().await {
-            context.spawn(connection(Arc::clone(&context), stream));
+        let Ok((stream, _peer)) = listener.accept().await else {
+            Timer::after(BACKOFF).await;
+            continue;
+        };
+        if open.load(Ordering::Relaxed) >= CONNECTIONS {
+            continue;
         }
+        open.fetch_add(1, Ordering::Relaxed);
+        let (context_, open_) = (Arc::clone(&context), Arc::clone(&open));
+        context.spawn(async move {
+            connection(context_, stream).await;
+            open_.fetch_sub(1, Ordering::Relaxed);
+        });
     }
 }
 
 async fn connection(context: Arc<Context>, stream: TcpStream) {
+    let limit = context.settings.limits.header_timeout;
     let service = service_fn(move |request| {
         let context = Arc::clone(&context);
         async move { Ok::<_, Infallible>(serve(&context, &request)) }
     });
     let _ = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(limit)
         .serve_connection(FuturesIo::new(stream), service)
         .await;
 }
 
 fn serve(context: &Context, request: &Request<Incoming>) -> Response<Body> {
+    if !matches!(*request.method(), Method::GET | Method::HEAD) {
+        return answer::json(
+            StatusCode::METHOD_NOT_ALLOWED,
+            &json!({"methods": ["GET", "HEAD"]}),
+        );
+    }
     match request.uri().path() {
         "/live" => answer::json(StatusCode::OK, &json!({"live": true})),
         "/ready" => ready(context),
         "/status" => answer::json(StatusCode::OK, &status(context)),
-        _ => answer::json(
-            StatusCode::NOT_FOUND,
-            &json!({"paths": ["/live", "/ready", "/status"]}),
-        ),
+        "/metrics" => metrics(context),
+        _ => answer::json(StatusCode::NOT_FOUND, &json!({"paths": PATHS})),
     }
 }
 
+fn metrics(context: &Context) -> Response<Body> {
+    let text = match context.metrics.encode(context) {
+        Ok(text) => text,
+        Err(error) => {
+            return answer::json(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                &json!({"error": error.to_string()}),
+            );
+        }
+    };
+    let mut response = Response::new(answer::full(text));
+    response.headers_mut().insert(CONTENT_TYPE, METRICS_TYPE);
+    response
+}
+
 fn ready(context: &Context) -> Response<Body> {
     let ready = context.is_ready();
     let status = if ready {
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -96,6 +96,11 @@
         }
         _ => run(context, exchange, &call).await?,
     };
+    context.metrics.complete(exchange.service_name());
+    log::info!(
+        target: "answer", request:% = exchange.id, verdict:% = Verdict::Ran,
+        status = reply.status.as_u16(), configuration_version = exchange.version(); "complete"
+    );
     let mut response = Response::new(answer::full(reply.body));
     *response.status_mut() = reply.status;
     *response.headers_mut() = reply.headers;
@@ -134,8 +139,11 @@
         }
         log::info!(
             target: "retry", request:% = exchange.id, verdict:% = refusal.verdict,
-            reason:% = refusal.reason; "the call is sent again"
+            reason:% = refusal.reason, configuration_version = exchange.version();
+            "the call is sent again"
         );
+        let service = exchange.service_name();
+        context.metrics.retry(service, refusal.reason);
     }
 }
 
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -74,6 +74,7 @@
     let exchange = match begin(context, &parts) {
         Ok(exchange) => exchange,
         Err(refusal) => {
+            context.metrics.refused("", &refusal);
             let mut response = answer::refusal(&refusal, "", context.snapshot().version);
             answer::mark(&mut response, context, None);
             return response;
@@ -87,6 +88,7 @@
                 reason:% = refusal.reason, configuration_version = exchange.version();
                 "refused: {}", refusal.message
             );
+            context.metrics.refused(exchange.service_name(), &refusal);
             answer::refusal(&refusal, &exchange.id, exchange.version())
         }
     };
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         configuration::Configuration, deployment::Deployment, drain::Drain, gossip::Gossip,
-        router::Router, runtime::Runtime, session::Sessions,
+        metrics::Metrics, router::Router, runtime::Runtime, session::Sessions,
     },
     arc_swap::ArcSwap,
     base::{Clock, Instant, key},
@@ -45,6 +45,8 @@
     pub gossip: Gossip,
     /// Admission and choice of targets.
     pub router: Router,
+    /// Metrics.
+    pub metrics: Metrics,
     /// Streams that this process carries.
     pub sessions: Sessions,
     /// Requests in flight and the planned stop.
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -7,9 +7,12 @@
         context::Identity,
         drain::Drain,
         gossip::{self, Gossip},
-        inner, probe,
+        inner,
+        metrics::Metrics,
+        probe,
         router::{self, Router},
         runtime::Runtime,
+        secret,
         session::Sessions,
     },
     arc_swap::ArcSwap,
@@ -40,7 +43,7 @@
     /// # Errors
     /// Returns an error that names the file or the address at fault.
     pub async fn start(settings: Settings) -> Result<Self, Error> {
-        let key = read_key(&settings)?;
+        let key = secret::read(&settings.keys.deployment)?;
         Self::with_key(settings, key).await
     }
 
@@ -96,20 +99,6 @@
         .map_err(|error| Error::listen(address, error))
 }
 
-fn read_key(settings: &Settings) -> Result<Box<[u8]>, Error> {
-    const SHORTEST: usize = 16;
-    let path = &settings.keys.deployment;
-    let key = std::fs::read(path).map_err(|error| Error::file(path, error))?;
-    let key = key.trim_ascii();
-    if key.len() < SHORTEST {
-        return Err(Error::new(format!(
-            "{}: the key is shorter than {SHORTEST} bytes",
-            path.display()
-        )));
-    }
-    Ok(key.into())
-}
-
 fn build(settings: Settings, key: Box<[u8]>, socket: Async<UdpSocket>) -> Result<Context, Error> {
     let started = SystemTime::now()
         .duration_since(SystemTime::UNIX_EPOCH)
@@ -136,6 +125,7 @@
         key,
         deployment: ArcSwap::default(),
         router: Router::new(policy),
+        metrics: Metrics::new(&settings.vm.name)?,
         sessions: Sessions::default(),
         drain: Drain::default(),
         runtime: Runtime::start(settings.limits.threads),
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -63,6 +63,11 @@
         self.deployment.snapshot.services.get(self.service)
     }
 
+    /// Returns the service's name, for logs and metrics.
+    pub fn service_name(&self) -> &str {
+        self.service().map_or("", |service| &service.name)
+    }
+
     /// Returns the configuration version that the request began under.
     pub fn version(&self) -> u64 {
         self.deployment.snapshot.version
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -3,7 +3,7 @@
 mod usage;
 
 use {
-    crate::{Context, Error, configuration, context::Identity},
+    crate::{Context, Error, configuration, context::Identity, metrics::Direction},
     base::{Instant, Machine},
     config::Settings,
     derive_more::Debug,
@@ -80,6 +80,8 @@
         };
         match datagram::open(&context.key, &buffer[..length]) {
             Ok(message) => {
+                let metrics = &context.metrics;
+                metrics.control_bytes(Direction::Received, length);
                 let message = Box::new(message);
                 handle(&context, Event::Received { from, message });
             }
@@ -187,6 +189,8 @@
 fn send(context: &Context, to: SocketAddr, message: &msg::Gossip) {
     match datagram::seal(&context.key, message) {
         Ok(bytes) => {
+            let metrics = &context.metrics;
+            metrics.control_bytes(Direction::Sent, bytes.len());
             let _ = context.gossip.socket.get_ref().send_to(&bytes, to);
         }
         Err(error) => {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,10 +20,12 @@
 pub mod http;
 pub mod inner;
 pub mod logs;
+pub mod metrics;
 pub mod probe;
 pub mod prompt;
 pub mod router;
 pub mod runtime;
+pub mod secret;
 pub mod session;
 pub mod sse;
 
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -37,6 +37,11 @@
         .handle(now, Event::Reachable { target, reachable });
     let Ok(value) = answer else { return };
     let load = Box::new(load(&value));
+    let snapshot = context.snapshot();
+    if let Some(service) = snapshot.services.get(settings.service) {
+        let metrics = &context.metrics;
+        metrics.preemptions(target, &service.name, load.preemptions);
+    }
     context.router.handle(now, Event::Report { target, load });
     let notice = match value["leaving"].as_bool() {
         Some(true) => Notice::ReportedLeaving,
--- a/crates/entry/src/prompt.rs
+++ b/crates/entry/src/prompt.rs
@@ -90,6 +90,11 @@
         }
     }
 
+    /// Returns the place of the class within its service.
+    pub fn class(&self) -> usize {
+        self.class
+    }
+
     /// Returns the priority of the class.
     pub fn priority(&self, exchange: &Exchange) -> u8 {
         exchange
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -127,6 +127,7 @@
 /// Returns the policy's refusal, at once when it gives up.
 pub async fn acquire(context: &Arc<Context>, request: route::Request) -> Result<Grant, Refusal> {
     let (key, customer) = (request.key, request.customer);
+    let (service, class) = (request.service, request.class);
     let tokens = u64::from(request.prompt_tokens);
     let waiter = Waiter {
         context,
@@ -141,6 +142,9 @@
             "the router dropped the request",
         ))
     })?;
+    let snapshot = context.snapshot();
+    let service = snapshot.services.get(service);
+    context.metrics.queue_wait(service, class, decision.waited);
     context
         .gossip
         .usage()
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -4,12 +4,13 @@
     crate::{
         Context, Exchange, answer,
         engine::{self, Connection},
+        metrics,
         prompt::Prompt,
         router::{self, Grant},
         runtime::within,
         sse,
     },
-    base::{Machine, Refusal, key},
+    base::{Machine, Refusal, Verdict, key},
     bytes::Bytes,
     derive_more::Debug,
     route::Outcome,
@@ -102,6 +103,7 @@
     /// Reads the connection or waits for the router; dropped with what it does.
     #[debug(skip)]
     task: Option<Task<()>>,
+    meter: metrics::Stream,
     inputs: (Sender<Input>, Receiver<Input>),
     adopted: (Sender<Infallible>, Receiver<Infallible>),
     parts: Sender<Part>,
@@ -149,7 +151,10 @@
     let inputs = bounded(EVENT_BUFFER);
     let adopted = bounded(1);
     context.sessions.enter(&request, adopted.0.clone());
+    let class = prompt.as_ref().map_or(0, |prompt| prompt.class());
+    let meter = metrics::Stream::new(exchange.service(), class, context.now());
     let driver = Driver {
+        meter,
         context: Arc::clone(context),
         exchange: exchange.clone(),
         prompt,
@@ -274,6 +279,8 @@
             target: "retry", request:% = self.exchange.id, loss:% = loss,
             configuration_version = self.exchange.version(); "the generation is begun anew"
         );
+        let service = self.exchange.service_name();
+        self.context.metrics.retry(service, loss);
         if let Some(grant) = self.grant.take() {
             grant.end(outcome(loss));
         }
@@ -282,7 +289,8 @@
     fn connect(&mut self, number: u32, target: key::Target, request: Box<str>, start: Start) {
         if let Start::Resume { generation, index } = &start {
             log::info!(
-                target: "resume", request:% = self.exchange.id, generation:% = generation, index,
+                target: "resume", request:% = self.exchange.id, origin:% = first(&self.request),
+                generation:% = generation, index,
                 configuration_version = self.exchange.version(); "the generation is resumed"
             );
         }
@@ -324,12 +332,14 @@
         if let Some(grant) = &self.grant {
             grant.progress(1);
         }
+        self.meter.token(&self.context.metrics, self.context.now());
         let id = self.resume_token(index + 1);
         let event = self.event(id, index, text, None);
         self.send(Part::Bytes(event)).await;
     }
 
     async fn finish(&mut self, index: u32, finish: Finish) {
+        self.meter.end(&self.context.metrics, self.context.now());
         self.complete();
         let id = self.resume_token(index);
         let event = self.event(id, index, "", Some(finish));
@@ -358,6 +368,11 @@
             reason:% = refusal.reason, configuration_version = self.exchange.version();
             "the stream ends: {}", refusal.message
         );
+        if self.meter.has_begun() {
+            self.meter.end(&self.context.metrics, self.context.now());
+            let metrics = &self.context.metrics;
+            metrics.refused(self.exchange.service_name(), &refusal);
+        }
         self.task = None;
         if let Some(grant) = self.grant.take() {
             grant.end(Outcome::Failed);
@@ -367,6 +382,13 @@
     }
 
     fn complete(&mut self) {
+        let service = self.exchange.service_name();
+        self.context.metrics.complete(service);
+        log::info!(
+            target: "answer", request:% = self.exchange.id, verdict:% = Verdict::Ran,
+            generation:% = self.session.generation().unwrap_or_default(),
+            configuration_version = self.exchange.version(); "complete"
+        );
         if let Some(grant) = self.grant.take() {
             grant.end(Outcome::Complete);
         }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -20,6 +20,7 @@
         collections::BTreeMap,
         io::{BufRead as _, BufReader, Write as _},
         net::{SocketAddr, TcpStream},
+        os::unix::fs::PermissionsExt as _,
         sync::Mutex,
         thread,
         time::{Duration, Instant},
@@ -204,6 +205,8 @@
         let path = |name: &str| self.directory.path().join(name);
         let key = path("deployment.key");
         std::fs::write(&key, "0123456789abcdef0123456789abcdef").expect("a file");
+        let mode = std::fs::Permissions::from_mode(0o600);
+        std::fs::set_permissions(&key, mode).expect("a file of our own");
         let peers = self.vms().into_iter().filter(|peer| peer != vm);
         let peers: Vec<_> = peers
             .map(|peer| self.addresses[&format!("link:{peer}")].to_string())
