--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,16 @@
+//! The `mastictrail` command as a library: one module per subcommand, listed in [`cli`].
+
+pub mod cli;
+pub mod client;
+pub mod embedded;
+
+mod check;
+mod completions;
+mod demo;
+mod diff;
+mod explain;
+mod input;
+mod output;
+mod render;
+mod serve;
+mod status;
