--- /dev/null
+++ b/crates/place/src/demand.rs
@@ -0,0 +1,57 @@
+//! Smoothed demand with hysteresis.
+
+use {
+    base::{Instant, key},
+    derive_more::Debug,
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// Time constant of the average.
+pub const TIME_CONSTANT: Duration = Duration::from_secs(120);
+/// Factor by which the average must leave the level in use before that changes.
+pub const BAND: f64 = 1.5;
+/// Shortest time between two changes of a level.
+pub const HOLD: Duration = Duration::from_secs(120);
+
+#[derive(Clone, Copy, Debug)]
+struct Level {
+    average: f64,
+    updated: Instant,
+    in_use: f64,
+    changed: Instant,
+}
+
+/// Requests a second for each model, as the placement uses them.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    levels: BTreeMap<key::Model, Level>,
+}
+
+impl Demand {
+    /// Takes a measured rate in requests a second; returns whether the level in use changed.
+    pub fn update(&mut self, now: Instant, model: key::Model, rate: f64) -> bool {
+        let level = self.levels.entry(model).or_insert(Level {
+            average: rate,
+            updated: now,
+            in_use: rate,
+            changed: now,
+        });
+        let elapsed = now.since(level.updated).as_secs_f64();
+        let kept = (-elapsed / TIME_CONSTANT.as_secs_f64()).exp();
+        level.average = level.average * kept + rate * (1.0 - kept);
+        level.updated = now;
+        let (low, high) = (level.in_use / BAND, level.in_use * BAND);
+        let outside = level.average < low || level.average > high;
+        if !outside || now.since(level.changed) < HOLD {
+            return false;
+        }
+        level.in_use = level.average;
+        level.changed = now;
+        true
+    }
+
+    /// Returns the level in use, in requests a second.
+    pub fn level(&self, model: key::Model) -> f64 {
+        self.levels.get(&model).map_or(0.0, |level| level.in_use)
+    }
+}
