feat(once): non-idempotent calls at most once

Tickets name the incarnation that may run a call; bare keys have homes by rendezvous hashing. A record goes Claimed, Sent, Done; duplicates join. A home runs a key only if its list was confirmed within half a window, and it has seen every list for one and a half windows, or earlier homes have sealed the key, or the rights passed in a planned stop and back. Full records refuse, with a watermark for tickets; they never forget.

The half window more than the design's window is what a deputy or a home with an old list may still run after the other side has changed.

--- /dev/null
+++ b/crates/once/tests/registry/interleaving.rs
@@ -0,0 +1,119 @@
+//! Promise: at most one run of each ticket and key, and "not run" is true, in any order of events.
+
+use {
+    crate::world::{QUIET, VMS, World, key_call, ticket_call, vm},
+    proptest::{prelude::*, test_runner::RngSeed},
+    std::time::Duration,
+};
+
+/// Keys that the callers choose from; few, so that they meet.
+const KEYS: u64 = 6;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Key(u64, u64),
+    Issue(u64),
+    Ticket(usize, u64),
+    Deliver(usize),
+    Lose(usize),
+    Send(usize, bool),
+    Complete(usize, bool),
+    Advance(u64, bool),
+    Confirm,
+    Publish(u64),
+    Learn(u64),
+    Pause(u64),
+    Wake(u64),
+    WakeAll,
+    Kill(u64),
+    Start(u64),
+    Stop(u64),
+    Settle,
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let vm = || 0..VMS;
+    let index = || 0_usize..64;
+    let step = prop_oneof![
+        8 => (0..KEYS, vm()).prop_map(|(key, vm)| Step::Key(key, vm)),
+        2 => vm().prop_map(Step::Issue),
+        5 => (index(), vm()).prop_map(|(ticket, vm)| Step::Ticket(ticket, vm)),
+        20 => index().prop_map(Step::Deliver),
+        2 => index().prop_map(Step::Lose),
+        8 => (index(), prop::bool::weighted(0.2)).prop_map(|(run, refused)| Step::Send(run, refused)),
+        6 => (index(), any::<bool>()).prop_map(|(run, answered)| Step::Complete(run, answered)),
+        5 => (1_u64..13, prop::bool::weighted(0.8)).prop_map(|(time, confirms)| Step::Advance(time, confirms)),
+        3 => Just(Step::Confirm),
+        2 => (1_u64..16).prop_map(Step::Publish),
+        4 => vm().prop_map(Step::Learn),
+        1 => vm().prop_map(Step::Pause),
+        2 => vm().prop_map(Step::Wake),
+        1 => Just(Step::WakeAll),
+        1 => vm().prop_map(Step::Kill),
+        2 => vm().prop_map(Step::Start),
+        2 => vm().prop_map(Step::Stop),
+        4 => Just(Step::Settle),
+    ];
+    prop::collection::vec(step, 0..120)
+}
+
+fn apply(world: &mut World, tickets: &mut Vec<mastictrail_once::Ticket>, step: &Step) {
+    match *step {
+        Step::Key(key, to) => {
+            world.submit(key_call(key), vm(to));
+        }
+        Step::Issue(of) => tickets.extend(world.issue(vm(of))),
+        Step::Ticket(which, to) => {
+            if !tickets.is_empty() {
+                let ticket = tickets[which % tickets.len()];
+                world.submit(ticket_call(ticket), vm(to));
+            }
+        }
+        Step::Deliver(which) => world.deliver(which),
+        Step::Lose(which) => world.lose(which),
+        Step::Send(which, refused) => world.send(which, refused),
+        Step::Complete(which, answered) => world.complete(which, answered),
+        Step::Advance(seconds, confirms) => {
+            world.advance(Duration::from_secs(seconds), confirms);
+        }
+        Step::Confirm => world.confirm(),
+        Step::Publish(mask) => {
+            let vms = (0..VMS).filter(|number| mask >> number & 1 == 1).map(vm);
+            world.publish(vms.collect());
+        }
+        Step::Learn(of) => world.learn(vm(of)),
+        Step::Pause(of) => world.pause(vm(of), true),
+        Step::Wake(of) => world.pause(vm(of), false),
+        Step::WakeAll => world.wake_all(),
+        Step::Kill(of) => world.kill(vm(of)),
+        // The earlier incarnation may be paused, and wake up later.
+        Step::Start(of) => world.start(vm(of)),
+        Step::Stop(of) => world.stop(vm(of)),
+        Step::Settle => {
+            world.wake_all();
+            world.settle();
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2000,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(4),
+        max_shrink_iters: 20_000,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn each_call_runs_at_most_once(quiet in any::<bool>(), steps in steps()) {
+        let mut world = World::new();
+        if quiet {
+            world.advance(QUIET, true);
+        }
+        let mut tickets = Vec::new();
+        for step in &steps {
+            apply(&mut world, &mut tickets, step);
+        }
+    }
+}
