feat(entry): logs that never hold up the process, metrics, admin endpoint, limits

Customers appear only by the class of their requests. Headers have a limit of size; connections beyond the limit get a refusal with the time to come back, where they were closed without an answer; streams no longer count as connections.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -4,7 +4,7 @@
     crate::{
         Fault,
         ini::{Reader, sections},
-        value,
+        unit, value,
     },
     derive_more::Debug,
     std::{
@@ -137,6 +137,8 @@
 pub struct Limits {
     /// Most connections of callers at once.
     pub connections: u32,
+    /// Most bytes of the headers of a request.
+    pub header_limit: u64,
     /// Longest time for a caller to send its headers.
     pub header_timeout: Duration,
     /// Longest time for a caller to send its body.
@@ -153,6 +155,7 @@
     fn default() -> Self {
         Self {
             connections: 4096,
+            header_limit: 64 << 10,
             header_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(30),
             connect_timeout: Duration::from_secs(1),
@@ -262,6 +265,10 @@
         &mut limits.connections,
         reader.optional("connections", value::positive),
     );
+    set(
+        &mut limits.header_limit,
+        reader.optional("header_limit", header_limit),
+    );
     set(
         &mut limits.header_timeout,
         reader.optional("header_timeout", value::duration),
@@ -288,6 +295,15 @@
     set(&mut routing.policy, reader.optional("policy", value::text));
 }
 
+/// Parses the limit of headers; the HTTP library needs 8 KiB for itself.
+fn header_limit(value: &str) -> Result<u64, Box<str>> {
+    const PERMITTED: std::ops::RangeInclusive<u64> = 8 << 10..=1 << 20;
+    match unit::size(value)? {
+        size if PERMITTED.contains(&size) => Ok(size),
+        _ => Err("a size from 8KiB to 1MiB".into()),
+    }
+}
+
 fn file(value: &str) -> Result<PathBuf, &'static str> {
     if value.is_empty() {
         return Err("a path");
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -23,15 +23,22 @@
 /// Path of a generation within its service.
 pub const COMPLETIONS: &str = "/v1/completions";
 
+/// When to come back after a connection that there was no place for.
+const BUSY_DELAY: Duration = Duration::from_secs(1);
+
 /// Accepts callers until the planned stop closes the listener.
 pub async fn listen(context: Arc<Context>, listener: TcpListener) {
+    let open = Arc::new(());
     loop {
         let accepted = smol::future::or(async { Some(listener.accept().await) }, async {
             context.drain.closed().await;
             None
         });
         match accepted.await {
-            Some(Ok((stream, _peer))) => context.spawn(connection(Arc::clone(&context), stream)),
+            Some(Ok((stream, _peer))) => {
+                let place = Arc::clone(&open);
+                context.spawn(accept(Arc::clone(&context), stream, place));
+            }
             Some(Err(error)) => {
                 log::warn!(target: "caller", error:% = error; "a connection was not accepted");
                 smol::Timer::after(Duration::from_millis(10)).await;
@@ -41,20 +48,52 @@
     }
 }
 
-async fn connection(context: Arc<Context>, stream: TcpStream) {
-    let guard = context.drain.enter();
-    if guard.count() > context.settings.limits.connections as usize {
-        return;
-    }
+/// Serves a connection if there is a place for it; the clones of `place` count them.
+///
+/// Up to as many again are refused with an answer, further ones are closed.
+async fn accept(context: Arc<Context>, stream: TcpStream, place: Arc<()>) {
+    let limit = context.settings.limits.connections as usize;
+    // The listener holds one clone.
+    let open = Arc::strong_count(&place) - 1;
     let _ = stream.set_nodelay(true);
+    if open <= limit {
+        connection(context, stream).await;
+    } else if open <= limit * 2 {
+        refuse(context, stream).await;
+    }
+}
+
+/// Answers the first request of a connection that there is no place for.
+async fn refuse(context: Arc<Context>, stream: TcpStream) {
+    let serving = Arc::clone(&context);
+    let service = service_fn(move |_request| {
+        let refusal = Refusal::not_run(Reason::Overloaded, "too many connections");
+        let refusal = refusal.retry_after(BUSY_DELAY);
+        serving.metrics.refused("", &refusal);
+        let mut response = answer::refusal(&refusal, "", serving.snapshot().version);
+        answer::mark(&mut response, &serving, None);
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let _ = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(BUSY_DELAY)
+        .keep_alive(false)
+        .serve_connection(FuturesIo::new(stream), service)
+        .await;
+}
+
+async fn connection(context: Arc<Context>, stream: TcpStream) {
+    let _guard = context.drain.enter();
     let serving = Arc::clone(&context);
     let service = service_fn(move |request| {
         let context = Arc::clone(&serving);
         async move { Ok::<_, Infallible>(serve(&context, request).await) }
     });
+    let limits = &context.settings.limits;
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
-        .header_read_timeout(context.settings.limits.header_timeout)
+        .max_buf_size(limits.header_limit as usize)
+        .header_read_timeout(limits.header_timeout)
         .serve_connection(FuturesIo::new(stream), service);
     let mut connection = pin!(connection);
     let finished = smol::future::or(async { Some(connection.as_mut().await) }, async {
--- /dev/null
+++ b/tests/operators.rs
@@ -0,0 +1,193 @@
+//! What operators have of running processes: health, metrics, status, logs, and limits.
+
+mod support;
+
+use {
+    hyper::Method,
+    std::{
+        collections::BTreeSet,
+        io::{Read, Write},
+        net::{SocketAddr, TcpStream},
+        process::Command,
+    },
+    support::{CUSTOMERS, DESK, LEDGER, PATIENCE, Setup, client, process, until},
+};
+
+const PROMPT: &str = "a sheet for forty trays of pierogi #tokens=40";
+
+fn setup(settings: &str) -> Setup {
+    Setup {
+        vms: 1,
+        settings: settings.into(),
+        ..Setup::default()
+    }
+}
+
+/// Sends bytes and returns all that comes back until the connection is closed.
+fn exchange(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).expect("the VM listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a limit");
+    stream.write_all(bytes).expect("the VM reads");
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into()
+}
+
+#[test]
+fn metrics_tell_the_measures_and_name_no_customer() {
+    let cluster = setup("").start();
+    cluster.stream("vm-1", PROMPT).unwrap().finish();
+    let path = format!("/{LEDGER}/read");
+    cluster
+        .call("vm-1", &Method::POST, &path, &[], "lot 7")
+        .unwrap();
+    cluster
+        .call("vm-1", &Method::GET, "/nothing", &[], "")
+        .unwrap();
+    let answer = cluster.get("vm-1/admin", "/metrics").unwrap();
+    assert!(answer.header("content-type").starts_with("text/plain"));
+    let names: BTreeSet<_> = answer
+        .text
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE "))
+        .collect();
+    insta::assert_snapshot!("metrics", names.into_iter().collect::<Vec<_>>().join("\n"));
+    let count = |line: &str| {
+        let found = answer.text.lines().find(|text| text.starts_with(line));
+        let value = found.and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+        value.unwrap_or_else(|| panic!("{line} is missing in\n{}", answer.text))
+    };
+    assert!((count("mastictrail_token_interval_seconds_count") - 39.0).abs() < 0.5);
+    assert!((count("mastictrail_request_first_token_seconds_count") - 1.0).abs() < 0.5);
+    assert!((count("mastictrail_configuration_version") - 1.0).abs() < 0.5);
+    assert!(count("mastictrail_engine_preemptions") >= 0.0);
+    for (customer, key) in CUSTOMERS {
+        assert!(!answer.text.contains(customer), "{customer} is named");
+        assert!(!answer.text.contains(key));
+    }
+}
+
+#[test]
+fn logs_hold_no_secret_and_explain_a_retried_request() {
+    let cluster = Setup {
+        services: 2,
+        ..setup("")
+    }
+    .start();
+    cluster.behave("service-1", &serde_json::json!({"refuse": true}));
+    let path = format!("/{LEDGER}/read");
+    let mut retried = String::new();
+    until("a call is retried", || {
+        let answer = cluster.call("vm-1", &Method::POST, &path, &[], "lot 7");
+        let answer = answer.unwrap();
+        let id = answer.header("x-request-id").to_owned();
+        until("its end is logged", || {
+            let log = cluster.log("vm-1");
+            let mut lines = log.lines().filter(|line| line.contains(&id));
+            lines.any(|line| line.contains("\"event\":\"answer\""))
+        });
+        let log = cluster.log("vm-1");
+        let is_retry = |line: &str| line.contains(&id) && line.contains("\"event\":\"retry\"");
+        if log.lines().any(is_retry) {
+            assert_eq!(answer.status, 200, "{answer:?}");
+            retried = id;
+        }
+        !retried.is_empty()
+    });
+    let output = Command::new(env!("CARGO_BIN_EXE_mastictrail"))
+        .args(["explain", &retried])
+        .arg(cluster.log_path("vm-1"))
+        .output()
+        .expect("the command runs");
+    let story = String::from_utf8_lossy(&output.stdout);
+    let events: Vec<_> = story
+        .lines()
+        .filter(|line| !line.starts_with(' '))
+        .filter_map(|line| line.split_whitespace().nth(2))
+        .collect();
+    assert_eq!(events, ["route:", "retry:", "route:", "answer:"], "{story}");
+    let log = cluster.log("vm-1");
+    for secret in ["alpha-key", "0123456789abcdef0123456789abcdef"] {
+        assert!(!log.contains(secret), "the log holds {secret}");
+    }
+}
+
+#[test]
+fn a_full_disk_under_the_log_stops_nothing() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let key = folder.path().join("key");
+    std::fs::write(&key, "0123456789abcdef").expect("a file");
+    support::protect(&key);
+    let [caller, inner, admin, platform] = [(); 4].map(|()| process::free_address());
+    let settings = folder.path().join("entry.ini");
+    let text = format!(
+        "[vm]\nname = vm-1\ndata_centre = dc-1\n[listen]\ncaller = {caller}\ninner = {inner}\n\
+         admin = {admin}\n[platform]\naddress = {platform}\n[keys]\ndeployment = {}\n\
+         [log]\nfile = /dev/full\nlevel = trace\n",
+        key.display()
+    );
+    std::fs::write(&settings, text).expect("a file");
+    let arguments = ["serve".to_owned(), settings.display().to_string()];
+    let mut process = process::Process::start(env!("CARGO_BIN_EXE_mastictrail"), &arguments);
+    let get = |path| client::ask(admin, &Method::GET, path, &[], "");
+    until("the VM lives", || {
+        get("/live").is_ok_and(|answer| answer.status == 200)
+    });
+    assert_eq!(get("/ready").unwrap().status, 503);
+    process.terminate();
+    until("the VM has ended", || process.ended().is_some());
+    assert!(process.ended().unwrap().success());
+}
+
+#[test]
+fn slow_callers_are_let_go() {
+    let cluster = setup("[limits]\nheader_timeout = 200ms\nbody_timeout = 200ms\n").start();
+    let address = cluster.addresses["vm-1/caller"];
+    let silent = exchange(address, b"GET /ledger/read HTTP/1.1\r\nx-slow");
+    assert!(!silent.contains(" 200 "), "{silent}");
+    let head = format!(
+        "POST /{LEDGER}/read HTTP/1.1\r\nhost: a\r\nauthorization: Bearer alpha-key\r\n\
+         content-length: 10\r\nconnection: close\r\n\r\nshort"
+    );
+    let answer = exchange(address, head.as_bytes());
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    assert!(answer.contains("not_run"), "{answer}");
+}
+
+#[test]
+fn oversized_requests_are_refused_before_they_run() {
+    let cluster = setup("[limits]\nheader_limit = 8KiB\n").start();
+    let address = cluster.addresses["vm-1/caller"];
+    let filler = "x".repeat(32 << 10);
+    let head = format!("GET /{LEDGER}/read HTTP/1.1\r\nhost: a\r\nx-filler: {filler}\r\n\r\n");
+    let answer = exchange(address, head.as_bytes());
+    assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+    let body = "x".repeat((1 << 20) + 1);
+    for service in [DESK, LEDGER] {
+        let path = format!("/{service}/v1/completions");
+        let answer = cluster
+            .call("vm-1", &Method::POST, &path, &[], &body)
+            .unwrap();
+        assert_eq!(answer.status, 413, "{answer:?}");
+        assert_eq!(answer.verdict(), "not_run");
+    }
+}
+
+#[test]
+fn callers_beyond_the_limit_are_told_when_to_come_back() {
+    let cluster = setup("[limits]\nconnections = 2\n").start();
+    let address = cluster.addresses["vm-1/caller"];
+    let held = [(); 2].map(|()| TcpStream::connect(address).expect("a place"));
+    let path = format!("/{LEDGER}/read");
+    let call = || cluster.call("vm-1", &Method::POST, &path, &[], "lot 7");
+    until("there is no place", || {
+        call().is_ok_and(|answer| answer.status == 503)
+    });
+    let answer = call().unwrap();
+    assert_eq!(answer.verdict(), "not_run");
+    assert_eq!(answer.header("retry-after"), "1");
+    drop(held);
+    until("there is a place", || {
+        call().is_ok_and(|answer| answer.status == 200)
+    });
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(
     dead_code,
+    unused_imports,
     missing_docs,
     missing_debug_implementations,
     reason = "each test file uses a part of the harness"
@@ -21,6 +22,7 @@
         io::{BufRead as _, BufReader, Write as _},
         net::{SocketAddr, TcpStream},
         os::unix::fs::PermissionsExt as _,
+        path::{Path, PathBuf},
         sync::Mutex,
         thread,
         time::{Duration, Instant},
@@ -73,6 +75,12 @@
     directory: tempfile::TempDir,
 }
 
+/// Takes a file's access away from everyone else.
+pub fn protect(file: &Path) {
+    let mode = std::fs::Permissions::from_mode(0o600);
+    std::fs::set_permissions(file, mode).expect("a file of our own");
+}
+
 /// Waits for a condition; panics with its name if it does not come.
 pub fn until(what: &str, mut condition: impl FnMut() -> bool) {
     let start = Instant::now();
@@ -205,8 +213,7 @@
         let path = |name: &str| self.directory.path().join(name);
         let key = path("deployment.key");
         std::fs::write(&key, "0123456789abcdef0123456789abcdef").expect("a file");
-        let mode = std::fs::Permissions::from_mode(0o600);
-        std::fs::set_permissions(&key, mode).expect("a file of our own");
+        protect(&key);
         let peers = self.vms().into_iter().filter(|peer| peer != vm);
         let peers: Vec<_> = peers
             .map(|peer| self.addresses[&format!("link:{peer}")].to_string())
@@ -255,7 +262,11 @@
 
     /// Returns the log of an entry VM.
     pub fn log(&self, vm: &str) -> String {
-        std::fs::read_to_string(self.directory.path().join(format!("{vm}.log"))).unwrap_or_default()
+        std::fs::read_to_string(self.log_path(vm)).unwrap_or_default()
+    }
+
+    pub fn log_path(&self, vm: &str) -> PathBuf {
+        self.directory.path().join(format!("{vm}.log"))
     }
 }
 
