--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -35,7 +35,7 @@
 
 #[test]
 fn metrics_tell_the_measures_and_name_no_customer() {
-    let cluster = setup("").start();
+    let cluster = Setup::default().start();
     cluster.stream("vm-1", PROMPT).unwrap().finish();
     let path = format!("/{LEDGER}/read");
     cluster
@@ -44,7 +44,12 @@
     cluster
         .call("vm-1", &Method::GET, "/nothing", &[], "")
         .unwrap();
-    let answer = cluster.get("vm-1/admin", "/metrics").unwrap();
+    let scrape = || cluster.get("vm-1/admin", "/metrics").unwrap();
+    until("peers and engines have reported", || {
+        let text = scrape().text;
+        text.contains("mastictrail_control_io") && text.contains("mastictrail_engine_preemptions")
+    });
+    let answer = scrape();
     assert!(answer.header("content-type").starts_with("text/plain"));
     let names: BTreeSet<_> = answer
         .text
