test: streams under faults

38 cases: kill, cut, silent link, freeze, stop, platform down, silent and stale, partition, two at once, and engines that duplicate, leave out, reorder or cross events, break off or fall silent. Tokens are compared one by one with what the engine makes.

--- /dev/null
+++ b/tests/faults.rs
@@ -0,0 +1,335 @@
+//! Promise 1: every token exactly once, in order, from one generation, whatever fails.
+//!
+//! Tokens are compared one by one with what the engine makes. Engines have different seeds, so a
+//! splice of two generations shows as well.
+
+mod support;
+
+use {
+    serde_json::{Value, json},
+    std::{thread, time::Duration},
+    support::{Cluster, Draft, End, Setup, until},
+};
+
+/// Tokens of the draft that a fault meets.
+const TOKENS: usize = 100;
+const PROMPT: &str = "a batch sheet for bigos #tokens=100";
+/// Tokens that reach the caller before a fault strikes.
+const BEFORE: usize = 5;
+/// A pause that is longer than any silence that the system overlooks.
+const PAUSE: Duration = Duration::from_secs(6);
+
+/// How a stream must end.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Expected {
+    /// With every token.
+    Whole,
+    /// With an explicit error event after a part of them.
+    Error,
+    /// Without an end, as the entry VM is gone; another one goes on with it.
+    Resumed,
+}
+
+/// Checks a stream that was struck after its first tokens.
+fn check(strike: fn(&mut Cluster, &str), expected: Expected) {
+    let mut cluster = Setup::default().start();
+    let mut stream = cluster.stream("vm-1", PROMPT).unwrap();
+    assert_eq!(stream.status, 200);
+    let mut draft = stream.read(BEFORE);
+    let engine = cluster.engine_of(&draft);
+    strike(&mut cluster, &engine);
+    join(&mut draft, stream.finish());
+    match expected {
+        Expected::Whole => assert_whole(&cluster, &draft),
+        Expected::Error => {
+            let End::Error(error) = &draft.end else {
+                panic!("the stream ended with {:?}", draft.end);
+            };
+            let verdict = error["error"]["verdict"].as_str().unwrap_or_default();
+            assert!(["may_have_run", "ran"].contains(&verdict), "{error}");
+        }
+        Expected::Resumed => {
+            assert_eq!(draft.end, End::Cut);
+            let mut resumed = cluster.resume("vm-2", &draft.resume, "alpha-key").unwrap();
+            join(&mut draft, resumed.finish());
+            assert_whole(&cluster, &draft);
+        }
+    }
+    cluster.assert_prefix(&draft, &engine, PROMPT);
+    assert_eq!(draft.generations.len(), 1);
+}
+
+/// Checks streams of engines that misbehave from the start; at least one must have been struck.
+fn check_behaviour(engines: &[&str], behaviour: &Value) {
+    let cluster = Setup::default().start();
+    for engine in engines {
+        cluster.behave(engine, behaviour);
+    }
+    check_several(&cluster);
+    let struck = |engine: &&str| {
+        let answer = cluster.get(engine, "/test/faults").unwrap().json();
+        answer["struck"]
+            .as_object()
+            .is_some_and(|struck| !struck.is_empty())
+    };
+    assert!(engines.iter().any(struck), "no fault struck");
+}
+
+/// Reads several streams at once, so that every engine has one, and expects them whole.
+fn check_several(cluster: &Cluster) {
+    thread::scope(|scope| {
+        for number in 0..4 {
+            let vm = format!("vm-{}", number % 2 + 1);
+            let prompt = format!("{PROMPT} number {number}");
+            scope.spawn(move || {
+                let draft = cluster.stream(&vm, &prompt).unwrap().finish();
+                assert_whole(cluster, &draft);
+                cluster.assert_prefix(&draft, &cluster.engine_of(&draft), &prompt);
+            });
+        }
+    });
+}
+
+fn assert_whole(cluster: &Cluster, draft: &Draft) {
+    assert_eq!(
+        draft.end,
+        End::Complete("stop".into()),
+        "{}",
+        cluster.log("vm-1")
+    );
+    assert_eq!(draft.tokens.len(), TOKENS);
+    assert_eq!(draft.generations.len(), 1);
+}
+
+/// Appends what came later.
+fn join(draft: &mut Draft, later: Draft) {
+    draft.tokens.extend(later.tokens);
+    for generation in later.generations {
+        if !draft.generations.contains(&generation) {
+            draft.generations.push(generation);
+        }
+    }
+    if !later.resume.is_empty() {
+        draft.resume = later.resume;
+    }
+    draft.end = later.end;
+}
+
+/// Cuts an entry VM off from the platform and from the other entry VM, both ways.
+fn partition(cluster: &Cluster, vm: &str) {
+    cluster.proxy(&format!("block platform/{vm}"));
+    cluster.proxy(&format!("block {vm}"));
+    for other in cluster.vms().iter().filter(|other| *other != vm) {
+        cluster.proxy(&format!("block {other} from {vm}"));
+    }
+}
+
+fn mode(cluster: &Cluster, mode: &Value) {
+    cluster.order("platform", "/test/mode", mode);
+}
+
+macro_rules! streams {
+    ($($name:ident: $expected:ident, $strike:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            check($strike, Expected::$expected);
+        }
+    )*};
+}
+
+streams! {
+    engine_link_cut: Whole, |cluster, engine| {
+        cluster.proxy(&format!("cut {engine}"));
+    };
+    engine_link_silent: Whole, |cluster, engine| {
+        cluster.proxy(&format!("silence {engine}"));
+    };
+    engine_link_slow: Whole, |cluster, engine| {
+        cluster.proxy(&format!("throttle {engine} 20000"));
+        cluster.proxy(&format!("delay {engine} 200"));
+    };
+    engine_link_refused: Error, |cluster, engine| {
+        cluster.proxy(&format!("refuse {engine}"));
+    };
+    engine_link_blocked_for_good: Error, |cluster, engine| {
+        cluster.proxy(&format!("block {engine}"));
+    };
+    engine_killed: Error, |cluster, engine| {
+        cluster.process(engine).kill();
+    };
+    engine_frozen_for_good: Error, |cluster, engine| {
+        cluster.process(engine).freeze();
+    };
+    engine_frozen_for_a_moment: Whole, |cluster, engine| {
+        cluster.process(engine).freeze();
+        thread::sleep(Duration::from_millis(300));
+        cluster.process(engine).thaw();
+    };
+    entry_vm_killed: Resumed, |cluster, _| {
+        cluster.process("vm-1").kill();
+    };
+    entry_vm_frozen_and_late: Whole, |cluster, _| {
+        cluster.process("vm-1").freeze();
+        thread::sleep(PAUSE);
+        cluster.process("vm-1").thaw();
+    };
+    entry_vm_stopped: Whole, |cluster, _| {
+        cluster.process("vm-1").terminate();
+    };
+    other_entry_vm_killed: Whole, |cluster, _| {
+        cluster.process("vm-2").kill();
+    };
+    platform_down: Whole, |cluster, _| {
+        mode(cluster, &json!({"down": true}));
+    };
+    platform_silent: Whole, |cluster, _| {
+        mode(cluster, &json!({"silent": true}));
+    };
+    platform_stale: Whole, |cluster, _| {
+        cluster.publish(2, "");
+        mode(cluster, &json!({"stale": 1}));
+    };
+    engine_leaves_the_configuration: Whole, |cluster, engine| {
+        cluster.publish_without(2, engine);
+    };
+    entry_vm_partitioned: Whole, |cluster, _| {
+        partition(cluster, "vm-1");
+    };
+    link_cut_and_entry_vm_killed: Resumed, |cluster, engine| {
+        cluster.proxy(&format!("cut {engine}"));
+        cluster.process("vm-1").kill();
+    };
+    link_silent_and_platform_down: Whole, |cluster, engine| {
+        mode(cluster, &json!({"down": true}));
+        cluster.proxy(&format!("silence {engine}"));
+    };
+    link_silent_and_entry_vm_frozen: Whole, |cluster, engine| {
+        cluster.proxy(&format!("silence {engine}"));
+        cluster.process("vm-1").freeze();
+        thread::sleep(PAUSE);
+        cluster.process("vm-1").thaw();
+    };
+    link_silent_twice: Whole, |cluster, engine| {
+        cluster.proxy(&format!("silence {engine}"));
+        until("the stream has come back", || cluster.proxy(&format!("open {engine}")) != "0");
+        thread::sleep(Duration::from_millis(1500));
+        cluster.proxy(&format!("silence {engine}"));
+    };
+    engine_killed_in_a_partition: Error, |cluster, engine| {
+        partition(cluster, "vm-1");
+        cluster.process(engine).kill();
+    };
+    entry_vm_killed_and_platform_down: Resumed, |cluster, _| {
+        mode(cluster, &json!({"down": true}));
+        cluster.process("vm-1").kill();
+    };
+}
+
+macro_rules! behaviours {
+    ($($name:ident: $engines:expr, $behaviour:tt;)*) => {$(
+        #[test]
+        fn $name() {
+            check_behaviour(&$engines, &json!($behaviour));
+        }
+    )*};
+}
+
+const BOTH: [&str; 2] = ["engine-1", "engine-2"];
+
+behaviours! {
+    events_duplicated: BOTH, {"duplicate_every": 3};
+    events_missing: BOTH, {"gap_every": 20};
+    events_reordered: BOTH, {"reorder_every": 20};
+    events_crossed: BOTH, {"cross_every": 20};
+    connections_broken: BOTH, {"break_after": 30};
+    connections_silent: BOTH, {"silent_after": 30, "times": 4};
+    events_duplicated_missing_and_crossed: BOTH, {"duplicate_every": 2, "gap_every": 25, "cross_every": 15};
+    connections_broken_before_the_first_token: ["engine-1"], {"break_after": 0};
+    connections_silent_before_the_first_token: ["engine-1"], {"silent_after": 0};
+}
+
+#[test]
+fn events_late() {
+    let cluster = Setup::default().start();
+    cluster.behave("engine-1", &json!({"late_ms": 60}));
+    check_several(&cluster);
+}
+
+#[test]
+fn engine_killed_before_the_first_token() {
+    let mut cluster = Setup::default().start();
+    cluster.behave("engine-1", &json!({"die_after": 0}));
+    check_several(&cluster);
+    assert!(cluster.process("engine-1").ended().is_some());
+}
+
+#[test]
+fn engine_killed_while_whole_answers_are_made() {
+    let mut cluster = Setup::default().start();
+    cluster.behave("engine-1", &json!({"die_after": 20}));
+    thread::scope(|scope| {
+        for number in 0..4 {
+            let cluster = &cluster;
+            scope.spawn(move || {
+                let prompt = format!("{PROMPT} number {number}");
+                let answer = cluster
+                    .whole(&format!("vm-{}", number % 2 + 1), &prompt)
+                    .unwrap();
+                assert_eq!(answer.status, 200, "{answer:?}");
+                let text = answer.json()["choices"][0]["text"]
+                    .as_str()
+                    .unwrap()
+                    .to_owned();
+                let engines = cluster.engines();
+                let mut made = engines
+                    .iter()
+                    .map(|name| cluster.expected(name, &prompt, u32::MAX).concat());
+                assert!(made.any(|made| made == text));
+            });
+        }
+    });
+    assert!(cluster.process("engine-1").ended().is_some());
+}
+
+#[test]
+fn a_small_memory_loses_no_token() {
+    let setup = Setup {
+        engines: 1,
+        engine_arguments: ["--memory", "256", "--step", "5"]
+            .map(str::to_owned)
+            .to_vec(),
+        ..Setup::default()
+    };
+    let cluster = setup.start();
+    check_several(&cluster);
+}
+
+#[test]
+fn a_resume_token_of_another_customer_is_refused() {
+    let cluster = Setup::default().start();
+    let mut stream = cluster.stream("vm-1", PROMPT).unwrap();
+    let draft = stream.read(BEFORE);
+    let refused = cluster.resume("vm-2", &draft.resume, "beta-key").unwrap();
+    assert_eq!(refused.status, 403);
+    let forged = format!("{}x", &draft.resume[..draft.resume.len() - 1]);
+    let refused = cluster.resume("vm-2", &forged, "alpha-key").unwrap();
+    assert!((400..500).contains(&refused.status));
+    assert_eq!(stream.finish().end, End::Complete("stop".into()));
+}
+
+#[test]
+fn a_caller_that_is_gone_has_its_generation_cancelled() {
+    let cluster = Setup::default().start();
+    let mut stream = cluster
+        .stream("vm-1", "a very long sheet #tokens=20000")
+        .unwrap();
+    let draft = stream.read(BEFORE);
+    let engine = cluster.engine_of(&draft);
+    drop(stream);
+    until("the generation is cancelled", || {
+        let answer = cluster.get(&engine, "/test/cancelled").unwrap().json();
+        answer["cancelled"]
+            .as_array()
+            .is_some_and(|ids| !ids.is_empty())
+    });
+}
--- a/tests/support/calls.rs
+++ b/tests/support/calls.rs
@@ -5,6 +5,7 @@
     fakes::engine,
     hyper::Method,
     serde_json::Value,
+    std::net::SocketAddr,
 };
 
 impl Cluster {
@@ -68,25 +69,37 @@
             .iter()
             .filter_map(|name| self.get(name, "/test/runs").ok());
         answers
-            .map(|answer| answer.json()["runs"][id].as_u64().unwrap_or(0))
+            .map(|answer| count(&answer.json()["runs"], id))
             .sum()
     }
 
+    /// Returns the address of an entry VM for callers.
+    pub fn caller(&self, vm: &str) -> SocketAddr {
+        self.addresses[&format!("{vm}/caller")]
+    }
+
     /// Opens a stream of a prompt through an entry VM.
     pub fn stream(&self, vm: &str, prompt: &str) -> std::io::Result<Stream> {
         let body = serde_json::json!({"model": MODEL, "prompt": prompt, "stream": true});
         let path = format!("/{DESK}/v1/completions");
         let headers = [("authorization", "Bearer alpha-key")];
-        let address = self.addresses[&format!("{vm}/caller")];
+        let address = self.caller(vm);
         client::open(address, &Method::POST, &path, &headers, &body.to_string()).map(Stream::new)
     }
 
+    /// Asks for a whole answer to a prompt in one body.
+    pub fn whole(&self, vm: &str, prompt: &str) -> std::io::Result<Answer> {
+        let body = serde_json::json!({"model": MODEL, "prompt": prompt});
+        let path = format!("/{DESK}/v1/completions");
+        self.call(vm, &Method::POST, &path, &[], &body.to_string())
+    }
+
     /// Goes on with a stream through an entry VM.
     pub fn resume(&self, vm: &str, token: &str, key: &str) -> std::io::Result<Stream> {
         let authorization = format!("Bearer {key}");
         let headers = [("authorization", &*authorization), ("last-event-id", token)];
         let path = format!("/{DESK}/v1/completions");
-        let address = self.addresses[&format!("{vm}/caller")];
+        let address = self.caller(vm);
         client::open(address, &Method::GET, &path, &headers, "").map(Stream::new)
     }
 
@@ -103,12 +116,15 @@
         let headers: Vec<_> = std::iter::once(own)
             .chain(headers.iter().copied())
             .collect();
-        client::ask(
-            self.addresses[&format!("{vm}/caller")],
-            method,
-            path,
-            &headers,
-            body,
-        )
+        client::ask(self.caller(vm), method, path, &headers, body)
     }
 }
+
+/// Counts the runs of a request; further attempts bear its id with a dot and a number.
+fn count(runs: &Value, id: &str) -> u64 {
+    let attempts = format!("{id}.");
+    let runs = runs.as_object().into_iter().flatten();
+    runs.filter(|(name, _)| *name == id || name.starts_with(&attempts))
+        .filter_map(|(_, count)| count.as_u64())
+        .sum()
+}
--- a/tests/support/deployment.rs
+++ b/tests/support/deployment.rs
@@ -51,14 +51,25 @@
 
     /// Publishes a version on the platform.
     pub fn publish(&self, version: u64, sections: &str) {
+        self.publish_value(version, &self.value(version, sections));
+    }
+
+    /// Publishes a version without one of the targets.
+    pub fn publish_without(&self, version: u64, target: &str) {
+        let value = self.value(version, "");
+        let blocks = value.split_inclusive("\n[");
+        let kept = blocks.filter(|block| !block.starts_with(&format!("target {target}]")));
+        self.publish_value(version, &kept.collect::<String>());
+    }
+
+    fn publish_value(&self, version: u64, value: &str) {
         let headers = [("x-version", &*version.to_string())];
-        let value = self.value(version, sections);
         let answer = client::ask(
             self.addresses["platform"],
             &Method::POST,
             "/test/publish",
             &headers,
-            &value,
+            value,
         );
         assert_eq!(answer.expect("the platform answers").status, 200);
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(
     dead_code,
+    unused_imports,
     missing_docs,
     missing_debug_implementations,
     reason = "each test file uses a part of the harness"
@@ -241,6 +242,13 @@
         self.processes.insert(vm.into(), process);
     }
 
+    /// Kills an entry VM, starts it again and waits until it is ready.
+    pub fn start_again(&mut self, vm: &str) {
+        self.process(vm).kill();
+        self.start_vm(vm);
+        until(&format!("{vm} is ready"), || self.is_ready(vm));
+    }
+
     pub fn process(&mut self, name: &str) -> &mut Process {
         self.processes.get_mut(name).expect("the process runs")
     }
