fix(entry): a refusal says what is known of every attempt of a call

Cause: an idempotent call whose first attempt may have run was sent again; when the router then found no target, the caller was told not_run, although the service had counted a run. An oversized body was answered while the caller still wrote, so that it saw a broken pipe and no refusal, now and then. Seen failing before the change: failed_during_the_run_of_a_read and failed_before_the_run_of_a_read (each run), bad_requests_are_not_run (one of two runs). After it: tests/verdicts.rs, 26 passed. The table holds answers against the runs that the service counted, under refusals, failures, late, double and crossed answers, kill, cut, silent link, freeze, platform down and stale, partition, and two at once.

--- a/crates/base/src/verdict.rs
+++ b/crates/base/src/verdict.rs
@@ -25,4 +25,14 @@
     pub fn is_repeatable(self) -> bool {
         self == Self::NotRun
     }
+
+    /// Returns what is known of several attempts of one request, given two of them.
+    #[must_use]
+    pub fn and(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Ran, _) | (_, Self::Ran) => Self::Ran,
+            (Self::MayHaveRun, _) | (_, Self::MayHaveRun) => Self::MayHaveRun,
+            (Self::NotRun, Self::NotRun) => Self::NotRun,
+        }
+    }
 }
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -114,7 +114,7 @@
 /// Runs a call on a target, with retries as far as it may be repeated.
 ///
 /// # Errors
-/// Returns the refusal of the last attempt.
+/// Returns the refusal of the last attempt, with what is known of all of them.
 pub async fn run(
     context: &Arc<Context>,
     exchange: &Exchange,
@@ -122,11 +122,14 @@
 ) -> Result<Reply, Refusal> {
     let idempotent = call.is_idempotent(exchange);
     let mut excluded = Vec::new();
+    let mut verdict = Verdict::NotRun;
     loop {
-        let refusal = match attempt(context, exchange, call, &mut excluded).await {
+        let mut refusal = match attempt(context, exchange, call, &mut excluded).await {
             Ok(reply) => return Ok(reply),
             Err(refusal) => refusal,
         };
+        verdict = verdict.and(refusal.verdict);
+        refusal.verdict = verdict;
         let repeatable = refusal.verdict == Verdict::NotRun || idempotent;
         let retried = matches!(refusal.reason, Reason::TargetLost | Reason::TargetRefused);
         if !(repeatable && retried) || excluded.len() >= ATTEMPTS {
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -8,9 +8,9 @@
         runtime::within,
     },
     base::{Reason, Refusal, key},
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     config::deployment::Kind,
-    http_body_util::{BodyExt, Limited},
+    http_body_util::BodyExt,
     hyper::{
         Method, Request, Response, body::Incoming, header::AUTHORIZATION, http::request::Parts,
         server::conn::http1, service::service_fn,
@@ -23,6 +23,9 @@
 /// Path of a generation within its service.
 pub const COMPLETIONS: &str = "/v1/completions";
 
+/// Most bytes beyond the limit of a body that are read and dropped.
+const DISCARD_LIMIT: usize = 64 << 20;
+
 /// Accepts callers until the planned stop closes the listener.
 pub async fn listen(context: Arc<Context>, listener: TcpListener) {
     loop {
@@ -170,10 +173,9 @@
 }
 
 async fn read_body(context: &Context, body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    let reading = Limited::new(body, limit).collect();
-    match within(context.settings.limits.body_timeout, reading).await {
-        Some(Ok(body)) => Ok(body.to_bytes()),
-        Some(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+    match within(context.settings.limits.body_timeout, collect(body, limit)).await {
+        Some(Ok(Some(body))) => Ok(body),
+        Some(Ok(None)) => {
             let message = format!("the body is longer than {limit} bytes");
             Err(Refusal::not_run(Reason::TooLarge, message))
         }
@@ -184,3 +186,26 @@
         )),
     }
 }
+
+/// Collects a body; `None` if it is longer than the limit.
+///
+/// The rest of a longer body is read and dropped, since a caller that still writes when the
+/// connection is closed never sees the refusal.
+async fn collect(mut body: Incoming, limit: usize) -> Result<Option<Bytes>, hyper::Error> {
+    let mut collected = BytesMut::new();
+    let mut length = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        length += data.len();
+        if length <= limit {
+            collected.extend_from_slice(&data);
+        } else if length <= limit + DISCARD_LIMIT {
+            collected = BytesMut::new();
+        } else {
+            break;
+        }
+    }
+    Ok((length <= limit).then(|| collected.freeze()))
+}
--- /dev/null
+++ b/tests/verdicts.rs
@@ -0,0 +1,276 @@
+//! Promises 2 and 3: each caller gets its own answer, and "not run" means not run.
+//!
+//! Every answer is held against the runs that the service counted.
+
+mod support;
+
+use {
+    hyper::Method,
+    serde_json::{Value, json},
+    std::{thread, time::Duration},
+    support::{Answer, Cluster, LEDGER, Setup},
+};
+
+/// Calls that are under way at once in each case.
+const CALLS: usize = 6;
+/// Deadline of a call that a fault meets, in milliseconds.
+const DEADLINE: &str = "4000";
+/// The share of calls that are named by a key and belong to an entry VM.
+const KEYED: usize = 3;
+
+/// A call and what the caller heard of it.
+struct Heard {
+    operation: String,
+    vm: String,
+    answer: Option<Answer>,
+}
+
+/// What all answers of a case must be.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Expected {
+    /// The call's own answer.
+    Own,
+    /// A refusal with this verdict.
+    Verdict(&'static str),
+    /// A refusal that does not exclude a run.
+    InDoubt,
+    /// Any that agrees with the runs.
+    True,
+    /// Any that agrees with the runs, or none through the entry VM that is lost.
+    Lost(&'static str),
+}
+
+impl Expected {
+    /// Returns what holds for a call with a key, which may be refused for reasons of the key alone.
+    fn of_keyed(self) -> Self {
+        match self {
+            Self::Lost(_) => self,
+            _ => Self::True,
+        }
+    }
+}
+
+fn setup() -> Setup {
+    Setup {
+        engines: 1,
+        ..Setup::default()
+    }
+}
+
+/// Makes calls at once, through every entry VM, and strikes while they are under way.
+fn call_and_strike(cluster: &mut Cluster, path: &str, strike: fn(&mut Cluster)) -> Vec<Heard> {
+    let vms = cluster.vms();
+    let calls: Vec<_> = (0..CALLS)
+        .map(|number| {
+            let path = format!("/{LEDGER}{path}");
+            let vm = vms[number % vms.len()].clone();
+            let address = cluster.caller(&vm);
+            thread::spawn(move || Heard {
+                vm,
+                ..call(address, &path, number)
+            })
+        })
+        .collect();
+    strike(cluster);
+    calls.into_iter().map(|call| call.join().unwrap()).collect()
+}
+
+fn call(address: std::net::SocketAddr, path: &str, number: usize) -> Heard {
+    let operation = format!("lot-{number}");
+    let mut headers = vec![
+        ("authorization", "Bearer alpha-key"),
+        ("x-operation", &operation),
+        ("x-deadline-ms", DEADLINE),
+    ];
+    if number < KEYED {
+        headers.push(("idempotency-key", &operation));
+    }
+    let answer = support::client::ask(address, &Method::POST, path, &headers, &operation);
+    Heard {
+        answer: answer.ok(),
+        vm: String::new(),
+        operation,
+    }
+}
+
+/// Holds each answer against the runs that the service counted.
+fn assert_true(cluster: &Cluster, heard: &[Heard], most: u64) {
+    for Heard {
+        operation, answer, ..
+    } in heard
+    {
+        let runs = cluster.runs(operation);
+        assert!(runs <= most, "{operation} ran {runs} times");
+        let Some(answer) = answer else { continue };
+        if answer.status == 200 {
+            assert_own(operation, answer);
+            assert!(runs >= 1, "{operation} was answered and not run");
+            continue;
+        }
+        match &*answer.verdict() {
+            "not_run" => assert_eq!(runs, 0, "{operation}: {answer:?}"),
+            "ran" => assert!(runs >= 1, "{operation}: {answer:?}"),
+            "may_have_run" => {}
+            _ => assert_eq!(answer.text, "failed", "{operation}: {answer:?}"),
+        }
+    }
+}
+
+fn assert_own(operation: &str, answer: &Answer) {
+    let json = answer.json();
+    assert_eq!(json["operation"], operation);
+    assert_eq!(json["body"], operation);
+    assert_eq!(
+        json["digest"],
+        *fakes::service::digest(operation.as_bytes())
+    );
+}
+
+fn assert_expected(heard: &[Heard], expected: Expected) {
+    for heard in heard {
+        let operation = &heard.operation;
+        let Some(answer) = &heard.answer else {
+            let is_lost = matches!(expected, Expected::Lost(vm) if vm == heard.vm);
+            assert!(is_lost, "{operation} got no answer");
+            continue;
+        };
+        let verdict = answer.verdict();
+        match expected {
+            Expected::Own => assert_eq!(answer.status, 200, "{operation}: {answer:?}"),
+            Expected::Verdict(wanted) => assert_eq!(verdict, wanted, "{operation}: {answer:?}"),
+            Expected::InDoubt => {
+                assert_ne!(answer.status, 200, "{operation}");
+                assert_ne!(verdict, "not_run", "{operation}: {answer:?}");
+            }
+            Expected::True | Expected::Lost(_) => {}
+        }
+    }
+}
+
+/// Checks calls to a service that misbehaves, without and with a strike while they are under way.
+fn check(behaviour: &Value, path: &str, strike: fn(&mut Cluster), expected: Expected) {
+    let mut cluster = setup().start();
+    cluster.behave("service-1", behaviour);
+    let heard = call_and_strike(&mut cluster, path, strike);
+    cluster.proxy("heal *");
+    assert_true(&cluster, &heard, if path == "/read" { 3 } else { 1 });
+    assert_expected(&heard[..KEYED], expected.of_keyed());
+    assert_expected(&heard[KEYED..], expected);
+}
+
+/// Leaves the system alone.
+fn nothing(_: &mut Cluster) {}
+
+/// Waits until the calls have reached the service.
+fn settle(cluster: &Cluster) {
+    support::until("the calls wait in the service", || {
+        let load = cluster.get("service-1", "/v1/load").unwrap().json();
+        load["running"].as_u64().unwrap_or_default() >= (CALLS - KEYED) as u64
+    });
+}
+
+macro_rules! verdicts {
+    ($($name:ident: $path:literal, $behaviour:tt, $strike:expr, $expected:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            check(&json!($behaviour), $path, $strike, $expected);
+        }
+    )*};
+}
+
+verdicts! {
+    no_fault: "/release", {}, nothing, Expected::Own;
+    refused_before_the_start: "/release", {"refuse": true}, nothing, Expected::Verdict("not_run");
+    refused_as_leaving: "/release", {"leaving": true}, nothing, Expected::Verdict("not_run");
+    failed_before_the_run: "/release", {"fail": "before"}, nothing, Expected::InDoubt;
+    failed_during_the_run: "/release", {"fail": "during"}, nothing, Expected::InDoubt;
+    failed_after_the_run: "/release", {"fail": "after"}, nothing, Expected::InDoubt;
+    failed_with_an_answer: "/release", {"fail": "error"}, nothing, Expected::InDoubt;
+    failed_before_the_run_of_a_read: "/read", {"fail": "before"}, nothing, Expected::InDoubt;
+    failed_during_the_run_of_a_read: "/read", {"fail": "during"}, nothing, Expected::InDoubt;
+    answered_twice: "/release", {"twice": true}, nothing, Expected::Own;
+    answered_late: "/release", {"late_ms": 1000}, nothing, Expected::Own;
+    answered_after_the_deadline: "/release", {"late_ms": 8000}, nothing, Expected::InDoubt;
+    answered_to_the_wrong_caller: "/release", {"crossed": true}, nothing, Expected::True;
+    answered_late_twice_and_to_the_wrong_caller: "/release",
+        {"crossed": true, "twice": true, "late_ms": 500}, nothing, Expected::True;
+    service_link_cut: "/release", {"slow_ms": 1500}, |cluster| {
+        settle(cluster);
+        cluster.proxy("cut service-1");
+    }, Expected::InDoubt;
+    service_link_silent: "/release", {"slow_ms": 500}, |cluster| {
+        settle(cluster);
+        cluster.proxy("silence service-1");
+    }, Expected::InDoubt;
+    service_killed: "/release", {"slow_ms": 60_000}, |cluster| {
+        settle(cluster);
+        cluster.process("service-1").kill();
+        cluster.start_fake("service", "service-1");
+    }, Expected::InDoubt;
+    service_frozen: "/release", {"slow_ms": 1500}, |cluster| {
+        settle(cluster);
+        cluster.process("service-1").freeze();
+        thread::sleep(Duration::from_secs(5));
+        cluster.process("service-1").thaw();
+    }, Expected::InDoubt;
+    other_entry_vm_killed: "/release", {"slow_ms": 1500}, |cluster| {
+        settle(cluster);
+        cluster.start_again("vm-2");
+    }, Expected::Lost("vm-2");
+    platform_down: "/release", {"slow_ms": 500}, |cluster| {
+        cluster.order("platform", "/test/mode", &json!({"down": true}));
+    }, Expected::Own;
+    platform_stale: "/release", {"slow_ms": 500}, |cluster| {
+        cluster.publish(2, "");
+        cluster.order("platform", "/test/mode", &json!({"stale": 1}));
+    }, Expected::Own;
+    entry_vms_partitioned: "/release", {"slow_ms": 500}, |cluster| {
+        cluster.proxy("block vm-1");
+        cluster.proxy("block vm-2");
+    }, Expected::Own;
+    service_link_cut_in_a_partition: "/release", {"slow_ms": 1500}, |cluster| {
+        settle(cluster);
+        cluster.proxy("block vm-1");
+        cluster.proxy("block vm-2");
+        cluster.proxy("cut service-1");
+    }, Expected::InDoubt;
+    service_frozen_and_platform_down: "/release", {"slow_ms": 1500}, |cluster| {
+        settle(cluster);
+        cluster.order("platform", "/test/mode", &json!({"down": true}));
+        cluster.process("service-1").freeze();
+        thread::sleep(Duration::from_secs(5));
+        cluster.process("service-1").thaw();
+    }, Expected::InDoubt;
+}
+
+#[test]
+fn unreachable_services_are_not_run() {
+    let mut cluster = setup().start();
+    cluster.proxy("refuse service-1");
+    let heard = call_and_strike(&mut cluster, "/release", nothing);
+    assert_true(&cluster, &heard, 0);
+}
+
+#[test]
+fn bad_requests_are_not_run() {
+    let cluster = setup().start();
+    let large = "x".repeat(9 << 20);
+    let cases = [
+        ("/nowhere/release", "alpha-key", "lot", 404),
+        ("/ledger/release", "no-key", "lot", 401),
+        ("/ledger/release", "alpha-key", &*large, 413),
+        ("/desk/v1/completions", "alpha-key", "{", 400),
+    ];
+    for (path, key, body, status) in cases {
+        let authorization = format!("Bearer {key}");
+        let headers = [("authorization", &*authorization), ("x-operation", "bad")];
+        let address = cluster.caller("vm-1");
+        let answer = support::client::ask(address, &Method::POST, path, &headers, body).unwrap();
+        assert_eq!(
+            (answer.status, &*answer.verdict()),
+            (status, "not_run"),
+            "{path}"
+        );
+    }
+    assert_eq!(cluster.runs("bad"), 0);
+}
