feat(entry): join the placement, with a log line for each order

A VM reads back what its engines hold, asks two peers for a newer version and orders only while its view of the peers is fresh. Old orders are refused by engines that check the fencing number and corrected on those that ignore it, with real processes (tests/fleet.rs).

--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Context, context::Identity, deployment::Deployment, gossip, http, inner::Link,
+        Context, context::Identity, deployment::Deployment, gossip, http, inner::Link, orders,
         runtime::within,
     },
     base::{Instant, Machine, Refusal},
@@ -166,7 +166,11 @@
 }
 
 /// Asks a peer for its value; returns its version, and the value if that is newer.
-async fn ask(context: &Context, peer: SocketAddr, above: u64) -> Option<(u64, Option<Box<str>>)> {
+pub async fn ask(
+    context: &Context,
+    peer: SocketAddr,
+    above: u64,
+) -> Option<(u64, Option<Box<str>>)> {
     let mut link = Link::connect(context, peer).await.ok()?;
     let query = msg::ConfigurationQuery {
         number: 1,
@@ -210,6 +214,7 @@
         target: "configuration", configuration_version = version, source:% = source;
         "in force"
     );
+    orders::handle(context, place::Event::Configuration(Arc::clone(&snapshot)));
     gossip::handle(context, fleet::Event::Configuration(snapshot));
 }
 
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         configuration::Configuration, deployment::Deployment, drain::Drain, gossip::Gossip,
-        metrics::Metrics, router::Router, runtime::Runtime, session::Sessions,
+        metrics::Metrics, orders::Orders, router::Router, runtime::Runtime, session::Sessions,
     },
     arc_swap::ArcSwap,
     base::{Clock, Instant, key},
@@ -43,6 +43,8 @@
     pub configuration: Configuration,
     /// The other entry VMs.
     pub gossip: Gossip,
+    /// Orders to engines.
+    pub orders: Orders,
     /// Admission and choice of targets.
     pub router: Router,
     /// Metrics.
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -9,6 +9,7 @@
         gossip::{self, Gossip},
         inner,
         metrics::Metrics,
+        orders::{self, Orders},
         probe,
         router::{self, Router},
         runtime::Runtime,
@@ -64,6 +65,7 @@
         context.spawn(configuration::list(Arc::clone(&context)));
         context.spawn(gossip::receive(Arc::clone(&context)));
         context.spawn(gossip::run(Arc::clone(&context)));
+        context.spawn(orders::run(Arc::clone(&context)));
         context.spawn(probe::run(Arc::clone(&context)));
         context.spawn(router::tick(Arc::clone(&context)));
         Ok(Self { context })
@@ -119,6 +121,7 @@
     let now = clock.now();
     Ok(Context {
         configuration: Configuration::new(now, &settings, &identity),
+        orders: Orders::new(now, &identity),
         gossip: Gossip::new(now, &settings, &identity, socket),
         clock: Arc::new(clock),
         identity,
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -3,7 +3,7 @@
 mod usage;
 
 use {
-    crate::{Context, Error, configuration, context::Identity, metrics::Direction},
+    crate::{Context, Error, configuration, context::Identity, metrics::Direction, orders},
     base::{Instant, Machine},
     config::Settings,
     derive_more::Debug,
@@ -145,6 +145,7 @@
         } => {
             let event = route::Event::Leaving { target, leaving };
             context.router.handle(now, event);
+            orders::handle(context, place::Event::Leaving { target, leaving });
             log_departure(context, target, leaving, notice);
         }
         Action::PeerUse {
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -1,7 +1,7 @@
 //! Reads the load of targets for the policy.
 
 use {
-    crate::{Context, gossip, http},
+    crate::{Context, gossip, http, orders},
     base::key,
     config::deployment::Target,
     fleet::Notice,
@@ -43,6 +43,8 @@
         metrics.preemptions(target, &service.name, load.preemptions);
     }
     context.router.handle(now, Event::Report { target, load });
+    let models = orders::names(&value["models"]);
+    orders::handle(&context, place::Event::Loaded { target, models });
     let notice = match value["leaving"].as_bool() {
         Some(true) => Notice::ReportedLeaving,
         Some(false) => Notice::ReportedLive,
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -126,7 +126,7 @@
 /// # Errors
 /// Returns the policy's refusal, at once when it gives up.
 pub async fn acquire(context: &Arc<Context>, request: route::Request) -> Result<Grant, Refusal> {
-    let (key, customer) = (request.key, request.customer);
+    let (key, customer, model) = (request.key, request.customer, request.model);
     let (service, class) = (request.service, request.class);
     let tokens = u64::from(request.prompt_tokens);
     let waiter = Waiter {
@@ -145,6 +145,9 @@
     let snapshot = context.snapshot();
     let service = snapshot.services.get(service);
     context.metrics.queue_wait(service, class, decision.waited);
+    if let Some(model) = model {
+        context.orders.count(model);
+    }
     context
         .gossip
         .usage()
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -3,12 +3,13 @@
 mod support;
 
 use {
+    hyper::Method,
     serde_json::json,
     std::{
         thread,
         time::{Duration, Instant},
     },
-    support::{Cluster, End, Setup, until},
+    support::{Cluster, End, MODEL, Setup, client, until},
 };
 
 const PROMPT: &str = "a sheet for forty trays of pierogi #tokens=8";
@@ -76,6 +77,32 @@
         })
     }
 
+    /// Publishes a version in which the model has the same version.
+    fn publish_model(&self, version: u64) {
+        let value = self.value(version, "");
+        let model = format!("version = {version}\nweight");
+        self.publish_value(version, &value.replace("version = 1\nweight", &model));
+    }
+
+    /// Returns whether an engine was ordered to hold a version of the model, and has loaded it.
+    fn holds(&self, engine: &str, version: u64) -> bool {
+        let Ok(answer) = self.get(engine, "/v1/orders") else {
+            return false;
+        };
+        let (answer, wanted) = (answer.json(), json!([format!("{MODEL}@{version}")]));
+        answer["models"] == wanted && answer["loaded"] == wanted
+    }
+
+    /// Returns the fencing numbers of the orders that an engine took.
+    fn fences(&self, engine: &str) -> Vec<u64> {
+        let answer = self.get(engine, "/test/orders").unwrap().json();
+        let orders = answer["orders"].as_array().cloned().unwrap_or_default();
+        let accepted = orders.iter().filter(|order| order["accepted"] == true);
+        accepted
+            .filter_map(|order| order["order"]["fence"].as_u64())
+            .collect()
+    }
+
     fn configuration_calls(&self) -> u64 {
         let calls = self.get("platform", "/test/calls").unwrap().json();
         let vms = calls["calls"].as_object().cloned().unwrap_or_default();
@@ -312,3 +339,64 @@
         });
     }
 }
+
+fn frozen_process_and_old_order(arguments: &[&str], is_checked: bool) {
+    let quick = ["--weight", "1000", "--load-rate", "1000000"];
+    let arguments = quick.iter().chain(arguments);
+    let setup = Setup {
+        vms: 3,
+        engine_arguments: arguments.map(|&argument| argument.to_owned()).collect(),
+        ..Setup::default()
+    };
+    let mut cluster = setup.start();
+    cluster.wait_for_members();
+    let engines = cluster.engines();
+    let all_hold = |cluster: &Cluster, version| {
+        until(&format!("the engines hold version {version}"), || {
+            engines.iter().all(|engine| cluster.holds(engine, version))
+        });
+    };
+    cluster.publish_model(2);
+    all_hold(&cluster, 2);
+    let ordered = |vm: &String| {
+        let log = cluster.log(vm);
+        log.lines()
+            .any(|line| line.contains("\"engine\":\"engine-1\""))
+    };
+    let responsible = cluster.vms().into_iter().find(ordered).unwrap();
+    cluster.process(&responsible).freeze();
+    cluster.publish_model(3);
+    all_hold(&cluster, 3);
+    cluster.process(&responsible).thaw();
+    let fence = place::Fence {
+        version: 2,
+        term: 9,
+    }
+    .number();
+    let old = json!({"fence": fence, "models": [format!("{MODEL}@2")], "role": "serve"});
+    let answer = client::ask(
+        cluster.addresses["engine-1"],
+        &Method::POST,
+        "/v1/orders",
+        &[],
+        &old.to_string(),
+    );
+    assert_eq!(answer.unwrap().status == 409, is_checked);
+    cluster.wait_for_version(&cluster.vms(), 3);
+    all_hold(&cluster, 3);
+    let fences = cluster.fences("engine-1");
+    assert_eq!(fences.is_sorted(), is_checked, "{fences:?}");
+    thread::sleep(place::placement::READ_INTERVAL * 2);
+    assert_eq!(cluster.fences("engine-1"), fences, "the orders alternate");
+    assert!(cluster.holds("engine-1", 3));
+}
+
+#[test]
+fn an_engine_that_checks_fencing_ends_with_the_newest_orders() {
+    frozen_process_and_old_order(&[], true);
+}
+
+#[test]
+fn an_engine_that_ignores_fencing_ends_with_the_newest_orders() {
+    frozen_process_and_old_order(&["--ignore-fencing"], false);
+}
--- a/tests/support/deployment.rs
+++ b/tests/support/deployment.rs
@@ -62,7 +62,8 @@
         self.publish_value(version, &kept.collect::<String>());
     }
 
-    fn publish_value(&self, version: u64, value: &str) {
+    /// Publishes a value under a version.
+    pub fn publish_value(&self, version: u64, value: &str) {
         let headers = [("x-version", &*version.to_string())];
         let answer = client::ask(
             self.addresses["platform"],
