fix(fleet): a silent member is checked by the one that misses it, not by all

Suspicions were told to everyone and each member asked the suspect every second. Now a suspicion stays with its observer, which asks again through two others, and needs three checks that were really sent; datagrams get brief when the budget runs low.

--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -13,7 +13,7 @@
 pub enum State {
     /// It answers.
     Live,
-    /// It did not answer and has time left to contradict.
+    /// It did not answer this VM, which goes on asking for a while; not told to others.
     Suspect,
     /// It announced its planned stop; stays so for the whole incarnation.
     Leaving,
@@ -40,8 +40,18 @@
     pub since: Instant,
     /// When a datagram last came from itself.
     pub heard: Option<Instant>,
-    /// Since when a leaving member has not answered.
-    pub(crate) silent: Option<Instant>,
+    /// Since when it has not answered.
+    pub(crate) silent: Option<Silence>,
+}
+
+/// A member's silence towards this VM.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Silence {
+    pub(crate) since: Instant,
+    /// Number of the last check.
+    pub(crate) number: u64,
+    /// Checks that were sent.
+    pub(crate) checks: u32,
 }
 
 impl Member {
@@ -50,6 +60,18 @@
         self.state != State::Dead
     }
 
+    /// Notes that it answered; returns whether it was suspect.
+    pub(crate) fn hear(&mut self, now: Instant) -> bool {
+        self.heard = Some(now);
+        self.silent = None;
+        let suspect = self.state == State::Suspect;
+        if suspect {
+            self.state = State::Live;
+            self.since = now;
+        }
+        suspect
+    }
+
     /// Returns whether work may be given to it.
     pub fn is_open(&self) -> bool {
         matches!(self.state, State::Live | State::Suspect)
@@ -59,8 +81,7 @@
     pub(crate) fn read(now: Instant, record: &msg::Member) -> Option<Self> {
         let state = match record.state() {
             msg::MemberState::Unspecified => return None,
-            msg::MemberState::Live => State::Live,
-            msg::MemberState::Suspect => State::Suspect,
+            msg::MemberState::Live | msg::MemberState::Suspect => State::Live,
             msg::MemberState::Leaving => State::Leaving,
             msg::MemberState::Dead => State::Dead,
         };
@@ -80,8 +101,7 @@
     /// Writes the record.
     pub(crate) fn write(&self, data_centre: &str) -> msg::Member {
         let state = match self.state {
-            State::Live => msg::MemberState::Live,
-            State::Suspect => msg::MemberState::Suspect,
+            State::Live | State::Suspect => msg::MemberState::Live,
             State::Leaving => msg::MemberState::Leaving,
             State::Dead => msg::MemberState::Dead,
         };
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -29,7 +29,7 @@
 pub const PERIOD: Duration = Duration::from_secs(1);
 /// Time to answer a ping before others are asked to ping too.
 pub const PING_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time that a suspect member has to contradict.
+/// Time for which a suspect member is asked again before it is declared dead.
 pub const SUSPICION: Duration = Duration::from_secs(3);
 /// Members that are asked to ping one that did not answer.
 pub const INDIRECT: usize = 3;
@@ -219,8 +219,7 @@
         self.next_period = now;
         self.stale = Some(Stale::new(now, self.prober.last()));
         for (_, member) in self.members.iter_mut() {
-            member.since = now;
-            member.silent = member.silent.map(|_| now);
+            member.hear(now);
         }
     }
 
--- a/crates/fleet/src/membership/compose.rs
+++ b/crates/fleet/src/membership/compose.rs
@@ -14,8 +14,10 @@
 const FULL: usize = 640;
 /// Most bytes of a brief datagram.
 const BRIEF: usize = 300;
-/// Bytes of the budget that urgent news leaves to probes.
+/// Bytes of the budget that urgent news and checks leave to probes.
 const RESERVE: u64 = 800;
+/// Bytes of the budget below which datagrams are brief.
+const PLENTY: u64 = 1600;
 /// Members that each VM tells of urgent news in one round.
 const FANOUT: usize = 3;
 /// Rounds in which urgent news is told.
@@ -50,6 +52,8 @@
     Brief,
     /// Urgent news.
     Urgent,
+    /// A question to a member that did not answer.
+    Check,
 }
 
 impl Membership {
@@ -85,7 +89,8 @@
         }
     }
 
-    /// Sends a datagram, shortened or left out where the budget is used up.
+    /// Sends a datagram, shortened or left out where the budget is used up; returns whether it was
+    /// sent.
     pub(super) fn send(
         &mut self,
         now: Instant,
@@ -93,22 +98,24 @@
         probe: Option<msg::Probe>,
         purpose: Use,
         actions: &mut Vec<Action>,
-    ) {
+    ) -> bool {
         if self.version == Version::default() {
-            return;
+            return false;
         }
         let left = self.budget.left(now);
-        if purpose == Use::Urgent && left < RESERVE {
-            return;
+        let is_first = matches!(purpose, Use::Full | Use::Brief);
+        if !is_first && left < RESERVE {
+            return false;
         }
-        let limit = if purpose == Use::Full { FULL } else { BRIEF };
+        let is_full = purpose == Use::Full && left >= PLENTY;
+        let limit = if is_full { FULL } else { BRIEF };
         let limit = limit.min(left as usize);
         let Some(mut draft) = Draft::new(self.fixed_part(now, probe), limit) else {
-            return;
+            return false;
         };
         self.add_receiver(&mut draft, to);
         self.add_rumors(&mut draft);
-        if purpose == Use::Full {
+        if is_full {
             self.add_repeated(&mut draft);
             add_own(&mut draft, &mut self.uses, write_use, |gossip| {
                 &mut gossip.counters
@@ -119,7 +126,7 @@
         }
         let (message, size) = draft.finish();
         if !self.budget.take(now, size) {
-            return;
+            return false;
         }
         self.sequence += 1;
         let message = Box::new(Gossip {
@@ -127,6 +134,7 @@
             ..message
         });
         actions.push(Action::Send { to, message });
+        true
     }
 
     fn fixed_part(&self, now: Instant, probe: Option<msg::Probe>) -> Gossip {
@@ -153,11 +161,10 @@
             .max_by_key(|(_, at)| *at)
     }
 
-    /// Tells a suspect or dead member so, that it can contradict.
+    /// Tells a member that is taken for dead so, that it can contradict.
     fn add_receiver(&self, draft: &mut Draft, to: SocketAddr) {
-        let doubted = self.members.values().find(|member| {
-            member.address == to && matches!(member.state, State::Suspect | State::Dead)
-        });
+        let mut members = self.members.values();
+        let doubted = members.find(|it| it.address == to && it.state == State::Dead);
         if let Some(member) = doubted {
             draft.add(member.write(&self.data_centre), |gossip| {
                 &mut gossip.members
--- a/crates/fleet/src/membership/detect.rs
+++ b/crates/fleet/src/membership/detect.rs
@@ -4,6 +4,7 @@
     super::{Membership, PERIOD, PING_TIMEOUT},
     crate::{
         Action, Member, State,
+        member::Silence,
         membership::compose::{Subject, Use},
         probe::Probe,
     },
@@ -16,6 +17,10 @@
     wire::msg,
 };
 
+/// Checks of a silent member that must have been sent before it is declared dead.
+const CHECKS: u32 = 3;
+/// Members that are asked to check a silent one too.
+const CHECK_RELAYS: usize = 2;
 /// How long a failed member is remembered, so that late news of it is not believed.
 const DEAD_RETENTION: Duration = Duration::from_secs(60);
 /// Members of a data centre that talk to each other data centre in one period, on average.
@@ -28,14 +33,14 @@
 impl Membership {
     pub(super) fn tick(&mut self, now: Instant, actions: &mut Vec<Action>) {
         self.probe_through_others(now, actions);
-        self.judge_suspects(now, actions);
+        self.judge_silent(now, actions);
         if now < self.next_period {
             return;
         }
         self.next_period = now + PERIOD;
         self.conclude_probe(now, actions);
         self.start_probe(now, actions);
-        self.check_suspects(now, actions);
+        self.check_silent(now, actions);
         self.try_contacts(now, actions);
         self.bridge(now, actions);
         self.members.retain_present(now);
@@ -104,55 +109,56 @@
         if member.heard.is_some_and(|heard| heard > current.sent) {
             return;
         }
-        match member.state {
-            State::Live => {
-                member.state = State::Suspect;
-                member.since = now;
-                actions.push(Action::Member(Box::new(member.clone())));
-                self.tell(Subject::Member(current.subject));
-            }
-            State::Leaving => {
-                member.silent.get_or_insert(now);
-            }
-            State::Suspect | State::Dead => {}
+        member.silent.get_or_insert(Silence {
+            since: now,
+            number: 0,
+            checks: 0,
+        });
+        if member.state == State::Live {
+            member.state = State::Suspect;
+            member.since = now;
+            actions.push(Action::Member(Box::new(member.clone())));
         }
     }
 
-    /// Pings each suspect, so that none is declared dead on hearsay alone.
-    fn check_suspects(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        let suspects: Vec<_> = self
+    /// Asks silent members again, also through others, so that none is declared dead on hearsay
+    /// or for want of bytes to ask it.
+    fn check_silent(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let silent: Vec<_> = self
             .members
             .values()
-            .filter(|member| member.state == State::Suspect || member.silent.is_some())
-            .map(|member| member.address)
+            .filter(|member| member.silent.is_some())
+            .map(|member| (member.key, member.name.clone(), member.address))
             .collect();
-        for address in suspects {
-            let probe = probe(msg::ProbeKind::Ping, self.prober.number(), "");
-            self.send(now, address, Some(probe), Use::Brief, actions);
+        for (vm, name, address) in silent {
+            let number = self.prober.number();
+            let ping = probe(msg::ProbeKind::Ping, number, "");
+            let sent = self.send(now, address, Some(ping), Use::Check, actions);
+            let others = self.members.values();
+            let others = others.filter(|other| other.state == State::Live && other.key != vm);
+            let others = others.map(|other| other.address);
+            let relays = CHECK_RELAYS.min(self.indirect);
+            for relay in others.choose_multiple(&mut self.rng, relays) {
+                let request = probe(msg::ProbeKind::PingRequest, number, &name);
+                self.send(now, relay, Some(request), Use::Check, actions);
+            }
+            let member = self.members.get_mut(vm);
+            if let Some(silence) = member.and_then(|member| member.silent.as_mut()) {
+                silence.number = number;
+                silence.checks += u32::from(sent);
+            }
         }
     }
 
-    /// Declares suspects dead that stayed silent, and clears those that were heard.
-    fn judge_suspects(&mut self, now: Instant, actions: &mut Vec<Action>) {
+    /// Declares members dead that stayed silent.
+    fn judge_silent(&mut self, now: Instant, actions: &mut Vec<Action>) {
         let mut dead = Vec::new();
         for (vm, member) in self.members.iter_mut() {
-            let since = match member.state {
-                State::Suspect => member.since,
-                State::Leaving => match member.silent {
-                    Some(silent) => silent,
-                    None => continue,
-                },
-                State::Live | State::Dead => continue,
-            };
-            if now.since(since) < self.suspicion {
+            let Some(silence) = member.silent else {
                 continue;
-            }
-            if member.heard.is_some_and(|heard| heard > since) {
-                member.silent = None;
-                if member.state == State::Suspect {
-                    member.state = State::Live;
-                    actions.push(Action::Member(Box::new(member.clone())));
-                }
+            };
+            let asked = self.suspicion.is_zero() || silence.checks >= CHECKS;
+            if !asked || now.since(silence.since) < self.suspicion {
                 continue;
             }
             member.state = State::Dead;
@@ -163,7 +169,7 @@
         }
         for vm in dead {
             self.forget_uses(vm, actions);
-            self.tell(Subject::Member(vm));
+            self.urge(Some(Subject::Member(vm)));
         }
     }
 
--- a/crates/fleet/src/membership/receive.rs
+++ b/crates/fleet/src/membership/receive.rs
@@ -33,7 +33,7 @@
         let is_local = record.is_some_and(|record| *record.data_centre == *self.data_centre);
         if is_local {
             self.learn_members(now, message, actions);
-            self.hear(now, sender);
+            self.hear(now, sender, actions);
             self.learn_platform(now, message);
         }
         self.learn_departures(now, message, actions);
@@ -100,19 +100,19 @@
             State::Leaving => self.urge(Some(Subject::Member(vm))),
             State::Dead => {
                 self.forget_uses(vm, actions);
-                self.tell(Subject::Member(vm));
+                self.urge(Some(Subject::Member(vm)));
             }
             State::Live | State::Suspect => self.tell(Subject::Member(vm)),
         }
     }
 
-    /// Contradicts a report that this VM is suspect or dead.
+    /// Contradicts a report that this VM is dead.
     fn refute(&mut self, report: &Member) {
         if report.incarnation > self.own.incarnation {
             self.superseded = true;
             return;
         }
-        let doubted = matches!(report.state, State::Suspect | State::Dead);
+        let doubted = report.state == State::Dead;
         if report.incarnation < self.own.incarnation
             || !doubted
             || report.refutation < self.own.refutation
@@ -124,12 +124,12 @@
     }
 
     /// Notes that a member speaks for itself.
-    fn hear(&mut self, now: Instant, sender: key::Vm) {
-        let Some(member) = self.members.get_mut(sender) else {
-            return;
-        };
-        member.heard = Some(now);
-        member.silent = None;
+    fn hear(&mut self, now: Instant, sender: key::Vm, actions: &mut Vec<Action>) {
+        if let Some(member) = self.members.get_mut(sender)
+            && member.hear(now)
+        {
+            actions.push(Action::Member(Box::new(member.clone())));
+        }
     }
 
     fn learn_platform(&mut self, now: Instant, message: &Gossip) {
@@ -266,5 +266,9 @@
         {
             current.answered = true;
         }
+        let silence = self.members.get(subject).and_then(|member| member.silent);
+        if silence.is_some_and(|silence| silence.number == received.number) {
+            self.hear(now, subject, actions);
+        }
     }
 }
--- a/crates/fleet/src/spread.rs
+++ b/crates/fleet/src/spread.rs
@@ -35,7 +35,7 @@
 /// Longest time for a peer to hand over its value.
 pub const PULL_TIMEOUT: Duration = Duration::from_secs(3);
 /// Longest time that a starting VM waits for its peers once it has a configuration.
-pub const PATIENCE: Duration = Duration::from_secs(3);
+pub const PATIENCE: Duration = Duration::from_secs(5);
 /// Peers that a starting VM asks, and whose answers it waits for.
 pub const FIRST_PEERS: usize = 2;
 
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -51,6 +51,17 @@
     }
 }
 
+#[test]
+fn large_data_centre_under_loss_keeps_its_budget_for_probes() {
+    for (vms, loss) in [(70, 0.1), (32, 0.2)] {
+        let mut net = converged(1, loss, vms);
+        net.run(seconds(120));
+        for on in 0..vms {
+            assert_eq!(net.declared_dead(on), 0, "{vms} members, member {on}");
+        }
+    }
+}
+
 #[test]
 fn partition_heals_without_a_restart() {
     for seed in 0..5 {
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -5,7 +5,10 @@
 use {
     base::{Instant, Machine, key},
     config::{Snapshot, parse},
-    mastictrail_fleet::{Action, Event, Membership, State},
+    mastictrail_fleet::{
+        Action, Event, Membership, State,
+        membership::{INDIRECT, SUSPICION},
+    },
     prost::Message,
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{
@@ -43,6 +46,10 @@
     pub nodes: Vec<Node>,
     pub loss: f64,
     pub cut: HashSet<(usize, usize)>,
+    /// A node whose datagrams, both ways, are lost at another rate.
+    pub lossy: Option<(usize, f64)>,
+    /// Members that are asked to ping, and time to contradict, of the nodes added next.
+    pub rule: (usize, Duration),
     pub longest: usize,
     rng: SmallRng,
     steps: u64,
@@ -97,6 +104,8 @@
             nodes: Vec::new(),
             loss,
             cut: HashSet::new(),
+            lossy: None,
+            rule: (INDIRECT, SUSPICION),
             longest: 0,
             rng: SmallRng::seed_from_u64(seed),
             steps: 0,
@@ -109,17 +118,17 @@
     /// Starts the VMs of a deployment and lets them find each other.
     pub fn with_deployment(seed: u64, loss: f64, centres: usize, vms: usize) -> Self {
         let mut net = Self::new(seed, loss);
+        net.start(centres, vms);
+        net
+    }
+
+    /// Starts the VMs of a deployment.
+    pub fn start(&mut self, centres: usize, vms: usize) {
         let snapshot = snapshot(1, centres, vms, 8);
         for vm in 0..vms {
-            net.add(
-                &format!("vm{vm}"),
-                &format!("dc{}", vm % centres),
-                1,
-                |it| it,
-            );
-            net.event(vm, Event::Configuration(Arc::clone(&snapshot)));
+            self.add(&format!("vm{vm}"), &format!("dc{}", vm % centres), 1);
+            self.event(vm, Event::Configuration(Arc::clone(&snapshot)));
         }
-        net
     }
 
     pub fn machine(&self, index: usize, name: &str, centre: &str, incarnation: u64) -> Membership {
@@ -129,19 +138,15 @@
             .data_centre(centre)
             .address(address(index))
             .incarnation(incarnation)
+            .indirect(self.rule.0)
+            .suspicion(self.rule.1)
             .seed(self.seed.wrapping_mul(1_000_003).wrapping_add(index as u64))
             .build()
     }
 
-    pub fn add(
-        &mut self,
-        name: &str,
-        centre: &str,
-        incarnation: u64,
-        change: impl FnOnce(Membership) -> Membership,
-    ) -> usize {
+    pub fn add(&mut self, name: &str, centre: &str, incarnation: u64) -> usize {
         let index = self.nodes.len();
-        let machine = change(self.machine(index, name, centre, incarnation));
+        let machine = self.machine(index, name, centre, incarnation);
         self.nodes.push(Node {
             name: name.to_owned(),
             address: address(index),
@@ -192,7 +197,11 @@
         let Some(target) = self.nodes.iter().position(|node| node.address == to) else {
             return;
         };
-        if self.cut.contains(&(from, target)) || self.rng.random_bool(self.loss) {
+        let loss = match self.lossy {
+            Some((node, loss)) if node == from || node == target => loss,
+            _ => self.loss,
+        };
+        if self.cut.contains(&(from, target)) || self.rng.random_bool(loss) {
             return;
         }
         let delay = Duration::from_micros(self.rng.random_range(200..3000));
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -174,6 +174,9 @@
     cluster.order("platform", "/test/mode", &json!({"stale": 1}));
     cluster.process("vm-2").kill();
     cluster.process("vm-3").freeze();
+    for peer in ["vm-1", "vm-4"] {
+        cluster.proxy(&format!("delay {peer} 200"));
+    }
     cluster.start_vm("vm-2");
     until("vm-2 is ready", || cluster.is_ready("vm-2"));
     assert_eq!(cluster.version("vm-2"), 3);
