feat(route): margin that shrinks with the wait, claims by report, horizons of the request itself

Changes: only the horizons that a request is likely to reach count for it; the margin falls from 1.75 to -1 deviations as the time to wait runs out; the wait is predicted from the rate of dispatches; each VM claims its part of half of the free memory; ten targets are drawn and memory leads the score.

--- a/crates/route/src/memory.rs
+++ b/crates/route/src/memory.rs
@@ -12,6 +12,8 @@
 const HISTORY: usize = 64;
 /// Time between two totals that are kept.
 const HISTORY_STEP: Duration = Duration::from_millis(100);
+/// Least probability of reaching a horizon for which a request has to find room there.
+const LIKELY: f32 = 0.05;
 /// Age after which a peer's counters or a report no longer count.
 const EXPIRY: Duration = Duration::from_secs(10);
 
@@ -40,6 +42,15 @@
         profile
     }
 
+    /// Returns how many horizons the request is likely to reach, the present one included.
+    fn horizons(&self) -> usize {
+        let prompt = self.mean[0];
+        let reached =
+            |(index, &mean): (usize, &f32)| mean > LIKELY * (prompt + HORIZONS[index] as f32);
+        let last = self.mean.iter().enumerate().rposition(reached);
+        last.map_or(1, |last| last + 1)
+    }
+
     fn add(&mut self, other: &Self, sign: f32) {
         for index in 0..HORIZONS.len() {
             self.mean[index] = (self.mean[index] + sign * other.mean[index]).max(0.0);
@@ -161,14 +172,14 @@
         self.current().requests <= 0
     }
 
-    /// Returns the predicted peak in tokens with one more request, `margin` deviations above the
-    /// mean; `typical` is the curve of requests that others sent.
+    /// Returns the predicted peak in tokens while one more request runs, `margin` deviations above
+    /// the mean; `typical` is the curve of requests that others sent.
     pub fn peak(&self, added: &Profile, typical: &Curve, margin: f32) -> f32 {
         let current = self.current();
         let others = (current.requests - self.own.requests).max(0) as f32;
         let other_tokens = (current.tokens - self.own.tokens) as f32;
         let mut peak = 0.0_f32;
-        for (index, &more) in HORIZONS.iter().enumerate() {
+        for (index, &more) in HORIZONS.iter().enumerate().take(added.horizons()) {
             let stays = typical.renews(more);
             let growth = others * more as f32;
             let held = if other_tokens > 0.0 {
--- a/crates/route/src/policies/predictive.rs
+++ b/crates/route/src/policies/predictive.rs
@@ -149,7 +149,7 @@
         self.limit.begin(request.customer);
         let estimate = self.estimate(&request);
         if !self.is_behind(&request)
-            && let Some(choice) = self.choose(now, &request, &estimate, None)
+            && let Some(choice) = self.choose(now, &request, &estimate, self.settings.margin, None)
         {
             self.dispatch(now, &request, now, choice, &estimate, actions);
             return;
@@ -261,6 +261,7 @@
         now: Instant,
         request: &Request,
         estimate: &Estimate,
+        margin: f32,
         first: Option<key::Target>,
     ) -> Option<Choice> {
         let lane = self.lanes.get(request.service)?;
@@ -278,9 +279,13 @@
                 profile: &estimate.profile,
                 typical: typical(&self.lengths, estimate.group),
                 share: if headroom { class.share } else { 1.0 },
-                margin: self.settings.margin,
+                margin: if lane.is_first(request.class) {
+                    0.0
+                } else {
+                    margin
+                },
                 forecast: self.settings.has(Mechanism::Forecast),
-                claim: self.settings.has(Mechanism::Claim),
+                claim: self.settings.has(Mechanism::Claim) && !lane.is_first(request.class),
             },
         };
         view.choose(request, first, &mut self.random, &mut self.candidates)
@@ -304,6 +309,7 @@
             && let Some(class) = lane.classes.get_mut(request.class)
         {
             class.in_flight += 1;
+            class.rate.count(now);
         }
         for &prefix in &request.prefixes {
             self.prefixes.store(now, prefix, target);
@@ -351,7 +357,7 @@
         };
         let duration = lane.duration(request.class, estimate.tokens);
         let ahead = lane.queue.ahead(place, weight);
-        let wait = lane.wait(request.class, ahead + 1.0, duration);
+        let wait = lane.wait(now, request.class, ahead + 1.0, duration);
         let excess = (now + wait + duration).since(request.deadline);
         if refuses && !excess.is_zero() {
             self.limit.end(request.customer);
@@ -419,7 +425,8 @@
         for (place, waiting) in queue.heads().take(HEADS) {
             let request = &waiting.request;
             let estimate = self.estimate(request);
-            if let Some(choice) = self.choose(now, request, &estimate, free) {
+            let margin = self.margin(now, waiting);
+            if let Some(choice) = self.choose(now, request, &estimate, margin, free) {
                 return Some((place, choice, estimate));
             }
             let target = free.and_then(|free| self.targets.get(free));
@@ -430,6 +437,19 @@
         None
     }
 
+    /// Returns the margin for a waiting request: it shrinks as the time to wait runs out.
+    fn margin(&self, now: Instant, waiting: &Waiting) -> f32 {
+        let waited = now.since(waiting.since).as_secs_f32();
+        let allowed = waiting.give_up.since(waiting.since).as_secs_f32();
+        let left = 1.0 - waited / allowed.max(f32::MIN_POSITIVE);
+        let Settings {
+            margin,
+            least_margin,
+            ..
+        } = self.settings;
+        least_margin + (margin - least_margin) * left.clamp(0.0, 1.0)
+    }
+
     fn progress(&mut self, now: Instant, request: key::Request, tokens: u32) {
         let Some(running) = self.running.get_mut(request) else {
             return;
--- a/crates/route/src/policies/predictive/engine.rs
+++ b/crates/route/src/policies/predictive/engine.rs
@@ -14,7 +14,7 @@
 /// Memory that a request is taken to hold before any is known, in tokens.
 const UNKNOWN_SIZE: f64 = 512.0;
 /// Part of the free memory that all VMs together claim after one report.
-const CLAIMED: f64 = 1.0;
+const CLAIMED: f64 = 0.5;
 
 /// The state of one target.
 #[derive(Clone, Debug, Default)]
--- a/crates/route/src/policies/predictive/lane.rs
+++ b/crates/route/src/policies/predictive/lane.rs
@@ -2,13 +2,15 @@
 
 use {
     crate::{budget::Budget, fair_queue::Queue},
-    base::key,
+    base::{Instant, key},
     config::{Snapshot, deployment::Service},
     std::time::Duration,
 };
 
 /// Weight of the newest value in the moving averages.
 const NEWEST_SHARE: f64 = 0.02;
+/// Time over which the rate of dispatches is averaged, in seconds.
+const RATE_WINDOW: f64 = 15.0;
 
 /// One class of the service.
 #[derive(Clone, Debug)]
@@ -23,6 +25,29 @@
     pub in_flight: u32,
     /// Mean duration of a whole answer in seconds; 0 if unknown.
     pub seconds: f64,
+    /// Rate of its dispatches.
+    pub rate: Rate,
+}
+
+/// A rate that fades with time.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Rate {
+    count: f64,
+    at: Instant,
+}
+
+impl Rate {
+    /// Counts one event.
+    pub fn count(&mut self, now: Instant) {
+        self.count = self.per_second(now) * RATE_WINDOW + 1.0;
+        self.at = now;
+    }
+
+    /// Returns the events a second.
+    pub fn per_second(&self, now: Instant) -> f64 {
+        let passed = now.since(self.at).as_secs_f64();
+        self.count * (-passed / RATE_WINDOW).exp() / RATE_WINDOW
+    }
 }
 
 /// The state of one service.
@@ -67,6 +92,20 @@
         self.targets = near.into_iter().chain(far).map(|(key, _)| key).collect();
     }
 
+    /// Returns whether a class goes before some others and none goes before it.
+    pub fn is_first(&self, class: usize) -> bool {
+        let Some(class) = self.classes.get(class) else {
+            return false;
+        };
+        let priorities = self.classes.iter().map(|other| other.priority);
+        let (mut higher, mut lower) = (false, false);
+        for priority in priorities {
+            higher |= priority > class.priority;
+            lower |= priority < class.priority;
+        }
+        lower && !higher
+    }
+
     /// Notes the time between tokens of a stream.
     pub fn observe_gap(&mut self, tokens: u32, took: Duration) {
         let gap = took.as_secs_f64() / f64::from(tokens.max(1));
@@ -83,10 +122,17 @@
         Duration::from_secs_f64(seconds)
     }
 
-    /// Returns the expected wait behind so many requests, by Little's law over the class.
-    pub fn wait(&self, class: usize, ahead: f64, duration: Duration) -> Duration {
-        let in_flight = self.classes.get(class).map_or(1, |class| class.in_flight);
-        duration.mul_f64(ahead / f64::from(in_flight.max(1)))
+    /// Returns the expected wait behind so many requests of a class.
+    ///
+    /// They go as fast as of late, or as Little's law has it for those in flight if that is faster.
+    pub fn wait(&self, now: Instant, class: usize, ahead: f64, duration: Duration) -> Duration {
+        let Some(class) = self.classes.get(class) else {
+            return Duration::ZERO;
+        };
+        let seconds = duration.as_secs_f64().max(f64::EPSILON);
+        let in_flight = f64::from(class.in_flight.max(1));
+        let rate = class.rate.per_second(now).max(in_flight / seconds);
+        Duration::from_secs_f64(ahead / rate)
     }
 }
 
@@ -111,6 +157,9 @@
             share: share(service, class.priority),
             in_flight: former.get(index).map_or(0, |former| former.in_flight),
             seconds: former.get(index).map_or(0.0, |former| former.seconds),
+            rate: former
+                .get(index)
+                .map_or_else(Rate::default, |former| former.rate),
         })
         .collect()
 }
--- a/crates/route/src/policies/predictive/settings.rs
+++ b/crates/route/src/policies/predictive/settings.rs
@@ -30,6 +30,8 @@
     pub off: Vec<Mechanism>,
     /// Deviations of the predicted memory that are kept free.
     pub margin: f32,
+    /// The margin for a request that has waited for as long as it can.
+    pub least_margin: f32,
     /// Targets drawn for one decision.
     pub samples: usize,
     /// Targets looked at, at most, if none of the drawn ones fits.
@@ -46,10 +48,11 @@
     fn default() -> Self {
         Self {
             off: Vec::new(),
-            margin: 1.0,
-            samples: 5,
+            margin: 1.75,
+            least_margin: -1.0,
+            samples: 10,
             scan: 64,
-            batch: 1.0,
+            batch: 0.3,
             remote: 0.02,
             prefix: 0.5,
         }
--- a/crates/route/tests/support/mod.rs
+++ b/crates/route/tests/support/mod.rs
@@ -81,6 +81,10 @@
     pub fn new(policy: &str, seed: u64, deployment: &Deployment) -> Self {
         let home = key::DataCentre::of("a");
         let policy = policies::make(policy, seed, home).expect("the policy is known");
+        Self::of(policy, deployment)
+    }
+
+    pub fn of(policy: Box<dyn Policy>, deployment: &Deployment) -> Self {
         let mut script = Self {
             policy,
             now: Instant::default() + Duration::from_secs(1),
