--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod key;
 pub mod machine;
 pub mod refusal;
+pub mod rendezvous;
+pub mod sealed;
 pub mod verdict;
 
 pub use clock::{Clock, Instant};
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,12 +5,14 @@
 
 pub mod deployment;
 pub mod diagnostic;
+pub mod difference;
 pub mod fault;
 pub mod ini;
 pub mod parse;
 pub mod settings;
 pub mod source;
 pub mod unit;
+mod value;
 
 pub use deployment::Snapshot;
 pub use fault::Fault;
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -4,11 +4,12 @@
     crate::{
         Fault,
         ini::{Reader, sections},
-        unit,
+        unit, value,
     },
     derive_more::Debug,
     std::{
         cell::RefCell,
+        collections::HashSet,
         net::{Ipv4Addr, SocketAddr},
         path::PathBuf,
         time::Duration,
@@ -30,6 +31,8 @@
     pub log: Log,
     /// `[limits]`
     pub limits: Limits,
+    /// `[routing]`
+    pub routing: Routing,
 }
 
 /// Which VM this is.
@@ -100,6 +103,8 @@
     pub file: Option<PathBuf>,
     /// Least severe level that is written.
     pub level: log::LevelFilter,
+    /// Lines that may wait to be written; further ones are dropped and counted.
+    pub queue: u32,
 }
 
 impl Default for Log {
@@ -107,6 +112,22 @@
         Self {
             file: None,
             level: log::LevelFilter::Info,
+            queue: 8192,
+        }
+    }
+}
+
+/// Routing.
+#[derive(Clone, Debug)]
+pub struct Routing {
+    /// Name of the policy.
+    pub policy: Box<str>,
+}
+
+impl Default for Routing {
+    fn default() -> Self {
+        Self {
+            policy: "least_in_flight".into(),
         }
     }
 }
@@ -116,6 +137,8 @@
 pub struct Limits {
     /// Most connections of callers at once.
     pub connections: u32,
+    /// Most bytes of the headers of a request.
+    pub header_limit: u64,
     /// Longest time for a caller to send its headers.
     pub header_timeout: Duration,
     /// Longest time for a caller to send its body.
@@ -132,6 +155,7 @@
     fn default() -> Self {
         Self {
             connections: 4096,
+            header_limit: 64 << 10,
             header_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(30),
             connect_timeout: Duration::from_secs(1),
@@ -146,12 +170,16 @@
 /// # Errors
 /// Returns every fault that was found.
 pub fn parse(file: &str, text: &str) -> Result<Settings, Vec<Fault>> {
-    const KINDS: &str = "vm, listen, platform, keys, log, limits";
+    const KINDS: &str = "vm, listen, platform, keys, log, limits, routing";
     let sections = sections(file, text)?;
     let faults = RefCell::default();
     let mut settings = Settings::default();
+    let mut kinds = HashSet::new();
     for section in &sections {
         let reader = Reader::new(file, section, &faults);
+        if !kinds.insert(&section.kind) {
+            reader.reject("", "the section is given twice", "each section once");
+        }
         match &*section.kind {
             "vm" => read_vm(&mut settings.vm, &reader),
             "listen" => read_listen(&mut settings.listen, &reader),
@@ -159,6 +187,7 @@
             "keys" => read_keys(&mut settings.keys, &reader),
             "log" => read_log(&mut settings.log, &reader),
             "limits" => read_limits(&mut settings.limits, &reader),
+            "routing" => read_routing(&mut settings.routing, &reader),
             _ => {
                 reader.reject("", "the section is unknown", KINDS);
                 continue;
@@ -192,26 +221,32 @@
 }
 
 fn read_vm(vm: &mut Vm, reader: &Reader<'_>) {
-    vm.name = reader.required("name", "a name", text);
-    vm.data_centre = reader.required("data_centre", "a name", text);
+    vm.name = reader.required("name", value::NAME, value::name);
+    vm.data_centre = reader.required("data_centre", "a name", value::text);
     set(&mut vm.peers, reader.optional("peers", addresses));
 }
 
 fn read_listen(listen: &mut Listen, reader: &Reader<'_>) {
-    set(&mut listen.caller, reader.optional("caller", address));
-    set(&mut listen.inner, reader.optional("inner", address));
-    set(&mut listen.admin, reader.optional("admin", address));
+    set(
+        &mut listen.caller,
+        reader.optional("caller", value::address),
+    );
+    set(&mut listen.inner, reader.optional("inner", value::address));
+    set(&mut listen.admin, reader.optional("admin", value::address));
 }
 
 fn read_platform(platform: &mut Platform, reader: &Reader<'_>) {
-    set(&mut platform.address, reader.optional("address", address));
+    set(
+        &mut platform.address,
+        reader.optional("address", value::address),
+    );
     set(
         &mut platform.watch,
-        reader.optional("watch", unit::duration),
+        reader.optional("watch", value::duration),
     );
     set(
         &mut platform.list_interval,
-        reader.optional("list_interval", unit::duration),
+        reader.optional("list_interval", value::duration),
     );
 }
 
@@ -222,37 +257,51 @@
 fn read_log(log: &mut Log, reader: &Reader<'_>) {
     log.file = reader.optional("file", file);
     set(&mut log.level, reader.optional("level", level));
+    set(&mut log.queue, reader.optional("queue", value::positive));
 }
 
 fn read_limits(limits: &mut Limits, reader: &Reader<'_>) {
     set(
         &mut limits.connections,
-        reader.optional("connections", positive),
+        reader.optional("connections", value::positive),
+    );
+    set(
+        &mut limits.header_limit,
+        reader.optional("header_limit", header_limit),
     );
     set(
         &mut limits.header_timeout,
-        reader.optional("header_timeout", unit::duration),
+        reader.optional("header_timeout", value::duration),
     );
     set(
         &mut limits.body_timeout,
-        reader.optional("body_timeout", unit::duration),
+        reader.optional("body_timeout", value::duration),
     );
     set(
         &mut limits.connect_timeout,
-        reader.optional("connect_timeout", unit::duration),
+        reader.optional("connect_timeout", value::duration),
     );
     set(
         &mut limits.drain_timeout,
-        reader.optional("drain_timeout", unit::duration),
+        reader.optional("drain_timeout", value::duration),
+    );
+    set(
+        &mut limits.threads,
+        reader.optional("threads", value::positive),
     );
-    set(&mut limits.threads, reader.optional("threads", positive));
 }
 
-fn text(value: &str) -> Result<Box<str>, &'static str> {
-    if value.is_empty() {
-        return Err("a name");
+fn read_routing(routing: &mut Routing, reader: &Reader<'_>) {
+    set(&mut routing.policy, reader.optional("policy", value::text));
+}
+
+/// Parses the limit of headers; the HTTP library needs 8 KiB for itself.
+fn header_limit(value: &str) -> Result<u64, Box<str>> {
+    const PERMITTED: std::ops::RangeInclusive<u64> = 8 << 10..=1 << 20;
+    match unit::size(value)? {
+        size if PERMITTED.contains(&size) => Ok(size),
+        _ => Err("a size from 8KiB to 1MiB".into()),
     }
-    Ok(value.into())
 }
 
 fn file(value: &str) -> Result<PathBuf, &'static str> {
@@ -262,14 +311,11 @@
     Ok(PathBuf::from(value))
 }
 
-fn address(value: &str) -> Result<SocketAddr, &'static str> {
-    value
-        .parse()
-        .map_err(|_error| "an IP address with a port, such as 127.0.0.1:8080")
-}
-
 fn addresses(value: &str) -> Result<Vec<SocketAddr>, &'static str> {
-    value.split(',').map(|item| address(item.trim())).collect()
+    value
+        .split(',')
+        .map(|item| value::address(item.trim()))
+        .collect()
 }
 
 fn level(value: &str) -> Result<log::LevelFilter, &'static str> {
@@ -277,10 +323,3 @@
         .parse()
         .map_err(|_error| "off, error, warn, info, debug or trace")
 }
-
-fn positive(value: &str) -> Result<u32, &'static str> {
-    match value.parse() {
-        Ok(value) if value > 0 => Ok(value),
-        _ => Err("a whole number from 1"),
-    }
-}
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -96,6 +96,11 @@
         }
         _ => run(context, exchange, &call).await?,
     };
+    context.metrics.complete(exchange.service_name());
+    log::info!(
+        target: "answer", request:% = exchange.id, verdict:% = Verdict::Ran,
+        status = reply.status.as_u16(), configuration_version = exchange.version(); "complete"
+    );
     let mut response = Response::new(answer::full(reply.body));
     *response.status_mut() = reply.status;
     *response.headers_mut() = reply.headers;
@@ -114,7 +119,7 @@
 /// Runs a call on a target, with retries as far as it may be repeated.
 ///
 /// # Errors
-/// Returns the refusal of the last attempt.
+/// Returns the refusal of the last attempt, with what is known of all of them.
 pub async fn run(
     context: &Arc<Context>,
     exchange: &Exchange,
@@ -122,11 +127,14 @@
 ) -> Result<Reply, Refusal> {
     let idempotent = call.is_idempotent(exchange);
     let mut excluded = Vec::new();
+    let mut verdict = Verdict::NotRun;
     loop {
-        let refusal = match attempt(context, exchange, call, &mut excluded).await {
+        let mut refusal = match attempt(context, exchange, call, &mut excluded).await {
             Ok(reply) => return Ok(reply),
             Err(refusal) => refusal,
         };
+        verdict = verdict.and(refusal.verdict);
+        refusal.verdict = verdict;
         let repeatable = refusal.verdict == Verdict::NotRun || idempotent;
         let retried = matches!(refusal.reason, Reason::TargetLost | Reason::TargetRefused);
         if !(repeatable && retried) || excluded.len() >= ATTEMPTS {
@@ -134,8 +142,11 @@
         }
         log::info!(
             target: "retry", request:% = exchange.id, verdict:% = refusal.verdict,
-            reason:% = refusal.reason; "the call is sent again"
+            reason:% = refusal.reason, configuration_version = exchange.version();
+            "the call is sent again"
         );
+        let service = exchange.service_name();
+        context.metrics.retry(service, refusal.reason);
     }
 }
 
