--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line: its subcommands and exit codes.
 
 use {
-    crate::{check, completions, demo, diff, explain, render, serve, status},
+    crate::{check, completions, demo, diff, explain, load, render, serve, status},
     clap::{ArgMatches, Command},
     std::process::ExitCode,
 };
@@ -26,13 +26,14 @@
 }
 
 /// Every subcommand, in the order of `--help`.
-const SUBCOMMANDS: [Subcommand; 8] = [
+const SUBCOMMANDS: [Subcommand; 9] = [
     Subcommand::new(serve::command, serve::run),
     Subcommand::new(check::command, check::run),
     Subcommand::new(diff::command, diff::run),
     Subcommand::new(render::command, render::run),
     Subcommand::new(status::command, status::run),
     Subcommand::new(explain::command, explain::run),
+    Subcommand::new(load::command, load::run),
     Subcommand::new(demo::command, demo::run),
     Subcommand::new(completions::command, completions::run),
 ];
--- a/crates/cli/src/embedded.rs
+++ b/crates/cli/src/embedded.rs
@@ -22,7 +22,7 @@
 pub const PLAIN_SERVICE: &str = "receptury";
 /// Name of the only model.
 pub const MODEL: &str = "batch-sheet";
-/// Key of the only customer.
+/// Key of the only customer, if the plan names no others.
 pub const CUSTOMER_KEY: &str = "night-shift-key";
 /// Header that names an operation to the plain service's run counter.
 pub const OPERATION: &str = "x-operation";
@@ -42,6 +42,30 @@
     pub policy: Box<str>,
     /// Address of the first entry VM for callers; a free one if `None`.
     pub caller: Option<SocketAddr>,
+    /// Classes of the model service, as sections of the deployment.
+    pub classes: Box<str>,
+    /// Customers.
+    pub customers: Vec<Customer>,
+}
+
+/// A customer of the deployment.
+#[derive(Clone, Debug)]
+pub struct Customer {
+    /// Its name.
+    pub name: Box<str>,
+    /// Its key.
+    pub key: Box<str>,
+    /// Its weight.
+    pub weight: u32,
+}
+
+/// Classes of the model service if the plan names no others.
+fn classes() -> Box<str> {
+    format!(
+        "[class {MODEL_SERVICE} draft]\npriority = 1\n\
+         [class {MODEL_SERVICE} lookup]\npriority = 5\nheadroom = 0.1\nmax_tokens = 256\n"
+    )
+    .into()
 }
 
 impl Default for Plan {
@@ -51,6 +75,12 @@
             vms: 2,
             policy: config::settings::Routing::default().policy,
             caller: None,
+            classes: classes(),
+            customers: vec![Customer {
+                name: "night-shift".into(),
+                key: CUSTOMER_KEY.into(),
+                weight: 1,
+            }],
         }
     }
 }
@@ -69,6 +99,7 @@
     /// Address of the platform.
     pub platform: SocketAddr,
     daemons: Vec<Daemon>,
+    stand_ins: StandIns,
 }
 
 impl Path {
@@ -77,15 +108,19 @@
     /// # Errors
     /// Returns an error that names the address at fault.
     pub async fn start(plan: Plan) -> Result<Self, Error> {
-        let engines = start_engines(&plan).await?;
+        let mut stand_ins = Vec::new();
+        let engines = start_engines(&plan, &mut stand_ins).await?;
         let (listener, service) = listen().await?;
-        smol::spawn(service::serve(listener, service::Settings::default())).detach();
+        stand_ins.push(smol::spawn(service::serve(
+            listener,
+            service::Settings::default(),
+        )));
         let listens = (0..plan.vms)
             .map(|_| free_addresses())
             .collect::<io::Result<Vec<_>>>()
             .map_err(|error| Error::new(error.to_string()))?;
-        let value = value(&listens, &engines, service);
-        let platform = start_platform(value).await?;
+        let value = value(&plan, &listens, &engines, service);
+        let platform = start_platform(value, &mut stand_ins).await?;
         let mut path = Self {
             callers: Vec::new(),
             admins: Vec::new(),
@@ -93,6 +128,7 @@
             service,
             platform,
             daemons: Vec::new(),
+            stand_ins,
         };
         for (index, mut listen) in listens.into_iter().enumerate() {
             if let (0, Some(caller)) = (index, plan.caller) {
@@ -112,6 +148,16 @@
         ended
     }
 
+    /// Ends everything at once.
+    pub async fn kill(self) {
+        for daemon in &self.daemons {
+            daemon.kill();
+        }
+        for stand_in in self.stand_ins {
+            stand_in.cancel().await;
+        }
+    }
+
     async fn start_daemon(
         &mut self,
         plan: &Plan,
@@ -141,7 +187,9 @@
     }
 }
 
-async fn start_engines(plan: &Plan) -> Result<Vec<SocketAddr>, Error> {
+type StandIns = Vec<smol::Task<io::Result<()>>>;
+
+async fn start_engines(plan: &Plan, stand_ins: &mut StandIns) -> Result<Vec<SocketAddr>, Error> {
     let mut addresses = Vec::new();
     for (index, settings) in plan.engines.iter().enumerate() {
         let (listener, address) = listen().await?;
@@ -149,19 +197,19 @@
             name: engine_name(index).into(),
             ..settings.clone()
         };
-        smol::spawn(engine::serve(listener, settings)).detach();
+        stand_ins.push(smol::spawn(engine::serve(listener, settings)));
         addresses.push(address);
     }
     Ok(addresses)
 }
 
-async fn start_platform(value: String) -> Result<SocketAddr, Error> {
+async fn start_platform(value: String, stand_ins: &mut StandIns) -> Result<SocketAddr, Error> {
     let (listener, address) = listen().await?;
     let settings = platform::Settings {
         value: Some((1, value.into())),
         ..platform::Settings::default()
     };
-    smol::spawn(platform::serve(listener, settings)).detach();
+    stand_ins.push(smol::spawn(platform::serve(listener, settings)));
     Ok(address)
 }
 
@@ -196,21 +244,27 @@
 }
 
 /// Writes the deployment's published value.
-fn value(listens: &[Listen], engines: &[SocketAddr], service: SocketAddr) -> String {
-    let digest = Sha256::digest(CUSTOMER_KEY);
+fn value(plan: &Plan, listens: &[Listen], engines: &[SocketAddr], service: SocketAddr) -> String {
+    let classes = &plan.classes;
     let mut text = format!(
         "[deployment]\nname = demo\nversion = 1\n\
          [data_centre {DATA_CENTRE}]\nregion = wlkp\n\
          [model {MODEL}]\nversion = 1\nweight = 1GiB\n\
          [service {MODEL_SERVICE}]\nkind = model\nmodels = {MODEL}\n\
-         [class {MODEL_SERVICE} draft]\npriority = 1\n\
-         [class {MODEL_SERVICE} lookup]\npriority = 5\nheadroom = 0.1\nmax_tokens = 256\n\
+         {classes}\
          [service {PLAIN_SERVICE}]\nkind = plain\n\
          [route {PLAIN_SERVICE} release]\nmethod = POST\npath = /releases\nidempotent = no\n\
          [target {PLAIN_SERVICE}-1]\nservice = {PLAIN_SERVICE}\ndata_centre = {DATA_CENTRE}\n\
-         address = {service}\n\
-         [customer night-shift]\nkey_sha256 = {digest:x}\n"
+         address = {service}\n"
     );
+    for customer in &plan.customers {
+        let digest = Sha256::digest(customer.key.as_bytes());
+        let (name, weight) = (&customer.name, customer.weight);
+        let _ = write!(
+            text,
+            "[customer {name}]\nkey_sha256 = {digest:x}\nweight = {weight}\n"
+        );
+    }
     for (index, listen) in listens.iter().enumerate() {
         let (name, inner) = (vm_name(index), listen.inner);
         let _ = write!(
@@ -218,13 +272,14 @@
             "[vm {name}]\ndata_centre = {DATA_CENTRE}\ninner = {inner}\n"
         );
     }
-    let memory = engine::Settings::default().memory;
-    for (index, address) in engines.iter().enumerate() {
+    for (index, (address, engine)) in engines.iter().zip(&plan.engines).enumerate() {
         let name = engine_name(index);
+        let (memory, batch) = (engine.memory, engine.batch);
         let _ = write!(
             text,
             "[target {name}]\nservice = {MODEL_SERVICE}\ndata_centre = {DATA_CENTRE}\n\
-             address = {address}\nmemory_tokens = {memory}\nweights = 16GiB\nfencing = checked\n"
+             address = {address}\nmemory_tokens = {memory}\nweights = 16GiB\nfencing = checked\n\
+             concurrency = {batch}\n"
         );
     }
     text
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -10,6 +10,7 @@
 mod diff;
 mod explain;
 mod input;
+mod load;
 mod output;
 mod render;
 mod serve;
--- /dev/null
+++ b/crates/cli/src/load/run.rs
@@ -0,0 +1,177 @@
+//! One run of a workload against a running system.
+
+use {
+    crate::{
+        client::{self, Failure},
+        embedded::Path,
+        load::{
+            caller::Caller,
+            record::{Figure, Run, Sample},
+            schedule::{Arrival, arrivals},
+            workload::Workload,
+        },
+    },
+    entry::runtime::Runtime,
+    serde_json::Value,
+    smol::{
+        Timer,
+        channel::{Receiver, Sender, unbounded},
+    },
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+/// Threads of the callers.
+const THREADS: u32 = 2;
+/// Longest wait for the entry VMs to have a configuration and to have heard of each other.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+/// Time for load reports and gossip to go round before the first request.
+const SETTLE: Duration = Duration::from_secs(2);
+
+/// Where the system is.
+#[derive(Clone, Debug, Default)]
+pub struct Place {
+    /// Addresses for callers.
+    pub callers: Vec<SocketAddr>,
+    /// Addresses of engines that count preemptions, if they are known.
+    pub engines: Vec<SocketAddr>,
+    /// A customer's key in place of those of the embedded system.
+    pub key: Option<Box<str>>,
+}
+
+/// Starts a system with a policy, runs the workload on it and ends it.
+///
+/// # Errors
+/// Returns an error if the system does not start.
+pub async fn embedded(workload: &Workload, policy: &str) -> Result<Run, Failure> {
+    let path = Path::start(workload.plan(policy)).await?;
+    wait_until_ready(&path).await?;
+    Timer::after(SETTLE).await;
+    let place = Place {
+        callers: path.callers.clone(),
+        engines: path.engines.clone(),
+        key: None,
+    };
+    let mut run = against(workload, &place).await?;
+    run.policy = policy.into();
+    path.kill().await;
+    Ok(run)
+}
+
+/// Runs the workload on a system that is there.
+///
+/// # Errors
+/// Returns an error if an engine that was named does not answer.
+pub async fn against(workload: &Workload, place: &Place) -> Result<Run, Failure> {
+    let before = counts(&place.engines).await?;
+    let runtime = Runtime::start(THREADS);
+    let start = Instant::now();
+    let (sender, samples) = unbounded();
+    let events = runtime.spawn(disturb(workload.clone(), place.engines.clone(), start));
+    let mut sent = 0;
+    for arrival in arrivals(workload) {
+        Timer::at(start + arrival.at).await;
+        sent += 1;
+        send(&runtime, workload, place, start, arrival, sender.clone());
+    }
+    let run = collect(workload, samples, sent).await?;
+    events.cancel().await;
+    runtime.stop();
+    let after = counts(&place.engines).await?;
+    Ok(Run {
+        preemptions: after.0 - before.0,
+        generations: after.1 - before.1,
+        ..run
+    })
+}
+
+fn send(
+    runtime: &Runtime,
+    workload: &Workload,
+    place: &Place,
+    start: Instant,
+    arrival: Arrival,
+    samples: Sender<Sample>,
+) {
+    let kind = &workload.kinds[arrival.kind];
+    let key = workload.customers[arrival.customer].key();
+    let caller = Caller {
+        address: place.callers[arrival.vm % place.callers.len()],
+        key: place.key.clone().unwrap_or(key),
+        class: kind.name.clone(),
+        deadline: kind.deadline,
+        start,
+    };
+    let task = async move {
+        let _ = samples.send(caller.ask(arrival).await).await;
+    };
+    runtime.spawn(task).detach();
+}
+
+async fn collect(
+    workload: &Workload,
+    samples: Receiver<Sample>,
+    sent: usize,
+) -> Result<Run, Failure> {
+    let names = |name: &str| (Box::from(name), Figure::default());
+    let mut run = Run {
+        kinds: workload
+            .kinds
+            .iter()
+            .map(|kind| names(&kind.name))
+            .collect(),
+        customers: workload
+            .customers
+            .iter()
+            .map(|customer| names(&customer.name))
+            .collect(),
+        ..Run::default()
+    };
+    for _ in 0..sent {
+        let sample = samples.recv().await?;
+        run.add(&sample, workload.pace, workload.warmup);
+    }
+    Ok(run)
+}
+
+/// Orders the engines' stand-ins to misbehave when their time has come.
+async fn disturb(workload: Workload, engines: Vec<SocketAddr>, start: Instant) {
+    for event in &workload.events {
+        Timer::at(start + event.at).await;
+        let Some(&engine) = engines.get(event.engine) else {
+            eprintln!("the engine of an event is not known");
+            continue;
+        };
+        let ordered = client::post(engine, "/test/behaviour", &[], &event.behaviour).await;
+        if !ordered.is_ok_and(|answer| answer.status == 200) {
+            eprintln!("an engine did not take its behaviour");
+        }
+    }
+}
+
+/// Sums the preemptions and the generations of the engines.
+async fn counts(engines: &[SocketAddr]) -> Result<(u64, u64), Failure> {
+    let mut sums = (0, 0);
+    for &engine in engines {
+        let answer = client::get(engine, "/test/runs").await?;
+        let counted: Value = serde_json::from_slice(&answer.body)?;
+        sums.0 += counted["preemptions"].as_u64().unwrap_or(0);
+        sums.1 += counted["runs"].as_object().map_or(0, serde_json::Map::len) as u64;
+    }
+    Ok(sums)
+}
+
+async fn wait_until_ready(path: &Path) -> Result<(), Failure> {
+    let started = Instant::now();
+    for &admin in &path.admins {
+        while client::get(admin, "/ready").await?.status != 200 {
+            if started.elapsed() > READY_LIMIT {
+                return Err("the entry VMs are not ready".into());
+            }
+            Timer::after(Duration::from_millis(20)).await;
+        }
+    }
+    Ok(())
+}
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -127,7 +127,7 @@
 impl Default for Routing {
     fn default() -> Self {
         Self {
-            policy: "least_in_flight".into(),
+            policy: "predictive".into(),
         }
     }
 }
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -162,7 +162,7 @@
     }
     let mut exchange = Exchange::new(context, deployment, customer, service);
     if let Some(limit) = deadline(parts) {
-        exchange.shorten(context.now(), limit);
+        exchange.shorten(limit);
     }
     Ok(exchange)
 }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -93,6 +93,13 @@
     }
 }
 
+impl Daemon {
+    /// Ends the process's tasks at once, whatever they do; for entry VMs inside another process.
+    pub fn kill(&self) {
+        self.context.runtime.stop();
+    }
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(address)
         .await
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -18,8 +18,12 @@
     pub customer: key::Customer,
     /// The service.
     pub service: key::Service,
+    /// When the request began.
+    pub began: Instant,
     /// When the answer is due.
     pub deadline: Instant,
+    /// What the caller itself allows.
+    limit: Option<Duration>,
     /// The configuration that the request began under.
     pub deployment: Arc<Deployment>,
 }
@@ -38,19 +42,37 @@
             .get(service)
             .map_or(config::parse::DEADLINE, |service| service.deadline);
         let id = new_id();
+        let began = context.now();
         Self {
             key: key::Request::of(&id),
             id,
             customer,
             service,
-            deadline: context.now() + limit,
+            began,
+            deadline: began + limit,
+            limit: None,
             deployment,
         }
     }
 
     /// Brings the deadline forward; a later one is ignored.
-    pub fn shorten(&mut self, now: Instant, limit: Duration) {
-        self.deadline = self.deadline.min(now + limit);
+    pub fn shorten(&mut self, limit: Duration) {
+        self.limit = Some(limit);
+        self.deadline = self.deadline.min(self.began + limit);
+    }
+
+    /// Returns the request with the deadline of its class in place of the service's.
+    #[must_use]
+    pub fn of_class(&self, class: usize) -> Self {
+        let mut exchange = self.clone();
+        let class = self
+            .service()
+            .and_then(|service| service.classes.get(class));
+        if let Some(class) = class {
+            let limit = self.limit.unwrap_or(class.deadline);
+            exchange.deadline = self.began + limit.min(class.deadline);
+        }
+        exchange
     }
 
     /// Returns the time left.
--- a/crates/entry/src/generation.rs
+++ b/crates/entry/src/generation.rs
@@ -37,6 +37,7 @@
     body: &[u8],
 ) -> Result<Response<Body>, Refusal> {
     let prompt = Prompt::parse(exchange, parts, body)?;
+    let exchange = &exchange.of_class(prompt.class());
     respond(exchange, session::begin(context, exchange, prompt)).await
 }
 
--- a/crates/entry/src/inner.rs
+++ b/crates/entry/src/inner.rs
@@ -270,7 +270,7 @@
         return Err(bad(&"the customer or the service is not in force here"));
     }
     let mut exchange = Exchange::new(context, deployment, customer, service);
-    exchange.shorten(context.now(), Duration::from_millis(message.deadline_ms));
+    exchange.shorten(Duration::from_millis(message.deadline_ms));
     exchange.key = key::Request::of(&message.request);
     exchange.id = message.request.into();
     let method: Method = message.method.parse().map_err(|error| bad(&error))?;
--- a/crates/entry/src/runtime.rs
+++ b/crates/entry/src/runtime.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug)]
 pub struct Runtime {
     executor: Arc<Executor<'static>>,
-    _stop: Sender<Infallible>,
+    stop: Sender<Infallible>,
 }
 
 impl Runtime {
@@ -25,10 +25,12 @@
             let stopped = stopped.clone();
             thread::spawn(move || smol::block_on(executor.run(stopped.recv())));
         }
-        Self {
-            executor,
-            _stop: stop,
-        }
+        Self { executor, stop }
+    }
+
+    /// Ends the threads; tasks that have not ended stand still from then on.
+    pub fn stop(&self) {
+        self.stop.close();
     }
 
     /// Runs a task; dropping the handle cancels it.
