docs: operations and glossary, checked against the program

Tables of settings and deployment keys are compared with the keys and defaults of the program, and events, log fields and metrics with what it writes.

--- /dev/null
+++ b/crates/cli/tests/documents.rs
@@ -0,0 +1,174 @@
+//! The operators' page agrees with the program.
+
+use {
+    config::{parse, settings},
+    std::{collections::BTreeSet, fs, path::Path},
+};
+
+/// A row of a table of keys.
+#[derive(Debug)]
+struct Row {
+    key: String,
+    default: String,
+}
+
+fn read(path: &str) -> String {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    fs::read_to_string(root.join(path)).unwrap_or_else(|error| panic!("{path}: {error}"))
+}
+
+/// Returns the headings `### KIND [SECTION …]` with the rows below each.
+fn tables(kind: &str) -> Vec<(String, Vec<Row>)> {
+    let page = read("docs/OPERATIONS.md");
+    let prefix = format!("### {kind} `[");
+    let mut tables = Vec::new();
+    for part in page.split("\n### ").map(|part| format!("### {part}")) {
+        let Some(rest) = part.strip_prefix(&prefix) else {
+            continue;
+        };
+        let (section, body) = rest.split_once("]`").expect("a heading with a section");
+        let body = body.split("\n## ").next().unwrap_or_default();
+        let rows = body.lines().filter_map(row).collect();
+        tables.push((section.to_owned(), rows));
+    }
+    tables
+}
+
+fn row(line: &str) -> Option<Row> {
+    let mut cells = line.strip_prefix("| `")?.split(" | ");
+    Some(Row {
+        key: cells.next()?.trim_end_matches('`').to_owned(),
+        default: cells.next()?.trim_matches('`').to_owned(),
+    })
+}
+
+fn keys(rows: &[Row]) -> BTreeSet<String> {
+    rows.iter().map(|row| row.key.clone()).collect()
+}
+
+/// Writes the documented defaults as lines of INI.
+fn defaults(rows: &[Row]) -> String {
+    let is_written = |row: &&Row| {
+        !["required", "none"].contains(&&*row.default) && !row.default.starts_with("the ")
+    };
+    let lines = rows.iter().filter(is_written);
+    lines
+        .map(|row| format!("{} = {}\n", row.key, row.default))
+        .collect::<Vec<_>>()
+        .concat()
+}
+
+/// Returns the keys that the program names when it meets one that it doesn't know.
+fn permitted(faults: &[config::Fault]) -> BTreeSet<String> {
+    let fault = faults
+        .iter()
+        .find(|fault| &*fault.key == "unknown_key")
+        .expect("the key is refused");
+    fault.permitted.split(", ").map(str::to_owned).collect()
+}
+
+#[test]
+fn every_setting_stands_on_the_page_with_its_default() {
+    let tables = tables("Settings");
+    let kinds: Vec<_> = tables.iter().map(|(section, _)| &**section).collect();
+    let faults = settings::parse("a", "[unknown]\n").expect_err("the section is unknown");
+    assert_eq!(&*faults[0].permitted, kinds.join(", "));
+    let required = "[vm]\nname = a\ndata_centre = b\n[keys]\ndeployment = k\n";
+    let mut explicit = String::new();
+    for (section, rows) in &tables {
+        let unknown = format!("[{section}]\nunknown_key = 1\n");
+        let faults = settings::parse("a", &unknown).expect_err("the key is unknown");
+        assert_eq!(keys(rows), permitted(&faults), "[{section}]");
+        let own = required.split_once(&format!("[{section}]\n"));
+        let own = own.and_then(|(_, rest)| rest.split('[').next());
+        explicit.extend([
+            "[",
+            section,
+            "]\n",
+            own.unwrap_or_default(),
+            &defaults(rows),
+        ]);
+    }
+    let documented = settings::parse("a", &explicit).expect("the defaults are valid");
+    let built_in = settings::parse("a", required).expect("the required keys suffice");
+    assert_eq!(format!("{documented:#?}"), format!("{built_in:#?}"));
+}
+
+/// Each section with its required keys only.
+const DEPLOYMENT: [(&str, &str); 9] = [
+    ("deployment", "[deployment]\nname = a\nversion = 1\n"),
+    ("data_centre NAME", "[data_centre a]\nregion = a\n"),
+    ("vm NAME", "[vm a]\ndata_centre = a\ninner = 127.0.0.1:1\n"),
+    ("model NAME", "[model a]\nversion = a\nweight = 1B\n"),
+    ("service NAME", "[service a]\nkind = plain\n"),
+    ("class SERVICE NAME", "[class a a]\n"),
+    (
+        "route SERVICE NAME",
+        "[route a a]\npath = /\nidempotent = yes\n",
+    ),
+    (
+        "target NAME",
+        "[target a]\nservice = a\ndata_centre = a\naddress = 127.0.0.1:2\n",
+    ),
+    (
+        "customer NAME",
+        "[customer a]\nkey_sha256 = 6ca13d52ca70c883e0f0bb101e425a89e8624de51db2d2392593af6a84118090\n",
+    ),
+];
+
+#[test]
+fn every_key_of_a_deployment_stands_on_the_page_with_its_default() {
+    let tables = tables("Deployment");
+    let names: Vec<_> = tables.iter().map(|(section, _)| &**section).collect();
+    assert_eq!(names, DEPLOYMENT.map(|(section, _)| section));
+    let mut built_in = String::new();
+    let mut explicit = String::new();
+    for ((section, rows), (_, required)) in tables.iter().zip(DEPLOYMENT) {
+        let unknown = format!("{required}unknown_key = 1\n");
+        let faults = parse::snapshot("a", &unknown).expect_err("the key is unknown");
+        assert_eq!(keys(rows), permitted(&faults), "[{section}]");
+        built_in += required;
+        explicit.extend([required, &defaults(rows)]);
+    }
+    let parse = |text: &str| {
+        let mut snapshot = parse::snapshot("a", text).expect("the defaults are valid");
+        snapshot.value = Box::default();
+        snapshot.digest = [0; 32];
+        format!("{snapshot:#?}")
+    };
+    assert_eq!(parse(&explicit), parse(&built_in));
+}
+
+#[test]
+fn every_metric_and_event_stands_on_the_page() {
+    let page = read("docs/OPERATIONS.md");
+    let metrics = read("tests/snapshots/operators__metrics.snap");
+    let metrics = metrics.lines().filter(|line| {
+        let kinds = [" counter", " gauge", " histogram"];
+        kinds.iter().any(|kind| line.ends_with(kind))
+    });
+    for metric in metrics.filter_map(|line| line.split(' ').next()) {
+        assert!(page.contains(&format!("| `{metric}` |")), "{metric}");
+    }
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../entry/src");
+    for event in events(&folder) {
+        assert!(page.contains(&format!("\n| `{event}` |")), "event {event}");
+    }
+}
+
+/// Returns the events that the daemon's log calls name.
+fn events(folder: &Path) -> BTreeSet<String> {
+    let mut events = BTreeSet::new();
+    for entry in fs::read_dir(folder).expect("the sources are there") {
+        let path = entry.expect("the folder is readable").path();
+        if path.is_dir() {
+            events.extend(self::events(&path));
+            continue;
+        }
+        let text = fs::read_to_string(&path).expect("the source is readable");
+        for part in text.split("target: \"").skip(1) {
+            events.extend(part.split('"').next().map(str::to_owned));
+        }
+    }
+    events
+}
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -112,6 +112,16 @@
         .collect();
     assert_eq!(events, ["route:", "retry:", "route:", "answer:"], "{story}");
     let log = cluster.log("vm-1");
+    let page = include_str!("../docs/OPERATIONS.md");
+    for line in log.lines() {
+        let line: serde_json::Map<_, _> = serde_json::from_str(line).expect("JSON lines");
+        for field in line.keys() {
+            assert!(
+                page.contains(&format!("`{field}`")),
+                "{field} has no line on the page"
+            );
+        }
+    }
     for secret in ["alpha-key", "0123456789abcdef0123456789abcdef"] {
         assert!(!log.contains(secret), "the log holds {secret}");
     }
