--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -212,8 +212,10 @@
     pub fn start_vm(&mut self, vm: &str) {
         let path = |name: &str| self.directory.path().join(name);
         let key = path("deployment.key");
-        std::fs::write(&key, "0123456789abcdef0123456789abcdef").expect("a file");
-        protect(&key);
+        if !key.exists() {
+            std::fs::write(&key, "0123456789abcdef0123456789abcdef").expect("a file");
+            protect(&key);
+        }
         let peers = self.vms().into_iter().filter(|peer| peer != vm);
         let peers: Vec<_> = peers
             .map(|peer| self.addresses[&format!("link:{peer}")].to_string())
@@ -251,6 +253,13 @@
         self.processes.insert(vm.into(), process);
     }
 
+    /// Kills an entry VM, starts it again and waits until it is ready.
+    pub fn start_again(&mut self, vm: &str) {
+        self.process(vm).kill();
+        self.start_vm(vm);
+        until(&format!("{vm} is ready"), || self.is_ready(vm));
+    }
+
     pub fn process(&mut self, name: &str) -> &mut Process {
         self.processes.get_mut(name).expect("the process runs")
     }
