--- /dev/null
+++ b/tests/stops.rs
@@ -0,0 +1,256 @@
+//! Promise 6: a planned stop cuts nothing.
+//!
+//! Callers send long drafts, lookups and releases all the while, each to an entry VM that says it is
+//! ready, as the platform's balancer does.
+
+mod support;
+
+use {
+    hyper::Method,
+    serde_json::json,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        thread::{self, JoinHandle},
+    },
+    support::{Cluster, End, LEDGER, Setup, View, until},
+};
+
+/// Answers of each kind that the load must have had before and after the stops.
+const ROUND: u64 = 5;
+
+/// What one kind of caller does, again and again; the error says what went wrong.
+type Work = fn(&View, &str, &str) -> Result<(), String>;
+
+/// Callers that go on until they are told to end.
+struct Load {
+    ends: Arc<AtomicBool>,
+    callers: Vec<(Arc<AtomicU64>, JoinHandle<Vec<String>>)>,
+    view: View,
+}
+
+impl Load {
+    fn start(cluster: &Cluster) -> Self {
+        let ends = Arc::new(AtomicBool::new(false));
+        let view = cluster.view.clone();
+        let kinds: [(Work, usize); 3] = [(draft, 4), (lookup, 2), (release, 2)];
+        let mut callers = Vec::new();
+        for (work, count) in kinds {
+            for _ in 0..count {
+                let name = format!("caller-{}", callers.len());
+                let (view, ends) = (view.clone(), Arc::clone(&ends));
+                let done = Arc::new(AtomicU64::new(0));
+                let counter = Arc::clone(&done);
+                let caller = thread::spawn(move || repeat(work, &view, &name, &ends, &counter));
+                callers.push((done, caller));
+            }
+        }
+        Self {
+            ends,
+            callers,
+            view,
+        }
+    }
+
+    /// Waits until each caller has had a number of further answers.
+    fn go_on(&self) {
+        let counts = || {
+            self.callers
+                .iter()
+                .map(|(done, _)| done.load(Ordering::SeqCst))
+        };
+        let before: Vec<_> = counts().collect();
+        until("every caller has had answers", || {
+            counts()
+                .zip(&before)
+                .all(|(now, before)| now >= before + ROUND)
+        });
+    }
+
+    /// Ends the load and expects that nothing went wrong and no release ran twice.
+    fn end(self) {
+        self.ends.store(true, Ordering::SeqCst);
+        let mut faults = Vec::new();
+        for (_, caller) in self.callers {
+            faults.extend(caller.join().expect("the caller ended"));
+        }
+        assert!(faults.is_empty(), "{} cut: {faults:#?}", faults.len());
+        for service in self.view.services() {
+            let runs = self.view.get(&service, "/test/runs").unwrap().json();
+            for (operation, count) in runs["runs"].as_object().unwrap() {
+                assert_eq!(*count, 1, "{operation}");
+            }
+        }
+    }
+}
+
+fn repeat(work: Work, view: &View, name: &str, ends: &AtomicBool, done: &AtomicU64) -> Vec<String> {
+    let mut faults = Vec::new();
+    let vms = view.vms();
+    for (number, vm) in vms.iter().cycle().enumerate() {
+        if ends.load(Ordering::SeqCst) {
+            break;
+        }
+        if !view.is_ready(vm) {
+            continue;
+        }
+        let id = format!("{name}-{number}");
+        if let Err(fault) = work(view, vm, &id) {
+            faults.push(format!("{id} by {vm}: {fault}"));
+        }
+        done.fetch_add(1, Ordering::SeqCst);
+    }
+    faults
+}
+
+fn draft(view: &View, vm: &str, id: &str) -> Result<(), String> {
+    let prompt = format!("{id} #tokens=60");
+    let mut stream = view
+        .stream(vm, &prompt)
+        .map_err(|error| error.to_string())?;
+    let draft = stream.finish();
+    if draft.end != End::Complete("stop".into()) || draft.tokens.len() != 60 {
+        let count = draft.tokens.len();
+        return Err(format!(
+            "{} after {count} tokens: {:?}",
+            stream.status, draft.end
+        ));
+    }
+    view.assert_prefix(&draft, &view.engine_of(&draft), &prompt);
+    Ok(())
+}
+
+fn lookup(view: &View, vm: &str, id: &str) -> Result<(), String> {
+    let prompt = format!("{id} #lookup #tokens=4");
+    let answer = view.whole(vm, &prompt).map_err(|error| error.to_string())?;
+    let text = answer.json()["choices"][0]["text"].clone();
+    let engines = view.engines();
+    let mut made = engines
+        .iter()
+        .map(|engine| view.expected(engine, &prompt, 4).concat());
+    if made.any(|made| text == made) {
+        return Ok(());
+    }
+    Err(format!("{answer:?}"))
+}
+
+fn release(view: &View, vm: &str, id: &str) -> Result<(), String> {
+    let path = format!("/{LEDGER}/release");
+    let headers = [("x-operation", id)];
+    let answer = view.call(vm, &Method::POST, &path, &headers, id);
+    let answer = answer.map_err(|error| error.to_string())?;
+    if answer.status == 200 && answer.json()["operation"] == id {
+        return Ok(());
+    }
+    Err(format!("{answer:?}"))
+}
+
+/// Stops an entry VM as planned and expects that it ends by itself.
+fn stop(cluster: &mut Cluster, vm: &str) {
+    cluster.process(vm).terminate();
+    until(&format!("{vm} has ended"), || {
+        cluster.process(vm).ended().is_some()
+    });
+    let ended = cluster.process(vm).ended();
+    assert!(
+        ended.is_some_and(|status| status.success()),
+        "{vm}: {ended:?}"
+    );
+}
+
+fn three_vms() -> Cluster {
+    let setup = Setup {
+        vms: 3,
+        ..Setup::default()
+    };
+    setup.start()
+}
+
+#[test]
+fn a_rolling_stop_of_the_entry_vms_cuts_nothing() {
+    let mut cluster = three_vms();
+    let load = Load::start(&cluster);
+    load.go_on();
+    for vm in cluster.vms() {
+        stop(&mut cluster, &vm);
+        cluster.start_again(&vm);
+    }
+    load.go_on();
+    load.end();
+}
+
+#[test]
+fn a_stop_of_two_entry_vms_at_once_cuts_nothing() {
+    let mut cluster = three_vms();
+    let load = Load::start(&cluster);
+    load.go_on();
+    cluster.process("vm-1").terminate();
+    stop(&mut cluster, "vm-2");
+    stop(&mut cluster, "vm-1");
+    load.go_on();
+    load.end();
+}
+
+#[test]
+fn a_stop_while_the_platform_is_down_cuts_nothing() {
+    let mut cluster = three_vms();
+    let load = Load::start(&cluster);
+    load.go_on();
+    cluster.order("platform", "/test/mode", &json!({"down": true}));
+    stop(&mut cluster, "vm-1");
+    load.go_on();
+    load.end();
+}
+
+#[test]
+fn a_stop_while_links_to_engines_are_silent_cuts_nothing() {
+    let mut cluster = three_vms();
+    let load = Load::start(&cluster);
+    load.go_on();
+    cluster.process("vm-1").terminate();
+    cluster.proxy("silence engine-1");
+    cluster.proxy("cut engine-2");
+    stop(&mut cluster, "vm-1");
+    load.go_on();
+    load.end();
+}
+
+#[test]
+fn a_stop_in_a_partition_cuts_nothing() {
+    let mut cluster = three_vms();
+    let load = Load::start(&cluster);
+    load.go_on();
+    for order in ["block vm-1", "block vm-2 from vm-1", "block vm-3 from vm-1"] {
+        cluster.proxy(order);
+    }
+    stop(&mut cluster, "vm-1");
+    load.go_on();
+    load.end();
+}
+
+#[test]
+fn a_rolling_stop_of_engines_cuts_nothing() {
+    let setup = Setup {
+        engines: 3,
+        ..Setup::default()
+    };
+    let mut cluster = setup.start();
+    let load = Load::start(&cluster);
+    load.go_on();
+    // One engine stays: those that come back are trusted again only after a while.
+    for engine in &cluster.engines()[1..] {
+        cluster.behave(engine, &json!({"leaving": true}));
+        until(&format!("{engine} is idle"), || {
+            let load = cluster.get(engine, "/v1/load").unwrap().json();
+            load["running"] == 0
+                && load["waiting"] == 0
+                && cluster.proxy(&format!("open {engine}")) == "0"
+        });
+        cluster.process(engine).kill();
+        cluster.start_fake("engine", engine);
+        load.go_on();
+    }
+    load.end();
+}
