fix(once): the next owner of a ticket remembers it for as long as it would run it

A ticket that was in flight when its VM handed over was remembered for the window only, and the next owner accepts the ticket for its whole lifetime: it ran again after the window.

--- a/crates/once/src/record.rs
+++ b/crates/once/src/record.rs
@@ -80,19 +80,19 @@
         OVERHEAD + headers + reply.body.len()
     }
 
-    /// Returns what another entry VM must know of the call.
-    pub fn copy(&self, id: Id, now: Instant, window: Duration, is_last: bool) -> Copy {
+    /// Returns what another entry VM must know of the call, for at least `shortest`.
+    pub fn copy(&self, id: Id, now: Instant, shortest: Duration, is_last: bool) -> Copy {
         let state = match &self.stage {
             Stage::Done(outcome) => State::Done(outcome.clone()),
             _ if is_last => State::Done(Err(unknown_fate())),
             _ => State::Elsewhere,
         };
-        let retention = self.until.map_or(window, |until| until.since(now));
+        let left = self.until.map_or(Duration::ZERO, |until| until.since(now));
         Copy {
             id,
             fingerprint: self.fingerprint,
             state,
-            retention,
+            retention: left.max(shortest),
         }
     }
 }
--- a/crates/once/src/registry.rs
+++ b/crates/once/src/registry.rs
@@ -499,7 +499,7 @@
         for (&id, record) in &self.records {
             let next = list.as_ref().and_then(|list| list.deputy(id, self.vm));
             if let Some(copies) = next.and_then(|vm| offers.get_mut(&vm)) {
-                copies.push(record.copy(id, now, self.settings.window, true));
+                copies.push(record.copy(id, now, self.retention(record), true));
             }
         }
         let vms = offers.keys().map(|&vm| (vm, Handover::Offered));
@@ -543,6 +543,14 @@
         }
     }
 
+    /// Returns how long the next owner must remember a call: as long as it would run it.
+    fn retention(&self, record: &Record) -> Duration {
+        match record.expiry {
+            Some(_) => self.settings.window.max(self.settings.ticket_lifetime),
+            None => self.settings.window,
+        }
+    }
+
     fn successor(&self, id: Id) -> Option<key::Vm> {
         self.rights.list()?.deputy(id, self.vm)
     }
@@ -580,7 +588,7 @@
             .records
             .iter()
             .filter(|(id, record)| record.expiry.is_none() && is_returned(**id))
-            .map(|(&id, record)| record.copy(id, now, self.settings.window, false))
+            .map(|(&id, record)| record.copy(id, now, self.retention(record), false))
             .collect();
         actions.push(Action::Return {
             number,
--- a/crates/once/tests/registry/faults.rs
+++ b/crates/once/tests/registry/faults.rs
@@ -139,3 +139,19 @@
     );
     assert_eq!(world.sends[&call.id].len(), 1);
 }
+
+#[test]
+fn ticket_in_flight_at_the_stop_is_remembered_for_as_long_as_it_could_run() {
+    let mut world = quiet();
+    let call = ticket_call(world.issue(vm(0)).expect("a ticket"));
+    world.ask(call, vm(0));
+    world.deliver(0);
+    world.send(0, false);
+    world.stop(vm(0));
+    world.settle();
+    world.advance(QUIET, true);
+    let again = world.submit(call, vm(1));
+    world.settle();
+    assert!(world.answer(again).is_err());
+    assert_eq!(world.sends[&call.id].len(), 1);
+}
