fix(once): the handover goes by the list at its start

Two double runs found by longer runs of the seeded interleavings: a list that came during the handover gave the rights to a VM that had not got the records, and a deputy whose list changed in the instant of the offer gave rights back that it no longer held. Both are tests now, seen failing before.

--- a/crates/once/src/registry.rs
+++ b/crates/once/src/registry.rs
@@ -599,6 +599,10 @@
     }
 
     fn set_list(&mut self, now: Instant, vms: Vec<key::Vm>, actions: &mut Vec<Action>) {
+        if self.handover.is_some() {
+            // The next owners were chosen under the list at the stop.
+            return;
+        }
         let is_first = self.rights.list().is_none();
         self.rights.set_list(now, List::new(vms));
         if !is_first {
--- a/crates/once/src/right.rs
+++ b/crates/once/src/right.rs
@@ -169,7 +169,7 @@
         let Some((since, list)) = self.lists.last() else {
             return false;
         };
-        let is_same = held.list.as_ref().is_some_and(|of| of == list) && *since <= held.offered;
+        let is_same = held.list.as_ref().is_some_and(|of| of == list) && *since < held.offered;
         held.keys
             && is_same
             && list.deputy(id, home) == Some(self.vm)
@@ -249,7 +249,7 @@
             return false;
         };
         let is_later = incarnation > held.incarnation;
-        let is_current = since.is_some_and(|since| since <= held.offered)
+        let is_current = since.is_some_and(|since| since < held.offered)
             && now.since(held.offered) < self.window / 2;
         let had = std::mem::take(&mut held.keys);
         had && is_later && is_current
--- a/crates/once/tests/registry/faults.rs
+++ b/crates/once/tests/registry/faults.rs
@@ -24,6 +24,12 @@
     list.deputy(call.id, home).expect("a deputy")
 }
 
+/// Returns the next owner of a ticket that the first VM issued.
+fn deputy_of(world: &World, call: Call) -> key::Vm {
+    let list = List::new(world.lists[0].clone());
+    list.deputy(call.id, vm(0)).expect("a deputy")
+}
+
 /// Publishes a list without a VM; every other one learns it.
 fn drop_from_list(world: &mut World, gone: key::Vm) {
     world.publish((0..VMS).map(vm).filter(|&vm| vm != gone).collect());
@@ -155,3 +161,21 @@
     assert!(world.answer(again).is_err());
     assert_eq!(world.sends[&call.id].len(), 1);
 }
+
+#[test]
+fn list_that_comes_during_the_handover_changes_no_next_owner() {
+    let mut world = quiet();
+    let call = ticket_call(world.issue(vm(0)).expect("a ticket"));
+    let first = world.submit(call, vm(0));
+    world.settle();
+    assert!(world.answer(first).is_ok());
+    let other = (1..VMS).map(vm).find(|&vm| vm != deputy_of(&world, call));
+    world.publish(vec![other.expect("another VM")]);
+    world.learn(other.expect("another VM"));
+    world.stop(vm(0));
+    world.learn(vm(0));
+    world.settle();
+    world.ask(call, other.expect("another VM"));
+    world.settle();
+    assert_eq!(world.sends[&call.id].len(), 1);
+}
--- a/crates/once/tests/registry/interleaving.rs
+++ b/crates/once/tests/registry/interleaving.rs
@@ -117,3 +117,30 @@
         }
     }
 }
+
+/// Found by a longer run: the deputy's list changed in the instant of the handover.
+#[test]
+fn rights_do_not_return_over_a_list_that_came_with_the_handover() {
+    let mut world = World::new();
+    world.advance(QUIET, true);
+    let steps = [
+        Step::Key(5, 0),
+        Step::Stop(0),
+        Step::Key(0, 0),
+        Step::Settle,
+        Step::Publish(9),
+        Step::Learn(3),
+        Step::Start(0),
+        Step::Deliver(0),
+        Step::Deliver(0),
+        Step::Key(0, 0),
+        Step::Start(3),
+        Step::Advance(1, true),
+        Step::Key(5, 0),
+        Step::Deliver(14),
+        Step::Send(0, false),
+    ];
+    for step in &steps {
+        apply(&mut world, &mut Vec::new(), step);
+    }
+}
