--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -8,9 +8,9 @@
         runtime::within,
     },
     base::{Reason, Refusal, key},
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     config::deployment::Kind,
-    http_body_util::{BodyExt, Limited},
+    http_body_util::BodyExt,
     hyper::{
         Method, Request, Response, body::Incoming, header::AUTHORIZATION, http::request::Parts,
         server::conn::http1, service::service_fn,
@@ -23,15 +23,24 @@
 /// Path of a generation within its service.
 pub const COMPLETIONS: &str = "/v1/completions";
 
+/// When to come back after a connection that there was no place for.
+const BUSY_DELAY: Duration = Duration::from_secs(1);
+/// Most bytes beyond the limit of a body that are read and dropped.
+const DISCARD_LIMIT: usize = 64 << 20;
+
 /// Accepts callers until the planned stop closes the listener.
 pub async fn listen(context: Arc<Context>, listener: TcpListener) {
+    let open = Arc::new(());
     loop {
         let accepted = smol::future::or(async { Some(listener.accept().await) }, async {
             context.drain.closed().await;
             None
         });
         match accepted.await {
-            Some(Ok((stream, _peer))) => context.spawn(connection(Arc::clone(&context), stream)),
+            Some(Ok((stream, _peer))) => {
+                let place = Arc::clone(&open);
+                context.spawn(accept(Arc::clone(&context), stream, place));
+            }
             Some(Err(error)) => {
                 log::warn!(target: "caller", error:% = error; "a connection was not accepted");
                 smol::Timer::after(Duration::from_millis(10)).await;
@@ -41,20 +50,52 @@
     }
 }
 
-async fn connection(context: Arc<Context>, stream: TcpStream) {
-    let guard = context.drain.enter();
-    if guard.count() > context.settings.limits.connections as usize {
-        return;
-    }
+/// Serves a connection if there is a place for it; the clones of `place` count them.
+///
+/// Up to as many again are refused with an answer, further ones are closed.
+async fn accept(context: Arc<Context>, stream: TcpStream, place: Arc<()>) {
+    let limit = context.settings.limits.connections as usize;
+    // The listener holds one clone.
+    let open = Arc::strong_count(&place) - 1;
     let _ = stream.set_nodelay(true);
+    if open <= limit {
+        connection(context, stream).await;
+    } else if open <= limit * 2 {
+        refuse(context, stream).await;
+    }
+}
+
+/// Answers the first request of a connection that there is no place for.
+async fn refuse(context: Arc<Context>, stream: TcpStream) {
+    let serving = Arc::clone(&context);
+    let service = service_fn(move |_request| {
+        let refusal = Refusal::not_run(Reason::Overloaded, "too many connections");
+        let refusal = refusal.retry_after(BUSY_DELAY);
+        serving.metrics.refused("", &refusal);
+        let mut response = answer::refusal(&refusal, "", serving.snapshot().version);
+        answer::mark(&mut response, &serving, None);
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let _ = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(BUSY_DELAY)
+        .keep_alive(false)
+        .serve_connection(FuturesIo::new(stream), service)
+        .await;
+}
+
+async fn connection(context: Arc<Context>, stream: TcpStream) {
+    let _guard = context.drain.enter();
     let serving = Arc::clone(&context);
     let service = service_fn(move |request| {
         let context = Arc::clone(&serving);
         async move { Ok::<_, Infallible>(serve(&context, request).await) }
     });
+    let limits = &context.settings.limits;
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
-        .header_read_timeout(context.settings.limits.header_timeout)
+        .max_buf_size(limits.header_limit as usize)
+        .header_read_timeout(limits.header_timeout)
         .serve_connection(FuturesIo::new(stream), service);
     let mut connection = pin!(connection);
     let finished = smol::future::or(async { Some(connection.as_mut().await) }, async {
@@ -172,10 +213,9 @@
 }
 
 async fn read_body(context: &Context, body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    let reading = Limited::new(body, limit).collect();
-    match within(context.settings.limits.body_timeout, reading).await {
-        Some(Ok(body)) => Ok(body.to_bytes()),
-        Some(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+    match within(context.settings.limits.body_timeout, collect(body, limit)).await {
+        Some(Ok(Some(body))) => Ok(body),
+        Some(Ok(None)) => {
             let message = format!("the body is longer than {limit} bytes");
             Err(Refusal::not_run(Reason::TooLarge, message))
         }
@@ -186,3 +226,26 @@
         )),
     }
 }
+
+/// Collects a body; `None` if it is longer than the limit.
+///
+/// The rest of a longer body is read and dropped, since a caller that still writes when the
+/// connection is closed never sees the refusal.
+async fn collect(mut body: Incoming, limit: usize) -> Result<Option<Bytes>, hyper::Error> {
+    let mut collected = BytesMut::new();
+    let mut length = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        length += data.len();
+        if length <= limit {
+            collected.extend_from_slice(&data);
+        } else if length <= limit + DISCARD_LIMIT {
+            collected = BytesMut::new();
+        } else {
+            break;
+        }
+    }
+    Ok((length <= limit).then(|| collected.freeze()))
+}
