--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -33,6 +33,8 @@
     pub limits: Limits,
     /// `[routing]`
     pub routing: Routing,
+    /// `[records]`
+    pub records: Records,
 }
 
 /// Which VM this is.
@@ -165,12 +167,36 @@
     }
 }
 
+/// Records of calls that run at most once; the times are the same on every entry VM.
+#[derive(Clone, Debug)]
+pub struct Records {
+    /// Time for which results are kept, and for which a bare key means the same call.
+    pub window: Duration,
+    /// Time for which a ticket can be used.
+    pub ticket_lifetime: Duration,
+    /// Most records.
+    pub limit: u32,
+    /// Most bytes of answers in the records.
+    pub size: u64,
+}
+
+impl Default for Records {
+    fn default() -> Self {
+        Self {
+            window: Duration::from_secs(600),
+            ticket_lifetime: Duration::from_secs(3600),
+            limit: 65_536,
+            size: 16 << 20,
+        }
+    }
+}
+
 /// Reads and checks a settings file.
 ///
 /// # Errors
 /// Returns every fault that was found.
 pub fn parse(file: &str, text: &str) -> Result<Settings, Vec<Fault>> {
-    const KINDS: &str = "vm, listen, platform, keys, log, limits, routing";
+    const KINDS: &str = "vm, listen, platform, keys, log, limits, routing, records";
     let sections = sections(file, text)?;
     let faults = RefCell::default();
     let mut settings = Settings::default();
@@ -188,6 +214,7 @@
             "log" => read_log(&mut settings.log, &reader),
             "limits" => read_limits(&mut settings.limits, &reader),
             "routing" => read_routing(&mut settings.routing, &reader),
+            "records" => read_records(&mut settings.records, &reader),
             _ => {
                 reader.reject("", "the section is unknown", KINDS);
                 continue;
@@ -295,6 +322,22 @@
     set(&mut routing.policy, reader.optional("policy", value::text));
 }
 
+fn read_records(records: &mut Records, reader: &Reader<'_>) {
+    set(
+        &mut records.window,
+        reader.optional("window", value::duration),
+    );
+    set(
+        &mut records.ticket_lifetime,
+        reader.optional("ticket_lifetime", value::duration),
+    );
+    set(
+        &mut records.limit,
+        reader.optional("limit", value::positive),
+    );
+    set(&mut records.size, reader.optional("size", unit::size));
+}
+
 /// Parses the limit of headers; the HTTP library needs 8 KiB for itself.
 fn header_limit(value: &str) -> Result<u64, Box<str>> {
     const PERMITTED: std::ops::RangeInclusive<u64> = 8 << 10..=1 << 20;
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -4,19 +4,21 @@
     crate::{
         Context, Exchange,
         answer::{self, Body},
-        http, inner, router,
+        http, owner, relay, router,
         runtime::within,
+        ticket,
     },
     base::{Reason, Refusal, Verdict, key},
     bytes::Bytes,
-    config::Snapshot,
     hyper::{
         HeaderMap, Method, Response, StatusCode,
         header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, HeaderName, TRANSFER_ENCODING},
     },
     route::Outcome,
-    std::sync::Arc,
-    xxhash_rust::xxh3::xxh3_64_with_seed,
+    std::sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 /// Most attempts of one call.
@@ -72,10 +74,6 @@
             .service()
             .is_some_and(|service| service.is_idempotent(self.method.as_str(), &self.path))
     }
-
-    fn key(&self) -> Option<&str> {
-        self.headers.get("idempotency-key")?.to_str().ok()
-    }
 }
 
 /// Answers a caller, here or through the entry VM that owns the call.
@@ -87,14 +85,9 @@
     exchange: &Exchange,
     call: Call,
 ) -> Result<Response<Body>, Refusal> {
-    let owner = call
-        .key()
-        .and_then(|key| home(&exchange.deployment.snapshot, exchange.customer, key));
-    let reply = match owner {
-        Some(vm) if vm != context.identity.vm => {
-            inner::forward(context, exchange, &call, vm).await?
-        }
-        _ => run(context, exchange, &call).await?,
+    let reply = match ticket::claim(context, exchange, &call)? {
+        Some(claim) => relay::run(context, exchange, &call, claim).await?,
+        None => run(context, exchange, &call).await?,
     };
     context.metrics.complete(exchange.service_name());
     log::info!(
@@ -107,15 +100,6 @@
     Ok(response)
 }
 
-/// Returns the entry VM that owns a key: the highest hash wins.
-fn home(snapshot: &Snapshot, customer: key::Customer, name: &str) -> Option<key::Vm> {
-    let seed = xxh3_64_with_seed(name.as_bytes(), customer.raw());
-    snapshot
-        .vms
-        .keys()
-        .max_by_key(|vm| xxh3_64_with_seed(&vm.raw().to_be_bytes(), seed))
-}
-
 /// Runs a call on a target, with retries as far as it may be repeated.
 ///
 /// # Errors
@@ -126,10 +110,42 @@
     call: &Call,
 ) -> Result<Reply, Refusal> {
     let idempotent = call.is_idempotent(exchange);
+    send_until(context, exchange, call, idempotent, || true).await
+}
+
+/// Runs a call that this VM owns; `None` if it lost the right to before the call was sent.
+pub async fn run_once(
+    context: &Arc<Context>,
+    exchange: &Exchange,
+    call: &Call,
+    id: once::Id,
+) -> Option<once::Outcome> {
+    let denied = AtomicBool::new(false);
+    let permit = || {
+        let permitted = owner::permit(context, id);
+        denied.store(!permitted, Ordering::Relaxed);
+        permitted
+    };
+    let outcome = send_until(context, exchange, call, false, permit).await;
+    if denied.into_inner() {
+        return None;
+    }
+    Some(outcome.map(|reply| Arc::new(relay::encode(&reply))))
+}
+
+/// Sends a call until it is answered, its retries are used up or `permit` denies the next send.
+async fn send_until(
+    context: &Arc<Context>,
+    exchange: &Exchange,
+    call: &Call,
+    idempotent: bool,
+    permit: impl Fn() -> bool,
+) -> Result<Reply, Refusal> {
     let mut excluded = Vec::new();
     let mut verdict = Verdict::NotRun;
     loop {
-        let mut refusal = match attempt(context, exchange, call, &mut excluded).await {
+        let attempt = attempt(context, exchange, call, &mut excluded, &permit);
+        let mut refusal = match attempt.await {
             Ok(reply) => return Ok(reply),
             Err(refusal) => refusal,
         };
@@ -155,6 +171,7 @@
     exchange: &Exchange,
     call: &Call,
     excluded: &mut Vec<key::Target>,
+    permit: impl Fn() -> bool,
 ) -> Result<Reply, Refusal> {
     let request = route::Request {
         key: exchange.key,
@@ -171,6 +188,10 @@
     let grant = router::acquire(context, request).await?;
     router::log_decision(exchange, &grant);
     excluded.push(grant.target());
+    if !permit() {
+        let message = "the right to run the call was lost";
+        return Err(Refusal::not_run(Reason::KeyInDoubt, message));
+    }
     let remaining = exchange.remaining(context.now());
     let answered = within(remaining, send(context, exchange, call, grant.target())).await;
     let answered = answered.unwrap_or_else(|| {
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -4,8 +4,11 @@
     crate::{
         Context, Exchange,
         answer::{self, Body},
-        call, generation,
+        call,
+        deployment::Deployment,
+        generation,
         runtime::within,
+        ticket,
     },
     base::{Reason, Refusal, key},
     bytes::{Bytes, BytesMut},
@@ -25,6 +28,8 @@
 
 /// When to come back after a connection that there was no place for.
 const BUSY_DELAY: Duration = Duration::from_secs(1);
+/// Longest body of a request for tickets, in bytes.
+const TICKET_BODY_LIMIT: usize = 4096;
 /// Most bytes beyond the limit of a body that are read and dropped.
 const DISCARD_LIMIT: usize = 64 << 20;
 
@@ -112,6 +117,9 @@
 /// Answers one request.
 async fn serve(context: &Arc<Context>, request: Request<Incoming>) -> Response<Body> {
     let (parts, body) = request.into_parts();
+    if parts.uri.path() == ticket::PATH {
+        return tickets(context, &parts, body).await;
+    }
     let exchange = match begin(context, &parts) {
         Ok(exchange) => exchange,
         Err(refusal) => {
@@ -137,8 +145,26 @@
     response
 }
 
-/// Finds the customer and the service.
-fn begin(context: &Context, parts: &Parts) -> Result<Exchange, Refusal> {
+/// Answers a request for tickets.
+async fn tickets(context: &Arc<Context>, parts: &Parts, body: Incoming) -> Response<Body> {
+    let answer = async {
+        let (_, customer) = authenticate(context, parts)?;
+        let body = read_body(context, body, TICKET_BODY_LIMIT).await?;
+        ticket::issue(context, customer, &body)
+    };
+    let mut response = answer.await.unwrap_or_else(|refusal| {
+        context.metrics.refused("", &refusal);
+        answer::refusal(&refusal, "", context.snapshot().version)
+    });
+    answer::mark(&mut response, context, None);
+    response
+}
+
+/// Finds the customer under the configuration in force.
+fn authenticate(
+    context: &Context,
+    parts: &Parts,
+) -> Result<(Arc<Deployment>, key::Customer), Refusal> {
     let deployment = context.deployment.load_full();
     if deployment.snapshot.version == 0 {
         let refusal = Refusal::not_run(Reason::NotReady, "no configuration is in force yet");
@@ -152,6 +178,12 @@
         .ok_or_else(|| {
             Refusal::not_run(Reason::Unauthorized, "the customer key is missing or wrong")
         })?;
+    Ok((deployment, customer))
+}
+
+/// Finds the customer and the service.
+fn begin(context: &Context, parts: &Parts) -> Result<Exchange, Refusal> {
+    let (deployment, customer) = authenticate(context, parts)?;
     let (name, _) = split_path(parts.uri.path());
     let service = key::Service::of(name);
     if !deployment.snapshot.services.contains(service) {
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         configuration::Configuration, deployment::Deployment, drain::Drain, gossip::Gossip,
-        metrics::Metrics, router::Router, runtime::Runtime, session::Sessions,
+        metrics::Metrics, owner::Owner, router::Router, runtime::Runtime, session::Sessions,
     },
     arc_swap::ArcSwap,
     base::{Clock, Instant, key},
@@ -47,6 +47,8 @@
     pub router: Router,
     /// Metrics.
     pub metrics: Metrics,
+    /// Calls that run at most once.
+    pub owner: Owner,
     /// Streams that this process carries.
     pub sessions: Sessions,
     /// Requests in flight and the planned stop.
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -9,6 +9,7 @@
         gossip::{self, Gossip},
         inner,
         metrics::Metrics,
+        owner::{self, Owner},
         probe,
         router::{self, Router},
         runtime::Runtime,
@@ -28,6 +29,8 @@
 
 /// Time between the readiness going off and the listener's close, for the balancer to notice.
 pub const LEAVE_DELAY: Duration = Duration::from_secs(2);
+/// Longest time to hand the records over, and for the calls that waited for it.
+const HANDOVER_LIMIT: Duration = Duration::from_secs(5);
 /// Time between two looks at the work in flight during a planned stop.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -64,6 +67,7 @@
         context.spawn(configuration::list(Arc::clone(&context)));
         context.spawn(gossip::receive(Arc::clone(&context)));
         context.spawn(gossip::run(Arc::clone(&context)));
+        context.spawn(owner::run(Arc::clone(&context)));
         context.spawn(probe::run(Arc::clone(&context)));
         context.spawn(router::tick(Arc::clone(&context)));
         Ok(Self { context })
@@ -88,6 +92,11 @@
         while drain.in_flight() > 0 && self.context.now() < limit {
             Timer::after(DRAIN_POLL).await;
         }
+        owner::stop(&self.context, HANDOVER_LIMIT).await;
+        let limit = self.context.now() + HANDOVER_LIMIT;
+        while drain.in_flight() > 0 && self.context.now() < limit {
+            Timer::after(DRAIN_POLL).await;
+        }
         log::info!(target: "stop", connections = drain.in_flight(); "stopped");
         drain.in_flight() == 0
     }
@@ -120,6 +129,7 @@
     Ok(Context {
         configuration: Configuration::new(now, &settings, &identity),
         gossip: Gossip::new(now, &settings, &identity, socket),
+        owner: Owner::new(identity.vm, identity.incarnation, &settings),
         clock: Arc::new(clock),
         identity,
         key,
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -82,6 +82,10 @@
             Ok(message) => {
                 let metrics = &context.metrics;
                 metrics.control_bytes(Direction::Received, length);
+                let vm = base::key::Vm::of(&message.vm);
+                context
+                    .owner
+                    .hear(context.now(), vm, message.configuration_version);
                 let message = Box::new(message);
                 handle(&context, Event::Received { from, message });
             }
--- a/crates/entry/src/inner.rs
+++ b/crates/entry/src/inner.rs
@@ -3,17 +3,20 @@
 use {
     crate::{
         Context, Exchange,
-        call::{self, Call, Reply},
-        configuration,
+        call::Call,
+        configuration, handover,
+        owner::{self, Ending},
         runtime::within,
+        ticket,
     },
     base::{Reason, Refusal, Verdict, key},
     bytes::{Bytes, BytesMut},
     futures_util::{SinkExt, StreamExt},
     hyper::{
-        HeaderMap, Method, StatusCode,
+        HeaderMap, Method,
         header::{HeaderName, HeaderValue},
     },
+    once::Outcome,
     prost::Message,
     rand::Rng,
     smol::net::{TcpListener, TcpStream},
@@ -145,13 +148,13 @@
 /// Has another entry VM run a call.
 ///
 /// # Errors
-/// Returns the other VM's refusal, or one of [`Reason::PeerLost`].
+/// Returns one of [`Reason::PeerLost`] if the other VM does not answer.
 pub async fn forward(
     context: &Context,
     exchange: &Exchange,
     call: &Call,
     vm: key::Vm,
-) -> Result<Reply, Refusal> {
+) -> Result<Ending, Refusal> {
     let snapshot = &exchange.deployment.snapshot;
     let remaining = exchange.remaining(context.now());
     let message = msg::Call {
@@ -177,7 +180,10 @@
         configuration_version = exchange.version(); "handed to the entry VM that owns the call"
     );
     match ask(context, vm, Body::Call(message), remaining).await? {
-        Body::Reply(reply) => decode_reply(reply),
+        Body::Reply(reply) if reply.elsewhere != 0 => {
+            Ok(Ending::Elsewhere(key::Vm::from_raw(reply.elsewhere)))
+        }
+        Body::Reply(reply) => Ok(Ending::Outcome(decode_reply(reply))),
         _ => Err(Refusal::may_have_run(
             Reason::PeerLost,
             "the entry VM answered something else",
@@ -224,7 +230,7 @@
             }
         };
         let _guard = context.drain.enter();
-        let Some(answer) = answer(&context, body).await else {
+        let Some(answer) = answer(&context, &link.peer, body).await else {
             return;
         };
         if link.send(answer).await.is_err() {
@@ -234,7 +240,7 @@
 }
 
 /// Answers a message of another entry VM; `None` closes the connection.
-async fn answer(context: &Arc<Context>, body: Body) -> Option<Body> {
+async fn answer(context: &Arc<Context>, peer: &Hello, body: Body) -> Option<Body> {
     match body {
         Body::Call(call) => Some(Body::Reply(run(context, call).await)),
         Body::ConfigurationQuery(query) => {
@@ -245,17 +251,30 @@
             let number = adopt.number;
             Some(Body::Adopted(msg::Adopted { number }))
         }
-        _ => None,
+        other => handover::answer(context, peer, other).await,
     }
 }
 
 async fn run(context: &Arc<Context>, message: msg::Call) -> msg::Reply {
     let number = message.number;
-    let result = match decode_call(context, message) {
-        Ok((exchange, call)) => call::run(context, &exchange, &call).await,
-        Err(refusal) => Err(refusal),
-    };
-    encode_reply(number, result)
+    match submit(context, message).await {
+        Ok(Ending::Outcome(outcome)) => encode_reply(number, outcome),
+        Ok(Ending::Elsewhere(vm)) => msg::Reply {
+            number,
+            elsewhere: vm.raw(),
+            ..msg::Reply::default()
+        },
+        Err(refusal) => encode_reply(number, Err(refusal)),
+    }
+}
+
+async fn submit(context: &Arc<Context>, message: msg::Call) -> Result<Ending, Refusal> {
+    let (exchange, call) = decode_call(context, message)?;
+    let claim = ticket::claim(context, &exchange, &call)?.ok_or_else(|| {
+        let message = "only calls with a ticket or a key have an owner";
+        Refusal::not_run(Reason::BadRequest, message)
+    })?;
+    owner::submit(context, &exchange, &call, claim).await
 }
 
 fn decode_call(context: &Context, message: msg::Call) -> Result<(Exchange, Call), Refusal> {
@@ -279,13 +298,13 @@
     Ok((exchange, call))
 }
 
-fn encode_reply(number: u64, result: Result<Reply, Refusal>) -> msg::Reply {
+fn encode_reply(number: u64, result: Outcome) -> msg::Reply {
     match result {
         Ok(reply) => msg::Reply {
             number,
             verdict: msg::Verdict::Ran.into(),
-            status: reply.status.as_u16().into(),
-            headers: encode_headers(&reply.headers),
+            status: reply.status.into(),
+            headers: reply.headers.iter().map(encode_header).collect(),
             body: reply.body.to_vec(),
             ..msg::Reply::default()
         },
@@ -302,15 +321,16 @@
     }
 }
 
-fn decode_reply(reply: msg::Reply) -> Result<Reply, Refusal> {
+fn decode_reply(reply: msg::Reply) -> Outcome {
     if reply.reason.is_empty() {
-        let invalid =
-            |_error| Refusal::may_have_run(Reason::PeerLost, "the entry VM answered no status");
-        return Ok(Reply {
-            status: StatusCode::from_u16(reply.status as u16).map_err(invalid)?,
-            headers: decode_headers(&reply.headers),
+        let headers = reply.headers.into_iter();
+        return Ok(Arc::new(once::Reply {
+            status: reply.status as u16,
+            headers: headers
+                .map(|header| (header.name.into(), header.value.into()))
+                .collect(),
             body: reply.body.into(),
-        });
+        }));
     }
     let verdict = decode_verdict(reply.verdict());
     let reason = serde_json::from_value(reply.reason.into()).unwrap_or(Reason::Internal);
@@ -323,7 +343,8 @@
     })
 }
 
-fn encode_verdict(verdict: Verdict) -> msg::Verdict {
+/// Writes a verdict.
+pub fn encode_verdict(verdict: Verdict) -> msg::Verdict {
     match verdict {
         Verdict::NotRun => msg::Verdict::NotRun,
         Verdict::MayHaveRun => msg::Verdict::MayHaveRun,
@@ -331,7 +352,8 @@
     }
 }
 
-fn decode_verdict(verdict: msg::Verdict) -> Verdict {
+/// Reads a verdict; one that is not known says that the request may have run.
+pub fn decode_verdict(verdict: msg::Verdict) -> Verdict {
     match verdict {
         msg::Verdict::NotRun => Verdict::NotRun,
         msg::Verdict::Ran => Verdict::Ran,
@@ -339,6 +361,14 @@
     }
 }
 
+/// Writes a header of a record.
+pub fn encode_header((name, value): &(Box<str>, Box<[u8]>)) -> msg::Header {
+    msg::Header {
+        name: name.to_string(),
+        value: value.to_vec(),
+    }
+}
+
 fn encode_headers(headers: &HeaderMap) -> Vec<msg::Header> {
     headers
         .iter()
--- a/crates/once/src/registry.rs
+++ b/crates/once/src/registry.rs
@@ -113,6 +113,12 @@
         self.handover.is_some()
     }
 
+    /// Returns whether a list differs from the one in force here.
+    pub fn is_other_list(&self, vms: &[key::Vm]) -> bool {
+        let list = List::new(vms.iter().copied());
+        self.rights.list().is_none_or(|known| **known != list)
+    }
+
     /// Returns the number of records.
     pub fn len(&self) -> usize {
         self.records.len()
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -151,10 +151,9 @@
 pub struct SealQuery {
     #[prost(uint64, tag = "1")]
     pub number: u64,
-    #[prost(string, tag = "2")]
-    pub customer: ::prost::alloc::string::String,
-    #[prost(string, tag = "3")]
-    pub key: ::prost::alloc::string::String,
+    /// Digest of the customer and the key.
+    #[prost(bytes = "vec", tag = "4")]
+    pub id: ::prost::alloc::vec::Vec<u8>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Seal {
@@ -162,7 +161,7 @@
     pub number: u64,
     #[prost(enumeration = "SealState", tag = "2")]
     pub state: i32,
-    /// Age of the answering incarnation, in milliseconds.
+    /// Time for which the answering incarnation has seen every list, in milliseconds.
     #[prost(uint64, tag = "3")]
     pub incarnation_age_ms: u64,
 }
