--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -106,9 +106,10 @@
     println!(
         "  curl {key} http://{caller}/{MODEL_SERVICE}/v1/completions -d '{{\"model\": \"{MODEL}\", \"class\": \"lookup\", \"prompt\": \"Does the swap hold? #lookup\"}}'"
     );
-    println!("A release, at most once:");
+    println!("A release, at most once, however often it is sent with this ticket:");
+    println!("  ticket=$(curl -s {key} -X POST http://{caller}/v1/tickets | cut -d'\"' -f4)");
     println!(
-        "  curl {key} -H 'Idempotency-Key: bigos-7' http://{caller}/{PLAIN_SERVICE}/releases -d '{RELEASE}'"
+        "  curl {key} -H \"x-ticket: $ticket\" http://{caller}/{PLAIN_SERVICE}/releases -d '{RELEASE}'"
     );
     println!("What one entry VM believes:");
     println!("  curl http://{}/status", path.admins[0]);
@@ -143,7 +144,7 @@
 async fn check_release(path: &Path) -> Check {
     let headers = [
         ("authorization", authorization()),
-        ("idempotency-key", OPERATION_NAME.to_owned()),
+        ("x-ticket", ticket(path).await?),
         (OPERATION, OPERATION_NAME.to_owned()),
     ];
     let url = format!("/{PLAIN_SERVICE}/releases");
@@ -160,6 +161,14 @@
     )
 }
 
+/// Asks for the right to have one call run.
+async fn ticket(path: &Path) -> Result<String, Failure> {
+    let headers = [("authorization", authorization())];
+    let answer = client::post(path.callers[0], "/v1/tickets", &headers, "").await?;
+    let value: Value = serde_json::from_slice(&answer.body)?;
+    Ok(value["tickets"][0].as_str().unwrap_or("").to_owned())
+}
+
 /// Counts the generations that the engines ran.
 async fn check_generations(path: &Path) -> Check {
     let mut runs = 0;
