fix(entry): a VM that is cut off does not cancel a stream that its caller left

Cause: a caller that went on with its stream through another entry VM had it cancelled by the first one 15 s later, when a partition between the two kept the news from it. A VM that hears from fewer than half of its peers now leaves such a generation to its engine, which spends memory on it until it ends. Ruled out: to ask the engine who reads the stream, as its protocol does not tell; never to cancel, as a VM with live peers is told of the move. Seen failing before: caller_moved_from_a_partitioned_entry_vm, error event after the grace. After it the four tests of moved and gone callers pass. Not covered: a caller that moved to the smaller side of a partition, past an owner that still hears half of its peers.

--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -199,6 +199,20 @@
     }
 }
 
+/// Returns whether fewer than half of the other entry VMs of this data centre are heard from.
+pub fn is_cut_off(context: &Context) -> bool {
+    let snapshot = context.snapshot();
+    let identity = &context.identity;
+    let others = snapshot
+        .vms
+        .iter()
+        .filter(|(key, vm)| *key != identity.vm && vm.data_centre == identity.data_centre)
+        .count();
+    let membership = context.gossip.membership();
+    let heard = membership.members().filter(|member| member.is_present());
+    heard.count() * 2 < others
+}
+
 /// Counts the entry VMs that share the load: those of this data centre that take work, and the
 /// configured ones of the others.
 fn count_vms(context: &Context) -> u32 {
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -4,7 +4,7 @@
     crate::{
         Context, Exchange, answer,
         engine::{self, Connection},
-        metrics,
+        gossip, metrics,
         prompt::Prompt,
         router::{self, Grant},
         runtime::within,
@@ -182,6 +182,10 @@
                     self.grant = Some(grant);
                     self.handle(Event::Routed(target)).await;
                 }
+                // The caller may have gone on elsewhere, and nobody could tell this VM.
+                Input::Timeout if self.parts.is_closed() && gossip::is_cut_off(&self.context) => {
+                    break;
+                }
                 Input::Timeout => self.handle(Event::Tick).await,
             }
         }
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -317,6 +317,46 @@
     assert_eq!(stream.finish().end, End::Complete("stop".into()));
 }
 
+/// Tokens that take longer than the grace for a caller that is gone.
+const LONG: &str = "a year of batch sheets #tokens=1500";
+
+/// A caller goes on through the second entry VM while the first is in trouble.
+fn check_moved(trouble: fn(&mut Cluster), relief: fn(&mut Cluster)) {
+    let mut cluster = Setup::default().start();
+    let mut stream = cluster.stream("vm-1", LONG).unwrap();
+    let mut draft = stream.read(BEFORE);
+    trouble(&mut cluster);
+    drop(stream);
+    let mut resumed = cluster.resume("vm-2", &draft.resume, "alpha-key").unwrap();
+    join(&mut draft, resumed.read(BEFORE));
+    relief(&mut cluster);
+    join(&mut draft, resumed.finish());
+    assert_eq!(draft.end, End::Complete("stop".into()));
+    assert_eq!(draft.tokens.len(), 1500);
+    cluster.assert_prefix(&draft, &cluster.engine_of(&draft), LONG);
+}
+
+#[test]
+fn caller_moved_from_a_live_entry_vm() {
+    check_moved(|_| {}, |_| {});
+}
+
+#[test]
+fn caller_moved_from_a_frozen_entry_vm_that_wakes_late() {
+    check_moved(
+        |cluster| cluster.process("vm-1").freeze(),
+        |cluster| {
+            thread::sleep(PAUSE);
+            cluster.process("vm-1").thaw();
+        },
+    );
+}
+
+#[test]
+fn caller_moved_from_a_partitioned_entry_vm() {
+    check_moved(|cluster| partition(cluster, "vm-1"), |_| {});
+}
+
 #[test]
 fn a_caller_that_is_gone_has_its_generation_cancelled() {
     let cluster = Setup::default().start();
