--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -56,7 +56,10 @@
     if is_json {
         return output::print_json(&json!({"valid": true, "faults": []}));
     }
-    output::print(&format!("valid: {} files\n", sources.len()))
+    output::print(&format!(
+        "valid: {}\n",
+        output::count(sources.len(), "file")
+    ))
 }
 
 fn accept(snapshot: &Snapshot, is_json: bool) -> ExitCode {
--- a/crates/cli/src/diff.rs
+++ b/crates/cli/src/diff.rs
@@ -67,10 +67,10 @@
 /// Writes the changes for a person.
 fn text(old: &Snapshot, new: &Snapshot, changes: &[Change]) -> String {
     let mut lines = vec![format!(
-        "version {} to {}: {} changes\n",
+        "version {} to {}: {}\n",
         old.version,
         new.version,
-        changes.len()
+        output::count(changes.len(), "change")
     )];
     for change in changes {
         let sign = match change.action {
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -66,8 +66,8 @@
     }
     if log.malformed > 0 {
         eprintln!(
-            "{} lines are not JSON objects and were left out",
-            log.malformed
+            "left out what is no JSON object: {}",
+            output::count(log.malformed, "line")
         );
     }
     let lines = log.story(request);
--- a/crates/cli/src/input.rs
+++ b/crates/cli/src/input.rs
@@ -1,7 +1,7 @@
 //! Files given on the command line, and what is wrong with them.
 
 use {
-    crate::cli::BAD_INPUT,
+    crate::{cli::BAD_INPUT, output},
     clap::{Arg, ArgAction, ArgMatches, value_parser},
     config::{Fault, Snapshot, Source, diagnostic, parse},
     std::{
@@ -101,6 +101,6 @@
 pub fn reject(faults: &[Fault], sources: &[Source]) -> ExitCode {
     let text = diagnostic::render(faults, sources, stderr().is_terminal());
     eprint!("{text}");
-    eprintln!("{} faults", faults.len());
+    eprintln!("{}", output::count(faults.len(), "fault"));
     ExitCode::from(BAD_INPUT)
 }
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -55,3 +55,9 @@
         other => other.to_string(),
     }
 }
+
+/// Writes a number of things, such as `1 file` or `2 files`.
+pub fn count(number: usize, thing: &str) -> String {
+    let ending = if number == 1 { "" } else { "s" };
+    format!("{number} {thing}{ending}")
+}
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -5,6 +5,7 @@
         Context,
         answer::{self, Body},
     },
+    config::Snapshot,
     hyper::{
         Method, Request, Response, StatusCode,
         body::Incoming,
@@ -12,7 +13,7 @@
         server::conn::http1,
         service::service_fn,
     },
-    serde_json::json,
+    serde_json::{Value, json},
     smol::{
         Timer,
         net::{TcpListener, TcpStream},
@@ -111,28 +112,55 @@
     answer::json(status, &json!({"ready": ready}))
 }
 
-fn status(context: &Context) -> serde_json::Value {
+fn status(context: &Context) -> Value {
     let snapshot = context.snapshot();
-    let members = members(context);
     json!({
-        "members": members,
-        "fresh": context.gossip.membership().is_fresh(),
         "vm": context.identity.name,
+        "data_centre": context.settings.vm.data_centre,
         "incarnation": context.identity.incarnation,
         "ready": context.is_ready(),
         "leaving": context.drain.is_leaving(),
+        "fresh": context.gossip.membership().is_fresh(),
+        "deployment": snapshot.name,
         "configuration_version": snapshot.version,
         "policy": context.router.policy(),
         "queued": context.router.queued(),
-        "connections": context.drain.in_flight(),
+        "in_flight": context.drain.in_flight(),
+        "members": members(context),
+        "targets": targets(context, &snapshot),
     })
 }
 
+/// Returns what this VM believes of the targets, by name.
+fn targets(context: &Context, snapshot: &Snapshot) -> Value {
+    let now = context.now();
+    let membership = context.gossip.membership();
+    let departures = membership.departures();
+    let targets = snapshot.targets.iter().map(|(key, target)| {
+        let probe = context.observed.get(key);
+        let load = probe.as_ref().and_then(|probe| probe.load.as_deref());
+        let service = snapshot.services.get(target.service);
+        let fields = json!({
+            "service": service.map(|service| &service.name),
+            "reachable": probe.as_ref().is_some_and(|probe| probe.is_reachable),
+            "leaving": departures.is_leaving(key),
+            "probed_ms_ago": probe.as_ref().map(|probe| now.since(probe.at).as_millis() as u64),
+            "running": load.map(|load| load.running),
+            "waiting": load.map(|load| load.waiting),
+            "memory_used": load.map(|load| load.memory_used),
+            "memory_total": load.map(|load| load.memory_total),
+            "preemptions": load.map(|load| load.preemptions),
+        });
+        (target.name.to_string(), fields)
+    });
+    Value::Object(targets.collect())
+}
+
 /// Returns what this VM believes of its peers, by name.
-fn members(context: &Context) -> serde_json::Value {
+fn members(context: &Context) -> Value {
     let membership = context.gossip.membership();
     let members = membership
         .members()
         .map(|member| (member.name.to_string(), json!(member.state.to_string())));
-    serde_json::Value::Object(members.collect())
+    Value::Object(members.collect())
 }
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         configuration::Configuration, deployment::Deployment, drain::Drain, gossip::Gossip,
-        metrics::Metrics, orders::Orders, router::Router, runtime::Runtime, session::Sessions,
+        metrics::Metrics, observed::Observed, orders::Orders, router::Router, runtime::Runtime,
+        session::Sessions,
     },
     arc_swap::ArcSwap,
     base::{Clock, Instant, key},
@@ -47,6 +48,8 @@
     pub orders: Orders,
     /// Admission and choice of targets.
     pub router: Router,
+    /// What was last seen of the targets.
+    pub observed: Observed,
     /// Metrics.
     pub metrics: Metrics,
     /// Streams that this process carries.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod inner;
 pub mod logs;
 pub mod metrics;
+pub mod observed;
 pub mod orders;
 pub mod probe;
 pub mod prompt;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -174,6 +174,7 @@
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
+            .scope_info_enabled(false)
             .build()
             .map_err(|error| Error::new(error.to_string()))?;
         let resource = Resource::builder_empty()
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -3,7 +3,7 @@
 use {
     crate::{Context, gossip, http, orders},
     base::key,
-    config::deployment::Target,
+    config::deployment::{Kind, Target},
     fleet::Notice,
     route::{Event, Load},
     serde_json::Value,
@@ -20,6 +20,8 @@
 pub async fn run(context: Arc<Context>) {
     loop {
         let snapshot = context.snapshot();
+        let targets = &snapshot.targets;
+        context.observed.retain(|target| targets.contains(target));
         for (key, target) in snapshot.targets.iter() {
             let probe = probe(Arc::clone(&context), key, target.clone());
             context.spawn(probe);
@@ -35,10 +37,15 @@
     context
         .router
         .handle(now, Event::Reachable { target, reachable });
-    let Ok(value) = answer else { return };
+    let Ok(value) = answer else {
+        context.observed.note(target, now, None);
+        return;
+    };
     let load = Box::new(load(&value));
+    context.observed.note(target, now, Some(&load));
     let snapshot = context.snapshot();
-    if let Some(service) = snapshot.services.get(settings.service) {
+    let service = snapshot.services.get(settings.service);
+    if let Some(service) = service.filter(|service| service.kind == Kind::Model) {
         let metrics = &context.metrics;
         metrics.preemptions(target, &service.name, load.preemptions);
     }
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -72,6 +72,28 @@
     }
 }
 
+#[test]
+fn status_tells_what_is_believed_of_targets_and_members() {
+    let mut cluster = Setup::default().start();
+    let status = || cluster.get("vm-1/admin", "/status").unwrap().json();
+    until("the targets and the member are known", || {
+        let status = status();
+        let targets = ["engine-1", "engine-2", "service-1"];
+        targets
+            .iter()
+            .all(|target| status["targets"][target]["reachable"] == true)
+            && status["members"]["vm-2"] == "live"
+    });
+    assert_eq!(status()["configuration_version"], 1);
+    assert_eq!(status()["targets"]["engine-1"]["leaving"], false);
+    cluster.process("engine-2").kill();
+    let status = || cluster.get("vm-1/admin", "/status").unwrap().json();
+    until("the lost engine is seen", || {
+        status()["targets"]["engine-2"]["reachable"] == false
+    });
+    assert_eq!(status()["targets"]["engine-1"]["reachable"], true);
+}
+
 #[test]
 fn logs_hold_no_secret_and_explain_a_retried_request() {
     let cluster = Setup {
