feat(entry): a caller that takes nothing loses its connection

A write to a caller had no limit of time: a caller that stopped reading held its connection, its engine's place and a planned stop for as long as it liked. explain follows a stream by the request that began it, since the line of a resume names that.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -15,7 +15,7 @@
 
 const EXAMPLES: &str = "The id of a request is in the header x-request-id of its answer. Lines of \
                         other requests
-for the same generation, such as one that resumed it, are shown too. Lines are put in order by
+that went on with the same stream are shown too. Lines are put in order by
 their time, so clocks of VMs that differ can exchange neighbours.
 
 Examples:
@@ -106,7 +106,8 @@
 
     /// Returns the lines of a request and of its generations in the order of their time.
     fn story(&self, request: &str) -> Vec<&Line> {
-        let is_own = |line: &&Line| text(line, "request") == request;
+        let is_own =
+            |line: &&Line| [text(line, "request"), text(line, "origin")].contains(&request);
         let generations: BTreeSet<_> = self
             .lines
             .iter()
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -149,11 +149,12 @@
 {"time":"2026-05-01T10:00:00.000200Z","level":"INFO","vm":"entry-a1","event":"route","message":"dispatched","request":"r-9","chosen":"engine-1"}
 cut off in the midd
 {"time":"2026-05-01T10:00:00.000300Z","level":"INFO","vm":"entry-a1","event":"retry","message":"the call is sent again","request":"r-1","reason":"target_refused","verdict":"not_run"}
-{"time":"2026-05-01T10:00:00.000500Z","level":"INFO","vm":"entry-a1","event":"route","message":"dispatched","request":"r-1","generation":"g-7","chosen":"engine-2"}
+{"time":"2026-05-01T10:00:00.000500Z","level":"INFO","vm":"entry-a1","event":"route","message":"dispatched","request":"r-1","chosen":"engine-2"}
 "#;
 const LOG_OF_B: &str = r#"
 {"time":"2026-05-01T10:00:00.000400Z","level":"INFO","vm":"entry-b1","event":"call","message":"taken","request":"r-1"}
-{"time":"2026-05-01T10:00:02.000000Z","level":"INFO","vm":"entry-b1","event":"resume","message":"resumed","request":"r-2","generation":"g-7","index":40}
+{"time":"2026-05-01T10:00:02.000000Z","level":"INFO","vm":"entry-b1","event":"resume","message":"resumed","request":"r-2","origin":"r-1","generation":"g-7","index":40}
+{"time":"2026-05-01T10:00:03.000000Z","level":"INFO","vm":"entry-b1","event":"answer","message":"complete","request":"r-2","generation":"g-7","verdict":"ran"}
 "#;
 
 #[test]
@@ -167,7 +168,7 @@
     insta::assert_snapshot!("explain", stdout(&output));
     let json = mastictrail(&["explain", "--json", "r-1", &first, &second]);
     let lines: serde_json::Value = serde_json::from_slice(&json.stdout).expect("JSON");
-    assert_eq!(lines.as_array().map(Vec::len), Some(5));
+    assert_eq!(lines.as_array().map(Vec::len), Some(6));
     let none = mastictrail(&["explain", "r-3", &first]);
     assert_eq!(none.status.code(), FAILURE);
 }
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -143,6 +143,8 @@
     pub header_timeout: Duration,
     /// Longest time for a caller to send its body.
     pub body_timeout: Duration,
+    /// Longest time without progress in sending to a caller.
+    pub write_timeout: Duration,
     /// Longest time to connect to a target or a peer.
     pub connect_timeout: Duration,
     /// Longest time for a planned stop to wait for requests in flight.
@@ -158,6 +160,7 @@
             header_limit: 64 << 10,
             header_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(30),
+            write_timeout: Duration::from_secs(60),
             connect_timeout: Duration::from_secs(1),
             drain_timeout: Duration::from_secs(600),
             threads: 2,
@@ -277,6 +280,10 @@
         &mut limits.body_timeout,
         reader.optional("body_timeout", value::duration),
     );
+    set(
+        &mut limits.write_timeout,
+        reader.optional("write_timeout", value::duration),
+    );
     set(
         &mut limits.connect_timeout,
         reader.optional("connect_timeout", value::duration),
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -6,6 +6,7 @@
         answer::{self, Body},
         call, generation,
         runtime::within,
+        timed::Timed,
     },
     base::{Reason, Refusal, key},
     bytes::{Bytes, BytesMut},
@@ -58,6 +59,7 @@
     // The listener holds one clone.
     let open = Arc::strong_count(&place) - 1;
     let _ = stream.set_nodelay(true);
+    let stream = Timed::new(stream, context.settings.limits.write_timeout);
     if open <= limit {
         connection(context, stream).await;
     } else if open <= limit * 2 {
@@ -66,7 +68,7 @@
 }
 
 /// Answers the first request of a connection that there is no place for.
-async fn refuse(context: Arc<Context>, stream: TcpStream) {
+async fn refuse(context: Arc<Context>, stream: Timed<TcpStream>) {
     let serving = Arc::clone(&context);
     let service = service_fn(move |_request| {
         let refusal = Refusal::not_run(Reason::Overloaded, "too many connections");
@@ -84,7 +86,7 @@
         .await;
 }
 
-async fn connection(context: Arc<Context>, stream: TcpStream) {
+async fn connection(context: Arc<Context>, stream: Timed<TcpStream>) {
     let _guard = context.drain.enter();
     let serving = Arc::clone(&context);
     let service = service_fn(move |request| {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -30,5 +30,6 @@
 pub mod secret;
 pub mod session;
 pub mod sse;
+pub mod timed;
 
 pub use {context::Context, daemon::Daemon, error::Error, exchange::Exchange};
