--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -10,7 +10,7 @@
         net::{SocketAddr, TcpStream},
         process::Command,
     },
-    support::{CUSTOMERS, DESK, LEDGER, PATIENCE, Setup, client, process, until},
+    support::{CUSTOMERS, Cluster, DESK, LEDGER, PATIENCE, Setup, client, process, until},
 };
 
 const PROMPT: &str = "a sheet for forty trays of pierogi #tokens=40";
@@ -121,18 +121,9 @@
         }
         !retried.is_empty()
     });
-    let output = Command::new(env!("CARGO_BIN_EXE_mastictrail"))
-        .args(["explain", &retried])
-        .arg(cluster.log_path("vm-1"))
-        .output()
-        .expect("the command runs");
-    let story = String::from_utf8_lossy(&output.stdout);
-    let events: Vec<_> = story
-        .lines()
-        .filter(|line| !line.starts_with(' '))
-        .filter_map(|line| line.split_whitespace().nth(2))
-        .collect();
-    assert_eq!(events, ["route:", "retry:", "route:", "answer:"], "{story}");
+    let events = explain(&cluster, &retried);
+    let expected = ["vm-1 route:", "vm-1 retry:", "vm-1 route:", "vm-1 answer:"];
+    assert_eq!(events, expected);
     let log = cluster.log("vm-1");
     let page = include_str!("../docs/OPERATIONS.md");
     for line in log.lines() {
@@ -149,6 +140,36 @@
     }
 }
 
+/// Returns the VM and the event of each line that `explain` tells from all logs.
+fn explain(cluster: &Cluster, request: &str) -> Vec<String> {
+    let output = Command::new(env!("CARGO_BIN_EXE_mastictrail"))
+        .args(["explain", request])
+        .args(cluster.vms().iter().map(|vm| cluster.log_path(vm)))
+        .output()
+        .expect("the command runs");
+    let story = String::from_utf8_lossy(&output.stdout);
+    let heads = story.lines().filter(|line| !line.starts_with(' '));
+    let events = heads.map(|line| line.split_whitespace().skip(1).take(2).collect::<Vec<_>>());
+    events.map(|words| words.join(" ")).collect()
+}
+
+#[test]
+fn a_stream_is_explained_over_the_loss_of_its_vm() {
+    let mut cluster = Setup::default().start();
+    let mut stream = cluster.stream("vm-1", "a long report #tokens=100").unwrap();
+    let id = stream.headers["x-request-id"].to_str().unwrap().to_owned();
+    let cut = stream.read(5);
+    until("its route is logged", || cluster.log("vm-1").contains(&id));
+    cluster.process("vm-1").kill();
+    let mut resumed = cluster.resume("vm-2", &cut.resume, "alpha-key").unwrap();
+    resumed.finish();
+    let events = || explain(&cluster, &id);
+    until("its end is logged", || {
+        events().iter().any(|event| event == "vm-2 answer:")
+    });
+    assert_eq!(events(), ["vm-1 route:", "vm-2 resume:", "vm-2 answer:"]);
+}
+
 #[test]
 fn a_full_disk_under_the_log_stops_nothing() {
     let folder = tempfile::tempdir().expect("a folder");
