--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod inner;
 pub mod logs;
 pub mod metrics;
+pub mod observed;
 pub mod orders;
 pub mod owner;
 pub mod probe;
@@ -33,6 +34,7 @@
 pub mod session;
 pub mod sse;
 pub mod ticket;
+pub mod timed;
 pub mod witness;
 
 pub use {context::Context, daemon::Daemon, error::Error, exchange::Exchange};
