--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -9,7 +9,9 @@
         gossip::{self, Gossip},
         inner,
         metrics::Metrics,
+        observed::Observed,
         orders::{self, Orders},
+        owner::{self, Owner},
         probe,
         router::{self, Router},
         runtime::Runtime,
@@ -29,6 +31,8 @@
 
 /// Time between the readiness going off and the listener's close, for the balancer to notice.
 pub const LEAVE_DELAY: Duration = Duration::from_secs(2);
+/// Longest time to hand the records over, and for the calls that waited for it.
+const HANDOVER_LIMIT: Duration = Duration::from_secs(5);
 /// Time between two looks at the work in flight during a planned stop.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -66,6 +70,7 @@
         context.spawn(gossip::receive(Arc::clone(&context)));
         context.spawn(gossip::run(Arc::clone(&context)));
         context.spawn(orders::run(Arc::clone(&context)));
+        context.spawn(owner::run(Arc::clone(&context)));
         context.spawn(probe::run(Arc::clone(&context)));
         context.spawn(router::tick(Arc::clone(&context)));
         Ok(Self { context })
@@ -90,11 +95,23 @@
         while drain.in_flight() > 0 && self.context.now() < limit {
             Timer::after(DRAIN_POLL).await;
         }
+        owner::stop(&self.context, HANDOVER_LIMIT).await;
+        let limit = self.context.now() + HANDOVER_LIMIT;
+        while drain.in_flight() > 0 && self.context.now() < limit {
+            Timer::after(DRAIN_POLL).await;
+        }
         log::info!(target: "stop", connections = drain.in_flight(); "stopped");
         drain.in_flight() == 0
     }
 }
 
+impl Daemon {
+    /// Ends the process's tasks at once, whatever they do; for entry VMs inside another process.
+    pub fn kill(&self) {
+        self.context.runtime.stop();
+    }
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(address)
         .await
@@ -123,11 +140,13 @@
         configuration: Configuration::new(now, &settings, &identity),
         orders: Orders::new(now, &identity),
         gossip: Gossip::new(now, &settings, &identity, socket),
+        owner: Owner::new(identity.vm, identity.incarnation, &settings),
         clock: Arc::new(clock),
         identity,
         key,
         deployment: ArcSwap::default(),
         router: Router::new(policy),
+        observed: Observed::default(),
         metrics: Metrics::new(&settings.vm.name)?,
         sessions: Sessions::default(),
         drain: Drain::default(),
--- a/crates/once/src/registry.rs
+++ b/crates/once/src/registry.rs
@@ -113,6 +113,12 @@
         self.handover.is_some()
     }
 
+    /// Returns whether a list differs from the one in force here.
+    pub fn is_other_list(&self, vms: &[key::Vm]) -> bool {
+        let list = List::new(vms.iter().copied());
+        self.rights.list().is_none_or(|known| **known != list)
+    }
+
     /// Returns the number of records.
     pub fn len(&self) -> usize {
         self.records.len()
@@ -499,7 +505,7 @@
         for (&id, record) in &self.records {
             let next = list.as_ref().and_then(|list| list.deputy(id, self.vm));
             if let Some(copies) = next.and_then(|vm| offers.get_mut(&vm)) {
-                copies.push(record.copy(id, now, self.settings.window, true));
+                copies.push(record.copy(id, now, self.retention(record), true));
             }
         }
         let vms = offers.keys().map(|&vm| (vm, Handover::Offered));
@@ -543,6 +549,14 @@
         }
     }
 
+    /// Returns how long the next owner must remember a call: as long as it would run it.
+    fn retention(&self, record: &Record) -> Duration {
+        match record.expiry {
+            Some(_) => self.settings.window.max(self.settings.ticket_lifetime),
+            None => self.settings.window,
+        }
+    }
+
     fn successor(&self, id: Id) -> Option<key::Vm> {
         self.rights.list()?.deputy(id, self.vm)
     }
@@ -580,7 +594,7 @@
             .records
             .iter()
             .filter(|(id, record)| record.expiry.is_none() && is_returned(**id))
-            .map(|(&id, record)| record.copy(id, now, self.settings.window, false))
+            .map(|(&id, record)| record.copy(id, now, self.retention(record), false))
             .collect();
         actions.push(Action::Return {
             number,
@@ -591,6 +605,10 @@
     }
 
     fn set_list(&mut self, now: Instant, vms: Vec<key::Vm>, actions: &mut Vec<Action>) {
+        if self.handover.is_some() {
+            // The next owners were chosen under the list at the stop.
+            return;
+        }
         let is_first = self.rights.list().is_none();
         self.rights.set_list(now, List::new(vms));
         if !is_first {
