feat(entry): cache events of engines reach the policy; feat(cli): a seed for load

Each entry VM reads the cache events of the engines once a second; an engine that does not answer begins anew.

--- a/crates/cli/src/load.rs
+++ b/crates/cli/src/load.rs
@@ -56,6 +56,13 @@
                 .value_delimiter(',')
                 .conflicts_with("address"),
         )
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .value_name("N")
+                .help("Seed in place of that of the workload")
+                .value_parser(value_parser!(u64)),
+        )
         .arg(
             Arg::new("rounds")
                 .long("rounds")
@@ -89,10 +96,13 @@
     let Some(source) = sources.first() else {
         return ExitCode::from(BAD_INPUT);
     };
-    let workload = match workload::parse(&source.file, &source.text) {
+    let mut workload = match workload::parse(&source.file, &source.text) {
         Ok(workload) => workload,
         Err(faults) => return input::reject(&faults, &sources),
     };
+    if let Some(&seed) = arguments.get_one("seed") {
+        workload.seed = seed;
+    }
     match smol::block_on(measure(workload, arguments)) {
         Ok(code) => code,
         Err(error) => {
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Context, Error, admin, caller,
+        Context, Error, admin, cache, caller,
         configuration::{self, Configuration},
         context::Identity,
         drain::Drain,
@@ -67,6 +67,7 @@
         context.spawn(gossip::run(Arc::clone(&context)));
         context.spawn(orders::run(Arc::clone(&context)));
         context.spawn(probe::run(Arc::clone(&context)));
+        context.spawn(cache::run(Arc::clone(&context)));
         context.spawn(router::tick(Arc::clone(&context)));
         Ok(Self { context })
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admin;
 pub mod answer;
+pub mod cache;
 pub mod call;
 pub mod caller;
 pub mod configuration;
--- a/crates/route/src/length.rs
+++ b/crates/route/src/length.rs
@@ -170,7 +170,7 @@
     fn new(limit: u32) -> Self {
         let last = bucket(limit);
         let first = PRIOR_WEIGHT * (1.0 - PRIOR_RATIO);
-        let share = |index: usize| first * PRIOR_RATIO.powi(index as i32);
+        let share = |index: usize| first * PRIOR_RATIO.powf(index as f32);
         let mut histogram = Self {
             ended: array::from_fn(|index| if index <= last { share(index) } else { 0.0 }),
             censored: [0.0; BUCKETS],
