--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cli;
 pub mod client;
 pub mod embedded;
+pub mod load;
 
 mod check;
 mod completions;
@@ -10,7 +11,6 @@
 mod diff;
 mod explain;
 mod input;
-mod load;
 mod output;
 mod render;
 mod serve;
--- a/crates/cli/src/load.rs
+++ b/crates/cli/src/load.rs
@@ -1,13 +1,13 @@
 //! `mastictrail load`: drives a system by a seeded workload and measures what callers see.
 
-mod caller;
-mod plot;
-mod record;
-mod report;
-mod run;
-mod schedule;
-mod table;
-mod workload;
+pub mod caller;
+pub mod plot;
+pub mod record;
+pub mod report;
+pub mod run;
+pub mod schedule;
+pub mod table;
+pub mod workload;
 
 use {
     crate::{cli::BAD_INPUT, client::Failure, input, output},
--- /dev/null
+++ b/tests/load.rs
@@ -0,0 +1,163 @@
+//! The experiment tool: workloads, arrivals, what is recorded, and a small run.
+
+use {
+    mastictrail_cli::{
+        client::{self, Answer},
+        embedded::{CUSTOMER_KEY, MODEL, MODEL_SERVICE, Path, Plan},
+        load::{
+            record::{End, Figure, Sample},
+            run, schedule,
+            workload::{self, Customer, Workload},
+        },
+    },
+    serde_json::json,
+    smol::Timer,
+    std::{fs, path::PathBuf, time::Duration},
+};
+
+fn shipped() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../examples/workloads")
+}
+
+fn small() -> Workload {
+    let text = "[workload]\nname = small\nduration = 2s\nwarmup = 0s\nload = 0.2\n\
+        [system]\nvms = 2\nengines = 2\nstep = 5ms\n\
+        [kind lookup]\nshare = 0.7\nmedian = 5\nspread = 0.3\ndeadline = 60s\npriority = 5\n\
+        [kind draft]\nshare = 0.3\nmedian = 20\nspread = 0.3\ndeadline = 60s\n\
+        [customer anna]\nshare = 0.5\n[customer jan]\nshare = 0.5\n";
+    workload::parse("small", text).expect("the workload is sound")
+}
+
+#[test]
+fn every_shipped_workload_is_sound_and_can_be_carried() {
+    let mut count = 0;
+    for entry in fs::read_dir(shipped()).expect("the workloads are there") {
+        let path = entry.expect("the folder can be read").path();
+        let text = fs::read_to_string(&path).expect("the file can be read");
+        let workload = workload::parse(&path.display().to_string(), &text).expect("it is sound");
+        assert!(workload.capacity() > 1.0, "{}", path.display());
+        assert!(!schedule::arrivals(&workload).is_empty());
+        count += 1;
+    }
+    assert!(count >= 12);
+}
+
+#[test]
+fn a_fault_in_a_workload_is_named_with_its_line() {
+    let text = "[workload]\nname = w\nlaod = 0.9\n[kind a]\nshare = -1\n[customer c]\nshare = 1\n";
+    let faults = workload::parse("w.ini", text).expect_err("two keys are wrong");
+    let faults: Vec<_> = faults.iter().map(ToString::to_string).collect();
+    assert!(
+        faults[0].starts_with("w.ini:3: [workload] laod"),
+        "{faults:?}"
+    );
+    assert!(
+        faults[1].starts_with("w.ini:5: [kind a] share"),
+        "{faults:?}"
+    );
+}
+
+#[test]
+fn arrivals_depend_on_the_seed_and_not_on_other_customers() {
+    let workload = small();
+    let mut more = workload.clone();
+    more.customers.push(Customer {
+        name: "greedy".into(),
+        weight: 1,
+        share: 2.0,
+    });
+    let of = |workload: &Workload, customer| -> Vec<_> {
+        let arrivals = schedule::arrivals(workload).into_iter();
+        let arrivals = arrivals.filter(|arrival| arrival.customer == customer);
+        arrivals
+            .map(|arrival| (arrival.at, arrival.prompt))
+            .collect()
+    };
+    assert_eq!(of(&workload, 0), of(&more, 0));
+    assert_eq!(of(&workload, 1), of(&more, 1));
+    assert!(of(&more, 2).len() > of(&more, 0).len());
+    let other = Workload { seed: 2, ..small() };
+    assert_ne!(of(&workload, 0), of(&other, 0));
+}
+
+#[test]
+fn stall_counts_each_wait_beyond_the_pace_from_the_intended_arrival() {
+    let sample = Sample {
+        kind: 0,
+        customer: 0,
+        at: Duration::ZERO,
+        end: End::Good,
+        tokens: [400, 500, 1_500].map(Duration::from_millis).to_vec(),
+        ended: Duration::from_millis(1_500),
+    };
+    let pace = Duration::from_millis(250);
+    assert_eq!(sample.stall(pace), Duration::from_millis(150 + 750));
+    let silent = Sample {
+        tokens: Vec::new(),
+        ..sample.clone()
+    };
+    assert_eq!(silent.stall(pace), Duration::from_millis(1_250));
+    let mut figure = Figure::default();
+    figure.add(&sample, pace);
+    figure.add(
+        &Sample {
+            end: End::Bare,
+            ..silent
+        },
+        pace,
+    );
+    assert_eq!((figure.good, figure.refused, figure.bare), (1, 1, 1));
+}
+
+#[test]
+fn a_small_run_serves_and_counts_every_request() {
+    smol::block_on(async {
+        let workload = small();
+        let sent = schedule::arrivals(&workload).len() as u64;
+        let run = run::embedded(&workload, "predictive")
+            .await
+            .expect("the system starts");
+        assert_eq!(run.whole(|figure| figure.arrived), sent);
+        assert_eq!(run.whole(|figure| figure.good), sent);
+        assert_eq!(run.generations, sent);
+    });
+}
+
+async fn ask(path: &Path, class: &str, tokens: u32) -> Answer {
+    let prompt = format!("#tokens={tokens}");
+    let body = json!({"model": MODEL, "class": class, "prompt": prompt, "stream": true});
+    let headers = [("authorization", format!("Bearer {CUSTOMER_KEY}"))];
+    let url = format!("/{MODEL_SERVICE}/v1/completions");
+    let answer = client::post(path.callers[0], &url, &headers, &body.to_string()).await;
+    answer.expect("the entry VM answers")
+}
+
+#[test]
+fn the_deadline_of_a_class_holds_in_place_of_the_services() {
+    smol::block_on(async {
+        let plan = Plan {
+            classes: format!(
+                "[class {MODEL_SERVICE} patient]\n\
+                 [class {MODEL_SERVICE} hasty]\ndeadline = 1s\n"
+            )
+            .into(),
+            ..Plan::default()
+        };
+        let path = Path::start(plan).await.expect("the system starts");
+        while client::get(path.admins[0], "/ready")
+            .await
+            .expect("it answers")
+            .status
+            != 200
+        {
+            Timer::after(Duration::from_millis(20)).await;
+        }
+        let patient = ask(&path, "patient", 100).await;
+        assert!(patient.body.ends_with(b"data: [DONE]\n\n"));
+        let hasty = ask(&path, "hasty", 2_000).await;
+        let text = String::from_utf8_lossy(&hasty.body).into_owned();
+        assert!(text.contains("event: error"), "{text}");
+        assert!(!text.contains("[DONE]"));
+        path.kill().await;
+    });
+}
