--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -2,16 +2,16 @@
 
 use {
     crate::{cli::BAD_INPUT, input, output},
-    clap::{Arg, ArgAction, ArgMatches, Command},
+    clap::{Arg, ArgAction, ArgMatches, Command, value_parser},
     config::{Fault, Snapshot, Source, parse, settings},
     serde_json::json,
-    std::process::ExitCode,
+    std::{path::PathBuf, process::ExitCode},
 };
 
 const EXAMPLES: &str = "Examples:
-  mastictrail check examples/wielkopolanka/*.ini
+  mastictrail check examples/wielkopolanka
   mastictrail check --json examples/association/*.ini
-  mastictrail check --settings examples/wielkopolanka/entry.settings.ini";
+  mastictrail check --settings entry-a1.ini --deployment examples/wielkopolanka";
 
 /// Describes the subcommand.
 pub fn command() -> Command {
@@ -20,6 +20,14 @@
         .after_help(EXAMPLES)
         .arg(input::files())
         .arg(input::json())
+        .arg(
+            Arg::new("deployment")
+                .long("deployment")
+                .value_name("PATH")
+                .help("Compares the settings with this deployment, a file or a folder")
+                .requires("settings")
+                .value_parser(value_parser!(PathBuf)),
+        )
         .arg(
             Arg::new("settings")
                 .long("settings")
@@ -36,7 +44,11 @@
         Err(faults) => return reject(&faults, &[], is_json),
     };
     if arguments.get_flag("settings") {
-        return check_settings(&sources, is_json);
+        let deployment = match deployment(arguments) {
+            Ok(deployment) => deployment,
+            Err(code) => return code,
+        };
+        return check_settings(&sources, deployment.as_ref(), is_json);
     }
     match parse::deployment(&sources) {
         Ok(snapshot) => accept(&snapshot, is_json),
@@ -44,11 +56,27 @@
     }
 }
 
-fn check_settings(sources: &[Source], is_json: bool) -> ExitCode {
+/// Reads the deployment that settings are compared with, if one is given.
+fn deployment(arguments: &ArgMatches) -> Result<Option<Snapshot>, ExitCode> {
+    let paths = input::paths(arguments, "deployment");
+    if paths.is_empty() {
+        return Ok(None);
+    }
+    input::deployment(&paths).map(Some)
+}
+
+fn settings_faults(source: &Source, deployment: Option<&Snapshot>) -> Vec<Fault> {
+    match (settings::parse(&source.file, &source.text), deployment) {
+        (Ok(settings), Some(deployment)) => settings::compare(source, &settings, deployment),
+        (Ok(_), None) => Vec::new(),
+        (Err(faults), _) => faults,
+    }
+}
+
+fn check_settings(sources: &[Source], deployment: Option<&Snapshot>, is_json: bool) -> ExitCode {
     let faults: Vec<_> = sources
         .iter()
-        .filter_map(|source| settings::parse(&source.file, &source.text).err())
-        .flatten()
+        .flat_map(|source| settings_faults(source, deployment))
         .collect();
     if !faults.is_empty() {
         return reject(&faults, sources, is_json);
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -81,6 +81,28 @@
     assert_eq!(fault["permitted"], "file, level, queue");
 }
 
+#[test]
+fn check_compares_settings_with_their_deployment() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let check = |name: &str, data_centre: &str| {
+        let text =
+            format!("[vm]\nname = {name}\ndata_centre = {data_centre}\n[keys]\ndeployment = k\n");
+        let path = write(&folder, "entry.ini", &text);
+        let deployment = example("association");
+        mastictrail(&["check", "--settings", &path, "--deployment", &deployment])
+    };
+    let good = check("entry-langley-1", "data centre-langley");
+    assert_eq!(good.status.code(), SUCCESS, "{}", stderr(&good));
+    let unknown = check("entry-langley-9", "data centre-langley");
+    assert_eq!(unknown.status.code(), BAD_INPUT);
+    let message = "name: the deployment has no [vm entry-langley-9]";
+    assert!(stderr(&unknown).contains(message), "{}", stderr(&unknown));
+    let moved = check("entry-langley-1", "data centre-abbotsford");
+    assert_eq!(moved.status.code(), BAD_INPUT);
+    let permitted = "permitted: data centre-langley";
+    assert!(stderr(&moved).contains(permitted), "{}", stderr(&moved));
+}
+
 #[test]
 fn bad_usage_has_the_exit_code_of_bad_input() {
     for arguments in [
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -2,10 +2,11 @@
 
 use {
     crate::{
-        Fault,
+        Fault, Snapshot, Source,
         ini::{Reader, sections},
         unit, value,
     },
+    base::key,
     derive_more::Debug,
     std::{
         cell::RefCell,
@@ -217,6 +218,31 @@
     Err(faults)
 }
 
+/// Compares valid settings with the deployment that the VM is part of.
+pub fn compare(source: &Source, settings: &Settings, snapshot: &Snapshot) -> Vec<Fault> {
+    let sections = sections(&source.file, &source.text).unwrap_or_default();
+    let faults = RefCell::default();
+    for section in sections.iter().filter(|section| &*section.kind == "vm") {
+        let reader = Reader::new(&source.file, section, &faults);
+        let Some(vm) = snapshot.vms.get(key::Vm::of(&settings.vm.name)) else {
+            let message = format!("the deployment has no [vm {}]", settings.vm.name);
+            reader.reject(
+                "name",
+                &message,
+                "the name of a [vm NAME] of the deployment",
+            );
+            continue;
+        };
+        let data_centre = snapshot.data_centres.get(vm.data_centre);
+        let name = data_centre.map_or("", |data_centre| &data_centre.name);
+        if name != &*settings.vm.data_centre {
+            let message = format!("the deployment puts {} into another data centre", vm.name);
+            reader.reject("data_centre", &message, name);
+        }
+    }
+    faults.into_inner()
+}
+
 fn set<T>(place: &mut T, value: Option<T>) {
     if let Some(value) = value {
         *place = value;
