--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         configuration::Configuration, deployment::Deployment, drain::Drain, gossip::Gossip,
-        metrics::Metrics, observed::Observed, orders::Orders, router::Router, runtime::Runtime,
-        session::Sessions,
+        metrics::Metrics, observed::Observed, orders::Orders, owner::Owner, router::Router,
+        runtime::Runtime, session::Sessions,
     },
     arc_swap::ArcSwap,
     base::{Clock, Instant, key},
@@ -52,6 +52,8 @@
     pub observed: Observed,
     /// Metrics.
     pub metrics: Metrics,
+    /// Calls that run at most once.
+    pub owner: Owner,
     /// Streams that this process carries.
     pub sessions: Sessions,
     /// Requests in flight and the planned stop.
