fix(entry): every answer bears a request id, and no caller makes long lines

Requests that were refused before their service was known had no id and no line in the log, against docs/PROTOCOLS.md; explain finds them now. A malformed x-deadline-ms was taken for none and is refused. Texts in the log are cut at 2 KiB: a model's name of 200 kB made a line of that length (seen with the limit lifted).

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -1,7 +1,7 @@
 //! Answers to callers: bodies, streams and the error body.
 
 use {
-    crate::{Context, Exchange},
+    crate::Context,
     base::{Reason, Refusal},
     bytes::Bytes,
     http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody},
@@ -64,11 +64,10 @@
 }
 
 /// Adds the headers that every answer bears.
-pub fn mark(response: &mut Response<Body>, context: &Context, exchange: Option<&Exchange>) {
+pub fn mark(response: &mut Response<Body>, context: &Context, request: &str, version: u64) {
     let headers = response.headers_mut();
-    let version = exchange.map_or_else(|| context.snapshot().version, Exchange::version);
     headers.insert("x-configuration-version", HeaderValue::from(version));
-    if let Some(id) = exchange.and_then(|exchange| HeaderValue::from_str(&exchange.id).ok()) {
+    if let Ok(id) = HeaderValue::from_str(request) {
         headers.insert("x-request-id", id);
     }
     if context.drain.is_leaving() {
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -6,7 +6,7 @@
         answer::{self, Body},
         call,
         deployment::Deployment,
-        generation,
+        exchange, generation,
         runtime::within,
         ticket,
         timed::Timed,
@@ -77,10 +77,7 @@
     let serving = Arc::clone(&context);
     let service = service_fn(move |_request| {
         let refusal = Refusal::not_run(Reason::Overloaded, "too many connections");
-        let refusal = refusal.retry_after(BUSY_DELAY);
-        serving.metrics.refused("", &refusal);
-        let mut response = answer::refusal(&refusal, "", serving.snapshot().version);
-        answer::mark(&mut response, &serving, None);
+        let response = refuse_early(&serving, &refusal.retry_after(BUSY_DELAY));
         async move { Ok::<_, Infallible>(response) }
     });
     let _ = http1::Builder::new()
@@ -124,29 +121,39 @@
     }
     let exchange = match begin(context, &parts) {
         Ok(exchange) => exchange,
-        Err(refusal) => {
-            context.metrics.refused("", &refusal);
-            let mut response = answer::refusal(&refusal, "", context.snapshot().version);
-            answer::mark(&mut response, context, None);
-            return response;
-        }
+        Err(refusal) => return refuse_early(context, &refusal),
     };
     let mut response = match dispatch(context, &exchange, &parts, body).await {
         Ok(response) => response,
         Err(refusal) => {
-            log::info!(
-                target: "answer", request:% = exchange.id, verdict:% = refusal.verdict,
-                reason:% = refusal.reason, configuration_version = exchange.version();
-                "refused: {}", refusal.message
-            );
+            log_refusal(&exchange.id, &refusal, exchange.version());
             context.metrics.refused(exchange.service_name(), &refusal);
             answer::refusal(&refusal, &exchange.id, exchange.version())
         }
     };
-    answer::mark(&mut response, context, Some(&exchange));
+    answer::mark(&mut response, context, &exchange.id, exchange.version());
+    response
+}
+
+/// Answers a request that is refused before its service is known.
+fn refuse_early(context: &Context, refusal: &Refusal) -> Response<Body> {
+    let id = exchange::new_id();
+    let version = context.snapshot().version;
+    log_refusal(&id, refusal, version);
+    context.metrics.refused("", refusal);
+    let mut response = answer::refusal(refusal, &id, version);
+    answer::mark(&mut response, context, &id, version);
     response
 }
 
+fn log_refusal(request: &str, refusal: &Refusal, version: u64) {
+    log::info!(
+        target: "answer", request:% = request, verdict:% = refusal.verdict,
+        reason:% = refusal.reason, configuration_version = version;
+        "refused: {}", refusal.message
+    );
+}
+
 /// Answers a request for tickets.
 async fn tickets(context: &Arc<Context>, parts: &Parts, body: Incoming) -> Response<Body> {
     let answer = async {
@@ -154,12 +161,14 @@
         let body = read_body(context, body, TICKET_BODY_LIMIT).await?;
         ticket::issue(context, customer, &body)
     };
-    let mut response = answer.await.unwrap_or_else(|refusal| {
-        context.metrics.refused("", &refusal);
-        answer::refusal(&refusal, "", context.snapshot().version)
-    });
-    answer::mark(&mut response, context, None);
-    response
+    match answer.await {
+        Ok(mut response) => {
+            let version = context.snapshot().version;
+            answer::mark(&mut response, context, &exchange::new_id(), version);
+            response
+        }
+        Err(refusal) => refuse_early(context, &refusal),
+    }
 }
 
 /// Finds the customer under the configuration in force.
@@ -195,15 +204,22 @@
         ));
     }
     let mut exchange = Exchange::new(context, deployment, customer, service);
-    if let Some(limit) = deadline(parts) {
+    if let Some(limit) = deadline(parts)? {
         exchange.shorten(limit);
     }
     Ok(exchange)
 }
 
-fn deadline(parts: &Parts) -> Option<Duration> {
-    let value = parts.headers.get("x-deadline-ms")?.to_str().ok()?;
-    Some(Duration::from_millis(value.parse().ok()?))
+fn deadline(parts: &Parts) -> Result<Option<Duration>, Refusal> {
+    let Some(value) = parts.headers.get("x-deadline-ms") else {
+        return Ok(None);
+    };
+    let milliseconds = value.to_str().ok().and_then(|text| text.parse().ok());
+    let milliseconds = milliseconds.ok_or_else(|| {
+        let message = "`x-deadline-ms` must be a whole number of milliseconds";
+        Refusal::not_run(Reason::BadRequest, message)
+    })?;
+    Ok(Some(Duration::from_millis(milliseconds)))
 }
 
 /// Splits `/SERVICE/PATH` into `SERVICE` and `/PATH`.
--- a/crates/entry/src/logs.rs
+++ b/crates/entry/src/logs.rs
@@ -33,6 +33,8 @@
 pub const FLUSH_LIMIT: Duration = Duration::from_secs(1);
 /// Time between two looks at the queue while it is flushed.
 const FLUSH_POLL: Duration = Duration::from_millis(5);
+/// Most bytes of a text in a line.
+const TEXT_LIMIT: usize = 2048;
 /// Longest time until dropped lines are told, without a line that could be written.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -195,11 +197,21 @@
     insert("level", json!(record.level().as_str()));
     insert("vm", json!(vm));
     insert("event", json!(record.target()));
-    insert("message", json!(message.to_string()));
+    insert("message", json!(shorten(message.to_string())));
     let _ = record.key_values().visit(&mut fields);
     out.finish(format_args!("{}", serde_json::Value::Object(fields.0)));
 }
 
+/// Cuts a text that is too long for a line, such as one that a caller sent.
+fn shorten(mut text: String) -> String {
+    if text.len() > TEXT_LIMIT {
+        let boundary = (0..=TEXT_LIMIT).rev().find(|&at| text.is_char_boundary(at));
+        text.truncate(boundary.unwrap_or_default());
+        text.push('…');
+    }
+    text
+}
+
 /// Returns the time of day in RFC 3339 with microseconds, in UTC.
 fn timestamp() -> String {
     humantime::format_rfc3339_micros(SystemTime::now()).to_string()
@@ -217,7 +229,7 @@
         } else if let Some(number) = value.to_f64() {
             json!(number)
         } else {
-            json!(value.to_string())
+            json!(shorten(value.to_string()))
         };
         self.0.insert(key.as_str().to_owned(), json);
         Ok(())
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -170,6 +170,51 @@
     assert_eq!(events(), ["vm-1 route:", "vm-2 resume:", "vm-2 answer:"]);
 }
 
+#[test]
+fn requests_refused_early_are_explained_too() {
+    let cluster = setup("").start();
+    let address = cluster.addresses["vm-1/caller"];
+    let path = format!("/{LEDGER}/read");
+    let key = ("authorization", "Bearer alpha-key");
+    let cases = [
+        (&*path, ("authorization", "Bearer wrong"), 401),
+        ("/nothing", ("x-none", ""), 404),
+        (&*path, ("x-deadline-ms", "soon"), 400),
+    ];
+    for (path, header, status) in cases {
+        let headers = [key, header];
+        let headers = if header.0 == key.0 {
+            &headers[1..]
+        } else {
+            &headers
+        };
+        let answer = client::ask(address, &Method::POST, path, headers, "").unwrap();
+        assert_eq!(answer.status, status, "{answer:?}");
+        assert_eq!(answer.verdict(), "not_run");
+        let id = answer.header("x-request-id").to_owned();
+        assert_eq!(answer.json()["error"]["request"], *id);
+        until("it is logged", || {
+            explain(&cluster, &id) == ["vm-1 answer:"]
+        });
+    }
+}
+
+#[test]
+fn what_callers_send_makes_no_long_lines() {
+    let cluster = setup("").start();
+    let model = "ż".repeat(100_000);
+    let body = serde_json::json!({"model": model, "prompt": "a"}).to_string();
+    let path = format!("/{DESK}/v1/completions");
+    let answer = cluster
+        .call("vm-1", &Method::POST, &path, &[], &body)
+        .unwrap();
+    assert_eq!(answer.status, 400);
+    let id = answer.header("x-request-id");
+    until("it is logged", || cluster.log("vm-1").contains(id));
+    let longest = cluster.log("vm-1").lines().map(str::len).max();
+    assert!(longest < Some(4096), "{longest:?}");
+}
+
 #[test]
 fn a_full_disk_under_the_log_stops_nothing() {
     let folder = tempfile::tempdir().expect("a folder");
