refactor: settings by section, instruments and streams apart from the metrics

Each section of the settings is a file with its struct, its defaults and its reading, found in one list; the messages and the operators' page are held by the tests as before.

--- a/crates/config/src/ini.rs
+++ b/crates/config/src/ini.rs
@@ -245,6 +245,18 @@
         }
     }
 
+    /// Reads a key into its place if it is there; the place keeps its value otherwise.
+    pub fn update<T, P: Display>(
+        &self,
+        key: &'static str,
+        place: &mut T,
+        parse: impl Fn(&str) -> Result<T, P>,
+    ) {
+        if let Some(value) = self.optional(key, parse) {
+            *place = value;
+        }
+    }
+
     /// Notes a fault of a key's value that only shows beside other sections.
     pub fn reject(&self, key: &'static str, message: &str, permitted: &str) {
         let line = self
--- /dev/null
+++ b/crates/config/src/settings/records.rs
@@ -0,0 +1,43 @@
+//! `[records]`: records of calls that run at most once.
+
+use {
+    crate::{ini::Reader, settings::Section, unit, value},
+    std::time::Duration,
+};
+
+/// Records of calls that run at most once; the times are the same on every entry VM.
+#[derive(Clone, Debug)]
+pub struct Records {
+    /// Time for which results are kept, and for which a bare key means the same call.
+    pub window: Duration,
+    /// Time for which a ticket can be used.
+    pub ticket_lifetime: Duration,
+    /// Most records.
+    pub limit: u32,
+    /// Most bytes of answers in the records.
+    pub size: u64,
+}
+
+impl Default for Records {
+    fn default() -> Self {
+        Self {
+            window: Duration::from_secs(600),
+            ticket_lifetime: Duration::from_secs(3600),
+            limit: 65_536,
+            size: 16 << 20,
+        }
+    }
+}
+
+impl Section for Records {
+    fn read(&mut self, reader: &Reader<'_>) {
+        reader.update("window", &mut self.window, value::duration);
+        reader.update(
+            "ticket_lifetime",
+            &mut self.ticket_lifetime,
+            value::duration,
+        );
+        reader.update("limit", &mut self.limit, value::positive);
+        reader.update("size", &mut self.size, unit::size);
+    }
+}
--- /dev/null
+++ b/crates/config/src/settings/routing.rs
@@ -0,0 +1,24 @@
+//! `[routing]`: routing.
+
+use crate::{ini::Reader, settings::Section, value};
+
+/// Routing.
+#[derive(Clone, Debug)]
+pub struct Routing {
+    /// Name of the policy.
+    pub policy: Box<str>,
+}
+
+impl Default for Routing {
+    fn default() -> Self {
+        Self {
+            policy: "predictive".into(),
+        }
+    }
+}
+
+impl Section for Routing {
+    fn read(&mut self, reader: &Reader<'_>) {
+        reader.update("policy", &mut self.policy, value::text);
+    }
+}
--- a/crates/config/src/value.rs
+++ b/crates/config/src/value.rs
@@ -6,7 +6,7 @@
         unit,
     },
     base64::{Engine, engine::general_purpose::URL_SAFE_NO_PAD},
-    std::{net::SocketAddr, str::FromStr, time::Duration},
+    std::{net::SocketAddr, path::PathBuf, str::FromStr, time::Duration},
 };
 
 /// Most characters of a name.
@@ -58,6 +58,14 @@
     Err(PATH)
 }
 
+/// Parses the path of a file.
+pub(crate) fn file(value: &str) -> Result<PathBuf, &'static str> {
+    if value.is_empty() {
+        return Err("a path");
+    }
+    Ok(value.into())
+}
+
 /// Parses an HTTP method.
 pub(crate) fn method(value: &str) -> Result<Box<str>, &'static str> {
     match value {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -4,15 +4,18 @@
 //! format. Attributes are names from the deployment and words of this crate, so the number of series
 //! is bounded: customers appear by the class of their requests, never by name.
 
+mod instruments;
+mod stream;
+
+pub use stream::Stream;
+
 use {
     crate::{Context, Error, logs},
-    base::{Instant, Refusal, key},
+    base::{Refusal, key},
     config::deployment::Service,
     derive_more::Debug,
-    opentelemetry::{
-        KeyValue,
-        metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
-    },
+    instruments::Instruments,
+    opentelemetry::{KeyValue, metrics::MeterProvider},
     opentelemetry_sdk::{Resource, metrics::SdkMeterProvider},
     prometheus::{Encoder, Registry, TextEncoder},
     std::{
@@ -22,15 +25,6 @@
     },
 };
 
-/// Bounds of the buckets of times between tokens, in seconds.
-const INTERVALS: [f64; 14] = [
-    0.005, 0.01, 0.02, 0.03, 0.05, 0.077, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
-];
-/// Bounds of the buckets of waits and stalls, in seconds.
-const WAITS: [f64; 15] = [
-    0.001, 0.005, 0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 1.8, 2.5, 5.0, 10.0, 30.0, 60.0, 120.0,
-];
-
 /// Which way bytes go.
 #[derive(Clone, Copy, Debug)]
 pub enum Direction {
@@ -53,118 +47,6 @@
     reported: Mutex<HashMap<key::Target, u64>>,
 }
 
-#[derive(Debug)]
-#[debug("instruments")]
-struct Instruments {
-    stall: Histogram<f64>,
-    first_token: Histogram<f64>,
-    token_interval: Histogram<f64>,
-    preemptions: Counter<u64>,
-    queue_wait: Histogram<f64>,
-    requests: Counter<u64>,
-    retries: Counter<u64>,
-    control_bytes: Counter<u64>,
-    log_dropped: Gauge<u64>,
-    in_flight: Gauge<u64>,
-    queued: Gauge<u64>,
-    members: Gauge<u64>,
-    version: Gauge<u64>,
-    ready: Gauge<u64>,
-}
-
-impl Instruments {
-    fn new(meter: &Meter) -> Self {
-        let histogram = |name: &'static str, description: &'static str, bounds: &[f64]| {
-            meter
-                .f64_histogram(name)
-                .with_unit("s")
-                .with_description(description)
-                .with_boundaries(bounds.to_vec())
-                .build()
-        };
-        let counter = |name: &'static str, unit: &'static str, description: &'static str| {
-            let counter = meter.u64_counter(name).with_unit(unit);
-            counter.with_description(description).build()
-        };
-        let gauge = |name: &'static str, unit: &'static str, description: &'static str| {
-            let gauge = meter.u64_gauge(name).with_unit(unit);
-            gauge.with_description(description).build()
-        };
-        Self {
-            stall: histogram(
-                "mastictrail.request.stall",
-                "Time of a streamed request without a token beyond the pace of its service",
-                &WAITS,
-            ),
-            first_token: histogram(
-                "mastictrail.request.first_token",
-                "Time from the arrival of a streamed request to its first token",
-                &WAITS,
-            ),
-            token_interval: histogram(
-                "mastictrail.token.interval",
-                "Time between two tokens of a stream",
-                &INTERVALS,
-            ),
-            preemptions: counter(
-                "mastictrail.engine.preemptions",
-                "{preemption}",
-                "Preemptions that engines reported since the process began to watch them",
-            ),
-            queue_wait: histogram(
-                "mastictrail.request.queue_wait",
-                "Time that a dispatched attempt waited for a place on a target",
-                &WAITS,
-            ),
-            requests: counter(
-                "mastictrail.requests",
-                "{request}",
-                "Answered requests by verdict; the reason is empty for a complete answer",
-            ),
-            retries: counter(
-                "mastictrail.retries",
-                "{attempt}",
-                "Attempts after the first, by the reason of the loss of the one before",
-            ),
-            control_bytes: counter(
-                "mastictrail.control.io",
-                "By",
-                "Bytes of datagrams between entry VMs",
-            ),
-            log_dropped: gauge(
-                "mastictrail.log.dropped",
-                "{line}",
-                "Lines of the log that were dropped since the start",
-            ),
-            in_flight: gauge(
-                "mastictrail.work.in_flight",
-                "{task}",
-                "Connections of callers, streams and calls for peers that a planned stop waits for",
-            ),
-            queued: gauge(
-                "mastictrail.requests.queued",
-                "{request}",
-                "Requests that wait for a place on a target",
-            ),
-            members: gauge(
-                "mastictrail.members",
-                "{vm}",
-                "Entry VMs by what this one believes of them",
-            ),
-            version: gauge(
-                "mastictrail.configuration.version",
-                "{version}",
-                "Configuration version in force",
-            ),
-            ready: gauge(
-                "mastictrail.ready",
-                "{state}",
-                "1 if callers may be sent here",
-            ),
-        }
-    }
-}
-
 impl Metrics {
     /// Makes the instruments of a VM.
     ///
@@ -318,53 +200,3 @@
         KeyValue::new("class", class.to_owned()),
     ]
 }
-
-/// Watches the tokens of one stream.
-#[derive(Debug)]
-pub struct Stream {
-    attributes: [KeyValue; 2],
-    pace: Duration,
-    last: Instant,
-    tokens: u64,
-    stalled: Duration,
-}
-
-impl Stream {
-    /// Begins with the arrival of a request, or of the caller that resumes it.
-    pub fn new(service: Option<&Service>, class: usize, now: Instant) -> Self {
-        Self {
-            attributes: request_attributes(service, class),
-            pace: service.map_or(config::parse::PACE, |service| service.pace),
-            last: now,
-            tokens: 0,
-            stalled: Duration::ZERO,
-        }
-    }
-
-    /// Notes a token on its way to the caller.
-    pub fn token(&mut self, metrics: &Metrics, now: Instant) {
-        let instruments = &metrics.instruments;
-        let gap = now.since(self.last);
-        let histogram = if self.tokens == 0 {
-            &instruments.first_token
-        } else {
-            &instruments.token_interval
-        };
-        histogram.record(gap.as_secs_f64(), &self.attributes);
-        self.stalled += gap.saturating_sub(self.pace);
-        self.last = now;
-        self.tokens += 1;
-    }
-
-    /// Returns whether a token was noted.
-    pub fn has_begun(&self) -> bool {
-        self.tokens > 0
-    }
-
-    /// Notes the end of the stream.
-    pub fn end(&self, metrics: &Metrics, now: Instant) {
-        let stalled = self.stalled + now.since(self.last).saturating_sub(self.pace);
-        let stall = &metrics.instruments.stall;
-        stall.record(stalled.as_secs_f64(), &self.attributes);
-    }
-}
