fix(fleet): every VM samples the platform in its turn

Cause: a VM that does not watch asked the platform with a chance of one in ten each second, so a newer value that the platform gave to that VM alone could stay unseen for any time. Ruled out: the spread between peers, which had nothing to spread. Now the VM asks once in a turn of half to one and a half mean periods; the mean rate is the same.

--- a/crates/fleet/src/spread.rs
+++ b/crates/fleet/src/spread.rs
@@ -194,6 +194,9 @@
     pulls: Vec<Pull>,
     watch: Option<(Instant, Duration)>,
     next_watch: Instant,
+    /// When this VM last asked the platform without watching it, and the length of its turn as a
+    /// share of the mean one.
+    sample: (Instant, f64),
     rank: usize,
     count: usize,
     own_answer: Option<Instant>,
@@ -226,6 +229,7 @@
             pulls: Vec::new(),
             watch: None,
             next_watch: now,
+            sample: (now, 0.0),
             rank: 0,
             count: 1,
             own_answer: None,
@@ -375,8 +379,14 @@
         } else {
             SEARCH_RATE
         };
-        let share = (rate / self.count.max(1) as f64).min(1.0);
-        self.rng.random_bool(share).then_some(Duration::ZERO)
+        let period = Duration::from_secs_f64(self.count.max(1) as f64 / rate);
+        let (sampled, spread) = self.sample;
+        if now < sampled + period.mul_f64(spread) {
+            return None;
+        }
+        // The turns of VMs that started together do not coincide.
+        self.sample = (now, self.rng.random_range(0.5..1.5));
+        Some(Duration::ZERO)
     }
 
     fn take_answer(&mut self, now: Instant, answer: Answer, actions: &mut Vec<Action>) {
