fix(entry): a target is unreachable after three probes in a row

Cause: one probe without an answer within its limit took a target out of use, so a busy machine made the only target of a service unusable and a release was refused with no_target during a planned stop (a_stop_of_an_entry_vm_that_was_frozen_cuts_nothing, seen failing once at a load of 64 on 10 cores). Probes of one target also overlapped, so one delay counted several times. Now a target is asked once at a time and counts as unreachable after three failures in a row; attempts still fail over at once.

--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -4,6 +4,7 @@
     crate::{
         Context,
         answer::{self, Body},
+        observed,
     },
     config::Snapshot,
     hyper::{
@@ -142,7 +143,7 @@
         let service = snapshot.services.get(target.service);
         let fields = json!({
             "service": service.map(|service| &service.name),
-            "reachable": probe.as_ref().is_some_and(|probe| probe.is_reachable),
+            "reachable": probe.as_ref().is_some_and(observed::Probe::is_reachable),
             "leaving": departures.is_leaving(key),
             "probed_ms_ago": probe.as_ref().map(|probe| now.since(probe.at).as_millis() as u64),
             "running": load.map(|load| load.running),
--- a/crates/entry/src/observed.rs
+++ b/crates/entry/src/observed.rs
@@ -4,15 +4,21 @@
     base::{Instant, key},
     route::Load,
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         sync::{Mutex, MutexGuard, PoisonError},
     },
 };
 
+/// Probes without an answer in a row after which a target counts as unreachable; a single one may
+/// be a busy target or this VM's own delay.
+pub const UNREACHABLE_AFTER: u32 = 3;
+
 /// The last probe of each target.
 #[derive(Debug, Default)]
 pub struct Observed {
     probes: Mutex<HashMap<key::Target, Probe>>,
+    /// Targets that are being asked now.
+    pending: Mutex<HashSet<key::Target>>,
 }
 
 /// What a target answered.
@@ -20,23 +26,45 @@
 pub struct Probe {
     /// When it answered, or did not.
     pub at: Instant,
-    /// Whether it could be reached.
-    pub is_reachable: bool,
+    /// Probes without an answer since the last one with an answer.
+    pub failures: u32,
     /// Its load by the last report; `None` before the first.
     pub load: Option<Box<Load>>,
 }
 
+impl Probe {
+    /// Returns whether the target counts as reachable.
+    pub fn is_reachable(&self) -> bool {
+        self.failures < UNREACHABLE_AFTER
+    }
+}
+
 impl Observed {
-    /// Notes a probe; a target that can't be reached keeps its last report.
-    pub fn note(&self, target: key::Target, at: Instant, load: Option<&Load>) {
+    /// Begins a probe; returns false while an earlier one of the target has not ended.
+    pub fn begin(&self, target: key::Target) -> bool {
+        let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
+        pending.insert(target)
+    }
+
+    /// Notes the end of a probe and returns whether the target counts as reachable; one that does not answer
+    /// keeps its last report.
+    pub fn note(&self, target: key::Target, at: Instant, load: Option<&Load>) -> bool {
+        let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
+        pending.remove(&target);
+        drop(pending);
         let mut probes = self.lock();
-        let former = probes.remove(&target).and_then(|probe| probe.load);
+        let former = probes.remove(&target);
+        let failures = former.as_ref().map_or(0, |probe| probe.failures);
         let probe = Probe {
             at,
-            is_reachable: load.is_some(),
-            load: load.map(|load| Box::new(load.clone())).or(former),
+            failures: if load.is_some() { 0 } else { failures + 1 },
+            load: load
+                .map(|load| Box::new(load.clone()))
+                .or(former.and_then(|probe| probe.load)),
         };
+        let reachable = probe.is_reachable();
         probes.insert(target, probe);
+        reachable
     }
 
     /// Returns the last probe of a target.
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -23,8 +23,10 @@
         let targets = &snapshot.targets;
         context.observed.retain(|target| targets.contains(target));
         for (key, target) in snapshot.targets.iter() {
-            let probe = probe(Arc::clone(&context), key, target.clone());
-            context.spawn(probe);
+            if context.observed.begin(key) {
+                let probe = probe(Arc::clone(&context), key, target.clone());
+                context.spawn(probe);
+            }
         }
         Timer::after(INTERVAL).await;
     }
@@ -33,16 +35,14 @@
 async fn probe(context: Arc<Context>, target: key::Target, settings: Target) {
     let answer = http::get_json(&context, settings.address, "/v1/load", LIMIT).await;
     let now = context.now();
-    let reachable = answer.is_ok();
+    let report = answer.as_ref().ok().map(load);
+    let reachable = context.observed.note(target, now, report.as_ref());
     context
         .router
         .handle(now, Event::Reachable { target, reachable });
-    let Ok(value) = answer else {
-        context.observed.note(target, now, None);
+    let (Ok(value), Some(load)) = (answer, report.map(Box::new)) else {
         return;
     };
-    let load = Box::new(load(&value));
-    context.observed.note(target, now, Some(&load));
     let snapshot = context.snapshot();
     let service = snapshot.services.get(settings.service);
     if let Some(service) = service.filter(|service| service.kind == Kind::Model) {
