--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -35,6 +35,10 @@
         }
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process at once and waits for its end.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
