test: conditions that hold before a call, and a service that works on alone

The stand-in service now works on a call to its end when its caller hangs up, as real ones do, and tests wait for that end before they count.

--- a/crates/fakes/src/service/mod.rs
+++ b/crates/fakes/src/service/mod.rs
@@ -12,7 +12,7 @@
     hyper::{Response, StatusCode, header::HeaderValue},
     serde::Deserialize,
     serde_json::json,
-    smol::{Timer, net::TcpListener},
+    smol::{Timer, channel, net::TcpListener},
     std::{
         collections::BTreeMap,
         io,
@@ -119,7 +119,7 @@
     format!("{:016x}", xxh3_64(body)).into()
 }
 
-async fn answer(state: &Mutex<State>, request: &Request) -> Answer {
+async fn answer(state: &Arc<Mutex<State>>, request: &Request) -> Answer {
     match &*request.path {
         "/test/runs" => Ok(http::json(&json!({ "runs": lock(state).runs }))),
         "/test/behaviour" => Ok(order(state, request)),
@@ -150,7 +150,7 @@
     }))
 }
 
-async fn call(state: &Mutex<State>, request: &Request) -> Answer {
+async fn call(state: &Arc<Mutex<State>>, request: &Request) -> Answer {
     let behaviour = lock(state).behaviour.clone();
     if behaviour.refuse || behaviour.leaving {
         return Ok(http::refusal(behaviour.leaving));
@@ -158,12 +158,32 @@
     if behaviour.fail == Some(Point::Before) {
         return Err(http::hang_up());
     }
-    lock(state).running += 1;
+    let (sender, receiver) = channel::bounded(1);
+    let work = work(
+        Arc::clone(state),
+        behaviour.clone(),
+        request.clone(),
+        sender,
+    );
+    smol::spawn(work).detach();
+    let reply = receiver.recv().await.map_err(io::Error::other)?;
+    finish(state, &behaviour, reply)
+}
+
+/// Works on a call to its end, even if the caller hangs up meanwhile.
+async fn work(
+    state: Arc<Mutex<State>>,
+    behaviour: Behaviour,
+    request: Request,
+    replies: channel::Sender<Reply>,
+) {
+    lock(&state).running += 1;
     Timer::after(Duration::from_millis(behaviour.slow_ms)).await;
-    let reply = run(&mut lock(state), request);
+    let reply = run(&mut lock(&state), &request);
     Timer::after(Duration::from_millis(behaviour.late_ms)).await;
-    lock(state).running -= 1;
-    finish(state, &behaviour, reply)
+    lock(&state).running -= 1;
+    // The caller may have hung up.
+    let _ = replies.send(reply).await;
 }
 
 /// Runs the call and counts it.
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -186,8 +186,7 @@
         mode(cluster, &json!({"silent": true}));
     };
     platform_stale: Whole, |cluster, _| {
-        cluster.publish(2, "");
-        mode(cluster, &json!({"stale": 1}));
+        cluster.make_platform_stale();
     };
     engine_leaves_the_configuration: Whole, |cluster, engine| {
         cluster.publish_without(2, engine);
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -241,10 +241,7 @@
 
 #[test]
 fn a_stop_while_the_platform_is_stale_cuts_nothing() {
-    check(&["vm-1"], |cluster| {
-        cluster.publish(2, "");
-        cluster.order("platform", "/test/mode", &json!({"stale": 1}));
-    });
+    check(&["vm-1"], Cluster::make_platform_stale);
 }
 
 #[test]
--- a/tests/support/deployment.rs
+++ b/tests/support/deployment.rs
@@ -1,7 +1,7 @@
 //! The published value of a test's deployment.
 
 use {
-    super::{CUSTOMERS, Cluster, DESK, LEDGER, client},
+    super::{CUSTOMERS, Cluster, DESK, LEDGER, client, until},
     hyper::Method,
     sha2::{Digest, Sha256},
     std::fmt::Write as _,
@@ -54,6 +54,19 @@
         self.publish_value(version, &self.value(version, sections));
     }
 
+    /// Publishes version 2, waits until it is in force, and has the platform serve version 1 again.
+    pub fn make_platform_stale(&self) {
+        self.publish(2, "");
+        for vm in self.vms() {
+            until(&format!("{vm} has version 2"), || {
+                let status = self.get(&format!("{vm}/admin"), "/status");
+                status.is_ok_and(|status| status.json()["configuration_version"] == 2)
+            });
+        }
+        let stale = serde_json::json!({"stale": 1});
+        self.order("platform", "/test/mode", &stale);
+    }
+
     /// Publishes a version without one of the targets.
     pub fn publish_without(&self, version: u64, target: &str) {
         let value = self.value(version, "");
--- a/tests/verdicts.rs
+++ b/tests/verdicts.rs
@@ -95,6 +95,12 @@
 
 /// Holds each answer against the runs that the service counted.
 fn assert_true(cluster: &Cluster, heard: &[Heard], most: u64) {
+    for service in cluster.services() {
+        support::until(&format!("{service} has ended its work"), || {
+            let load = cluster.get(&service, "/v1/load").unwrap().json();
+            load["running"] == 0
+        });
+    }
     for Heard {
         operation, answer, ..
     } in heard
@@ -217,17 +223,6 @@
         settle(cluster);
         cluster.start_again("vm-2");
     }, Expected::Lost("vm-2");
-    platform_down: "/release", {"slow_ms": 500}, |cluster| {
-        cluster.order("platform", "/test/mode", &json!({"down": true}));
-    }, Expected::Own;
-    platform_stale: "/release", {"slow_ms": 500}, |cluster| {
-        cluster.publish(2, "");
-        cluster.order("platform", "/test/mode", &json!({"stale": 1}));
-    }, Expected::Own;
-    entry_vms_partitioned: "/release", {"slow_ms": 500}, |cluster| {
-        cluster.proxy("block vm-1");
-        cluster.proxy("block vm-2");
-    }, Expected::Own;
     service_link_cut_in_a_partition: "/release", {"slow_ms": 1500}, |cluster| {
         settle(cluster);
         cluster.proxy("block vm-1");
@@ -243,6 +238,38 @@
     }, Expected::InDoubt;
 }
 
+/// Checks that calls go on as if nothing were, under a condition that came before them.
+fn check_under(condition: fn(&Cluster)) {
+    let mut cluster = setup().start();
+    condition(&cluster);
+    let heard = call_and_strike(&mut cluster, "/release", nothing);
+    assert_true(&cluster, &heard, 1);
+    assert_expected(&heard[KEYED..], Expected::Own);
+}
+
+#[test]
+fn calls_go_on_while_the_platform_is_down() {
+    check_under(|cluster| cluster.order("platform", "/test/mode", &json!({"down": true})));
+}
+
+#[test]
+fn calls_go_on_while_the_platform_is_silent() {
+    check_under(|cluster| cluster.order("platform", "/test/mode", &json!({"silent": true})));
+}
+
+#[test]
+fn calls_go_on_while_the_platform_is_stale() {
+    check_under(Cluster::make_platform_stale);
+}
+
+#[test]
+fn calls_go_on_in_a_partition() {
+    check_under(|cluster| {
+        cluster.proxy("block vm-1");
+        cluster.proxy("block vm-2");
+    });
+}
+
 /// Checks calls while there is a second service to which a call could be sent again.
 fn check_two(services: &[&str], path: &str, point: &str, expected: Expected, most: u64) {
     let setup = Setup {
@@ -279,6 +306,32 @@
     check_two(&BOTH, "/read", "during", Expected::InDoubt, 2);
 }
 
+#[test]
+fn a_call_handed_to_an_entry_vm_that_is_killed_is_in_doubt() {
+    let mut cluster = setup().start();
+    cluster.behave("service-1", &json!({"late_ms": 3000}));
+    let tickets = cluster.call("vm-2", &Method::POST, "/v1/tickets", &[], "");
+    let tickets = tickets.unwrap().json();
+    let ticket = tickets["tickets"][0].as_str().unwrap().to_owned();
+    let address = cluster.caller("vm-1");
+    let call = thread::spawn(move || {
+        let headers = [
+            ("authorization", "Bearer alpha-key"),
+            ("x-operation", "lot"),
+            ("x-ticket", &ticket),
+        ];
+        let path = format!("/{LEDGER}/release");
+        support::client::ask(address, &Method::POST, &path, &headers, "lot").unwrap()
+    });
+    support::until("the call has run", || cluster.runs("lot") == 1);
+    cluster.process("vm-2").kill();
+    let answer = call.join().unwrap();
+    assert!(
+        ["may_have_run", "ran"].contains(&&*answer.verdict()),
+        "{answer:?}"
+    );
+}
+
 #[test]
 fn unreachable_services_are_not_run() {
     let mut cluster = setup().start();
