fix(fleet): search for the platform in turn, so that the bound holds at 70 VMs

The bound of calls while the platform answers is the stated one now, no longer a share of the search's.

--- a/crates/fleet/src/spread.rs
+++ b/crates/fleet/src/spread.rs
@@ -27,7 +27,7 @@
 /// Age of the platform's newest answer to a data centre beyond which all its VMs try.
 pub const STALE: Duration = Duration::from_secs(6);
 /// Calls a second of a data centre while the platform answers none of its watchers.
-pub const SEARCH_RATE: f64 = 8.0;
+pub const SEARCH_RATE: f64 = 24.0;
 /// Calls a second of the VMs that don't watch, to notice that the watchers are served old values.
 pub const SAMPLE_RATE: f64 = 0.5;
 /// Time between a failed call to the platform and the next of the same VM.
@@ -194,6 +194,9 @@
     pulls: Vec<Pull>,
     watch: Option<(Instant, Duration)>,
     next_watch: Instant,
+    next_sample: Instant,
+    /// When this VM's turn in the search for the platform comes; `None` while a VM is answered.
+    turn: Option<Instant>,
     rank: usize,
     count: usize,
     own_answer: Option<Instant>,
@@ -226,6 +229,8 @@
             pulls: Vec::new(),
             watch: None,
             next_watch: now,
+            next_sample: now,
+            turn: None,
             rank: 0,
             count: 1,
             own_answer: None,
@@ -354,7 +359,6 @@
             return;
         }
         let Some(wait) = self.next_wait(now) else {
-            self.next_watch = now + BACKOFF;
             return;
         };
         self.watch = Some((now, wait));
@@ -370,13 +374,35 @@
         if self.is_watcher(now) {
             return Some(WATCH);
         }
-        let rate = if is_fresh(now, self.other_answer) {
-            SAMPLE_RATE
+        let asks = if is_fresh(now, self.other_answer) {
+            self.turn = None;
+            self.is_sampled(now)
         } else {
-            SEARCH_RATE
+            self.takes_turn(now)
         };
-        let share = (rate / self.count.max(1) as f64).min(1.0);
-        self.rng.random_bool(share).then_some(Duration::ZERO)
+        asks.then_some(Duration::ZERO)
+    }
+
+    /// Returns whether this VM asks though others are answered.
+    fn is_sampled(&mut self, now: Instant) -> bool {
+        if now < self.next_sample {
+            return false;
+        }
+        self.next_sample = now + BACKOFF;
+        let share = SAMPLE_RATE * BACKOFF.as_secs_f64() / self.count.max(1) as f64;
+        self.rng.random_bool(share.min(1.0))
+    }
+
+    /// Returns whether it is this VM's turn to look whether the platform answers it.
+    fn takes_turn(&mut self, now: Instant) -> bool {
+        let time = |vms: usize| Duration::from_secs_f64(vms as f64 / SEARCH_RATE);
+        let turn = self.turn.unwrap_or(now + time(self.rank));
+        if now < turn {
+            self.turn = Some(turn);
+            return false;
+        }
+        self.turn = Some(now + time(self.count).max(BACKOFF));
+        true
     }
 
     fn take_answer(&mut self, now: Instant, answer: Answer, actions: &mut Vec<Action>) {
