--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -93,6 +93,16 @@
         answer["models"] == wanted && answer["loaded"] == wanted
     }
 
+    /// Sends an order of an older version, as a process would that was frozen while it sent it.
+    fn order_engine(&self, engine: &str, version: u64) -> u16 {
+        let fence = place::Fence { version, term: 9 }.number();
+        let models = [format!("{MODEL}@{version}")];
+        let order = json!({"fence": fence, "models": models, "role": "serve"}).to_string();
+        let address = self.addresses[engine];
+        let answer = client::ask(address, &Method::POST, "/v1/orders", &[], &order);
+        answer.unwrap().status
+    }
+
     /// Returns the fencing numbers of the orders that an engine took.
     fn fences(&self, engine: &str) -> Vec<u64> {
         let answer = self.get(engine, "/test/orders").unwrap().json();
@@ -343,12 +353,127 @@
     }
 }
 
-fn frozen_process_and_old_order(arguments: &[&str], is_checked: bool) {
+/// Keeps an entry VM and the platform and its peers from each other, or ends that.
+fn isolate(cluster: &Cluster, vm: &str, verb: &str) {
+    cluster.proxy(&format!("{verb} platform/{vm}"));
+    for peer in cluster.vms().iter().filter(|peer| **peer != vm) {
+        cluster.proxy(&format!("{verb} {peer} from {vm}"));
+        cluster.proxy(&format!("{verb} {vm} from {peer}"));
+    }
+}
+
+#[test]
+fn a_publication_spreads_whatever_fails_meanwhile() {
+    let setup = Setup {
+        data_centres: 2,
+        vms: 2,
+        engines: 1,
+        ..Setup::default()
+    };
+    let mut cluster = setup.start();
+    cluster.wait_for_members();
+    for (version, order) in [(2, "cut *"), (3, "silence *"), (4, "drop * 30")] {
+        cluster.proxy(order);
+        cluster.publish(version, "");
+        cluster.wait_for_version(&cluster.vms(), version);
+        cluster.proxy("heal *");
+    }
+    cluster.process("vm-1").kill();
+    cluster.publish(5, "");
+    cluster.wait_for_version(&cluster.vms()[1..], 5);
+    cluster.start_vm("vm-1");
+    cluster.wait_for_version(&cluster.vms(), 5);
+    for vm in ["vm-3", "vm-4"] {
+        for (one, other) in [("vm-1", vm), ("vm-2", vm), (vm, "vm-1"), (vm, "vm-2")] {
+            cluster.proxy(&format!("block {one} from {other}"));
+        }
+        cluster.proxy(&format!("block platform/{vm}"));
+    }
+    cluster.publish(6, "");
+    cluster.wait_for_version(&cluster.vms()[..2], 6);
+    for vm in ["vm-3", "vm-4"] {
+        assert!(cluster.is_ready(vm) && cluster.version(vm) == 5, "{vm}");
+    }
+    cluster.proxy("heal *");
+    cluster.wait_for_version(&cluster.vms(), 6);
+}
+
+/// A fault and how it is brought about.
+type Named<'a> = (&'a str, &'a dyn Fn(&mut Cluster));
+
+#[test]
+fn a_leaving_engine_becomes_known_whatever_fails_meanwhile() {
+    let down = |cluster: &mut Cluster| {
+        cluster.order("platform", "/test/mode", &json!({"down": true}));
+    };
+    let lossy = |cluster: &mut Cluster| {
+        cluster.proxy("silence *");
+        cluster.proxy("drop * 30");
+    };
+    let frozen = |cluster: &mut Cluster| cluster.process("vm-2").freeze();
+    let killed = |cluster: &mut Cluster| cluster.process("vm-2").kill();
+    let cut_off = |cluster: &mut Cluster| isolate(cluster, "vm-2", "block");
+    let faults: [Named<'_>; 5] = [
+        ("the platform is down", &down),
+        ("links are silent and lossy", &lossy),
+        ("a VM is frozen", &frozen),
+        ("a VM is killed", &killed),
+        ("a VM is cut off from the others", &cut_off),
+    ];
+    for (name, fault) in faults {
+        let setup = Setup {
+            vms: 4,
+            ..Setup::default()
+        };
+        let mut cluster = setup.start();
+        cluster.wait_for_members();
+        fault(&mut cluster);
+        cluster.behave("engine-1", &json!({"leaving": true}));
+        until(&format!("vm-1 is refused while {name}"), || {
+            let draft = cluster.stream("vm-1", PROMPT).unwrap().finish();
+            assert_eq!(draft.end, End::Complete("stop".into()), "{name}");
+            cluster.has_departure("vm-1", "engine-1", "refused")
+        });
+        for vm in ["vm-3", "vm-4"] {
+            until(&format!("{vm} is told while {name}"), || {
+                cluster.has_departure(vm, "engine-1", "peer")
+            });
+        }
+    }
+}
+
+/// What happens to the VM that orders for an engine.
+#[derive(Clone, Copy, PartialEq)]
+enum Fault {
+    Freeze,
+    Kill,
+    Partition,
+}
+
+impl Fault {
+    fn strike(self, cluster: &mut Cluster, vm: &str) {
+        match self {
+            Self::Freeze => cluster.process(vm).freeze(),
+            Self::Kill => cluster.process(vm).kill(),
+            Self::Partition => isolate(cluster, vm, "block"),
+        }
+    }
+
+    fn end(self, cluster: &mut Cluster, vm: &str) {
+        match self {
+            Self::Freeze => cluster.process(vm).thaw(),
+            Self::Kill => cluster.start_vm(vm),
+            Self::Partition => isolate(cluster, vm, "heal"),
+        }
+    }
+}
+
+fn newest_orders_win(fault: Fault, arguments: &[&str]) {
     let quick = ["--weight", "1000", "--load-rate", "1000000"];
-    let arguments = quick.iter().chain(arguments);
+    let arguments_of_all = quick.iter().chain(arguments);
     let setup = Setup {
         vms: 3,
-        engine_arguments: arguments.map(|&argument| argument.to_owned()).collect(),
+        engine_arguments: arguments_of_all.map(|&it| it.to_owned()).collect(),
         ..Setup::default()
     };
     let mut cluster = setup.start();
@@ -367,28 +492,23 @@
             .any(|line| line.contains("\"engine\":\"engine-1\""))
     };
     let responsible = cluster.vms().into_iter().find(ordered).unwrap();
-    cluster.process(&responsible).freeze();
+    fault.strike(&mut cluster, &responsible);
     cluster.publish_model(3);
     all_hold(&cluster, 3);
-    cluster.process(&responsible).thaw();
-    let fence = place::Fence {
-        version: 2,
-        term: 9,
-    }
-    .number();
-    let old = json!({"fence": fence, "models": [format!("{MODEL}@2")], "role": "serve"});
-    let answer = client::ask(
-        cluster.addresses["engine-1"],
-        &Method::POST,
-        "/v1/orders",
-        &[],
-        &old.to_string(),
-    );
-    assert_eq!(answer.unwrap().status == 409, is_checked);
+    if fault == Fault::Partition {
+        thread::sleep(place::placement::SETTLE + place::placement::READ_INTERVAL * 2);
+        all_hold(&cluster, 3);
+    }
+    fault.end(&mut cluster, &responsible);
+    let is_checked = arguments.is_empty();
+    if fault == Fault::Freeze {
+        assert_eq!(cluster.order_engine("engine-1", 2) == 409, is_checked);
+    }
     cluster.wait_for_version(&cluster.vms(), 3);
     all_hold(&cluster, 3);
     let fences = cluster.fences("engine-1");
-    assert_eq!(fences.is_sorted(), is_checked, "{fences:?}");
+    let is_sorted = is_checked || fault != Fault::Freeze;
+    assert_eq!(fences.is_sorted(), is_sorted, "{fences:?}");
     thread::sleep(place::placement::READ_INTERVAL * 2);
     assert_eq!(cluster.fences("engine-1"), fences, "the orders alternate");
     assert!(cluster.holds("engine-1", 3));
@@ -396,10 +516,20 @@
 
 #[test]
 fn an_engine_that_checks_fencing_ends_with_the_newest_orders() {
-    frozen_process_and_old_order(&[], true);
+    newest_orders_win(Fault::Freeze, &[]);
 }
 
 #[test]
 fn an_engine_that_ignores_fencing_ends_with_the_newest_orders() {
-    frozen_process_and_old_order(&["--ignore-fencing"], false);
+    newest_orders_win(Fault::Freeze, &["--ignore-fencing"]);
+}
+
+#[test]
+fn orders_go_on_when_the_responsible_vm_is_killed() {
+    newest_orders_win(Fault::Kill, &["--ignore-fencing"]);
+}
+
+#[test]
+fn a_vm_that_is_cut_off_from_its_peers_does_not_order_an_older_state() {
+    newest_orders_win(Fault::Partition, &["--ignore-fencing"]);
 }
