refactor(once): the registry in files by job; bounded frames of a handover

Offers are split into frames that fit, a return shortens what does not fit. An entry VM that can't be reached is asked once in a search for the owner, so the answer comes at once.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -23,8 +23,8 @@
 
 /// Most attempts of one call.
 const ATTEMPTS: usize = 3;
-/// Largest answer of a plain service in bytes.
-const ANSWER_LIMIT: usize = 4 << 20;
+/// Largest answer of a plain service in bytes; it fits a frame of the inner protocol.
+const ANSWER_LIMIT: usize = 3 << 20;
 /// Headers that concern one connection, or only the system, and are not passed on.
 const OWN_HEADERS: [HeaderName; 5] = [
     AUTHORIZATION,
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -11,10 +11,13 @@
         id::LENGTH,
         record::{FINGERPRINT_LENGTH, State},
     },
+    prost::Message,
     std::{sync::Arc, time::Duration},
     wire::msg::{self, Hello, envelope::Body},
 };
 
+/// Size of a frame of records in bytes, beside its largest record.
+const FRAME_SIZE: usize = 1 << 20;
 /// Longest wait for another entry VM's answer.
 const LIMIT: Duration = Duration::from_secs(2);
 
@@ -22,14 +25,7 @@
 pub async fn send(context: Arc<Context>, request: Action) {
     match request {
         Action::AskSeal { vm, id } => ask_seal(&context, vm, id).await,
-        Action::Offer { vm, records } => {
-            let records = records.into_iter().map(encode).collect();
-            let message = msg::Handover {
-                records,
-                ..msg::Handover::default()
-            };
-            hand_over(&context, vm, message).await;
-        }
+        Action::Offer { vm, records } => offer(&context, vm, records).await,
         Action::Commit { vm, list, settled } => {
             let message = msg::Handover {
                 last: true,
@@ -37,7 +33,8 @@
                 settled,
                 ..msg::Handover::default()
             };
-            hand_over(&context, vm, message).await;
+            let accepted = hand_over(&context, vm, message).await;
+            owner::handle(&context, Event::Accepted { vm, accepted });
         }
         Action::Reclaim { vm } => reclaim(&context, vm).await,
         _ => {}
@@ -60,12 +57,41 @@
     owner::handle(context, Event::Sealed { vm, id, seal, age });
 }
 
-async fn hand_over(context: &Arc<Context>, vm: key::Vm, message: msg::Handover) {
-    let answer = inner::ask(context, vm, Body::Handover(message), LIMIT).await;
-    let accepted = matches!(answer, Ok(Body::HandoverDone(_)));
+/// Offers records in frames of bounded size; one that is not taken ends it.
+async fn offer(context: &Arc<Context>, vm: key::Vm, records: Vec<Copy>) {
+    let mut accepted = true;
+    for records in frames(records) {
+        let message = msg::Handover {
+            records,
+            ..msg::Handover::default()
+        };
+        accepted = accepted && hand_over(context, vm, message).await;
+    }
     owner::handle(context, Event::Accepted { vm, accepted });
 }
 
+/// Splits records into groups that fit a frame; there is one at least.
+fn frames(records: Vec<Copy>) -> Vec<Vec<msg::Record>> {
+    let mut frames = vec![Vec::new()];
+    let mut size = 0;
+    for record in records.into_iter().map(encode) {
+        size += record.encoded_len();
+        if size > FRAME_SIZE {
+            size = record.encoded_len();
+            frames.push(Vec::new());
+        }
+        if let Some(frame) = frames.last_mut() {
+            frame.push(record);
+        }
+    }
+    frames
+}
+
+async fn hand_over(context: &Context, vm: key::Vm, message: msg::Handover) -> bool {
+    let answer = inner::ask(context, vm, Body::Handover(message), LIMIT).await;
+    matches!(answer, Ok(Body::HandoverDone(_)))
+}
+
 async fn reclaim(context: &Arc<Context>, vm: key::Vm) {
     let message = Body::Reclaim(msg::Reclaim { number: 1 });
     let Ok(Body::Handover(returned)) = inner::ask(context, vm, message, LIMIT).await else {
@@ -114,7 +140,7 @@
             };
             Some(Body::Handover(msg::Handover {
                 number: reclaim.number,
-                records: records.into_iter().map(encode).collect(),
+                records: fitting(records),
                 last: true,
                 list,
                 settled,
@@ -124,13 +150,30 @@
     }
 }
 
+/// Writes records for one frame; of those that do not fit it says that the call is known here.
+fn fitting(records: Vec<Copy>) -> Vec<msg::Record> {
+    let mut size = 0;
+    let shorten = |copy: Copy| {
+        let whole = encode(copy.clone());
+        size += whole.encoded_len();
+        if size <= FRAME_SIZE {
+            return whole;
+        }
+        encode(Copy {
+            state: State::Elsewhere,
+            ..copy
+        })
+    };
+    records.into_iter().map(shorten).collect()
+}
+
 fn take_over(
     context: &Arc<Context>,
     vm: key::Vm,
     incarnation: u64,
     handover: msg::Handover,
 ) -> Option<Body> {
-    if context.owner.is_stopping() {
+    if !context.owner.has_room(handover.records.len()) {
         return None;
     }
     let number = handover.number;
--- a/crates/entry/src/owner.rs
+++ b/crates/entry/src/owner.rs
@@ -111,9 +111,9 @@
         self.lock().registry.owners(call)
     }
 
-    /// Returns whether no records can be taken over any more.
-    pub fn is_stopping(&self) -> bool {
-        self.lock().registry.is_stopping()
+    /// Returns whether some records of another VM can be taken over.
+    pub fn has_room(&self, count: usize) -> bool {
+        self.lock().registry.has_room(count)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -14,7 +14,11 @@
         header::{HeaderName, HeaderValue},
     },
     smol::Timer,
-    std::{collections::VecDeque, sync::Arc, time::Duration},
+    std::{
+        collections::{HashSet, VecDeque},
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 /// Most entry VMs that are asked in one search for the owner.
@@ -63,9 +67,11 @@
     claim: once::Call,
 ) -> Result<Reply, Refusal> {
     let mut candidates = VecDeque::from(context.owner.owners(&claim));
+    let mut unreachable = HashSet::new();
     for _ in 0..HOPS {
-        let Some(vm) = candidates.pop_front() else {
-            break;
+        let next = candidates.pop_front();
+        let Some(vm) = next.filter(|vm| !unreachable.contains(vm)) else {
+            return Err(unowned());
         };
         let ending = if vm == context.identity.vm {
             owner::submit(context, exchange, call, claim).await
@@ -78,16 +84,27 @@
                 candidates.retain(|&candidate| candidate != next);
                 candidates.push_front(next);
             }
-            // Not reached: it did not run by this request, and the next owner may know more.
-            Err(refusal)
-                if refusal.reason == Reason::PeerLost && refusal.verdict.is_repeatable() => {}
+            Err(refusal) if is_unreachable(&refusal) => {
+                unreachable.insert(vm);
+            }
             Err(refusal) => return Err(refusal),
         }
     }
-    let refusal = Refusal::may_have_run(Reason::KeyInDoubt, "no owner of the call was reached");
+    let refusal = Refusal::may_have_run(Reason::KeyInDoubt, "the owner of the call is changing");
     Err(refusal.retry_after(RETRY))
 }
 
+/// Returns whether the other VM got nothing of the call, so that the next one may know more.
+fn is_unreachable(refusal: &Refusal) -> bool {
+    refusal.reason == Reason::PeerLost && refusal.verdict.is_repeatable()
+}
+
+/// The answer if no owner could be reached: an earlier attempt may have run.
+fn unowned() -> Refusal {
+    let message = "no entry VM that may own the call can be reached";
+    Refusal::may_have_run(Reason::PeerLost, message).retry_after(RETRY)
+}
+
 /// Hands a call over, and gives up once the other VM is known to be dead.
 async fn forward(
     context: &Arc<Context>,
--- a/crates/entry/src/witness.rs
+++ b/crates/entry/src/witness.rs
@@ -24,25 +24,22 @@
 
     /// Returns whether peers confirm the list that came into force with version `since`.
     ///
-    /// Announcements count for `limit`; one of a newer version than ours says that ours is old.
+    /// Announcements count for `limit` and are dropped then; one of a newer version than ours says that ours is old.
     pub fn confirms(
-        &self,
+        &mut self,
         now: Instant,
         own: key::Vm,
         snapshot: &Snapshot,
         since: u64,
         limit: Duration,
     ) -> bool {
+        self.heard.retain(|_, (_, at)| now.since(*at) <= limit);
         let Some(home) = snapshot.vms.get(own).map(|vm| vm.data_centre) else {
             return false;
         };
-        let recent = |vm| {
-            let heard = self.heard.get(&vm);
-            heard.filter(|(_, at)| now.since(*at) <= limit)
-        };
         let mut centres: HashMap<key::DataCentre, (usize, usize)> = HashMap::new();
         for (vm, settings) in snapshot.vms.iter() {
-            let version = recent(vm).map(|(version, _)| *version);
+            let version = self.heard.get(&vm).map(|(version, _)| *version);
             if version.is_some_and(|version| version > snapshot.version) {
                 return false;
             }
--- a/crates/once/src/record.rs
+++ b/crates/once/src/record.rs
@@ -57,6 +57,8 @@
     pub until: Option<Instant>,
     /// Expiry of the ticket; `None` for a bare key.
     pub expiry: Option<Instant>,
+    /// Serial of a ticket that this incarnation issued.
+    pub serial: Option<u64>,
 }
 
 impl Record {
@@ -67,6 +69,7 @@
             waiters: vec![waiter],
             until: None,
             expiry: None,
+            serial: None,
         }
     }
 
--- a/crates/once/src/registry.rs
+++ b/crates/once/src/registry.rs
@@ -1,12 +1,17 @@
 //! The records of one incarnation of one entry VM.
 
+mod call;
+mod handover;
+mod seal;
+
 use {
     crate::{
-        Action, Call, Copy, Event, Id, List, Outcome, Seal, Settings, Source, Ticket,
-        record::{self, Fingerprint, Record, Stage, State},
+        Action, Call, Event, Id, List, Outcome, Settings, Source, Ticket,
+        record::{self, Fingerprint, Record, Stage},
         right::{Claim, Rights},
     },
     base::{Instant, Machine, Reason, Refusal, key},
+    handover::Handover,
     std::{
         collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
         time::Duration,
@@ -17,17 +22,11 @@
 const PAUSE: Duration = Duration::from_secs(1);
 /// Longest time between two ticks.
 const TICK: Duration = Duration::from_millis(250);
+/// Most records, those taken over included, as a multiple of the limit for own ones.
+const ADOPTED_FACTOR: usize = 2;
 /// When a caller shall come back to full records.
 const FULL_RETRY: Duration = Duration::from_secs(1);
 
-/// How far the handover to one VM has come.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Handover {
-    Offered,
-    Committed,
-    Over,
-}
-
 /// The records of one incarnation, and its right to run calls.
 #[derive(Debug)]
 pub struct Registry {
@@ -108,9 +107,10 @@
         first.into_iter().chain(deputy).collect()
     }
 
-    /// Returns whether the planned stop hands over, so that no records can be taken over any more.
-    pub fn is_stopping(&self) -> bool {
-        self.handover.is_some()
+    /// Returns whether some records of another VM can be taken over.
+    pub fn has_room(&self, count: usize) -> bool {
+        let limit = self.settings.records.saturating_mul(ADOPTED_FACTOR);
+        self.handover.is_none() && self.records.len() + count <= limit
     }
 
     /// Returns whether a list differs from the one in force here.
@@ -156,142 +156,6 @@
             && matches!(self.rights.claim(now, id), Claim::Granted | Claim::Ask(_))
     }
 
-    fn call(&mut self, now: Instant, waiter: u64, call: &Call, actions: &mut Vec<Action>) {
-        if let Some(record) = self.records.get_mut(&call.id) {
-            join(record, waiter, call, actions);
-            return;
-        }
-        match &call.source {
-            Source::Ticket(ticket) => self.ticket(now, waiter, call, ticket, actions),
-            Source::Key => self.key(now, waiter, call, actions),
-        }
-    }
-
-    fn ticket(
-        &mut self,
-        now: Instant,
-        waiter: u64,
-        call: &Call,
-        ticket: &Ticket,
-        actions: &mut Vec<Action>,
-    ) {
-        let is_own = ticket.vm == self.vm && ticket.incarnation == self.incarnation;
-        let lifetime = self.settings.ticket_lifetime;
-        let is_held = !is_own && self.rights.holds_ticket(now, ticket, lifetime);
-        if !is_own && !is_held {
-            self.foreign_ticket(waiter, call, ticket, actions);
-            return;
-        }
-        if self.handover.is_some() {
-            self.redirect(waiter, self.successor(call.id), actions);
-            return;
-        }
-        if is_own && ticket.serial <= self.watermark {
-            let message = "the record of the ticket was dropped";
-            let refusal = Refusal::may_have_run(Reason::RecordDropped, message);
-            answer(waiter, Err(refusal), actions);
-            return;
-        }
-        if is_own && now >= ticket.expiry {
-            let refusal = Refusal::may_have_run(Reason::BadTicket, "the ticket has expired");
-            answer(waiter, Err(refusal), actions);
-            return;
-        }
-        let expiry = if is_own {
-            ticket.expiry
-        } else {
-            now + lifetime
-        };
-        if !self.claim(waiter, call, Stage::Claimed, Some(expiry), actions) {
-            return;
-        }
-        if is_own {
-            self.serials.insert(ticket.serial, call.id);
-        }
-        actions.push(Action::Run {
-            id: call.id,
-            waiter,
-        });
-    }
-
-    /// Answers a call with a ticket that this incarnation neither issued nor took over.
-    fn foreign_ticket(&self, waiter: u64, call: &Call, ticket: &Ticket, actions: &mut Vec<Action>) {
-        let list = self.rights.list();
-        let deputy = list.and_then(|list| list.deputy(call.id, ticket.vm));
-        match deputy {
-            Some(vm) if vm != self.vm => actions.push(Action::Elsewhere { waiter, vm }),
-            _ => answer(waiter, Err(ticket_gone()), actions),
-        }
-    }
-
-    fn key(&mut self, now: Instant, waiter: u64, call: &Call, actions: &mut Vec<Action>) {
-        if self.handover.is_some() {
-            self.redirect(waiter, self.successor(call.id), actions);
-            return;
-        }
-        match self.claim_key(now, call.id) {
-            Claim::Granted => {
-                if self.claim(waiter, call, Stage::Claimed, None, actions) {
-                    actions.push(Action::Run {
-                        id: call.id,
-                        waiter,
-                    });
-                }
-            }
-            Claim::Ask(homes) => {
-                let stage = Stage::Sealing(homes.clone());
-                if self.claim(waiter, call, stage, None, actions) {
-                    let id = call.id;
-                    actions.extend(homes.into_iter().map(|vm| Action::AskSeal { vm, id }));
-                }
-            }
-            Claim::Elsewhere(vm) => actions.push(Action::Elsewhere { waiter, vm }),
-            Claim::Doubt(delay) => answer(waiter, Err(in_doubt(delay)), actions),
-        }
-    }
-
-    /// A key that was sealed here may be run only if who asked for the seal seals it too.
-    fn claim_key(&self, now: Instant, id: Id) -> Claim {
-        let claim = self.rights.claim(now, id);
-        let Some(&(holder, _)) = self.seals.get(&id) else {
-            return claim;
-        };
-        match claim {
-            Claim::Granted => Claim::Ask(vec![holder]),
-            Claim::Ask(mut homes) => {
-                if !homes.contains(&holder) {
-                    homes.push(holder);
-                }
-                Claim::Ask(homes)
-            }
-            other => other,
-        }
-    }
-
-    /// Makes a record if there is room; answers the caller otherwise.
-    fn claim(
-        &mut self,
-        waiter: u64,
-        call: &Call,
-        stage: Stage,
-        expiry: Option<Instant>,
-        actions: &mut Vec<Action>,
-    ) -> bool {
-        if self.records.len() >= self.settings.records && !self.evict() {
-            let refusal = match stage {
-                Stage::Sealing(_) => in_doubt(FULL_RETRY),
-                _ => Refusal::not_run(Reason::Overloaded, "the records are full")
-                    .retry_after(FULL_RETRY),
-            };
-            answer(waiter, Err(refusal), actions);
-            return false;
-        }
-        let mut record = Record::new(call.fingerprint, stage, waiter);
-        record.expiry = expiry;
-        self.records.insert(call.id, record);
-        true
-    }
-
     /// Drops the oldest finished ticket; its serial and all before are refused from now on.
     fn evict(&mut self) -> bool {
         let oldest = self.serials.iter().find(|(_, id)| {
@@ -302,7 +166,6 @@
             return false;
         };
         self.watermark = self.watermark.max(serial);
-        self.serials.remove(&serial);
         self.remove(id);
         true
     }
@@ -313,6 +176,9 @@
         if let Some(until) = record.until {
             self.expiries.remove(&(until, id));
         }
+        if let Some(serial) = record.serial {
+            self.serials.remove(&serial);
+        }
         Some(record)
     }
 
@@ -329,7 +195,6 @@
         let Some(record) = self.remove(id) else {
             return;
         };
-        self.serials.retain(|_, own| *own != id);
         for waiter in record.waiters {
             answer(waiter, Err(refusal.clone()), actions);
         }
@@ -382,228 +247,6 @@
         }
     }
 
-    fn seal_query(
-        &mut self,
-        now: Instant,
-        number: u64,
-        vm: key::Vm,
-        id: Id,
-        actions: &mut Vec<Action>,
-    ) {
-        let age = self.rights.age(now);
-        let seal = self.seal(now, vm, id);
-        actions.push(Action::Seal { number, seal, age });
-    }
-
-    fn seal(&mut self, now: Instant, vm: key::Vm, id: Id) -> Seal {
-        match self.records.get(&id).map(|record| &record.stage) {
-            Some(Stage::Sealing(_)) => return Seal::Unknown,
-            Some(_) => return Seal::Claimed,
-            None => {}
-        }
-        let other = self.seals.get(&id).is_some_and(|(holder, _)| *holder != vm);
-        let is_full = self.seals.len() >= self.settings.records;
-        if other || is_full || self.handover.is_some() {
-            return Seal::Unknown;
-        }
-        let until = now + self.rights.doubt_period();
-        self.seals.insert(id, (vm, until));
-        Seal::Sealed
-    }
-
-    fn sealed(
-        &mut self,
-        now: Instant,
-        vm: key::Vm,
-        id: Id,
-        seal: Seal,
-        age: Duration,
-        actions: &mut Vec<Action>,
-    ) {
-        let doubt = self.rights.doubt_period();
-        let Some(record) = self.records.get_mut(&id) else {
-            return;
-        };
-        let Stage::Sealing(homes) = &mut record.stage else {
-            return;
-        };
-        if !homes.contains(&vm) {
-            return;
-        }
-        match seal {
-            Seal::Sealed if age >= doubt => homes.retain(|&home| home != vm),
-            Seal::Claimed => {
-                let waiters = std::mem::take(&mut record.waiters);
-                self.remove(id);
-                actions.extend(
-                    waiters
-                        .into_iter()
-                        .map(|waiter| Action::Elsewhere { waiter, vm }),
-                );
-                return;
-            }
-            _ => {
-                self.withdraw(id, &in_doubt(doubt.saturating_sub(age)), actions);
-                return;
-            }
-        }
-        if homes.is_empty() {
-            self.sealed_by_all(now, id, actions);
-        }
-    }
-
-    fn sealed_by_all(&mut self, now: Instant, id: Id, actions: &mut Vec<Action>) {
-        self.seals.remove(&id);
-        let waiter = self
-            .records
-            .get(&id)
-            .and_then(|r| r.waiters.first().copied());
-        match waiter {
-            Some(waiter) if self.handover.is_none() && self.keeps(now, id) => {
-                self.set_stage(id, Stage::Claimed);
-                actions.push(Action::Run { id, waiter });
-            }
-            _ => self.withdraw(id, &in_doubt(FULL_RETRY), actions),
-        }
-    }
-
-    /// Takes records over from another VM; a record that is known here is kept.
-    fn adopt(&mut self, now: Instant, vm: key::Vm, copies: Vec<Copy>) {
-        for copy in copies {
-            if self.records.contains_key(&copy.id) {
-                continue;
-            }
-            let until = now + copy.retention;
-            let stage = match &copy.state {
-                State::Done(_) => Stage::Claimed,
-                State::Elsewhere => Stage::Moved(vm),
-            };
-            let mut record = Record::new(copy.fingerprint, stage, 0);
-            record.waiters.clear();
-            record.until = Some(until);
-            self.records.insert(copy.id, record);
-            match copy.state {
-                State::Done(outcome) => self.finish(copy.id, outcome, until),
-                State::Elsewhere => {
-                    self.expiries.insert((until, copy.id));
-                }
-            }
-        }
-    }
-
-    /// Begins to hand over: calls are refused, each record goes to its next owner.
-    fn stop(&mut self, now: Instant, actions: &mut Vec<Action>) {
-        if self.handover.is_some() {
-            return;
-        }
-        let list = self.rights.list().cloned();
-        let others = list.iter().flat_map(|list| list.vms().iter().copied());
-        let mut offers: BTreeMap<_, _> = others
-            .filter(|&vm| vm != self.vm)
-            .map(|vm| (vm, Vec::new()))
-            .collect();
-        for (&id, record) in &self.records {
-            let next = list.as_ref().and_then(|list| list.deputy(id, self.vm));
-            if let Some(copies) = next.and_then(|vm| offers.get_mut(&vm)) {
-                copies.push(record.copy(id, now, self.retention(record), true));
-            }
-        }
-        let vms = offers.keys().map(|&vm| (vm, Handover::Offered));
-        self.handover = Some(vms.collect());
-        for (vm, records) in offers {
-            actions.push(Action::Offer { vm, records });
-        }
-        self.finish_handover(actions);
-    }
-
-    fn accepted(&mut self, now: Instant, vm: key::Vm, accepted: bool, actions: &mut Vec<Action>) {
-        // A later home may run a key that was sealed for it, and the next owner can't know.
-        let settled = self.rights.is_settled(now) && self.seals.is_empty();
-        let list = self.rights.list().map_or(0, |list| list.digest());
-        let Some(handover) = &mut self.handover else {
-            return;
-        };
-        let Some(state) = handover.get_mut(&vm) else {
-            return;
-        };
-        if accepted && *state == Handover::Offered {
-            *state = Handover::Committed;
-            actions.push(Action::Commit { vm, list, settled });
-            return;
-        }
-        *state = Handover::Over;
-        let (ready, rest) = self.parked.iter().partition(|(_, to)| *to == vm);
-        self.parked = rest;
-        let redirect = |(waiter, vm)| Action::Elsewhere { waiter, vm };
-        actions.extend(Vec::into_iter(ready).map(redirect));
-        self.finish_handover(actions);
-    }
-
-    fn finish_handover(&self, actions: &mut Vec<Action>) {
-        let handover = self.handover.iter().flatten();
-        if handover
-            .map(|(_, state)| state)
-            .all(|state| *state == Handover::Over)
-        {
-            actions.push(Action::Stopped);
-        }
-    }
-
-    /// Returns how long the next owner must remember a call: as long as it would run it.
-    fn retention(&self, record: &Record) -> Duration {
-        match record.expiry {
-            Some(_) => self.settings.window.max(self.settings.ticket_lifetime),
-            None => self.settings.window,
-        }
-    }
-
-    fn successor(&self, id: Id) -> Option<key::Vm> {
-        self.rights.list()?.deputy(id, self.vm)
-    }
-
-    /// Sends a caller to the next owner, once that one has taken over.
-    fn redirect(&mut self, waiter: u64, vm: Option<key::Vm>, actions: &mut Vec<Action>) {
-        let Some(vm) = vm else {
-            answer(waiter, Err(in_doubt(FULL_RETRY)), actions);
-            return;
-        };
-        let state = self.handover.as_ref().and_then(|vms| vms.get(&vm));
-        if state.is_none_or(|state| *state == Handover::Over) {
-            actions.push(Action::Elsewhere { waiter, vm });
-        } else {
-            self.parked.push((waiter, vm));
-        }
-    }
-
-    fn reclaimed(
-        &mut self,
-        now: Instant,
-        number: u64,
-        vm: key::Vm,
-        incarnation: u64,
-        actions: &mut Vec<Action>,
-    ) {
-        let settled = self.handover.is_none() && self.rights.give_back(now, vm, incarnation);
-        let list = self.rights.list().cloned();
-        let is_returned = |id: Id| {
-            list.as_ref().is_some_and(|list| {
-                list.home(id) == Some(vm) && list.deputy(id, vm) == Some(self.vm)
-            })
-        };
-        let records = self
-            .records
-            .iter()
-            .filter(|(id, record)| record.expiry.is_none() && is_returned(**id))
-            .map(|(&id, record)| record.copy(id, now, self.retention(record), false))
-            .collect();
-        actions.push(Action::Return {
-            number,
-            records,
-            list: list.map_or(0, |list| list.digest()),
-            settled,
-        });
-    }
-
     fn set_list(&mut self, now: Instant, vms: Vec<key::Vm>, actions: &mut Vec<Action>) {
         if self.handover.is_some() {
             // The next owners were chosen under the list at the stop.
@@ -625,13 +268,11 @@
         self.seals.retain(|_, (_, until)| *until > now);
         while let Some(&(until, id)) = self.expiries.first() {
             if until > now {
-                break;
+                return;
             }
             self.expiries.pop_first();
             self.remove(id);
         }
-        let records = &self.records;
-        self.serials.retain(|_, id| records.contains_key(id));
     }
 
     /// Notes that this process slept if no event came for long.
@@ -702,35 +343,10 @@
     }
 }
 
-/// Has a caller join a call that is known here.
-fn join(record: &mut Record, waiter: u64, call: &Call, actions: &mut Vec<Action>) {
-    if record.fingerprint != call.fingerprint {
-        answer(waiter, Err(conflict(&call.source)), actions);
-        return;
-    }
-    match &record.stage {
-        Stage::Done(outcome) => answer(waiter, outcome.clone(), actions),
-        Stage::Moved(vm) => actions.push(Action::Elsewhere { waiter, vm: *vm }),
-        _ => record.waiters.push(waiter),
-    }
-}
-
 fn answer(waiter: u64, outcome: Outcome, actions: &mut Vec<Action>) {
     actions.push(Action::Answer { waiter, outcome });
 }
 
-fn conflict(source: &Source) -> Refusal {
-    match source {
-        Source::Ticket(_) => Refusal::not_run(
-            Reason::BadTicket,
-            "the ticket was used with another request",
-        ),
-        Source::Key => {
-            Refusal::not_run(Reason::KeyConflict, "the key was used with another request")
-        }
-    }
-}
-
 fn in_doubt(delay: Duration) -> Refusal {
     Refusal::may_have_run(
         Reason::KeyInDoubt,
--- /dev/null
+++ b/crates/once/src/registry/call.rs
@@ -0,0 +1,187 @@
+//! Calls that arrive: tickets and bare keys.
+
+use {
+    super::{FULL_RETRY, Registry, answer, in_doubt, ticket_gone},
+    crate::{
+        Action, Call, Id, Source, Ticket,
+        record::{Record, Stage},
+        right::Claim,
+    },
+    base::{Instant, Reason, Refusal},
+};
+
+impl Registry {
+    pub(super) fn call(
+        &mut self,
+        now: Instant,
+        waiter: u64,
+        call: &Call,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(record) = self.records.get_mut(&call.id) {
+            join(record, waiter, call, actions);
+            return;
+        }
+        match &call.source {
+            Source::Ticket(ticket) => self.ticket(now, waiter, call, ticket, actions),
+            Source::Key => self.key(now, waiter, call, actions),
+        }
+    }
+
+    fn ticket(
+        &mut self,
+        now: Instant,
+        waiter: u64,
+        call: &Call,
+        ticket: &Ticket,
+        actions: &mut Vec<Action>,
+    ) {
+        let is_own = ticket.vm == self.vm && ticket.incarnation == self.incarnation;
+        let lifetime = self.settings.ticket_lifetime;
+        let is_held = !is_own && self.rights.holds_ticket(now, ticket, lifetime);
+        if !is_own && !is_held {
+            self.foreign_ticket(waiter, call, ticket, actions);
+            return;
+        }
+        if self.handover.is_some() {
+            self.redirect(waiter, self.successor(call.id), actions);
+            return;
+        }
+        if is_own && ticket.serial <= self.watermark {
+            let message = "the record of the ticket was dropped";
+            let refusal = Refusal::may_have_run(Reason::RecordDropped, message);
+            answer(waiter, Err(refusal), actions);
+            return;
+        }
+        if is_own && now >= ticket.expiry {
+            let refusal = Refusal::may_have_run(Reason::BadTicket, "the ticket has expired");
+            answer(waiter, Err(refusal), actions);
+            return;
+        }
+        let expiry = if is_own {
+            ticket.expiry
+        } else {
+            now + lifetime
+        };
+        if !self.claim(waiter, call, Stage::Claimed, Some(expiry), actions) {
+            return;
+        }
+        if is_own {
+            self.number(call.id, ticket.serial);
+        }
+        actions.push(Action::Run {
+            id: call.id,
+            waiter,
+        });
+    }
+
+    fn number(&mut self, id: Id, serial: u64) {
+        self.serials.insert(serial, id);
+        if let Some(record) = self.records.get_mut(&id) {
+            record.serial = Some(serial);
+        }
+    }
+
+    /// Answers a call with a ticket that this incarnation neither issued nor took over.
+    fn foreign_ticket(&self, waiter: u64, call: &Call, ticket: &Ticket, actions: &mut Vec<Action>) {
+        let list = self.rights.list();
+        let deputy = list.and_then(|list| list.deputy(call.id, ticket.vm));
+        match deputy {
+            Some(vm) if vm != self.vm => actions.push(Action::Elsewhere { waiter, vm }),
+            _ => answer(waiter, Err(ticket_gone()), actions),
+        }
+    }
+
+    fn key(&mut self, now: Instant, waiter: u64, call: &Call, actions: &mut Vec<Action>) {
+        if self.handover.is_some() {
+            self.redirect(waiter, self.successor(call.id), actions);
+            return;
+        }
+        match self.claim_key(now, call.id) {
+            Claim::Granted => {
+                if self.claim(waiter, call, Stage::Claimed, None, actions) {
+                    actions.push(Action::Run {
+                        id: call.id,
+                        waiter,
+                    });
+                }
+            }
+            Claim::Ask(homes) => {
+                let stage = Stage::Sealing(homes.clone());
+                if self.claim(waiter, call, stage, None, actions) {
+                    let id = call.id;
+                    actions.extend(homes.into_iter().map(|vm| Action::AskSeal { vm, id }));
+                }
+            }
+            Claim::Elsewhere(vm) => actions.push(Action::Elsewhere { waiter, vm }),
+            Claim::Doubt(delay) => answer(waiter, Err(in_doubt(delay)), actions),
+        }
+    }
+
+    /// A key that was sealed here may be run only if who asked for the seal seals it too.
+    fn claim_key(&self, now: Instant, id: Id) -> Claim {
+        let claim = self.rights.claim(now, id);
+        let Some(&(holder, _)) = self.seals.get(&id) else {
+            return claim;
+        };
+        match claim {
+            Claim::Granted => Claim::Ask(vec![holder]),
+            Claim::Ask(mut homes) => {
+                if !homes.contains(&holder) {
+                    homes.push(holder);
+                }
+                Claim::Ask(homes)
+            }
+            other => other,
+        }
+    }
+
+    /// Makes a record if there is room; answers the caller otherwise.
+    fn claim(
+        &mut self,
+        waiter: u64,
+        call: &Call,
+        stage: Stage,
+        expiry: Option<Instant>,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        if self.records.len() >= self.settings.records && !self.evict() {
+            let refusal = match stage {
+                Stage::Sealing(_) => in_doubt(FULL_RETRY),
+                _ => Refusal::not_run(Reason::Overloaded, "the records are full")
+                    .retry_after(FULL_RETRY),
+            };
+            answer(waiter, Err(refusal), actions);
+            return false;
+        }
+        let mut record = Record::new(call.fingerprint, stage, waiter);
+        record.expiry = expiry;
+        self.records.insert(call.id, record);
+        true
+    }
+}
+
+/// Has a caller join a call that is known here.
+fn join(record: &mut Record, waiter: u64, call: &Call, actions: &mut Vec<Action>) {
+    if record.fingerprint != call.fingerprint {
+        answer(waiter, Err(conflict(&call.source)), actions);
+        return;
+    }
+    match &record.stage {
+        Stage::Done(outcome) => answer(waiter, outcome.clone(), actions),
+        Stage::Moved(vm) => actions.push(Action::Elsewhere { waiter, vm: *vm }),
+        _ => record.waiters.push(waiter),
+    }
+}
+
+fn conflict(source: &Source) -> Refusal {
+    match source {
+        Source::Ticket(_) => Refusal::not_run(
+            Reason::BadTicket,
+            "the ticket was used with another request",
+        ),
+        Source::Key => {
+            Refusal::not_run(Reason::KeyConflict, "the key was used with another request")
+        }
+    }
+}
--- /dev/null
+++ b/crates/once/src/registry/handover.rs
@@ -0,0 +1,164 @@
+//! Records that pass to other entry VMs in a planned stop, and back.
+
+use {
+    super::{FULL_RETRY, Registry, answer, in_doubt},
+    crate::{
+        Action, Copy, Id,
+        record::{Record, Stage, State},
+    },
+    base::{Instant, key},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// How far the handover to one VM has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Handover {
+    Offered,
+    Committed,
+    Over,
+}
+
+impl Registry {
+    /// Takes records over from another VM; a record that is known here is kept.
+    pub(super) fn adopt(&mut self, now: Instant, vm: key::Vm, copies: Vec<Copy>) {
+        for copy in copies {
+            if self.records.contains_key(&copy.id) {
+                continue;
+            }
+            let until = now + copy.retention;
+            let stage = match &copy.state {
+                State::Done(_) => Stage::Claimed,
+                State::Elsewhere => Stage::Moved(vm),
+            };
+            let mut record = Record::new(copy.fingerprint, stage, 0);
+            record.waiters.clear();
+            record.until = Some(until);
+            self.records.insert(copy.id, record);
+            match copy.state {
+                State::Done(outcome) => self.finish(copy.id, outcome, until),
+                State::Elsewhere => {
+                    self.expiries.insert((until, copy.id));
+                }
+            }
+        }
+    }
+
+    /// Begins to hand over: calls are refused, each record goes to its next owner.
+    pub(super) fn stop(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.handover.is_some() {
+            return;
+        }
+        let list = self.rights.list().cloned();
+        let others = list.iter().flat_map(|list| list.vms().iter().copied());
+        let mut offers: BTreeMap<_, _> = others
+            .filter(|&vm| vm != self.vm)
+            .map(|vm| (vm, Vec::new()))
+            .collect();
+        for (&id, record) in &self.records {
+            let next = list.as_ref().and_then(|list| list.deputy(id, self.vm));
+            if let Some(copies) = next.and_then(|vm| offers.get_mut(&vm)) {
+                copies.push(record.copy(id, now, self.retention(record), true));
+            }
+        }
+        let vms = offers.keys().map(|&vm| (vm, Handover::Offered));
+        self.handover = Some(vms.collect());
+        for (vm, records) in offers {
+            actions.push(Action::Offer { vm, records });
+        }
+        self.finish_handover(actions);
+    }
+
+    pub(super) fn accepted(
+        &mut self,
+        now: Instant,
+        vm: key::Vm,
+        accepted: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        // A later home may run a key that was sealed for it, and the next owner can't know.
+        let settled = self.rights.is_settled(now) && self.seals.is_empty();
+        let list = self.rights.list().map_or(0, |list| list.digest());
+        let Some(handover) = &mut self.handover else {
+            return;
+        };
+        let Some(state) = handover.get_mut(&vm) else {
+            return;
+        };
+        if accepted && *state == Handover::Offered {
+            *state = Handover::Committed;
+            actions.push(Action::Commit { vm, list, settled });
+            return;
+        }
+        *state = Handover::Over;
+        let (ready, rest) = self.parked.iter().partition(|(_, to)| *to == vm);
+        self.parked = rest;
+        let redirect = |(waiter, vm)| Action::Elsewhere { waiter, vm };
+        actions.extend(Vec::into_iter(ready).map(redirect));
+        self.finish_handover(actions);
+    }
+
+    fn finish_handover(&self, actions: &mut Vec<Action>) {
+        let handover = self.handover.iter().flatten();
+        if handover
+            .map(|(_, state)| state)
+            .all(|state| *state == Handover::Over)
+        {
+            actions.push(Action::Stopped);
+        }
+    }
+
+    /// Returns how long the next owner must remember a call: as long as it would run it.
+    fn retention(&self, record: &Record) -> Duration {
+        match record.expiry {
+            Some(_) => self.settings.window.max(self.settings.ticket_lifetime),
+            None => self.settings.window,
+        }
+    }
+
+    pub(super) fn successor(&self, id: Id) -> Option<key::Vm> {
+        self.rights.list()?.deputy(id, self.vm)
+    }
+
+    /// Sends a caller to the next owner, once that one has taken over.
+    pub(super) fn redirect(&mut self, waiter: u64, vm: Option<key::Vm>, actions: &mut Vec<Action>) {
+        let Some(vm) = vm else {
+            answer(waiter, Err(in_doubt(FULL_RETRY)), actions);
+            return;
+        };
+        let state = self.handover.as_ref().and_then(|vms| vms.get(&vm));
+        if state.is_none_or(|state| *state == Handover::Over) {
+            actions.push(Action::Elsewhere { waiter, vm });
+        } else {
+            self.parked.push((waiter, vm));
+        }
+    }
+
+    pub(super) fn reclaimed(
+        &mut self,
+        now: Instant,
+        number: u64,
+        vm: key::Vm,
+        incarnation: u64,
+        actions: &mut Vec<Action>,
+    ) {
+        let settled = self.handover.is_none() && self.rights.give_back(now, vm, incarnation);
+        let list = self.rights.list().cloned();
+        let is_returned = |id: Id| {
+            list.as_ref().is_some_and(|list| {
+                list.home(id) == Some(vm) && list.deputy(id, vm) == Some(self.vm)
+            })
+        };
+        let records = self
+            .records
+            .iter()
+            .filter(|(id, record)| record.expiry.is_none() && is_returned(**id))
+            .map(|(&id, record)| record.copy(id, now, self.retention(record), false))
+            .collect();
+        actions.push(Action::Return {
+            number,
+            records,
+            list: list.map_or(0, |list| list.digest()),
+            settled,
+        });
+    }
+}
--- a/crates/once/tests/registry/world.rs
+++ b/crates/once/tests/registry/world.rs
@@ -349,7 +349,7 @@
                 age,
             },
             Body::Offered(records) => {
-                let accepted = !self.nodes[&place].registry.is_stopping();
+                let accepted = self.nodes[&place].registry.has_room(records.len());
                 self.post(place, from.0, back, Body::Accepted(accepted));
                 Event::Offered {
                     vm: from.0,
