--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cli;
 pub mod client;
 pub mod embedded;
+pub mod load;
 
 mod check;
 mod completions;
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -81,6 +81,28 @@
     assert_eq!(fault["permitted"], "file, level, queue");
 }
 
+#[test]
+fn check_compares_settings_with_their_deployment() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let check = |name: &str, data_centre: &str| {
+        let text =
+            format!("[vm]\nname = {name}\ndata_centre = {data_centre}\n[keys]\ndeployment = k\n");
+        let path = write(&folder, "entry.ini", &text);
+        let deployment = example("association");
+        mastictrail(&["check", "--settings", &path, "--deployment", &deployment])
+    };
+    let good = check("entry-langley-1", "data centre-langley");
+    assert_eq!(good.status.code(), SUCCESS, "{}", stderr(&good));
+    let unknown = check("entry-langley-9", "data centre-langley");
+    assert_eq!(unknown.status.code(), BAD_INPUT);
+    let message = "name: the deployment has no [vm entry-langley-9]";
+    assert!(stderr(&unknown).contains(message), "{}", stderr(&unknown));
+    let moved = check("entry-langley-1", "data centre-abbotsford");
+    assert_eq!(moved.status.code(), BAD_INPUT);
+    let permitted = "permitted: data centre-langley";
+    assert!(stderr(&moved).contains(permitted), "{}", stderr(&moved));
+}
+
 #[test]
 fn bad_usage_has_the_exit_code_of_bad_input() {
     for arguments in [
@@ -149,11 +171,12 @@
 {"time":"2026-05-01T10:00:00.000200Z","level":"INFO","vm":"entry-a1","event":"route","message":"dispatched","request":"r-9","chosen":"engine-1"}
 cut off in the midd
 {"time":"2026-05-01T10:00:00.000300Z","level":"INFO","vm":"entry-a1","event":"retry","message":"the call is sent again","request":"r-1","reason":"target_refused","verdict":"not_run"}
-{"time":"2026-05-01T10:00:00.000500Z","level":"INFO","vm":"entry-a1","event":"route","message":"dispatched","request":"r-1","generation":"g-7","chosen":"engine-2"}
+{"time":"2026-05-01T10:00:00.000500Z","level":"INFO","vm":"entry-a1","event":"route","message":"dispatched","request":"r-1","chosen":"engine-2"}
 "#;
 const LOG_OF_B: &str = r#"
 {"time":"2026-05-01T10:00:00.000400Z","level":"INFO","vm":"entry-b1","event":"call","message":"taken","request":"r-1"}
-{"time":"2026-05-01T10:00:02.000000Z","level":"INFO","vm":"entry-b1","event":"resume","message":"resumed","request":"r-2","generation":"g-7","index":40}
+{"time":"2026-05-01T10:00:02.000000Z","level":"INFO","vm":"entry-b1","event":"resume","message":"resumed","request":"r-2","origin":"r-1","generation":"g-7","index":40}
+{"time":"2026-05-01T10:00:03.000000Z","level":"INFO","vm":"entry-b1","event":"answer","message":"complete","request":"r-2","generation":"g-7","verdict":"ran"}
 "#;
 
 #[test]
@@ -163,11 +186,11 @@
     let second = write(&folder, "a.log", LOG_OF_A);
     let output = mastictrail(&["explain", "r-1", &first, &second]);
     assert_eq!(output.status.code(), SUCCESS);
-    assert!(stderr(&output).starts_with("1 lines are not JSON objects"));
+    assert!(stderr(&output).starts_with("left out what is no JSON object: 1 line"));
     insta::assert_snapshot!("explain", stdout(&output));
     let json = mastictrail(&["explain", "--json", "r-1", &first, &second]);
     let lines: serde_json::Value = serde_json::from_slice(&json.stdout).expect("JSON");
-    assert_eq!(lines.as_array().map(Vec::len), Some(5));
+    assert_eq!(lines.as_array().map(Vec::len), Some(6));
     let none = mastictrail(&["explain", "r-3", &first]);
     assert_eq!(none.status.code(), FAILURE);
 }
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         configuration::Configuration, deployment::Deployment, drain::Drain, gossip::Gossip,
-        metrics::Metrics, owner::Owner, router::Router, runtime::Runtime, session::Sessions,
+        metrics::Metrics, observed::Observed, orders::Orders, owner::Owner, router::Router,
+        runtime::Runtime, session::Sessions,
     },
     arc_swap::ArcSwap,
     base::{Clock, Instant, key},
@@ -43,8 +44,12 @@
     pub configuration: Configuration,
     /// The other entry VMs.
     pub gossip: Gossip,
+    /// Orders to engines.
+    pub orders: Orders,
     /// Admission and choice of targets.
     pub router: Router,
+    /// What was last seen of the targets.
+    pub observed: Observed,
     /// Metrics.
     pub metrics: Metrics,
     /// Calls that run at most once.
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -2,13 +2,15 @@
 
 use {
     crate::{
-        Context, Error, admin, caller,
+        Context, Error, admin, cache, caller,
         configuration::{self, Configuration},
         context::Identity,
         drain::Drain,
         gossip::{self, Gossip},
         inner,
         metrics::Metrics,
+        observed::Observed,
+        orders::{self, Orders},
         owner::{self, Owner},
         probe,
         router::{self, Router},
@@ -67,8 +69,10 @@
         context.spawn(configuration::list(Arc::clone(&context)));
         context.spawn(gossip::receive(Arc::clone(&context)));
         context.spawn(gossip::run(Arc::clone(&context)));
+        context.spawn(orders::run(Arc::clone(&context)));
         context.spawn(owner::run(Arc::clone(&context)));
         context.spawn(probe::run(Arc::clone(&context)));
+        context.spawn(cache::run(Arc::clone(&context)));
         context.spawn(router::tick(Arc::clone(&context)));
         Ok(Self { context })
     }
@@ -102,6 +106,13 @@
     }
 }
 
+impl Daemon {
+    /// Ends the process's tasks at once, whatever they do; for entry VMs inside another process.
+    pub fn kill(&self) {
+        self.context.runtime.stop();
+    }
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(address)
         .await
@@ -128,6 +139,7 @@
     let now = clock.now();
     Ok(Context {
         configuration: Configuration::new(now, &settings, &identity),
+        orders: Orders::new(now, &identity),
         gossip: Gossip::new(now, &settings, &identity, socket),
         owner: Owner::new(identity.vm, identity.incarnation, &settings),
         clock: Arc::new(clock),
@@ -135,6 +147,7 @@
         key,
         deployment: ArcSwap::default(),
         router: Router::new(policy),
+        observed: Observed::default(),
         metrics: Metrics::new(&settings.vm.name)?,
         sessions: Sessions::default(),
         drain: Drain::default(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admin;
 pub mod answer;
+pub mod cache;
 pub mod call;
 pub mod caller;
 pub mod configuration;
@@ -22,6 +23,8 @@
 pub mod inner;
 pub mod logs;
 pub mod metrics;
+pub mod observed;
+pub mod orders;
 pub mod owner;
 pub mod probe;
 pub mod prompt;
@@ -32,6 +35,7 @@
 pub mod session;
 pub mod sse;
 pub mod ticket;
+pub mod timed;
 pub mod witness;
 
 pub use {context::Context, daemon::Daemon, error::Error, exchange::Exchange};
