--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -57,20 +57,21 @@
     let Some(request) = arguments.get_one::<String>("request") else {
         return ExitCode::from(BAD_INPUT);
     };
-    let mut log = Log::default();
-    for path in input::paths(arguments, "logs") {
-        if let Err(error) = log.read(path) {
+    let paths = input::paths(arguments, "logs");
+    let story = match Story::read(request, &paths) {
+        Ok(story) => story,
+        Err((path, error)) => {
             eprintln!("{}: {error}", path.display());
             return ExitCode::from(BAD_INPUT);
         }
-    }
-    if log.malformed > 0 {
+    };
+    if story.malformed > 0 {
         eprintln!(
             "left out what is no JSON object: {}",
-            output::count(log.malformed, "line")
+            output::count(story.malformed, "line")
         );
     }
-    let lines = log.story(request);
+    let lines = story.lines;
     if lines.is_empty() {
         eprintln!("no line names request {request}");
         return ExitCode::FAILURE;
@@ -82,47 +83,67 @@
     output::print(&story.concat())
 }
 
-/// The lines of all logs that were read.
+/// What the logs hold of one request.
 #[derive(Debug, Default)]
-struct Log {
+struct Story {
+    /// Its lines in the order of their time.
     lines: Vec<Line>,
+    /// Lines that name it and are no JSON objects.
     malformed: usize,
 }
 
-impl Log {
-    fn read(&mut self, path: &Path) -> io::Result<()> {
+impl Story {
+    /// Reads logs of any length twice, for the request's generations and then for its lines.
+    fn read<'a>(request: &str, paths: &[&'a Path]) -> Result<Self, (&'a Path, io::Error)> {
+        let mut story = Self::default();
+        let mut names = BTreeSet::from([request.to_owned()]);
+        story.search(paths, &names)?;
+        let own = story.lines.iter().filter(|line| is_own(line, request));
+        let generations = own.map(|line| text(line, "generation").to_owned());
+        names.extend(generations.filter(|generation| !generation.is_empty()));
+        story = Self::default();
+        story.search(paths, &names)?;
+        story
+            .lines
+            .retain(|line| is_own(line, request) || names.contains(text(line, "generation")));
+        story
+            .lines
+            .sort_by(|one, other| text(one, "time").cmp(text(other, "time")));
+        Ok(story)
+    }
+
+    /// Keeps each line in which one of the names stands.
+    fn search<'a>(
+        &mut self,
+        paths: &[&'a Path],
+        names: &BTreeSet<String>,
+    ) -> Result<(), (&'a Path, io::Error)> {
+        for path in paths {
+            self.search_file(path, names)
+                .map_err(|error| (*path, error))?;
+        }
+        Ok(())
+    }
+
+    fn search_file(&mut self, path: &Path, names: &BTreeSet<String>) -> io::Result<()> {
         for line in BufReader::new(File::open(path)?).split(b'\n') {
             let line = line?;
-            if line.is_empty() {
+            let line = String::from_utf8_lossy(&line);
+            if !names.iter().any(|name| line.contains(name)) {
                 continue;
             }
-            match serde_json::from_slice(&line) {
+            match serde_json::from_str(&line) {
                 Ok(line) => self.lines.push(line),
                 Err(_) => self.malformed += 1,
             }
         }
         Ok(())
     }
+}
 
-    /// Returns the lines of a request and of its generations in the order of their time.
-    fn story(&self, request: &str) -> Vec<&Line> {
-        let is_own =
-            |line: &&Line| [text(line, "request"), text(line, "origin")].contains(&request);
-        let generations: BTreeSet<_> = self
-            .lines
-            .iter()
-            .filter(is_own)
-            .map(|line| text(line, "generation"))
-            .filter(|generation| !generation.is_empty())
-            .collect();
-        let mut lines: Vec<_> = self
-            .lines
-            .iter()
-            .filter(|line| is_own(line) || generations.contains(text(line, "generation")))
-            .collect();
-        lines.sort_by_key(|line| text(line, "time"));
-        lines
-    }
+/// Returns whether a line is of the request, or of one that went on with its stream.
+fn is_own(line: &Line, request: &str) -> bool {
+    [text(line, "request"), text(line, "origin")].contains(&request)
 }
 
 fn text<'a>(line: &'a Line, key: &str) -> &'a str {
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -169,7 +169,8 @@
 const LOG_OF_A: &str = r#"
 {"time":"2026-05-01T10:00:00.000100Z","level":"INFO","vm":"entry-a1","event":"route","message":"dispatched","request":"r-1","chosen":"engine-1","reason":"least predicted memory","candidates":"engine-1=0.100 engine-2=0.900"}
 {"time":"2026-05-01T10:00:00.000200Z","level":"INFO","vm":"entry-a1","event":"route","message":"dispatched","request":"r-9","chosen":"engine-1"}
-cut off in the midd
+{"time":"2026-05-01T10:00:00.000250Z","request":"r-1","cut off in the midd
+no JSON at all
 {"time":"2026-05-01T10:00:00.000300Z","level":"INFO","vm":"entry-a1","event":"retry","message":"the call is sent again","request":"r-1","reason":"target_refused","verdict":"not_run"}
 {"time":"2026-05-01T10:00:00.000500Z","level":"INFO","vm":"entry-a1","event":"route","message":"dispatched","request":"r-1","chosen":"engine-2"}
 "#;
