fix(once): a home that waits for its rights back says to come again soon

A new incarnation refused keys for the whole doubt until its deputies had answered, and a call that came before the list was known found no owner. Both pass within moments; the entry VM that took the call searches again.

--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -94,8 +94,9 @@
 
 async fn reclaim(context: &Arc<Context>, vm: key::Vm) {
     let message = Body::Reclaim(msg::Reclaim { number: 1 });
-    let Ok(Body::Handover(returned)) = inner::ask(context, vm, message, LIMIT).await else {
-        return;
+    let returned = match inner::ask(context, vm, message, LIMIT).await {
+        Ok(Body::Handover(returned)) => returned,
+        _ => msg::Handover::default(),
     };
     let records = returned.records.into_iter().filter_map(decode).collect();
     let (list, settled) = (returned.list, returned.settled);
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -67,6 +67,9 @@
     claim: once::Call,
 ) -> Result<Reply, Refusal> {
     let mut candidates = VecDeque::from(context.owner.owners(&claim));
+    if candidates.is_empty() {
+        return Err(changing());
+    }
     let mut unreachable = HashSet::new();
     for _ in 0..HOPS {
         let next = candidates.pop_front();
@@ -90,8 +93,13 @@
             Err(refusal) => return Err(refusal),
         }
     }
-    let refusal = Refusal::may_have_run(Reason::KeyInDoubt, "the owner of the call is changing");
-    Err(refusal.retry_after(RETRY))
+    Err(changing())
+}
+
+/// The answer while entry VMs do not agree on an owner; it passes within moments.
+fn changing() -> Refusal {
+    let message = "the owner of the call is changing";
+    Refusal::may_have_run(Reason::KeyInDoubt, message).retry_after(RETRY)
 }
 
 /// Returns whether the other VM got nothing of the call, so that the next one may know more.
--- a/crates/once/src/event.rs
+++ b/crates/once/src/event.rs
@@ -107,7 +107,7 @@
         /// The new incarnation.
         incarnation: u64,
     },
-    /// Another VM gave back what an earlier incarnation of this one handed over.
+    /// Another VM gave back what an earlier incarnation of this one handed over, or did not answer.
     Returned {
         /// The other VM.
         vm: key::Vm,
--- a/crates/once/src/registry.rs
+++ b/crates/once/src/registry.rs
@@ -259,8 +259,10 @@
         }
         let list = self.rights.list().cloned();
         let others = list.iter().flat_map(|list| list.vms().iter().copied());
-        let others = others.filter(|&vm| vm != self.vm);
-        actions.extend(others.map(|vm| Action::Reclaim { vm }));
+        for vm in others.filter(|&vm| vm != self.vm) {
+            self.rights.ask_back(vm);
+            actions.push(Action::Reclaim { vm });
+        }
     }
 
     fn expire(&mut self, now: Instant) {
@@ -328,9 +330,7 @@
                 settled,
             } => {
                 self.adopt(now, vm, records);
-                if settled {
-                    self.rights.take_back(now, vm, list);
-                }
+                self.rights.take_back(now, vm, list, settled);
             }
             Event::Accepted { vm, accepted } => self.accepted(now, vm, accepted, actions),
             Event::Stop => self.stop(now, actions),
--- a/crates/once/src/right.rs
+++ b/crates/once/src/right.rs
@@ -56,6 +56,8 @@
     stale: bool,
     /// Deputies that gave back the rights of an earlier incarnation.
     returned: BTreeMap<key::Vm, Instant>,
+    /// Deputies that were asked for them and have not answered yet.
+    asked: BTreeSet<key::Vm>,
     held: HashMap<key::Vm, Held>,
 }
 
@@ -69,6 +71,7 @@
             confirmed: Instant::default(),
             stale: true,
             returned: BTreeMap::new(),
+            asked: BTreeSet::new(),
             held: HashMap::new(),
         }
     }
@@ -152,6 +155,9 @@
             return Claim::Granted;
         }
         let age = self.age(now);
+        if age < self.doubt_period() && self.is_asked(list, id) {
+            return Claim::Doubt(CONFIRM_RETRY);
+        }
         if age < self.doubt_period() {
             return Claim::Doubt(self.doubt_period().saturating_sub(age));
         }
@@ -182,6 +188,12 @@
         deputy.is_some_and(|deputy| self.returned.contains_key(&deputy))
     }
 
+    /// Returns whether the deputy of a key has yet to say whether it gives a right back.
+    fn is_asked(&self, list: &List, id: Id) -> bool {
+        let deputy = list.deputy(id, self.vm);
+        deputy.is_some_and(|deputy| self.asked.contains(&deputy))
+    }
+
     /// Returns the homes of a key under earlier lists whose rights did not pass to this VM.
     fn earlier_homes(&self, id: Id) -> Vec<key::Vm> {
         let mut homes = BTreeSet::new();
@@ -255,9 +267,15 @@
         had && is_later && is_current
     }
 
-    /// Takes rights back that an earlier incarnation of this VM had passed to a deputy.
-    pub fn take_back(&mut self, now: Instant, vm: key::Vm, digest: u64) {
-        if self.list().is_some_and(|list| list.digest() == digest) {
+    /// Notes that a deputy is asked for the rights of an earlier incarnation.
+    pub fn ask_back(&mut self, vm: key::Vm) {
+        self.asked.insert(vm);
+    }
+
+    /// Takes the answer of a deputy that an earlier incarnation of this VM had passed rights to.
+    pub fn take_back(&mut self, now: Instant, vm: key::Vm, digest: u64, settled: bool) {
+        self.asked.remove(&vm);
+        if settled && self.list().is_some_and(|list| list.digest() == digest) {
             self.returned.insert(vm, now);
         }
     }
--- a/crates/once/tests/registry/liveness.rs
+++ b/crates/once/tests/registry/liveness.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::world::{QUIET, VMS, World, key_call, ticket_call, vm},
+    base::Reason,
     std::time::Duration,
 };
 
@@ -94,3 +95,26 @@
     world.confirm();
     send_keys(&mut world, 0..60);
 }
+
+#[test]
+fn key_that_comes_before_the_rights_are_back_is_asked_to_come_again_soon() {
+    let mut world = quiet();
+    world.stop(vm(0));
+    world.settle();
+    world.start(vm(0));
+    world.confirm();
+    let early: Vec<_> = (0..50)
+        .map(|number| world.ask(key_call(number), vm(0)))
+        .collect();
+    world.settle();
+    let answers = early.iter().map(|&caller| world.answer(caller));
+    let refusals = answers.filter_map(|answer| answer.as_ref().err());
+    // The other keys have another home.
+    let in_doubt: Vec<_> = refusals
+        .filter(|refusal| refusal.reason == Reason::KeyInDoubt)
+        .collect();
+    assert!(!in_doubt.is_empty());
+    let soon = Some(Duration::from_secs(1));
+    assert!(in_doubt.iter().all(|refusal| refusal.retry_after == soon));
+    send_keys(&mut world, 0..50);
+}
--- a/crates/once/tests/registry/world.rs
+++ b/crates/once/tests/registry/world.rs
@@ -323,11 +323,30 @@
                 vm: message.to,
                 accepted: false,
             },
+            Body::Reclaimed => Event::Returned {
+                vm: message.to,
+                records: Vec::new(),
+                list: 0,
+                settled: false,
+            },
+            Body::Returned(..) => return self.lose_return(message),
             _ => return,
         };
         self.tell(message.from, event);
     }
 
+    /// Tells the asker that nothing came back.
+    fn lose_return(&mut self, message: &Message) {
+        let asker = (message.to, message.incarnation.unwrap_or_default());
+        let event = Event::Returned {
+            vm: message.from.0,
+            records: Vec::new(),
+            list: 0,
+            settled: false,
+        };
+        self.tell(asker, event);
+    }
+
     fn receive(&mut self, place: Place, message: Message) {
         let (from, back) = (message.from, Some(message.from.1));
         let event = match message.body {
