fix(entry): a call whose owner was lost on the way is asked for again

An entry VM that ended its planned stop could take a forwarded call into a connection that closed with the process; the caller heard may have run. The owner joins a call that it knows and its successor has the record, so the search goes on: the same VM once more, then the next.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -70,8 +70,13 @@
     if candidates.is_empty() {
         return Err(changing());
     }
+    let mut lost = HashSet::new();
     let mut unreachable = HashSet::new();
     for _ in 0..HOPS {
+        if exchange.remaining(context.now()).is_zero() {
+            let message = "the deadline passed while the owner was searched";
+            return Err(Refusal::may_have_run(Reason::Deadline, message));
+        }
         let next = candidates.pop_front();
         let Some(vm) = next.filter(|vm| !unreachable.contains(vm)) else {
             return Err(unowned());
@@ -87,10 +92,14 @@
                 candidates.retain(|&candidate| candidate != next);
                 candidates.push_front(next);
             }
-            Err(refusal) if is_unreachable(&refusal) => {
+            Err(refusal) if refusal.reason != Reason::PeerLost => return Err(refusal),
+            // The owner joins a call that it knows, so it may be asked again.
+            Err(refusal) if !refusal.verdict.is_repeatable() && lost.insert(vm) => {
+                candidates.push_front(vm);
+            }
+            Err(_) => {
                 unreachable.insert(vm);
             }
-            Err(refusal) => return Err(refusal),
         }
     }
     Err(changing())
@@ -102,11 +111,6 @@
     Refusal::may_have_run(Reason::KeyInDoubt, message).retry_after(RETRY)
 }
 
-/// Returns whether the other VM got nothing of the call, so that the next one may know more.
-fn is_unreachable(refusal: &Refusal) -> bool {
-    refusal.reason == Reason::PeerLost && refusal.verdict.is_repeatable()
-}
-
 /// The answer if no owner could be reached: an earlier attempt may have run.
 fn unowned() -> Refusal {
     let message = "no entry VM that may own the call can be reached";
