--- a/crates/fleet/src/departure.rs
+++ b/crates/fleet/src/departure.rs
@@ -25,8 +25,6 @@
     ListedLeaving,
     /// The platform's list says that it is live.
     ListedLive,
-    /// An operator said that it is leaving.
-    Operator,
 }
 
 impl Notice {
@@ -97,7 +95,7 @@
     }
 
     fn confirm(&mut self, now: Instant, target: key::Target, notice: Notice) -> bool {
-        let listed = !notice.is_own() && notice != Notice::Operator;
+        let listed = !notice.is_own();
         let Some(departure) = self.targets.get_mut(&target) else {
             let departure = Departure {
                 leaving: true,
