fix(fleet): a process that starts with a clock behind joins again

Its incarnation was below that of its forerunner, so peers dropped its datagrams for good. They now answer with the record that they hold: a process that nobody has answered yet takes a higher number, one that had joined before knows that it was replaced and stays stale.

--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -83,6 +83,9 @@
     next_push: Instant,
     pushes: u32,
     stale: Option<Stale>,
+    /// Whether any peer has answered this process.
+    joined: bool,
+    /// Whether a later incarnation of this VM is known.
     superseded: bool,
 }
 
@@ -164,6 +167,7 @@
             next_push: now,
             pushes: 0,
             stale: Some(Stale::new(now, 0)),
+            joined: false,
             superseded: false,
         }
     }
--- a/crates/fleet/src/membership/receive.rs
+++ b/crates/fleet/src/membership/receive.rs
@@ -26,10 +26,17 @@
         actions: &mut Vec<Action>,
     ) {
         let sender = key::Vm::of(&message.vm);
-        if sender == self.own.key || !self.accept(sender, message) {
+        let record = message.members.iter().find(|item| item.vm == message.vm);
+        if sender == self.own.key {
+            return;
+        }
+        if self.is_outdated(sender, message) {
+            self.tell_outdated(now, from, sender, record, actions);
+            return;
+        }
+        if !self.accept(sender, message) {
             return;
         }
-        let record = message.members.iter().find(|item| item.vm == message.vm);
         let is_local = record.is_some_and(|record| *record.data_centre == *self.data_centre);
         if is_local {
             self.learn_members(now, message, actions);
@@ -49,15 +56,33 @@
         }
     }
 
-    /// Refuses replays and datagrams of an earlier incarnation.
+    /// Returns whether a datagram comes from an earlier incarnation than the one that is known.
+    fn is_outdated(&self, sender: key::Vm, message: &Gossip) -> bool {
+        let known = self.windows.get(&sender);
+        known.is_some_and(|(incarnation, _)| message.incarnation < *incarnation)
+    }
+
+    /// Tells a process which later incarnation of its VM is known, so that it steps back, or takes a
+    /// higher number if it has just started with a clock that is behind.
+    fn tell_outdated(
+        &mut self,
+        now: Instant,
+        from: SocketAddr,
+        sender: key::Vm,
+        record: Option<&msg::Member>,
+        actions: &mut Vec<Action>,
+    ) {
+        let address = record.and_then(|record| record.address.parse().ok());
+        self.tell(Subject::Member(sender));
+        self.send(now, address.unwrap_or(from), None, Use::Urgent, actions);
+    }
+
+    /// Refuses replays.
     fn accept(&mut self, sender: key::Vm, message: &Gossip) -> bool {
         let (incarnation, window) = self
             .windows
             .entry(sender)
             .or_insert_with(|| (message.incarnation, Window::default()));
-        if message.incarnation < *incarnation {
-            return false;
-        }
         if message.incarnation > *incarnation {
             *incarnation = message.incarnation;
             *window = Window::default();
@@ -109,7 +134,7 @@
     /// Contradicts a report that this VM is dead.
     fn refute(&mut self, report: &Member) {
         if report.incarnation > self.own.incarnation {
-            self.superseded = true;
+            self.step_back(report.incarnation);
             return;
         }
         let doubted = report.state == State::Dead;
@@ -123,6 +148,17 @@
         self.urge(None);
     }
 
+    /// Gives way to a later incarnation, or passes it if this process has only just started.
+    fn step_back(&mut self, incarnation: u64) {
+        if self.joined {
+            self.superseded = true;
+            return;
+        }
+        self.own.incarnation = incarnation + 1;
+        self.own.refutation = 0;
+        self.urge(None);
+    }
+
     /// Notes that a member speaks for itself.
     fn hear(&mut self, now: Instant, sender: key::Vm, actions: &mut Vec<Action>) {
         if let Some(member) = self.members.get_mut(sender)
@@ -250,6 +286,7 @@
             self.send(now, relay.requester, Some(answer), Use::Brief, actions);
             return;
         }
+        self.joined = true;
         if let Some(stale) = &mut self.stale
             && received.number > stale.last_ping
         {
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -51,6 +51,36 @@
     }
 }
 
+#[test]
+fn process_that_starts_with_a_clock_behind_joins_again() {
+    for seed in 0..5 {
+        let mut net = converged(seed, 0.1, 6);
+        net.nodes[3].up = false;
+        net.run(seconds(1));
+        net.restart(3, "dc0", 0, snapshot(1, 1, 6, 8));
+        let joined = |net: &Net| {
+            net.all_view(3, State::Live)
+                && net.nodes[3].machine.is_fresh()
+                && net.nodes[3].machine.own().incarnation > 1
+        };
+        assert!(net.until(AGREE, joined).is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn process_that_was_replaced_while_it_was_frozen_stays_stale() {
+    let mut net = converged(1, 0.0, 4);
+    net.until(AGREE, |net| net.nodes[0].machine.is_fresh());
+    net.nodes[0].frozen = true;
+    net.run(seconds(10));
+    let successor = net.add("vm0", "dc0", 2);
+    net.event(successor, Event::Configuration(snapshot(1, 1, 4, 8)));
+    net.run(seconds(10));
+    net.nodes[0].frozen = false;
+    net.run(seconds(20));
+    assert!(!net.nodes[0].machine.is_fresh());
+}
+
 #[test]
 fn large_data_centre_under_loss_keeps_its_budget_for_probes() {
     for (vms, loss) in [(70, 0.1), (32, 0.2)] {
