fix(fleet): a target that was started again gets work at once

The notice of leaving stood for a minute against the load reports of the new process of the same name, so that two engines stopped and started one after the other were both left out. A sequence that fell to less than half shows a new process; reports that overtake each other don't.

--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -4,7 +4,6 @@
     crate::{Context, gossip, http, orders},
     base::key,
     config::deployment::{Kind, Target},
-    fleet::Notice,
     route::{Event, Load},
     serde_json::Value,
     smol::Timer,
@@ -52,12 +51,16 @@
     context.router.handle(now, Event::Report { target, load });
     let models = orders::names(&value["models"]);
     orders::handle(&context, place::Event::Loaded { target, models });
-    let notice = match value["leaving"].as_bool() {
-        Some(true) => Notice::ReportedLeaving,
-        Some(false) => Notice::ReportedLive,
-        None => return,
+    let Some(leaving) = value["leaving"].as_bool() else {
+        return;
+    };
+    let sequence = value["sequence"].as_u64().unwrap_or(0);
+    let report = fleet::Event::Report {
+        target,
+        sequence,
+        leaving,
     };
-    gossip::handle(&context, fleet::Event::Target { target, notice });
+    gossip::handle(&context, report);
 }
 
 fn load(value: &Value) -> Load {
--- a/crates/fleet/src/departure.rs
+++ b/crates/fleet/src/departure.rs
@@ -21,6 +21,8 @@
     ReportedLeaving,
     /// The target's load report says that it is not leaving.
     ReportedLive,
+    /// The target's load report shows a new process that is not leaving.
+    Restarted,
     /// The platform's list says that it is leaving, or no longer names it.
     ListedLeaving,
     /// The platform's list says that it is live.
@@ -30,14 +32,17 @@
 impl Notice {
     /// Returns whether the notice says that the target is leaving.
     pub fn is_leaving(self) -> bool {
-        !matches!(self, Self::ReportedLive | Self::ListedLive)
+        !matches!(
+            self,
+            Self::ReportedLive | Self::Restarted | Self::ListedLive
+        )
     }
 
     /// Returns whether the target itself said it.
     fn is_own(self) -> bool {
         matches!(
             self,
-            Self::Refused | Self::ReportedLeaving | Self::ReportedLive
+            Self::Refused | Self::ReportedLeaving | Self::ReportedLive | Self::Restarted
         )
     }
 }
@@ -59,6 +64,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Departures {
     targets: HashMap<key::Target, Departure>,
+    /// Sequence of the newest load report of each target.
+    reports: HashMap<key::Target, u64>,
 }
 
 impl Departures {
@@ -76,6 +83,22 @@
             .map(|(target, departure)| (*target, departure))
     }
 
+    /// Returns what a load report says; a sequence that fell far back means a new process.
+    ///
+    /// Reports overtake each other by a few numbers, so a smaller fall means nothing.
+    pub fn read_report(&mut self, target: key::Target, sequence: u64, leaving: bool) -> Notice {
+        let newest = self.reports.entry(target).or_insert(sequence);
+        let restarted = sequence < *newest / 2;
+        if restarted || sequence > *newest {
+            *newest = sequence;
+        }
+        match (leaving, restarted) {
+            (true, _) => Notice::ReportedLeaving,
+            (false, true) => Notice::Restarted,
+            (false, false) => Notice::ReportedLive,
+        }
+    }
+
     /// Takes a notice of this VM; returns whether what is believed of the target changed.
     pub fn notice(&mut self, now: Instant, target: key::Target, notice: Notice) -> bool {
         if notice.is_leaving() {
@@ -84,7 +107,7 @@
         let Some(departure) = self.targets.get_mut(&target) else {
             return false;
         };
-        let standing = now.since(departure.confirmed) < HOLD;
+        let standing = notice != Notice::Restarted && now.since(departure.confirmed) < HOLD;
         let entitled = notice.is_own() || departure.listed;
         if !departure.leaving || standing || !entitled {
             return false;
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -31,6 +31,15 @@
         /// What was learned.
         notice: Notice,
     },
+    /// A target reported its load.
+    Report {
+        /// The target.
+        target: key::Target,
+        /// Rises with each report of one process of the target.
+        sequence: u64,
+        /// Whether it says that it is leaving.
+        leaving: bool,
+    },
     /// The platform's list was read: each name and whether it is leaving.
     List(Vec<(Box<str>, bool)>),
     /// What this VM has sent to a target changed.
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -331,6 +331,14 @@
             Event::Configuration(snapshot) => self.configure(&snapshot),
             Event::Received { from, message } => self.receive(now, from, &message, actions),
             Event::Target { target, notice } => self.notice(now, target, notice, actions),
+            Event::Report {
+                target,
+                sequence,
+                leaving,
+            } => {
+                let notice = self.departures.read_report(target, sequence, leaving);
+                self.notice(now, target, notice, actions);
+            }
             Event::List(list) => self.read_list(now, &list, actions),
             Event::Use {
                 target,
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -225,6 +225,39 @@
     }
 }
 
+#[test]
+fn restarted_target_gets_work_again_at_once() {
+    let target = key::Target::of("t1");
+    let mut net = converged(1, 0.1, 4);
+    let report = |net: &mut Net, vm, sequence| {
+        let leaving = false;
+        net.event(
+            vm,
+            Event::Report {
+                target,
+                sequence,
+                leaving,
+            },
+        );
+    };
+    let leaving_on = |net: &Net| {
+        let nodes = net.nodes.iter();
+        nodes
+            .filter(|node| node.machine.departures().is_leaving(target))
+            .count()
+    };
+    report(&mut net, 0, 1000);
+    let notice = Notice::Refused;
+    net.event(0, Event::Target { target, notice });
+    net.run(seconds(3));
+    report(&mut net, 0, 1010);
+    report(&mut net, 0, 1009);
+    net.run(seconds(3));
+    assert_eq!(leaving_on(&net), 4);
+    report(&mut net, 0, 2);
+    assert!(net.until(AGREE, |net| leaving_on(net) == 0).is_some());
+}
+
 #[test]
 fn target_gone_from_the_list_is_leaving_and_an_empty_list_is_ignored() {
     let mut net = converged(1, 0.0, 3);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -276,7 +276,7 @@
         engines: 2,
         ..Setup::default()
     };
-    let cluster = setup.start();
+    let mut cluster = setup.start();
     cluster.wait_for_members();
     cluster.order("platform", "/test/mode", &json!({"list_lag_ms": 30_000}));
     cluster.behave("engine-1", &json!({"leaving": true}));
@@ -297,6 +297,14 @@
             assert_eq!(cluster.engine_of(&draft), "engine-2");
         }
     }
+    cluster.process("engine-1").kill();
+    cluster.start_fake("engine", "engine-1");
+    for vm in cluster.vms() {
+        until(&format!("{vm} uses the new process"), || {
+            let draft = cluster.stream(&vm, PROMPT).unwrap().finish();
+            cluster.engine_of(&draft) == "engine-1"
+        });
+    }
 }
 
 #[test]
