--- a/crates/fleet/src/spread.rs
+++ b/crates/fleet/src/spread.rs
@@ -388,9 +388,10 @@
         if now < self.next_sample {
             return false;
         }
-        self.next_sample = now + BACKOFF;
-        let share = SAMPLE_RATE * BACKOFF.as_secs_f64() / self.count.max(1) as f64;
-        self.rng.random_bool(share.min(1.0))
+        // The turns of VMs that started together do not coincide.
+        let period = Duration::from_secs_f64(self.count.max(1) as f64 / SAMPLE_RATE);
+        self.next_sample = now + period.mul_f64(self.rng.random_range(0.5..1.5));
+        true
     }
 
     /// Returns whether it is this VM's turn to look whether the platform answers it.
