--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -276,7 +276,7 @@
         engines: 2,
         ..Setup::default()
     };
-    let cluster = setup.start();
+    let mut cluster = setup.start();
     cluster.wait_for_members();
     cluster.order("platform", "/test/mode", &json!({"list_lag_ms": 30_000}));
     cluster.behave("engine-1", &json!({"leaving": true}));
@@ -297,6 +297,14 @@
             assert_eq!(cluster.engine_of(&draft), "engine-2");
         }
     }
+    cluster.process("engine-1").kill();
+    cluster.start_fake("engine", "engine-1");
+    for vm in cluster.vms() {
+        until(&format!("{vm} uses the new process"), || {
+            let draft = cluster.stream(&vm, PROMPT).unwrap().finish();
+            cluster.engine_of(&draft) == "engine-1"
+        });
+    }
 }
 
 #[test]
@@ -366,36 +374,48 @@
 fn a_publication_spreads_whatever_fails_meanwhile() {
     let setup = Setup {
         data_centres: 2,
-        vms: 2,
+        vms: 3,
         engines: 1,
         ..Setup::default()
     };
     let mut cluster = setup.start();
     cluster.wait_for_members();
+    let (near, far) = (["vm-1", "vm-2", "vm-3"], ["vm-4", "vm-5", "vm-6"]);
+    let answer_only = |cluster: &Cluster, answered: &[&str]| {
+        cluster.proxy("heal *");
+        for vm in cluster
+            .vms()
+            .iter()
+            .filter(|vm| !answered.contains(&&***vm))
+        {
+            cluster.proxy(&format!("block platform/{vm}"));
+        }
+    };
     for (version, order) in [(2, "cut *"), (3, "silence *"), (4, "drop * 30")] {
+        answer_only(&cluster, &["vm-1", "vm-4"]);
         cluster.proxy(order);
         cluster.publish(version, "");
         cluster.wait_for_version(&cluster.vms(), version);
-        cluster.proxy("heal *");
     }
+    answer_only(&cluster, &["vm-2", "vm-4"]);
     cluster.process("vm-1").kill();
     cluster.publish(5, "");
     cluster.wait_for_version(&cluster.vms()[1..], 5);
     cluster.start_vm("vm-1");
     cluster.wait_for_version(&cluster.vms(), 5);
-    for vm in ["vm-3", "vm-4"] {
-        for (one, other) in [("vm-1", vm), ("vm-2", vm), (vm, "vm-1"), (vm, "vm-2")] {
-            cluster.proxy(&format!("block {one} from {other}"));
-        }
-        cluster.proxy(&format!("block platform/{vm}"));
+    answer_only(&cluster, &["vm-3"]);
+    for (one, other) in near.iter().flat_map(|one| far.map(|other| (one, other))) {
+        cluster.proxy(&format!("block {one} from {other}"));
+        cluster.proxy(&format!("block {other} from {one}"));
     }
     cluster.publish(6, "");
-    cluster.wait_for_version(&cluster.vms()[..2], 6);
-    for vm in ["vm-3", "vm-4"] {
+    cluster.wait_for_version(&near.map(str::to_owned), 6);
+    for vm in far {
         assert!(cluster.is_ready(vm) && cluster.version(vm) == 5, "{vm}");
     }
-    cluster.proxy("heal *");
+    answer_only(&cluster, &["vm-3"]);
     cluster.wait_for_version(&cluster.vms(), 6);
+    cluster.assert_versions_rise();
 }
 
 /// A fault and how it is brought about.
