fix(route): a VM that hears its peers may use what they leave of a limit

Now connectivity is told apart from absence of demand: a connected VM starts with limit / sqrt(VMs) and after 6 s may use what its peers leave; one that hears nobody keeps limit / VMs, as before.

--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -106,6 +106,10 @@
             handle(&context, event);
         }
         handle(&context, Event::Tick);
+        let connected = is_connected(&context);
+        context
+            .router
+            .handle(now, route::Event::Connected(connected));
         let (rank, answer) = {
             let membership = context.gossip.membership();
             (membership.rank(), membership.other_answer(now))
@@ -228,6 +232,15 @@
     (others.count() + local).max(1) as u32
 }
 
+/// Returns whether peers answer, or there are none in the configuration.
+fn is_connected(context: &Context) -> bool {
+    if context.snapshot().vms.len() <= 1 {
+        return true;
+    }
+    let membership = context.gossip.membership();
+    membership.is_fresh() && membership.members().any(Member::is_present)
+}
+
 fn log_member(context: &Context, member: &Member) {
     let level = match member.state {
         State::Live | State::Leaving => Level::Info,
--- a/crates/route/src/event.rs
+++ b/crates/route/src/event.rs
@@ -148,6 +148,8 @@
         /// Requests in flight.
         in_flight: u32,
     },
+    /// Whether this VM hears its peers, so that what they say of demand is the whole of it.
+    Connected(bool),
     /// The number of entry VMs that share the load now, this one included.
     Vms(u32),
     /// Time has passed.
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -1,4 +1,9 @@
 //! Each VM's share of the customers' limits, from gossiped demand and without a store.
+//!
+//! A VM that hears its peers may use what they leave of a limit. Until they have had time to tell
+//! of a new demand it keeps to the limit by the square root of the number of VMs, so that VMs
+//! which are asked all at once pass the limit by that factor at most, and for that time only. A VM
+//! that hears no peers keeps to an equal share.
 
 use {
     base::{Instant, arena::Arena, key},
@@ -14,6 +19,8 @@
 const BURST: Duration = Duration::from_secs(1);
 /// Time without demand after which a customer's state is dropped.
 const IDLE: Duration = Duration::from_secs(60);
+/// Time after which the peers have told of their demand.
+const TOLD: Duration = Duration::from_secs(6);
 /// When to come back if too many requests are in flight.
 const IN_FLIGHT_DELAY: Duration = Duration::from_secs(1);
 
@@ -32,16 +39,27 @@
     in_flight: u32,
     tokens: f64,
     at: Instant,
+    since: Instant,
     peers: Vec<Peer>,
 }
 
+/// What is known of the entry VMs that share a limit.
+#[derive(Clone, Copy, Debug)]
+struct Fleet {
+    /// Their number, this one included.
+    vms: u32,
+    /// Whether this VM hears its peers.
+    connected: bool,
+}
+
 impl Demand {
     fn new(now: Instant) -> Self {
         Self {
             rate: 0.0,
             in_flight: 0,
-            tokens: 1.0,
+            tokens: f64::INFINITY,
             at: now,
+            since: now,
             peers: Vec::new(),
         }
     }
@@ -51,24 +69,36 @@
         self.peers.iter().filter(is_fresh)
     }
 
-    /// Returns this VM's share of a limit, 0 to 1.
-    fn share(&self, now: Instant, own: f64, of_peer: impl Fn(&Peer) -> f64, vms: u32) -> f64 {
-        let fallback = 1.0 / f64::from(vms.max(1));
+    /// Returns what this VM may use of a limit.
+    fn allowed(
+        &self,
+        now: Instant,
+        limit: f64,
+        own: f64,
+        of_peer: impl Fn(&Peer) -> f64,
+        fleet: Fleet,
+    ) -> f64 {
         let mut known = 0_u32;
         let mut others = 0.0;
         for peer in self.fresh(now) {
             known += 1;
             others += of_peer(peer);
         }
-        if known == 0 {
-            return fallback;
-        }
+        let left = if fleet.connected && now.since(self.since) >= TOLD {
+            limit - others
+        } else {
+            0.0
+        };
+        let vms = f64::from(fleet.vms.max(1));
+        let first = if fleet.connected { vms.sqrt() } else { vms };
         // A VM without demand so far starts with an equal share of what is asked for.
-        let own = own.max(others * fallback);
-        if own <= 0.0 {
-            return fallback;
-        }
-        own / (own + others)
+        let own = own.max(others / vms);
+        let fair = if known == 0 || own <= 0.0 {
+            limit / first
+        } else {
+            limit * own / (own + others)
+        };
+        fair.max(left)
     }
 
     fn refill(&mut self, now: Instant, allowed: f64) {
@@ -84,9 +114,15 @@
 #[derive(Debug, Default)]
 pub struct Limit {
     demands: Arena<key::Customer, Demand>,
+    connected: bool,
 }
 
 impl Limit {
+    /// Notes whether this VM hears its peers.
+    pub fn set_connected(&mut self, connected: bool) {
+        self.connected = connected;
+    }
+
     /// Admits a request of a customer; otherwise says when to come back.
     ///
     /// # Errors
@@ -107,17 +143,20 @@
         let Some(demand) = self.demands.get_mut(key) else {
             return Ok(());
         };
-        let rate = customer.rate.map(|limit| {
-            let own = demand.rate;
-            limit * demand.share(now, own, |peer| peer.rate, vms)
-        });
+        let fleet = Fleet {
+            vms,
+            connected: self.connected,
+        };
+        let rate = customer
+            .rate
+            .map(|limit| demand.allowed(now, limit, demand.rate, |peer| peer.rate, fleet));
         demand.refill(now, rate.unwrap_or(0.0));
         demand.rate += 1.0 / WINDOW.as_secs_f64();
         if let Some(limit) = customer.concurrency {
             let own = f64::from(demand.in_flight);
-            let share = demand.share(now, own, |peer| f64::from(peer.in_flight), vms);
-            let allowed = (f64::from(limit) * share).floor().max(1.0);
-            if own >= allowed {
+            let of_peer = |peer: &Peer| f64::from(peer.in_flight);
+            let allowed = demand.allowed(now, f64::from(limit), own, of_peer, fleet);
+            if own >= allowed.floor().max(1.0) {
                 return Err(IN_FLIGHT_DELAY);
             }
         }
--- a/crates/route/src/policies/baseline.rs
+++ b/crates/route/src/policies/baseline.rs
@@ -238,6 +238,7 @@
             | Event::Cache { .. }
             | Event::PeerUse { .. }
             | Event::PeerDemand { .. }
+            | Event::Connected(_)
             | Event::Vms(_) => {}
         }
     }
--- a/crates/route/src/policies/predictive.rs
+++ b/crates/route/src/policies/predictive.rs
@@ -708,6 +708,7 @@
                 self.limit
                     .peer(now, vm, customer, requests_per_second, in_flight);
             }
+            Event::Connected(connected) => self.limit.set_connected(connected),
             Event::Vms(vms) => self.vms = vms.max(1),
             Event::Tick => self.tick(now, actions),
         }
