--- a/tests/once.rs
+++ b/tests/once.rs
@@ -330,6 +330,51 @@
     assert_eq!(cluster.runs("over"), 1);
 }
 
+#[test]
+fn side_of_a_partition_without_a_majority_refuses_keys_and_runs_tickets() {
+    let cluster = Setup {
+        data_centres: 3,
+        vms: 1,
+        ..setup()
+    }
+    .start();
+    until_keys_run(&cluster);
+    cluster.proxy("block platform/vm-3");
+    cluster.proxy("block vm-3");
+    for other in ["vm-1", "vm-2"] {
+        cluster.proxy(&format!("block {other} from vm-3"));
+    }
+    let mut keys = Vec::new();
+    let mut send_keys = |vm: &str| -> Vec<Answer> {
+        let fresh = (0..4).map(|number| format!("key-{}", keys.len() + number));
+        let fresh: Vec<_> = fresh.collect();
+        keys.extend(fresh.iter().cloned());
+        let calls = fresh
+            .iter()
+            .map(|key| begin(&cluster, vm, &Right::Key(key.clone()), key));
+        let calls: Vec<_> = calls.collect();
+        calls
+            .into_iter()
+            .map(|call| call.join().unwrap().expect("an answer"))
+            .collect()
+    };
+    until("vm-3 refuses its own keys", || {
+        let answers = send_keys("vm-3");
+        let in_doubt = answers
+            .iter()
+            .filter(|answer| answer.json()["error"]["reason"] == "key_in_doubt");
+        in_doubt.count() > 0 && answers.iter().all(|answer| answer.status != 200)
+    });
+    until("the majority runs its own keys", || {
+        send_keys("vm-1").iter().any(|answer| answer.status == 200)
+    });
+    let right = ticket(&cluster, "vm-3");
+    assert_ran(&release(&cluster, "vm-3", &right, "ticketed"));
+    for key in &keys {
+        assert!(cluster.runs(key) <= 1);
+    }
+}
+
 #[test]
 fn call_whose_target_broke_off_is_not_sent_again() {
     let cluster = setup().start();
