--- a/crates/config/src/deployment.rs
+++ b/crates/config/src/deployment.rs
@@ -39,6 +39,8 @@
     pub name: Box<str>,
     /// The region it lies in.
     pub region: Box<str>,
+    /// Bytes a second that the weight store gives to its engines.
+    pub weight_rate: u64,
 }
 
 /// An entry VM.
--- a/crates/config/src/difference.rs
+++ b/crates/config/src/difference.rs
@@ -106,7 +106,12 @@
     };
     add("deployment", &snapshot.name, Fields::new());
     for data_centre in snapshot.data_centres.values() {
-        let fields = Fields::from([field("region", &data_centre.region)]);
+        let rate = data_centre.weight_rate;
+        let fields = [
+            field("region", &data_centre.region),
+            field("weight_rate", rate),
+        ];
+        let fields = Fields::from(fields);
         add("data_centre", &data_centre.name, fields);
     }
     for vm in snapshot.vms.values() {
--- a/crates/config/src/parse.rs
+++ b/crates/config/src/parse.rs
@@ -28,6 +28,8 @@
 pub const PACE: Duration = Duration::from_millis(250);
 /// Default share of first attempts that may be retried.
 pub const RETRY_SHARE: f64 = 0.1;
+/// Default bytes a second that the weight store gives to a data centre.
+pub const WEIGHT_RATE: u64 = 1 << 30;
 /// Default largest request body in bytes.
 pub const BODY_LIMIT: u64 = 1 << 20;
 /// Default most output tokens of one request.
@@ -226,6 +228,9 @@
         DataCentre {
             name: section.name.clone(),
             region: reader.required("region", value::NAME, value::name),
+            weight_rate: reader
+                .optional("weight_rate", unit::size)
+                .unwrap_or(WEIGHT_RATE),
         }
     }
 
--- a/crates/place/src/placement.rs
+++ b/crates/place/src/placement.rs
@@ -30,8 +30,6 @@
 pub const REPORT_AGE: Duration = Duration::from_secs(10);
 /// Longest wait for the answer to an action.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
-/// Bytes a second that the weight store gives to one data centre.
-pub const STORE_RATE: u64 = 1 << 30;
 
 /// What this VM waits for on an engine.
 #[derive(Clone, Debug, PartialEq)]
@@ -77,7 +75,6 @@
 pub struct Placement {
     own: key::Vm,
     data_centre: key::DataCentre,
-    store_rate: u64,
     snapshot: Option<Arc<Snapshot>>,
     members: Vec<key::Vm>,
     fresh: bool,
@@ -95,16 +92,10 @@
 impl Placement {
     /// Starts without a configuration.
     #[builder]
-    pub fn new(
-        now: Instant,
-        vm: key::Vm,
-        data_centre: key::DataCentre,
-        #[builder(default = STORE_RATE)] store_rate: u64,
-    ) -> Self {
+    pub fn new(now: Instant, vm: key::Vm, data_centre: key::DataCentre) -> Self {
         Self {
             own: vm,
             data_centre,
-            store_rate,
             snapshot: None,
             members: vec![vm],
             fresh: false,
@@ -371,6 +362,10 @@
             .as_ref()
             .map_or(0, |snapshot| snapshot.version);
         let store_free = self.store_free;
+        let data_centre = self.data_centre;
+        let settings = self.snapshot.as_ref();
+        let settings = settings.and_then(|it| it.data_centres.get(data_centre));
+        let rate = settings.map_or(config::parse::WEIGHT_RATE, |it| it.weight_rate);
         let Some(engine) = self.engines.get_mut(&target) else {
             return;
         };
@@ -386,7 +381,7 @@
         }
         engine.step = Step::Ordering(plan.fence);
         engine.stepped = now;
-        let share = (self.store_rate / self.members.len().max(1) as u64).max(1);
+        let share = (rate / self.members.len().max(1) as u64).max(1);
         let time = Duration::from_secs_f64(plan.loads as f64 / share as f64);
         self.store_free = self.store_free.max(now) + time;
         actions.push(Action::Order {
--- a/crates/place/tests/orders.rs
+++ b/crates/place/tests/orders.rs
@@ -83,8 +83,9 @@
 
 /// Writes a deployment with models of given versions on engines that hold a given number of them.
 fn snapshot(version: u64, models: &[u32], engines: usize, room: u64, copies: u32) -> Arc<Snapshot> {
-    let mut text =
-        format!("[deployment]\nname = t\nversion = {version}\n[data_centre d]\nregion = r\n");
+    let mut text = format!(
+        "[deployment]\nname = t\nversion = {version}\n[data_centre d]\nregion = r\nweight_rate = 1GiB\n"
+    );
     for (index, model) in models.iter().enumerate() {
         write!(
             text,
@@ -135,7 +136,6 @@
                     .now(now)
                     .vm(vm(index))
                     .data_centre(key::DataCentre::of("d"))
-                    .store_rate(STORE_RATE)
                     .build(),
                 version: 0,
                 frozen: false,
