--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -36,6 +36,11 @@
 
 impl Load {
     fn start(cluster: &Cluster) -> Self {
+        Self::start_on(cluster, &cluster.vms())
+    }
+
+    /// Starts callers that the balancer sends to some of the entry VMs only.
+    fn start_on(cluster: &Cluster, vms: &[String]) -> Self {
         let ends = Arc::new(AtomicBool::new(false));
         let view = cluster.view.clone();
         let kinds: [(Work, usize); 3] = [(draft, 4), (lookup, 2), (release, 2)];
@@ -43,10 +48,11 @@
         for (work, count) in kinds {
             for _ in 0..count {
                 let name = format!("caller-{}", callers.len());
-                let (view, ends) = (view.clone(), Arc::clone(&ends));
+                let (view, vms, ends) = (view.clone(), vms.to_vec(), Arc::clone(&ends));
                 let done = Arc::new(AtomicU64::new(0));
                 let counter = Arc::clone(&done);
-                let caller = thread::spawn(move || repeat(work, &view, &name, &ends, &counter));
+                let caller =
+                    thread::spawn(move || repeat(work, (&view, &vms), &name, &ends, &counter));
                 callers.push((done, caller));
             }
         }
@@ -89,9 +95,14 @@
     }
 }
 
-fn repeat(work: Work, view: &View, name: &str, ends: &AtomicBool, done: &AtomicU64) -> Vec<String> {
+fn repeat(
+    work: Work,
+    (view, vms): (&View, &[String]),
+    name: &str,
+    ends: &AtomicBool,
+    done: &AtomicU64,
+) -> Vec<String> {
     let mut faults = Vec::new();
-    let vms = view.vms();
     for (number, vm) in vms.iter().cycle().enumerate() {
         if ends.load(Ordering::SeqCst) {
             break;
@@ -252,6 +263,18 @@
     });
 }
 
+#[test]
+fn a_stop_while_another_entry_vm_is_killed_cuts_nothing_on_the_others() {
+    let mut cluster = three_vms();
+    let others = ["vm-1", "vm-2"].map(str::to_owned);
+    let load = Load::start_on(&cluster, &others);
+    load.go_on();
+    cluster.process("vm-3").kill();
+    stop(&mut cluster, &["vm-1"], |_| {});
+    load.go_on();
+    load.end();
+}
+
 #[test]
 fn a_stop_in_a_partition_cuts_nothing() {
     check(&["vm-1"], |cluster| {
--- a/tests/verdicts.rs
+++ b/tests/verdicts.rs
@@ -8,7 +8,7 @@
     hyper::Method,
     serde_json::{Value, json},
     std::{thread, time::Duration},
-    support::{Answer, Cluster, LEDGER, Setup},
+    support::{Answer, Cluster, DESK, LEDGER, MODEL, Setup},
 };
 
 /// Calls that are under way at once in each case.
@@ -306,6 +306,49 @@
     check_two(&BOTH, "/read", "during", Expected::InDoubt, 2);
 }
 
+/// Checks refusals of generations against the runs that the engines counted by request id.
+fn check_generations(behaviour: &Value, order: &str, expected: &str) {
+    let cluster = Setup::default().start();
+    for engine in cluster.engines() {
+        cluster.behave(&engine, behaviour);
+    }
+    cluster.proxy(order);
+    for vm in cluster.vms() {
+        let body = json!({"model": MODEL, "prompt": "a sheet #tokens=50"}).to_string();
+        let path = format!("/{DESK}/v1/completions");
+        let headers = [("x-deadline-ms", DEADLINE)];
+        let answer = cluster.call(&vm, &Method::POST, &path, &headers, &body);
+        let answer = answer.unwrap();
+        let runs = cluster.runs(answer.header("x-request-id"));
+        assert_ne!(answer.status, 200);
+        let verdict = &*answer.verdict();
+        if expected == "not_run" {
+            assert_eq!((verdict, runs), ("not_run", 0), "{answer:?}");
+            continue;
+        }
+        assert!(runs > 0);
+        assert!(["may_have_run", "ran"].contains(&verdict), "{answer:?}");
+    }
+}
+
+macro_rules! generations {
+    ($($name:ident: $behaviour:tt, $order:literal, $expected:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            check_generations(&json!($behaviour), $order, $expected);
+        }
+    )*};
+}
+
+generations! {
+    generations_refused_before_the_start: {"refuse": true}, "heal *", "not_run";
+    generations_refused_as_leaving: {"leaving": true}, "heal *", "not_run";
+    generations_broken_before_the_first_token: {"break_after": 0}, "heal *", "in doubt";
+    generations_without_events: {"gap_every": 1}, "heal *", "in doubt";
+    generations_silent: {"silent_after": 0}, "heal *", "in doubt";
+    generations_over_slow_links: {"late_ms": 300}, "delay * 100", "in doubt";
+}
+
 #[test]
 fn a_call_handed_to_an_entry_vm_that_is_killed_is_in_doubt() {
     let mut cluster = setup().start();
