--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -83,6 +83,9 @@
     next_push: Instant,
     pushes: u32,
     stale: Option<Stale>,
+    /// Whether any peer has answered this process.
+    joined: bool,
+    /// Whether a later incarnation of this VM is known.
     superseded: bool,
 }
 
@@ -164,6 +167,7 @@
             next_push: now,
             pushes: 0,
             stale: Some(Stale::new(now, 0)),
+            joined: false,
             superseded: false,
         }
     }
@@ -327,6 +331,14 @@
             Event::Configuration(snapshot) => self.configure(&snapshot),
             Event::Received { from, message } => self.receive(now, from, &message, actions),
             Event::Target { target, notice } => self.notice(now, target, notice, actions),
+            Event::Report {
+                target,
+                sequence,
+                leaving,
+            } => {
+                let notice = self.departures.read_report(target, sequence, leaving);
+                self.notice(now, target, notice, actions);
+            }
             Event::List(list) => self.read_list(now, &list, actions),
             Event::Use {
                 target,
