--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -367,6 +367,27 @@
     check_moved(|cluster| partition(cluster, "vm-1"), |_| {});
 }
 
+#[test]
+fn the_last_of_two_callers_with_one_resume_token_gets_every_token() {
+    let prompt = "a month of batch sheets #tokens=500";
+    let cluster = Setup::default().start();
+    let mut stream = cluster.stream("vm-1", prompt).unwrap();
+    let begun = stream.read(BEFORE);
+    drop(stream);
+    let drafts = ["vm-1", "vm-2"]
+        .map(|vm| cluster.resume(vm, &begun.resume, "alpha-key").unwrap())
+        .map(|mut stream| {
+            let mut draft = begun.clone();
+            join(&mut draft, stream.finish());
+            cluster.assert_prefix(&draft, &cluster.engine_of(&draft), prompt);
+            draft
+        });
+    // The entry VM of the first is told that its caller has moved on, and closes it.
+    assert_eq!(drafts[1].end, End::Complete("stop".into()));
+    assert_eq!(drafts[1].tokens.len(), 500);
+    assert_eq!(drafts[0].end, End::Cut);
+}
+
 #[test]
 fn a_caller_that_is_gone_has_its_generation_cancelled() {
     let cluster = Setup::default().start();
