perf(entry): a VM reads and uses a bounded subset of the targets

Ruled out: reports passed on by gossip and slower reads of all, for the reasons in docs/CAPACITY.md. Up to 16 targets nothing changes but that targets of other data centres are read every 2 s.

--- a/benches/idle.rs
+++ b/benches/idle.rs
@@ -1,4 +1,6 @@
-//! What an entry VM spends while no caller asks, by number of targets.
+//! What an entry VM spends while no caller asks, by number of targets in its data centre.
+//!
+//! The deployment has as many VMs for its targets as at the expected size; only one of them runs.
 //!
 //! `cargo bench -p mastictrail-cli --bench idle [-- TARGETS…]` starts one process per size against
 //! targets and a platform that answer from this process, and reads its processor time and memory.
@@ -25,6 +27,9 @@
 };
 
 const SIZES: [usize; 4] = [10, 100, 300, 600];
+/// VMs and targets at the expected size.
+const VMS: usize = 350;
+const TARGETS: usize = 600;
 const WARM_UP: Duration = Duration::from_secs(5);
 const MEASURED: Duration = Duration::from_secs(10);
 const PATIENCE: Duration = Duration::from_secs(60);
@@ -81,6 +86,12 @@
     }
     let [caller, inner, admin, platform] = [1, 2, 3, 4].map(|part| address(90 + round, part));
     sections.push(format!("[vm vm-1]\ndata_centre = dc\ninner = {inner}\n"));
+    for number in 2..=(size * VMS / TARGETS) {
+        let inner = address(80 + round, number);
+        sections.push(format!(
+            "[vm vm-{number}]\ndata_centre = dc\ninner = {inner}\n"
+        ));
+    }
     let value = sections.concat();
     let listener = TcpListener::bind(platform).await?;
     smol::spawn(serve(listener, Arc::default(), value, "x-version: 1\r\n")).detach();
--- a/crates/config/src/deployment.rs
+++ b/crates/config/src/deployment.rs
@@ -3,7 +3,7 @@
 use {
     base::{arena::Arena, key},
     derive_more::{Debug, Display},
-    std::{net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// One configuration version, in force as a whole.
@@ -28,8 +28,8 @@
     pub models: Arena<key::Model, Model>,
     /// Targets.
     pub targets: Arena<key::Target, Target>,
-    /// Customers.
-    pub customers: Arena<key::Customer, Customer>,
+    /// Customers; shared, since a view of the same version has the same ones.
+    pub customers: Arc<Arena<key::Customer, Customer>>,
 }
 
 /// A data centre.
--- a/crates/config/src/parse.rs
+++ b/crates/config/src/parse.rs
@@ -18,6 +18,7 @@
         collections::{HashMap, HashSet},
         hash::Hash,
         net::{Ipv4Addr, SocketAddr},
+        sync::Arc,
         time::Duration,
     },
 };
@@ -125,8 +126,9 @@
         snapshot.services = self.arena("service", key::Service::of, Self::service);
         snapshot.vms = self.arena("vm", key::Vm::of, Self::vm);
         snapshot.targets = self.arena("target", key::Target::of, Self::target);
-        snapshot.customers = self.arena("customer", key::Customer::of, Self::customer);
-        self.read_customers(&mut snapshot.customers);
+        let mut customers = self.arena("customer", key::Customer::of, Self::customer);
+        self.read_customers(&mut customers);
+        snapshot.customers = Arc::new(customers);
         self.read_classes(&mut snapshot);
         self.read_routes(&mut snapshot);
         self.check(&snapshot);
--- a/crates/entry/src/cache.rs
+++ b/crates/entry/src/cache.rs
@@ -1,9 +1,10 @@
-//! Reads the cache events of engines for the policy.
+//! Reads the cache events of engines for the policy: those of its own data centre that this VM sends
+//! work to.
 
 use {
     crate::{Context, http},
     base::key,
-    config::deployment::Kind,
+    config::deployment::{Kind, Target},
     route::Event,
     serde_json::Value,
     smol::Timer,
@@ -18,17 +19,18 @@
 /// Sequence number of the last event that was read from each engine.
 type Cursors = HashMap<key::Target, u64>;
 
-/// Reads the events of every engine, for as long as the process runs.
+/// Reads the events of engines for as long as the process runs.
 pub async fn run(context: Arc<Context>) {
     let mut cursors = Cursors::new();
     loop {
-        let snapshot = context.snapshot();
-        let is_engine = |service| {
-            let service = snapshot.services.get(service);
-            service.is_some_and(|service| service.kind == Kind::Model)
+        let view = Arc::clone(&context.deployment.load().view);
+        let is_read = |target: &Target| {
+            let service = view.services.get(target.service);
+            target.data_centre == context.identity.data_centre
+                && service.is_some_and(|service| service.kind == Kind::Model)
         };
-        let engines = snapshot.targets.iter();
-        let engines = engines.filter(|(_, target)| is_engine(target.service));
+        let engines = view.targets.iter();
+        let engines = engines.filter(|(_, target)| is_read(target));
         let reads = engines.map(|(key, target)| {
             let after = cursors.get(&key).copied().unwrap_or(0);
             let read = read(Arc::clone(&context), key, target.address, after);
--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -205,9 +205,9 @@
     if fleet::Version::from(&*snapshot) <= fleet::Version::from(&*context.snapshot()) {
         return;
     }
-    let deployment = Deployment::new(Arc::clone(&snapshot));
+    let deployment = Deployment::new(Arc::clone(&snapshot), &context.identity);
+    let event = route::Event::Configuration(Arc::clone(&deployment.view));
     context.deployment.store(Arc::new(deployment));
-    let event = route::Event::Configuration(Arc::clone(&snapshot));
     context.router.handle(context.now(), event);
     drop(installing);
     log::info!(
--- a/crates/entry/src/deployment.rs
+++ b/crates/entry/src/deployment.rs
@@ -1,6 +1,7 @@
 //! The configuration in force, with the indexes that a request needs.
 
 use {
+    crate::{context::Identity, subset},
     base::key,
     config::Snapshot,
     sha2::{Digest, Sha256},
@@ -12,18 +13,21 @@
 pub struct Deployment {
     /// The snapshot.
     pub snapshot: Arc<Snapshot>,
+    /// The snapshot with only the targets that this VM sends work to.
+    pub view: Arc<Snapshot>,
     by_digest: HashMap<[u8; 32], key::Customer>,
 }
 
 impl Deployment {
-    /// Indexes a snapshot.
-    pub fn new(snapshot: Arc<Snapshot>) -> Self {
+    /// Indexes a snapshot for one of its entry VMs.
+    pub fn new(snapshot: Arc<Snapshot>, own: &Identity) -> Self {
         let by_digest = snapshot
             .customers
             .iter()
             .map(|(key, customer)| (customer.key_sha256, key))
             .collect();
         Self {
+            view: subset::view(&snapshot, own.vm, own.data_centre),
             snapshot,
             by_digest,
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod secret;
 pub mod session;
 pub mod sse;
+pub mod subset;
 pub mod ticket;
 pub mod timed;
 pub mod witness;
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -1,4 +1,7 @@
 //! Reads the load of targets for the policy.
+//!
+//! A VM reads the targets of its own data centre that it sends work to, and those of other data
+//! centres at a quarter of the pace.
 
 use {
     crate::{Context, gossip, http, orders},
@@ -10,19 +13,24 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// Time between two reads of one target's load.
+/// Time between two reads of the load of one target of the same data centre.
 pub const INTERVAL: Duration = Duration::from_millis(500);
+/// Reads of a target of the same data centre for each one of a target of another.
+const REMOTE_DIVISOR: u64 = 4;
 /// Longest wait for a load report.
 const LIMIT: Duration = Duration::from_secs(2);
 
-/// Reads the load of every target, for as long as the process runs.
+/// Reads the load of targets for as long as the process runs.
 pub async fn run(context: Arc<Context>) {
-    loop {
-        let snapshot = context.snapshot();
-        let targets = &snapshot.targets;
-        context.observed.retain(|target| targets.contains(target));
-        for (key, target) in snapshot.targets.iter() {
-            if context.observed.begin(key) {
+    for round in 0.. {
+        let view = Arc::clone(&context.deployment.load().view);
+        context
+            .observed
+            .retain(|target| view.targets.contains(target));
+        for (index, (key, target)) in (0..).zip(view.targets.iter()) {
+            let is_local = target.data_centre == context.identity.data_centre;
+            let is_due = is_local || (round + index) % REMOTE_DIVISOR == 0;
+            if is_due && context.observed.begin(key) {
                 let probe = probe(Arc::clone(&context), key, target.clone());
                 context.spawn(probe);
             }
--- /dev/null
+++ b/crates/entry/tests/subset.rs
@@ -0,0 +1,82 @@
+//! Promise: what a VM reads does not grow with the fleet, and every target is used.
+
+use {
+    base::key,
+    config::{Snapshot, parse},
+    mastictrail_entry::subset::{COVER, LOCAL, REMOTE, view},
+    std::{collections::HashMap, fmt::Write, sync::Arc},
+};
+
+/// Writes a deployment of two data centres, with VMs and targets in each.
+fn snapshot(vms: usize, targets: usize) -> Arc<Snapshot> {
+    let mut text = "[deployment]\nname = a\nversion = 1\n[service s]\nkind = plain\n".to_owned();
+    for (index, centre) in ["a", "b"].into_iter().enumerate() {
+        writeln!(text, "[data_centre {centre}]\nregion = r").unwrap();
+        for vm in 0..vms {
+            let port = 1000 * (index + 1) + vm;
+            writeln!(
+                text,
+                "[vm {centre}{vm}]\ndata_centre = {centre}\ninner = 127.0.0.1:{port}"
+            )
+            .unwrap();
+        }
+        for target in 0..targets {
+            let port = 20_000 + 1000 * index + target;
+            writeln!(
+                text,
+                "[target t{centre}{target}]\nservice = s\ndata_centre = {centre}\n\
+                 address = 127.0.0.1:{port}"
+            )
+            .unwrap();
+        }
+    }
+    Arc::new(parse::snapshot("test", &text).expect("a valid deployment"))
+}
+
+/// Counts the VMs of data centre `a` that use each target, and the most targets that one uses.
+fn uses(snapshot: &Arc<Snapshot>, vms: usize) -> (HashMap<key::Target, usize>, usize) {
+    let home = key::DataCentre::of("a");
+    let mut uses = HashMap::new();
+    let mut most = 0;
+    for vm in 0..vms {
+        let view = view(snapshot, key::Vm::of(&format!("a{vm}")), home);
+        most = most.max(view.targets.len());
+        for target in view.targets.keys() {
+            *uses.entry(target).or_insert(0) += 1;
+        }
+    }
+    (uses, most)
+}
+
+#[test]
+fn a_small_deployment_is_used_whole() {
+    let snapshot = snapshot(2, REMOTE);
+    let home = key::DataCentre::of("a");
+    let view = view(&snapshot, key::Vm::of("a0"), home);
+    assert!(Arc::ptr_eq(&view, &snapshot));
+}
+
+#[test]
+fn a_large_deployment_is_used_in_bounded_and_even_parts() {
+    let (vms, targets) = (70, 120);
+    let (uses, most) = uses(&snapshot(vms, targets), vms);
+    let remote = (targets * COVER).div_ceil(vms).max(REMOTE);
+    assert!(most <= LOCAL + remote, "{most} targets");
+    let local: Vec<_> = (0..targets)
+        .map(|target| {
+            uses.get(&key::Target::of(&format!("ta{target}")))
+                .copied()
+                .unwrap_or(0)
+        })
+        .collect();
+    let mean = vms * LOCAL / targets;
+    assert!(local.iter().all(|&count| count >= COVER), "{local:?}");
+    assert!(local.iter().all(|&count| count <= mean + 2), "{local:?}");
+}
+
+#[test]
+fn few_vms_use_larger_parts() {
+    let (vms, targets) = (5, 120);
+    let (uses, _) = uses(&snapshot(vms, targets), vms);
+    assert_eq!(uses.len(), targets * 2, "no target is left out");
+}
