--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -227,6 +227,8 @@
         .ok_or_else(|| Refusal::not_run(Reason::NoTarget, "the target is gone"))?;
     let mut request = http::request(call.method.clone(), &call.path, call.body.clone())?;
     *request.headers_mut() = call.headers.clone();
+    // A ticket is a right towards the system; the target has no use for it.
+    request.headers_mut().remove(ticket::HEADER);
     if let Ok(id) = exchange.id.parse() {
         request.headers_mut().insert("x-request-id", id);
     }
