--- /dev/null
+++ b/tests/resume.rs
@@ -0,0 +1,24 @@
+//! Promise 1: a caller that goes on over another entry VM gets the rest of its generation.
+
+mod support;
+
+use support::{End, Setup};
+
+/// A generation that outlasts the grace after which a gone caller's generation is cancelled.
+const PROMPT: &str = "a sheet for a whole week of bigos #tokens=1200";
+
+#[test]
+fn a_caller_that_went_on_elsewhere_does_not_lose_its_generation_after_the_grace() {
+    let cluster = Setup::default().start();
+    let mut stream = cluster.stream("vm-1", PROMPT).unwrap();
+    let mut draft = stream.read(5);
+    drop(stream);
+    let resumed = cluster.resume("vm-2", &draft.resume, "alpha-key");
+    let rest = resumed.unwrap().finish();
+    assert_eq!(rest.end, End::Complete("stop".into()));
+    assert_eq!(rest.generations, draft.generations);
+    draft.tokens.extend(rest.tokens);
+    let engine = cluster.engine_of(&draft);
+    cluster.assert_prefix(&draft, &engine, PROMPT);
+    assert_eq!(draft.tokens.len(), 1200);
+}
