fix(entry): a leaving target stays out of use when a configuration brings it back

The policy forgets a target that a version leaves out, and took it for new in the next one while the membership still knew that it was leaving. The news is told to the policy again after each configuration. The test of the leaving engine, with such a pair of versions added, failed without.

--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -209,6 +209,7 @@
     let event = route::Event::Configuration(Arc::clone(&deployment.view));
     context.deployment.store(Arc::new(deployment));
     context.router.handle(context.now(), event);
+    repeat_departures(context);
     drop(installing);
     log::info!(
         target: "configuration", configuration_version = version, source:% = source;
@@ -218,6 +219,24 @@
     gossip::handle(context, fleet::Event::Configuration(snapshot));
 }
 
+/// Tells the policy again which targets are leaving, since a configuration brings new ones.
+fn repeat_departures(context: &Context) {
+    let leaving: Vec<_> = {
+        let membership = context.gossip.membership();
+        let news = membership.departures().iter();
+        news.filter(|(_, departure)| departure.leaving)
+            .map(|(target, _)| target)
+            .collect()
+    };
+    for target in leaving {
+        let event = route::Event::Leaving {
+            target,
+            leaving: true,
+        };
+        context.router.handle(context.now(), event);
+    }
+}
+
 fn log_refused(context: &Context, version: u64, source: Source, faults: &[Fault]) {
     let first = faults.first().map(ToString::to_string).unwrap_or_default();
     log::error!(
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -291,6 +291,10 @@
         });
     }
     cluster.behave("engine-1", &json!({}));
+    cluster.publish_without(2, "engine-1");
+    cluster.wait_for_version(&cluster.vms(), 2);
+    cluster.publish(3, "");
+    cluster.wait_for_version(&cluster.vms(), 3);
     for _ in 0..8 {
         for vm in cluster.vms() {
             let draft = cluster.stream(&vm, PROMPT).unwrap().finish();
