--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -248,6 +248,41 @@
     connections_silent_before_the_first_token: ["engine-1"], {"silent_after": 0};
 }
 
+/// Each data centre, cut off from the other and one of them from the platform, goes on serving.
+#[test]
+fn data_centres_partitioned() {
+    let setup = Setup {
+        data_centres: 2,
+        engines: 1,
+        ..Setup::default()
+    };
+    let cluster = setup.start();
+    let (first, second) = (["vm-1", "vm-2"], ["vm-3", "vm-4"]);
+    for (one, other) in first
+        .iter()
+        .flat_map(|one| second.map(|other| (one, other)))
+    {
+        cluster.proxy(&format!("block {one} from {other}"));
+        cluster.proxy(&format!("block {other} from {one}"));
+        cluster.proxy(&format!("block platform/{other}"));
+    }
+    thread::scope(|scope| {
+        for vm in first.into_iter().chain(second) {
+            let cluster = &cluster;
+            scope.spawn(move || {
+                let prompt = format!("{PROMPT} by {vm}");
+                let draft = cluster.stream(vm, &prompt).unwrap().finish();
+                assert_whole(cluster, &draft);
+                cluster.assert_prefix(&draft, &cluster.engine_of(&draft), &prompt);
+                let headers = [("x-operation", vm)];
+                let answer = cluster.call(vm, &Method::POST, "/ledger/release", &headers, vm);
+                assert_eq!(answer.unwrap().status, 200);
+                assert_eq!(cluster.runs(vm), 1);
+            });
+        }
+    });
+}
+
 #[test]
 fn events_late() {
     let cluster = Setup::default().start();
