--- a/crates/config/src/parse.rs
+++ b/crates/config/src/parse.rs
@@ -18,6 +18,7 @@
         collections::{HashMap, HashSet},
         hash::Hash,
         net::{Ipv4Addr, SocketAddr},
+        sync::Arc,
         time::Duration,
     },
 };
@@ -28,6 +29,8 @@
 pub const PACE: Duration = Duration::from_millis(250);
 /// Default share of first attempts that may be retried.
 pub const RETRY_SHARE: f64 = 0.1;
+/// Default bytes a second that the weight store gives to a data centre.
+pub const WEIGHT_RATE: u64 = 1 << 30;
 /// Default largest request body in bytes.
 pub const BODY_LIMIT: u64 = 1 << 20;
 /// Default most output tokens of one request.
@@ -123,8 +126,9 @@
         snapshot.services = self.arena("service", key::Service::of, Self::service);
         snapshot.vms = self.arena("vm", key::Vm::of, Self::vm);
         snapshot.targets = self.arena("target", key::Target::of, Self::target);
-        snapshot.customers = self.arena("customer", key::Customer::of, Self::customer);
-        self.read_customers(&mut snapshot.customers);
+        let mut customers = self.arena("customer", key::Customer::of, Self::customer);
+        self.read_customers(&mut customers);
+        snapshot.customers = Arc::new(customers);
         self.read_classes(&mut snapshot);
         self.read_routes(&mut snapshot);
         self.check(&snapshot);
@@ -226,6 +230,9 @@
         DataCentre {
             name: section.name.clone(),
             region: reader.required("region", value::NAME, value::name),
+            weight_rate: reader
+                .optional("weight_rate", unit::size)
+                .unwrap_or(WEIGHT_RATE),
         }
     }
 
