--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -4,8 +4,12 @@
     crate::{
         Context, Exchange,
         answer::{self, Body},
-        call, generation,
+        call,
+        deployment::Deployment,
+        exchange, generation,
         runtime::within,
+        ticket,
+        timed::Timed,
     },
     base::{Reason, Refusal, key},
     bytes::{Bytes, BytesMut},
@@ -25,6 +29,8 @@
 
 /// When to come back after a connection that there was no place for.
 const BUSY_DELAY: Duration = Duration::from_secs(1);
+/// Longest body of a request for tickets, in bytes.
+const TICKET_BODY_LIMIT: usize = 4096;
 /// Most bytes beyond the limit of a body that are read and dropped.
 const DISCARD_LIMIT: usize = 64 << 20;
 
@@ -58,6 +64,7 @@
     // The listener holds one clone.
     let open = Arc::strong_count(&place) - 1;
     let _ = stream.set_nodelay(true);
+    let stream = Timed::new(stream, context.settings.limits.write_timeout);
     if open <= limit {
         connection(context, stream).await;
     } else if open <= limit * 2 {
@@ -66,14 +73,11 @@
 }
 
 /// Answers the first request of a connection that there is no place for.
-async fn refuse(context: Arc<Context>, stream: TcpStream) {
+async fn refuse(context: Arc<Context>, stream: Timed<TcpStream>) {
     let serving = Arc::clone(&context);
     let service = service_fn(move |_request| {
         let refusal = Refusal::not_run(Reason::Overloaded, "too many connections");
-        let refusal = refusal.retry_after(BUSY_DELAY);
-        serving.metrics.refused("", &refusal);
-        let mut response = answer::refusal(&refusal, "", serving.snapshot().version);
-        answer::mark(&mut response, &serving, None);
+        let response = refuse_early(&serving, &refusal.retry_after(BUSY_DELAY));
         async move { Ok::<_, Infallible>(response) }
     });
     let _ = http1::Builder::new()
@@ -84,7 +88,7 @@
         .await;
 }
 
-async fn connection(context: Arc<Context>, stream: TcpStream) {
+async fn connection(context: Arc<Context>, stream: Timed<TcpStream>) {
     let _guard = context.drain.enter();
     let serving = Arc::clone(&context);
     let service = service_fn(move |request| {
@@ -112,33 +116,66 @@
 /// Answers one request.
 async fn serve(context: &Arc<Context>, request: Request<Incoming>) -> Response<Body> {
     let (parts, body) = request.into_parts();
+    if parts.uri.path() == ticket::PATH {
+        return tickets(context, &parts, body).await;
+    }
     let exchange = match begin(context, &parts) {
         Ok(exchange) => exchange,
-        Err(refusal) => {
-            context.metrics.refused("", &refusal);
-            let mut response = answer::refusal(&refusal, "", context.snapshot().version);
-            answer::mark(&mut response, context, None);
-            return response;
-        }
+        Err(refusal) => return refuse_early(context, &refusal),
     };
     let mut response = match dispatch(context, &exchange, &parts, body).await {
         Ok(response) => response,
         Err(refusal) => {
-            log::info!(
-                target: "answer", request:% = exchange.id, verdict:% = refusal.verdict,
-                reason:% = refusal.reason, configuration_version = exchange.version();
-                "refused: {}", refusal.message
-            );
+            log_refusal(&exchange.id, &refusal, exchange.version());
             context.metrics.refused(exchange.service_name(), &refusal);
             answer::refusal(&refusal, &exchange.id, exchange.version())
         }
     };
-    answer::mark(&mut response, context, Some(&exchange));
+    answer::mark(&mut response, context, &exchange.id, exchange.version());
     response
 }
 
-/// Finds the customer and the service.
-fn begin(context: &Context, parts: &Parts) -> Result<Exchange, Refusal> {
+/// Answers a request that is refused before its service is known.
+fn refuse_early(context: &Context, refusal: &Refusal) -> Response<Body> {
+    let id = exchange::new_id();
+    let version = context.snapshot().version;
+    log_refusal(&id, refusal, version);
+    context.metrics.refused("", refusal);
+    let mut response = answer::refusal(refusal, &id, version);
+    answer::mark(&mut response, context, &id, version);
+    response
+}
+
+fn log_refusal(request: &str, refusal: &Refusal, version: u64) {
+    log::info!(
+        target: "answer", request:% = request, verdict:% = refusal.verdict,
+        reason:% = refusal.reason, configuration_version = version;
+        "refused: {}", refusal.message
+    );
+}
+
+/// Answers a request for tickets.
+async fn tickets(context: &Arc<Context>, parts: &Parts, body: Incoming) -> Response<Body> {
+    let answer = async {
+        let (_, customer) = authenticate(context, parts)?;
+        let body = read_body(context, body, TICKET_BODY_LIMIT).await?;
+        ticket::issue(context, customer, &body)
+    };
+    match answer.await {
+        Ok(mut response) => {
+            let version = context.snapshot().version;
+            answer::mark(&mut response, context, &exchange::new_id(), version);
+            response
+        }
+        Err(refusal) => refuse_early(context, &refusal),
+    }
+}
+
+/// Finds the customer under the configuration in force.
+fn authenticate(
+    context: &Context,
+    parts: &Parts,
+) -> Result<(Arc<Deployment>, key::Customer), Refusal> {
     let deployment = context.deployment.load_full();
     if deployment.snapshot.version == 0 {
         let refusal = Refusal::not_run(Reason::NotReady, "no configuration is in force yet");
@@ -152,6 +189,12 @@
         .ok_or_else(|| {
             Refusal::not_run(Reason::Unauthorized, "the customer key is missing or wrong")
         })?;
+    Ok((deployment, customer))
+}
+
+/// Finds the customer and the service.
+fn begin(context: &Context, parts: &Parts) -> Result<Exchange, Refusal> {
+    let (deployment, customer) = authenticate(context, parts)?;
     let (name, _) = split_path(parts.uri.path());
     let service = key::Service::of(name);
     if !deployment.snapshot.services.contains(service) {
@@ -161,15 +204,22 @@
         ));
     }
     let mut exchange = Exchange::new(context, deployment, customer, service);
-    if let Some(limit) = deadline(parts) {
+    if let Some(limit) = deadline(parts)? {
         exchange.shorten(limit);
     }
     Ok(exchange)
 }
 
-fn deadline(parts: &Parts) -> Option<Duration> {
-    let value = parts.headers.get("x-deadline-ms")?.to_str().ok()?;
-    Some(Duration::from_millis(value.parse().ok()?))
+fn deadline(parts: &Parts) -> Result<Option<Duration>, Refusal> {
+    let Some(value) = parts.headers.get("x-deadline-ms") else {
+        return Ok(None);
+    };
+    let milliseconds = value.to_str().ok().and_then(|text| text.parse().ok());
+    let milliseconds = milliseconds.ok_or_else(|| {
+        let message = "`x-deadline-ms` must be a whole number of milliseconds";
+        Refusal::not_run(Reason::BadRequest, message)
+    })?;
+    Ok(Some(Duration::from_millis(milliseconds)))
 }
 
 /// Splits `/SERVICE/PATH` into `SERVICE` and `/PATH`.
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -3,8 +3,7 @@
 use {
     crate::{Context, gossip, http, orders},
     base::key,
-    config::deployment::Target,
-    fleet::Notice,
+    config::deployment::{Kind, Target},
     route::{Event, Load},
     serde_json::Value,
     smol::Timer,
@@ -20,9 +19,13 @@
 pub async fn run(context: Arc<Context>) {
     loop {
         let snapshot = context.snapshot();
+        let targets = &snapshot.targets;
+        context.observed.retain(|target| targets.contains(target));
         for (key, target) in snapshot.targets.iter() {
-            let probe = probe(Arc::clone(&context), key, target.clone());
-            context.spawn(probe);
+            if context.observed.begin(key) {
+                let probe = probe(Arc::clone(&context), key, target.clone());
+                context.spawn(probe);
+            }
         }
         Timer::after(INTERVAL).await;
     }
@@ -31,26 +34,33 @@
 async fn probe(context: Arc<Context>, target: key::Target, settings: Target) {
     let answer = http::get_json(&context, settings.address, "/v1/load", LIMIT).await;
     let now = context.now();
-    let reachable = answer.is_ok();
+    let report = answer.as_ref().ok().map(load);
+    let reachable = context.observed.note(target, now, report.as_ref());
     context
         .router
         .handle(now, Event::Reachable { target, reachable });
-    let Ok(value) = answer else { return };
-    let load = Box::new(load(&value));
+    let (Ok(value), Some(load)) = (answer, report.map(Box::new)) else {
+        return;
+    };
     let snapshot = context.snapshot();
-    if let Some(service) = snapshot.services.get(settings.service) {
+    let service = snapshot.services.get(settings.service);
+    if let Some(service) = service.filter(|service| service.kind == Kind::Model) {
         let metrics = &context.metrics;
         metrics.preemptions(target, &service.name, load.preemptions);
     }
     context.router.handle(now, Event::Report { target, load });
     let models = orders::names(&value["models"]);
     orders::handle(&context, place::Event::Loaded { target, models });
-    let notice = match value["leaving"].as_bool() {
-        Some(true) => Notice::ReportedLeaving,
-        Some(false) => Notice::ReportedLive,
-        None => return,
+    let Some(leaving) = value["leaving"].as_bool() else {
+        return;
+    };
+    let sequence = value["sequence"].as_u64().unwrap_or(0);
+    let report = fleet::Event::Report {
+        target,
+        sequence,
+        leaving,
     };
-    gossip::handle(&context, fleet::Event::Target { target, notice });
+    gossip::handle(&context, report);
 }
 
 fn load(value: &Value) -> Load {
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -29,7 +29,7 @@
 pub const PERIOD: Duration = Duration::from_secs(1);
 /// Time to answer a ping before others are asked to ping too.
 pub const PING_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time that a suspect member has to contradict.
+/// Time for which a suspect member is asked again before it is declared dead.
 pub const SUSPICION: Duration = Duration::from_secs(3);
 /// Members that are asked to ping one that did not answer.
 pub const INDIRECT: usize = 3;
@@ -83,6 +83,9 @@
     next_push: Instant,
     pushes: u32,
     stale: Option<Stale>,
+    /// Whether any peer has answered this process.
+    joined: bool,
+    /// Whether a later incarnation of this VM is known.
     superseded: bool,
 }
 
@@ -164,6 +167,7 @@
             next_push: now,
             pushes: 0,
             stale: Some(Stale::new(now, 0)),
+            joined: false,
             superseded: false,
         }
     }
@@ -219,8 +223,7 @@
         self.next_period = now;
         self.stale = Some(Stale::new(now, self.prober.last()));
         for (_, member) in self.members.iter_mut() {
-            member.since = now;
-            member.silent = member.silent.map(|_| now);
+            member.hear(now);
         }
     }
 
@@ -328,6 +331,14 @@
             Event::Configuration(snapshot) => self.configure(&snapshot),
             Event::Received { from, message } => self.receive(now, from, &message, actions),
             Event::Target { target, notice } => self.notice(now, target, notice, actions),
+            Event::Report {
+                target,
+                sequence,
+                leaving,
+            } => {
+                let notice = self.departures.read_report(target, sequence, leaving);
+                self.notice(now, target, notice, actions);
+            }
             Event::List(list) => self.read_list(now, &list, actions),
             Event::Use {
                 target,
--- a/crates/fleet/src/membership/receive.rs
+++ b/crates/fleet/src/membership/receive.rs
@@ -26,14 +26,21 @@
         actions: &mut Vec<Action>,
     ) {
         let sender = key::Vm::of(&message.vm);
-        if sender == self.own.key || !self.accept(sender, message) {
+        let record = message.members.iter().find(|item| item.vm == message.vm);
+        if sender == self.own.key {
+            return;
+        }
+        if self.is_outdated(sender, message) {
+            self.tell_outdated(now, from, sender, record, actions);
+            return;
+        }
+        if !self.accept(sender, message) {
             return;
         }
-        let record = message.members.iter().find(|item| item.vm == message.vm);
         let is_local = record.is_some_and(|record| *record.data_centre == *self.data_centre);
         if is_local {
             self.learn_members(now, message, actions);
-            self.hear(now, sender);
+            self.hear(now, sender, actions);
             self.learn_platform(now, message);
         }
         self.learn_departures(now, message, actions);
@@ -49,15 +56,33 @@
         }
     }
 
-    /// Refuses replays and datagrams of an earlier incarnation.
+    /// Returns whether a datagram comes from an earlier incarnation than the one that is known.
+    fn is_outdated(&self, sender: key::Vm, message: &Gossip) -> bool {
+        let known = self.windows.get(&sender);
+        known.is_some_and(|(incarnation, _)| message.incarnation < *incarnation)
+    }
+
+    /// Tells a process which later incarnation of its VM is known, so that it steps back, or takes a
+    /// higher number if it has just started with a clock that is behind.
+    fn tell_outdated(
+        &mut self,
+        now: Instant,
+        from: SocketAddr,
+        sender: key::Vm,
+        record: Option<&msg::Member>,
+        actions: &mut Vec<Action>,
+    ) {
+        let address = record.and_then(|record| record.address.parse().ok());
+        self.tell(Subject::Member(sender));
+        self.send(now, address.unwrap_or(from), None, Use::Urgent, actions);
+    }
+
+    /// Refuses replays.
     fn accept(&mut self, sender: key::Vm, message: &Gossip) -> bool {
         let (incarnation, window) = self
             .windows
             .entry(sender)
             .or_insert_with(|| (message.incarnation, Window::default()));
-        if message.incarnation < *incarnation {
-            return false;
-        }
         if message.incarnation > *incarnation {
             *incarnation = message.incarnation;
             *window = Window::default();
@@ -100,19 +125,19 @@
             State::Leaving => self.urge(Some(Subject::Member(vm))),
             State::Dead => {
                 self.forget_uses(vm, actions);
-                self.tell(Subject::Member(vm));
+                self.urge(Some(Subject::Member(vm)));
             }
             State::Live | State::Suspect => self.tell(Subject::Member(vm)),
         }
     }
 
-    /// Contradicts a report that this VM is suspect or dead.
+    /// Contradicts a report that this VM is dead.
     fn refute(&mut self, report: &Member) {
         if report.incarnation > self.own.incarnation {
-            self.superseded = true;
+            self.step_back(report.incarnation);
             return;
         }
-        let doubted = matches!(report.state, State::Suspect | State::Dead);
+        let doubted = report.state == State::Dead;
         if report.incarnation < self.own.incarnation
             || !doubted
             || report.refutation < self.own.refutation
@@ -123,13 +148,24 @@
         self.urge(None);
     }
 
-    /// Notes that a member speaks for itself.
-    fn hear(&mut self, now: Instant, sender: key::Vm) {
-        let Some(member) = self.members.get_mut(sender) else {
+    /// Gives way to a later incarnation, or passes it if this process has only just started.
+    fn step_back(&mut self, incarnation: u64) {
+        if self.joined {
+            self.superseded = true;
             return;
-        };
-        member.heard = Some(now);
-        member.silent = None;
+        }
+        self.own.incarnation = incarnation + 1;
+        self.own.refutation = 0;
+        self.urge(None);
+    }
+
+    /// Notes that a member speaks for itself.
+    fn hear(&mut self, now: Instant, sender: key::Vm, actions: &mut Vec<Action>) {
+        if let Some(member) = self.members.get_mut(sender)
+            && member.hear(now)
+        {
+            actions.push(Action::Member(Box::new(member.clone())));
+        }
     }
 
     fn learn_platform(&mut self, now: Instant, message: &Gossip) {
@@ -250,6 +286,7 @@
             self.send(now, relay.requester, Some(answer), Use::Brief, actions);
             return;
         }
+        self.joined = true;
         if let Some(stale) = &mut self.stale
             && received.number > stale.last_ping
         {
@@ -266,5 +303,9 @@
         {
             current.answered = true;
         }
+        let silence = self.members.get(subject).and_then(|member| member.silent);
+        if silence.is_some_and(|silence| silence.number == received.number) {
+            self.hear(now, subject, actions);
+        }
     }
 }
--- a/crates/fleet/tests/membership.rs
+++ b/crates/fleet/tests/membership.rs
@@ -51,6 +51,47 @@
     }
 }
 
+#[test]
+fn process_that_starts_with_a_clock_behind_joins_again() {
+    for seed in 0..5 {
+        let mut net = converged(seed, 0.1, 6);
+        net.nodes[3].up = false;
+        net.run(seconds(1));
+        net.restart(3, "dc0", 0, snapshot(1, 1, 6, 8));
+        let joined = |net: &Net| {
+            net.all_view(3, State::Live)
+                && net.nodes[3].machine.is_fresh()
+                && net.nodes[3].machine.own().incarnation > 1
+        };
+        assert!(net.until(AGREE, joined).is_some(), "seed {seed}");
+    }
+}
+
+#[test]
+fn process_that_was_replaced_while_it_was_frozen_stays_stale() {
+    let mut net = converged(1, 0.0, 4);
+    net.until(AGREE, |net| net.nodes[0].machine.is_fresh());
+    net.nodes[0].frozen = true;
+    net.run(seconds(10));
+    let successor = net.add("vm0", "dc0", 2);
+    net.event(successor, Event::Configuration(snapshot(1, 1, 4, 8)));
+    net.run(seconds(10));
+    net.nodes[0].frozen = false;
+    net.run(seconds(20));
+    assert!(!net.nodes[0].machine.is_fresh());
+}
+
+#[test]
+fn large_data_centre_under_loss_keeps_its_budget_for_probes() {
+    for (vms, loss) in [(70, 0.1), (32, 0.2)] {
+        let mut net = converged(1, loss, vms);
+        net.run(seconds(120));
+        for on in 0..vms {
+            assert_eq!(net.declared_dead(on), 0, "{vms} members, member {on}");
+        }
+    }
+}
+
 #[test]
 fn partition_heals_without_a_restart() {
     for seed in 0..5 {
@@ -184,6 +225,39 @@
     }
 }
 
+#[test]
+fn restarted_target_gets_work_again_at_once() {
+    let target = key::Target::of("t1");
+    let mut net = converged(1, 0.1, 4);
+    let report = |net: &mut Net, vm, sequence| {
+        let leaving = false;
+        net.event(
+            vm,
+            Event::Report {
+                target,
+                sequence,
+                leaving,
+            },
+        );
+    };
+    let leaving_on = |net: &Net| {
+        let nodes = net.nodes.iter();
+        nodes
+            .filter(|node| node.machine.departures().is_leaving(target))
+            .count()
+    };
+    report(&mut net, 0, 1000);
+    let notice = Notice::Refused;
+    net.event(0, Event::Target { target, notice });
+    net.run(seconds(3));
+    report(&mut net, 0, 1010);
+    report(&mut net, 0, 1009);
+    net.run(seconds(3));
+    assert_eq!(leaving_on(&net), 4);
+    report(&mut net, 0, 2);
+    assert!(net.until(AGREE, |net| leaving_on(net) == 0).is_some());
+}
+
 #[test]
 fn target_gone_from_the_list_is_leaving_and_an_empty_list_is_ignored() {
     let mut net = converged(1, 0.0, 3);
--- a/crates/once/src/record.rs
+++ b/crates/once/src/record.rs
@@ -57,6 +57,8 @@
     pub until: Option<Instant>,
     /// Expiry of the ticket; `None` for a bare key.
     pub expiry: Option<Instant>,
+    /// Serial of a ticket that this incarnation issued.
+    pub serial: Option<u64>,
 }
 
 impl Record {
@@ -67,6 +69,7 @@
             waiters: vec![waiter],
             until: None,
             expiry: None,
+            serial: None,
         }
     }
 
@@ -80,19 +83,19 @@
         OVERHEAD + headers + reply.body.len()
     }
 
-    /// Returns what another entry VM must know of the call.
-    pub fn copy(&self, id: Id, now: Instant, window: Duration, is_last: bool) -> Copy {
+    /// Returns what another entry VM must know of the call, for at least `shortest`.
+    pub fn copy(&self, id: Id, now: Instant, shortest: Duration, is_last: bool) -> Copy {
         let state = match &self.stage {
             Stage::Done(outcome) => State::Done(outcome.clone()),
             _ if is_last => State::Done(Err(unknown_fate())),
             _ => State::Elsewhere,
         };
-        let retention = self.until.map_or(window, |until| until.since(now));
+        let left = self.until.map_or(Duration::ZERO, |until| until.since(now));
         Copy {
             id,
             fingerprint: self.fingerprint,
             state,
-            retention,
+            retention: left.max(shortest),
         }
     }
 }
