--- a/crates/route/benches/decision.rs
+++ b/crates/route/benches/decision.rs
@@ -5,12 +5,16 @@
 
 use {
     base::key,
+    config::{Snapshot, deployment::Customer},
     criterion::{Criterion, criterion_group, criterion_main},
     mastictrail_route::{Event, Load, Outcome},
     std::{
         alloc::{GlobalAlloc, Layout, System},
         hint::black_box,
-        sync::atomic::{AtomicU64, Ordering::Relaxed},
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering::Relaxed},
+        },
         time::Duration,
     },
     support::{DRAFT, Deployment, LOOKUP, Script, dispatched},
@@ -49,16 +53,33 @@
         targets: RUNNERS,
         concurrency: 64,
         memory: 131_072,
-        customers: (0..CUSTOMERS)
-            .map(|index| (format!("c{index}"), "rate = 5/s\nconcurrency = 50".into()))
-            .collect(),
         ..Deployment::default()
     }
 }
 
+/// Adds the customers, who don't fit into one published value.
+fn with_customers(deployment: &Deployment) -> Arc<Snapshot> {
+    let mut snapshot = Snapshot::clone(&deployment.snapshot());
+    for index in 0..CUSTOMERS {
+        let name = format!("c{index}");
+        let customer = Customer {
+            name: name.as_str().into(),
+            key_sha256: [0; 32],
+            weight: 1,
+            rate: Some(5.0),
+            concurrency: Some(50),
+        };
+        snapshot
+            .customers
+            .insert(key::Customer::of(&name), customer);
+    }
+    Arc::new(snapshot)
+}
+
 /// Makes a policy that knows loads, lengths, peers and customers.
 fn busy(policy: &str, deployment: &Deployment) -> Script {
     let mut script = Script::new(policy, 1, deployment);
+    script.tell(Event::Configuration(with_customers(deployment)));
     script.tell(Event::Vms(350));
     for index in 0..RUNNERS {
         script.report(
