fix(route): a VM's own order of targets weighs in proportion to their memory

Cause: with a fixed weight an idle system sent everything of a VM to one engine; two fault tests that kill one given engine before its first token failed, since nothing was sent to it.

--- a/crates/route/src/policies/predictive/choice.rs
+++ b/crates/route/src/policies/predictive/choice.rs
@@ -197,7 +197,7 @@
             + self.settings.batch * fill.batch * self.slowness(target, engine)
             + fill.waiting
             + self.settings.remote * remote
-            + self.settings.home * self.distance(key)
+            + self.settings.home * self.distance(key) * fill.memory.min(1.0)
             - self.settings.prefix * held;
         candidates.push(Candidate {
             target: key,
--- a/crates/route/src/policies/predictive/settings.rs
+++ b/crates/route/src/policies/predictive/settings.rs
@@ -40,7 +40,7 @@
     pub batch: f64,
     /// Score of a target in another data centre of the region.
     pub remote: f64,
-    /// Score of the last target in this VM's own order.
+    /// Score of the last target in this VM's own order if its memory is full, in proportion to that.
     ///
     /// VMs that prefer different targets know most of what their own ones run without a lag.
     pub home: f64,
