fix(route): a small random score, so that targets that are nearly alike all get requests

Cause: in an idle system the order of a VM alone decided, so that all requests of one caller met the same engine; a fleet test that waits until a VM is refused by one given leaving engine failed for it.

--- a/crates/route/src/policies/predictive/choice.rs
+++ b/crates/route/src/policies/predictive/choice.rs
@@ -87,6 +87,9 @@
         if candidates.is_empty() && first.is_none() {
             self.scan(request, holder, random, candidates);
         }
+        for candidate in candidates.iter_mut() {
+            candidate.score += self.settings.jitter * random.random::<f64>();
+        }
         let best = candidates
             .iter()
             .min_by(|left, right| left.score.total_cmp(&right.score))?;
--- a/crates/route/src/policies/predictive/settings.rs
+++ b/crates/route/src/policies/predictive/settings.rs
@@ -44,6 +44,8 @@
     ///
     /// VMs that prefer different targets know most of what their own ones run without a lag.
     pub home: f64,
+    /// Largest random score, so that targets that are nearly alike all get requests.
+    pub jitter: f64,
     /// Score that a prompt wholly held by the target saves.
     pub prefix: f64,
 }
@@ -59,6 +61,7 @@
             batch: 0.3,
             remote: 0.02,
             home: 1.0,
+            jitter: 0.05,
             prefix: 0.5,
         }
     }
