--- a/crates/route/src/policies/predictive/settings.rs
+++ b/crates/route/src/policies/predictive/settings.rs
@@ -61,7 +61,7 @@
             batch: 0.3,
             remote: 0.02,
             home: 1.0,
-            jitter: 0.05,
+            jitter: 0.0,
             prefix: 0.5,
         }
     }
