--- a/crates/route/tests/predictive.rs
+++ b/crates/route/tests/predictive.rs
@@ -155,8 +155,9 @@
 #[test]
 fn a_failing_target_gets_no_more_requests_until_its_probe_succeeds() {
     let mut script = script(&Deployment::default());
-    let (_, actions) = script.arrive("anna", LOOKUP);
+    let (request, actions) = script.arrive("anna", LOOKUP);
     let bad = dispatched(&actions)[0].target;
+    script.end(request, Outcome::Failed);
     for _ in 0..200 {
         let (request, actions) = script.arrive("anna", LOOKUP);
         let failed = dispatched(&actions)[0].target == bad;
