--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -3,7 +3,12 @@
 mod usage;
 
 use {
-    crate::{Context, Error, configuration, context::Identity, metrics::Direction, orders},
+    crate::{
+        Context, Error, configuration,
+        context::Identity,
+        metrics::{Direction, Rejected},
+        orders,
+    },
     base::{Instant, Machine},
     config::Settings,
     derive_more::Debug,
@@ -90,6 +95,7 @@
                 handle(&context, Event::Received { from, message });
             }
             Err(error) => {
+                context.metrics.control_rejected(Rejected::Datagram);
                 log::debug!(target: "gossip", from:% = from, error:% = error; "a datagram was refused");
             }
         }
--- a/crates/entry/src/inner.rs
+++ b/crates/entry/src/inner.rs
@@ -5,6 +5,7 @@
         Context, Exchange,
         call::Call,
         configuration, handover,
+        metrics::Rejected,
         owner::{self, Ending},
         runtime::within,
         ticket,
@@ -217,6 +218,7 @@
 async fn connection(context: Arc<Context>, stream: TcpStream) {
     let greeting = within(HELLO_LIMIT, Link::greet(&context, stream, Side::Server)).await;
     let Some(Ok(mut link)) = greeting else {
+        context.metrics.control_rejected(Rejected::Greeting);
         log::warn!(target: "inner", "a connection was refused");
         return;
     };
@@ -225,6 +227,7 @@
             Ok(body) => body,
             Err(Error::Closed) => return,
             Err(error) => {
+                context.metrics.control_rejected(Rejected::Frame);
                 log::warn!(target: "inner", peer:% = link.peer.vm, error:% = error; "the connection was closed");
                 return;
             }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -13,7 +13,7 @@
     crate::{Context, Error, logs},
     base::{Refusal, key},
     config::deployment::Service,
-    derive_more::Debug,
+    derive_more::{Debug, Display},
     instruments::Instruments,
     opentelemetry::{KeyValue, metrics::MeterProvider},
     opentelemetry_sdk::{Resource, metrics::SdkMeterProvider},
@@ -34,6 +34,18 @@
     Received,
 }
 
+/// What of the inner protocol was refused.
+#[derive(Clone, Copy, Debug, Display)]
+#[display(rename_all = "snake_case")]
+pub enum Rejected {
+    /// A first message, or none in time.
+    Greeting,
+    /// A frame of an authenticated connection.
+    Frame,
+    /// A datagram.
+    Datagram,
+}
+
 /// The instruments of one process.
 #[derive(Debug)]
 pub struct Metrics {
@@ -170,6 +182,12 @@
             .add(bytes as u64, &attributes);
     }
 
+    /// Counts a message of the inner protocol that was refused.
+    pub fn control_rejected(&self, rejected: Rejected) {
+        let attributes = [KeyValue::new("kind", rejected.to_string())];
+        self.instruments.control_rejected.add(1, &attributes);
+    }
+
     /// Counts what an engine's total of preemptions has grown by; a restarted engine begins anew.
     pub fn preemptions(&self, target: key::Target, service: &str, total: u64) {
         let mut reported = self.reported.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/entry/src/metrics/instruments.rs
+++ b/crates/entry/src/metrics/instruments.rs
@@ -26,6 +26,7 @@
     pub(super) requests: Counter<u64>,
     pub(super) retries: Counter<u64>,
     pub(super) control_bytes: Counter<u64>,
+    pub(super) control_rejected: Counter<u64>,
     pub(super) log_dropped: Gauge<u64>,
     pub(super) in_flight: Gauge<u64>,
     pub(super) queued: Gauge<u64>,
@@ -93,6 +94,11 @@
                 "By",
                 "Bytes of datagrams between entry VMs",
             ),
+            control_rejected: counter(
+                "mastictrail.control.rejected",
+                "{message}",
+                "Greetings, frames and datagrams of the inner protocol that were refused",
+            ),
             log_dropped: gauge(
                 "mastictrail.log.dropped",
                 "{line}",
--- a/crates/wire/src/channel.rs
+++ b/crates/wire/src/channel.rs
@@ -34,7 +34,11 @@
 
     /// Seals a message into the bytes of the next frame.
     pub fn seal(&mut self, envelope: &Envelope) -> Bytes {
-        let message = Bytes::from(envelope.encode_to_vec());
+        self.seal_bytes(Bytes::from(envelope.encode_to_vec()))
+    }
+
+    /// Seals an encoded message into the bytes of the next frame.
+    pub fn seal_bytes(&mut self, message: Bytes) -> Bytes {
         let mac = self
             .mac(self.side, self.sent, &message)
             .finalize()
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -294,3 +294,25 @@
         call().is_ok_and(|answer| answer.status == 200)
     });
 }
+
+#[test]
+fn a_malformed_inner_frame_closes_that_connection_only_and_is_counted() {
+    let cluster = Setup::default().start();
+    let mut stranger = TcpStream::connect(cluster.addresses["vm-1/inner"]).unwrap();
+    let frame = [0, 0, 0, 4, 0xff, 0xff, 0xff, 0xff];
+    stranger.write_all(&frame).unwrap();
+    let mut greeting = Vec::new();
+    let _ = stranger.read_to_end(&mut greeting);
+    until("it is counted", || {
+        let text = cluster.get("vm-1/admin", "/metrics").unwrap().text;
+        text.contains("mastictrail_control_rejected_total{kind=\"greeting\"} 1")
+    });
+    let path = "/v1/tickets";
+    let tickets = cluster.call("vm-1", &Method::POST, path, &[], "{\"count\": 1}");
+    let tickets = tickets.unwrap().json();
+    let ticket = tickets["tickets"][0].as_str().expect("a ticket");
+    let path = format!("/{LEDGER}/release");
+    let headers = [("x-ticket", ticket)];
+    let answer = cluster.call("vm-2", &Method::POST, &path, &headers, "lot 7");
+    assert_eq!(answer.unwrap().status, 200, "peers still reach the VM");
+}
