--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -8,20 +8,13 @@
     clap::{Arg, ArgAction, ArgMatches, Command, value_parser},
     fakes::{engine, service},
     serde_json::{Value, json},
-    smol::Timer,
-    std::{
-        net::SocketAddr,
-        process::ExitCode,
-        time::{Duration, Instant},
-    },
+    std::{net::SocketAddr, process::ExitCode},
 };
 
 const DRAFT: &str = "Draft the batch sheet for a run of pierogi. #tokens=48";
 const LOOKUP: &str = "Does the allergen swap hold? #lookup #tokens=6";
 const RELEASE: &str = "{\"recipe\": \"bigos\", \"lot\": 7}";
 const OPERATION_NAME: &str = "release-bigos-7";
-/// Longest wait for the entry VMs to have a configuration.
-const READY_LIMIT: Duration = Duration::from_secs(30);
 
 type Check = Result<(), Failure>;
 
@@ -68,7 +61,7 @@
 
 async fn serve(plan: Plan, once: bool) -> Check {
     let path = Path::start(plan).await?;
-    wait_until_ready(&path).await?;
+    path.wait_until_ready().await?;
     if !once {
         print_examples(&path);
         crate::serve::stop_signal().await?;
@@ -81,19 +74,6 @@
     check_generations(&path).await
 }
 
-async fn wait_until_ready(path: &Path) -> Check {
-    let started = Instant::now();
-    for &admin in &path.admins {
-        while client::get(admin, "/ready").await?.status != 200 {
-            if started.elapsed() > READY_LIMIT {
-                return Err("the entry VMs are not ready".into());
-            }
-            Timer::after(Duration::from_millis(20)).await;
-        }
-    }
-    Ok(())
-}
-
 fn print_examples(path: &Path) {
     let caller = path.callers[0];
     let key = format!("-H 'Authorization: Bearer {CUSTOMER_KEY}'");
--- a/crates/cli/src/embedded.rs
+++ b/crates/cli/src/embedded.rs
@@ -1,6 +1,7 @@
 //! The whole path in one process: stand-ins, and entry VMs that serve through them.
 
 use {
+    crate::client::{self, Failure},
     config::{
         Settings,
         settings::{Listen, Platform, Vm},
@@ -8,11 +9,12 @@
     entry::{Daemon, Error},
     fakes::{engine, platform, service},
     sha2::{Digest, Sha256},
-    smol::net::TcpListener,
+    smol::{Timer, net::TcpListener},
     std::{
         fmt::Write,
         io,
         net::{Ipv4Addr, SocketAddr, TcpListener as Probe},
+        time::{Duration, Instant},
     },
 };
 
@@ -27,6 +29,10 @@
 /// Header that names an operation to the plain service's run counter.
 pub const OPERATION: &str = "x-operation";
 
+/// Longest wait for the entry VMs to have a configuration.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+/// Time between two questions whether an entry VM is ready.
+const READY_POLL: Duration = Duration::from_millis(20);
 const DATA_CENTRE: &str = "wlkp-a";
 const DEPLOYMENT_KEY: &[u8] = b"embedded stand-ins only, no secret";
 const THREADS: u32 = 1;
@@ -139,6 +145,23 @@
         Ok(path)
     }
 
+    /// Waits until every entry VM serves.
+    ///
+    /// # Errors
+    /// Returns an error if one does not answer, or does not become ready.
+    pub async fn wait_until_ready(&self) -> Result<(), Failure> {
+        let started = Instant::now();
+        for &admin in &self.admins {
+            while client::get(admin, "/ready").await?.status != 200 {
+                if started.elapsed() > READY_LIMIT {
+                    return Err("the entry VMs are not ready".into());
+                }
+                Timer::after(READY_POLL).await;
+            }
+        }
+        Ok(())
+    }
+
     /// Stops the entry VMs as planned; returns whether all work in flight ended.
     pub async fn stop(&self) -> bool {
         let mut ended = true;
--- a/crates/cli/src/load/run.rs
+++ b/crates/cli/src/load/run.rs
@@ -25,8 +25,6 @@
 
 /// Threads of the callers.
 const THREADS: u32 = 2;
-/// Longest wait for the entry VMs to have a configuration and to have heard of each other.
-const READY_LIMIT: Duration = Duration::from_secs(30);
 /// Time for load reports and gossip to go round before the first request.
 const SETTLE: Duration = Duration::from_secs(2);
 
@@ -47,7 +45,7 @@
 /// Returns an error if the system does not start.
 pub async fn embedded(workload: &Workload, policy: &str) -> Result<Run, Failure> {
     let path = Path::start(workload.plan(policy)).await?;
-    wait_until_ready(&path).await?;
+    path.wait_until_ready().await?;
     Timer::after(SETTLE).await;
     let place = Place {
         callers: path.callers.clone(),
@@ -162,16 +160,3 @@
     }
     Ok(sums)
 }
-
-async fn wait_until_ready(path: &Path) -> Result<(), Failure> {
-    let started = Instant::now();
-    for &admin in &path.admins {
-        while client::get(admin, "/ready").await?.status != 200 {
-            if started.elapsed() > READY_LIMIT {
-                return Err("the entry VMs are not ready".into());
-            }
-            Timer::after(Duration::from_millis(20)).await;
-        }
-    }
-    Ok(())
-}
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -104,9 +104,7 @@
         log::info!(target: "stop", connections = drain.in_flight(); "stopped");
         drain.in_flight() == 0
     }
-}
 
-impl Daemon {
     /// Ends the process's tasks at once, whatever they do; for entry VMs inside another process.
     pub fn kill(&self) {
         self.context.runtime.stop();
