refactor(cli): one sum of the engines' counters

The demo and the load tool each read and summed /test/runs of the engines; both now call client::counts, which returns named fields in place of a pair.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -32,6 +32,30 @@
     }
 }
 
+/// What the stand-ins for engines counted, all together.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    /// Preemptions.
+    pub preemptions: u64,
+    /// Generations.
+    pub generations: u64,
+}
+
+/// Sums the counters of stand-ins for engines.
+///
+/// # Errors
+/// Returns an error if one does not answer with its counters.
+pub async fn counts(engines: &[SocketAddr]) -> Result<Counts, Failure> {
+    let mut sums = Counts::default();
+    for &engine in engines {
+        let answer = get(engine, "/test/runs").await?;
+        let counted: Value = serde_json::from_slice(&answer.body)?;
+        sums.preemptions += counted["preemptions"].as_u64().unwrap_or(0);
+        sums.generations += counted["runs"].as_object().map_or(0, serde_json::Map::len) as u64;
+    }
+    Ok(sums)
+}
+
 /// Asks with GET.
 ///
 /// # Errors
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -151,13 +151,8 @@
 
 /// Counts the generations that the engines ran.
 async fn check_generations(path: &Path) -> Check {
-    let mut runs = 0;
-    for &engine in &path.engines {
-        let counted: Value =
-            serde_json::from_slice(&client::get(engine, "/test/runs").await?.body)?;
-        runs += counted["runs"].as_object().map_or(0, serde_json::Map::len);
-    }
-    compare("number of generations", &runs.to_string(), "2")
+    let generations = client::counts(&path.engines).await?.generations;
+    compare("number of generations", &generations.to_string(), "2")
 }
 
 async fn complete(path: &Path, prompt: Value) -> Result<Answer, Failure> {
--- a/crates/cli/src/load/run.rs
+++ b/crates/cli/src/load/run.rs
@@ -12,7 +12,6 @@
         },
     },
     entry::runtime::Runtime,
-    serde_json::Value,
     smol::{
         Timer,
         channel::{Receiver, Sender, unbounded},
@@ -63,7 +62,7 @@
 /// # Errors
 /// Returns an error if an engine that was named does not answer.
 pub async fn against(workload: &Workload, place: &Place) -> Result<Run, Failure> {
-    let before = counts(&place.engines).await?;
+    let before = client::counts(&place.engines).await?;
     let runtime = Runtime::start(THREADS);
     let start = Instant::now();
     let (sender, samples) = unbounded();
@@ -77,10 +76,10 @@
     let run = collect(workload, samples, sent).await?;
     events.cancel().await;
     runtime.stop();
-    let after = counts(&place.engines).await?;
+    let after = client::counts(&place.engines).await?;
     Ok(Run {
-        preemptions: after.0 - before.0,
-        generations: after.1 - before.1,
+        preemptions: after.preemptions - before.preemptions,
+        generations: after.generations - before.generations,
         ..run
     })
 }
@@ -148,15 +147,3 @@
         }
     }
 }
-
-/// Sums the preemptions and the generations of the engines.
-async fn counts(engines: &[SocketAddr]) -> Result<(u64, u64), Failure> {
-    let mut sums = (0, 0);
-    for &engine in engines {
-        let answer = client::get(engine, "/test/runs").await?;
-        let counted: Value = serde_json::from_slice(&answer.body)?;
-        sums.0 += counted["preemptions"].as_u64().unwrap_or(0);
-        sums.1 += counted["runs"].as_object().map_or(0, serde_json::Map::len) as u64;
-    }
-    Ok(sums)
-}
