--- a/crates/cli/src/cli.rs
+++ b/crates/cli/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line: its subcommands and exit codes.
 
 use {
-    crate::{check, completions, demo, diff, explain, load, render, serve, status},
+    crate::{check, completions, demo, diff, explain, gateway, load, render, serve, status},
     clap::{ArgMatches, Command},
     std::process::ExitCode,
 };
@@ -26,8 +26,9 @@
 }
 
 /// Every subcommand, in the order of `--help`.
-const SUBCOMMANDS: [Subcommand; 9] = [
+const SUBCOMMANDS: [Subcommand; 10] = [
     Subcommand::new(serve::command, serve::run),
+    Subcommand::new(gateway::command, gateway::run),
     Subcommand::new(check::command, check::run),
     Subcommand::new(diff::command, diff::run),
     Subcommand::new(render::command, render::run),
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -10,6 +10,7 @@
 mod demo;
 mod diff;
 mod explain;
+mod gateway;
 mod input;
 mod output;
 mod render;
--- /dev/null
+++ b/crates/config/src/gateway.rs
@@ -0,0 +1,258 @@
+//! Settings of one gateway process.
+
+use {
+    crate::{
+        Fault,
+        ini::{Reader, sections},
+        settings::Log,
+        unit, value,
+    },
+    std::{
+        cell::RefCell,
+        net::{Ipv4Addr, SocketAddr},
+        time::Duration,
+    },
+};
+
+/// The sections of a settings file.
+const KINDS: [&str; 7] = [
+    "vm", "listen", "platform", "peers", "limits", "promises", "log",
+];
+
+/// `[vm]`: which VM the process runs on.
+#[derive(Clone, Debug, Default)]
+pub struct Vm {
+    /// Name.
+    pub name: Box<str>,
+    /// Data centre.
+    pub data_centre: Box<str>,
+}
+
+/// `[listen]`: addresses that the process listens on.
+#[derive(Clone, Debug)]
+pub struct Listen {
+    /// Clients, HTTP.
+    pub clients: SocketAddr,
+    /// The load balancer, which asks for readiness.
+    pub readiness: SocketAddr,
+    /// Other entry VMs, which ask for the configuration over HTTP.
+    pub control: SocketAddr,
+    /// Reports of other entry VMs, UDP.
+    pub peers: SocketAddr,
+    /// Metrics, HTTP.
+    pub metrics: SocketAddr,
+}
+
+impl Default for Listen {
+    fn default() -> Self {
+        let address = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        Self {
+            clients: address(8740),
+            readiness: address(8749),
+            control: address(8748),
+            peers: address(7200),
+            metrics: address(7201),
+        }
+    }
+}
+
+/// `[platform]`: the platform's store.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    /// Address of the store.
+    pub address: SocketAddr,
+    /// Longest wait of a watch.
+    pub watch: Duration,
+}
+
+impl Default for Platform {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8742)),
+            watch: Duration::from_secs(10),
+        }
+    }
+}
+
+/// `[limits]`: what the process may use.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Threads that run requests.
+    pub threads: u32,
+    /// Open connections of clients.
+    pub connections: u32,
+    /// Longest time to connect to a target.
+    pub connect_timeout: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            threads: 1,
+            connections: 1_000,
+            connect_timeout: Duration::from_millis(400),
+        }
+    }
+}
+
+/// `[promises]`: bounds that the platform's operators have set.
+#[derive(Clone, Debug)]
+pub struct Promises {
+    /// Time between the signal to stop and the end of the process.
+    pub grace: Duration,
+    /// Retries for each request.
+    pub retry_ratio: f64,
+    /// Retries beside these in a window, of all VMs together.
+    pub retry_extra: f64,
+    /// Length of the window.
+    pub retry_window: Duration,
+}
+
+impl Default for Promises {
+    fn default() -> Self {
+        Self {
+            grace: Duration::from_secs(8),
+            retry_ratio: 0.2,
+            retry_extra: 10.0,
+            retry_window: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Settings of one gateway process; each default stands in the `Default` of its section.
+#[derive(Clone, Debug, Default)]
+pub struct Gateway {
+    /// `[vm]`
+    pub vm: Vm,
+    /// `[listen]`
+    pub listen: Listen,
+    /// `[platform]`
+    pub platform: Platform,
+    /// `[peers]` `seeds`: addresses of other VMs to begin with; only their IP numbers count.
+    pub seeds: Vec<SocketAddr>,
+    /// `[limits]`
+    pub limits: Limits,
+    /// `[promises]`
+    pub promises: Promises,
+    /// `[log]`
+    pub log: Log,
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+/// Returns every fault that was found.
+pub fn parse(file: &str, text: &str) -> Result<Gateway, Vec<Fault>> {
+    let sections = sections(file, text)?;
+    let faults = RefCell::default();
+    let mut settings = Gateway::default();
+    for section in &sections {
+        let reader = Reader::new(file, section, &faults);
+        if sections
+            .iter()
+            .filter(|other| other.kind == section.kind)
+            .count()
+            > 1
+        {
+            reader.reject("", "the section is given twice", "each section once");
+        }
+        match &*section.kind {
+            "vm" => settings.vm.read(&reader),
+            "listen" => settings.listen.read(&reader),
+            "platform" => settings.platform.read(&reader),
+            "peers" => reader.update("seeds", &mut settings.seeds, addresses),
+            "limits" => settings.limits.read(&reader),
+            "promises" => settings.promises.read(&reader),
+            "log" => crate::settings::Section::read(&mut settings.log, &reader),
+            _ => reader.reject("", "the section is unknown", &KINDS.join(", ")),
+        }
+        if KINDS.contains(&&*section.kind) {
+            reader.finish();
+        }
+    }
+    if !sections.iter().any(|section| &*section.kind == "vm") {
+        faults.borrow_mut().push(Fault {
+            file: file.into(),
+            line: 0,
+            section: "vm".into(),
+            key: Box::default(),
+            message: "the section is missing".into(),
+            permitted: KINDS.join(", ").into(),
+        });
+    }
+    let faults = faults.into_inner();
+    if faults.is_empty() {
+        return Ok(settings);
+    }
+    Err(faults)
+}
+
+impl Vm {
+    fn read(&mut self, reader: &Reader<'_>) {
+        self.name = reader.required("name", value::NAME, value::name);
+        self.data_centre = reader.required("data_centre", "a name", value::text);
+    }
+}
+
+impl Listen {
+    fn read(&mut self, reader: &Reader<'_>) {
+        reader.update("clients", &mut self.clients, value::address);
+        reader.update("readiness", &mut self.readiness, value::address);
+        reader.update("control", &mut self.control, value::address);
+        reader.update("peers", &mut self.peers, value::address);
+        reader.update("metrics", &mut self.metrics, value::address);
+    }
+}
+
+impl Platform {
+    fn read(&mut self, reader: &Reader<'_>) {
+        reader.update("address", &mut self.address, value::address);
+        reader.update("watch", &mut self.watch, value::duration);
+    }
+}
+
+impl Limits {
+    fn read(&mut self, reader: &Reader<'_>) {
+        reader.update("threads", &mut self.threads, value::positive);
+        reader.update("connections", &mut self.connections, value::positive);
+        reader.update(
+            "connect_timeout",
+            &mut self.connect_timeout,
+            value::duration,
+        );
+    }
+}
+
+impl Promises {
+    fn read(&mut self, reader: &Reader<'_>) {
+        reader.update("grace", &mut self.grace, seconds);
+        reader.update("retry_ratio", &mut self.retry_ratio, amount);
+        reader.update("retry_extra", &mut self.retry_extra, amount);
+        reader.update("retry_window", &mut self.retry_window, seconds);
+    }
+}
+
+fn addresses(value: &str) -> Result<Vec<SocketAddr>, &'static str> {
+    value
+        .split(',')
+        .map(str::trim)
+        .filter(|item| !item.is_empty())
+        .map(value::address)
+        .collect()
+}
+
+fn amount(value: &str) -> Result<f64, &'static str> {
+    let number = value.parse::<f64>().ok();
+    number
+        .filter(|number| number.is_finite() && *number >= 0.0)
+        .ok_or("a number from 0")
+}
+
+/// Parses a duration; seconds may have a fraction.
+fn seconds(value: &str) -> Result<Duration, Box<str>> {
+    let number = value.strip_suffix('s').and_then(|text| text.parse().ok());
+    match number.and_then(|number| Duration::try_from_secs_f64(number).ok()) {
+        Some(duration) => Ok(duration),
+        None => unit::duration(value),
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod diagnostic;
 pub mod difference;
 pub mod fault;
+pub mod gateway;
 pub mod ini;
 pub mod parse;
 pub mod settings;
@@ -16,5 +17,6 @@
 
 pub use deployment::Snapshot;
 pub use fault::Fault;
+pub use gateway::Gateway;
 pub use settings::Settings;
 pub use source::Source;
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -31,7 +31,7 @@
 const REQUIRED: [&str; 2] = ["vm", "keys"];
 
 /// One section of the settings.
-trait Section: Debug {
+pub(crate) trait Section: Debug {
     /// Reads the keys that are given; the others keep their defaults.
     fn read(&mut self, reader: &Reader<'_>);
 }
--- /dev/null
+++ b/crates/dispatch/src/load.rs
@@ -0,0 +1,25 @@
+//! What is in progress at a target, as one VM knows it.
+
+use std::ops::AddAssign;
+
+/// Work of one VM, or of several, at one target.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Load {
+    /// Requests in progress.
+    pub runs: u32,
+    /// Tokens of memory that they are expected to need at their ends.
+    pub memory: u32,
+    /// Tokens of prompts that have not been read yet.
+    pub prefill: u32,
+    /// Tokens of memory that copies of runs at other targets are expected to need.
+    pub copies: u32,
+}
+
+impl AddAssign for Load {
+    fn add_assign(&mut self, rhs: Self) {
+        self.runs += rhs.runs;
+        self.memory += rhs.memory;
+        self.prefill += rhs.prefill;
+        self.copies += rhs.copies;
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/peers.rs
@@ -0,0 +1,191 @@
+//! What the entry VMs tell each other: one datagram holds all that a VM has to say.
+//!
+//! Each VM sends its report to every other one when its work changes, and at least once in a while;
+//! a report replaces the one before, so a lost one does no harm. Reports double as heartbeats.
+
+use {
+    crate::Load,
+    base::{Instant, key},
+    std::{
+        collections::{HashMap, HashSet},
+        net::Ipv4Addr,
+        time::Duration,
+    },
+};
+
+/// Time without a report after which a peer counts as gone: three heartbeats.
+pub const SILENCE: Duration = Duration::from_secs(4);
+/// Time after which an address that never answered is asked less often.
+const MEMORY: Duration = Duration::from_secs(30);
+/// Addresses of other VMs in a report.
+const INTRODUCTIONS: usize = 12;
+
+/// Work at one target, as the inner protocol carries it.
+#[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
+pub struct Work {
+    /// Raw key of the target.
+    #[prost(fixed64, tag = "1")]
+    pub target: u64,
+    /// Requests in progress.
+    #[prost(uint32, tag = "2")]
+    pub runs: u32,
+    /// Tokens of memory that they need at their ends.
+    #[prost(uint32, tag = "3")]
+    pub memory: u32,
+    /// Tokens of prompts that have not been read yet.
+    #[prost(uint32, tag = "4")]
+    pub prefill: u32,
+    /// Tokens of memory of copies.
+    #[prost(uint32, tag = "5")]
+    pub copies: u32,
+}
+
+/// One VM's report.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct Report {
+    /// IP address of the sender; the port is the same on all VMs.
+    #[prost(fixed32, tag = "1")]
+    pub address: u32,
+    /// Draw of the sender's process at its start.
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    /// Number of the report within the incarnation.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// Configuration version in force.
+    #[prost(uint64, tag = "4")]
+    pub configuration: u64,
+    /// Revision of the store that its list of targets has.
+    #[prost(uint64, tag = "5")]
+    pub listing: u64,
+    /// Work in progress.
+    #[prost(message, repeated, tag = "6")]
+    pub work: Vec<Work>,
+    /// Raw keys of targets that leave.
+    #[prost(fixed64, repeated, tag = "7")]
+    pub leaving: Vec<u64>,
+    /// Addresses of other VMs.
+    #[prost(fixed32, repeated, tag = "8")]
+    pub introductions: Vec<u32>,
+    /// Whether the sender is about to stop.
+    #[prost(bool, tag = "9")]
+    pub is_stopping: bool,
+}
+
+#[derive(Debug)]
+struct Peer {
+    report: Report,
+    heard: Instant,
+}
+
+/// What is known of the other VMs.
+#[derive(Debug, Default)]
+pub struct Peers {
+    peers: HashMap<Ipv4Addr, Peer>,
+    /// Addresses that reports named, with the time of the newest mention.
+    mentioned: HashMap<Ipv4Addr, Instant>,
+}
+
+/// What a report changed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct News {
+    /// The sender was not known or had been silent.
+    pub is_new: bool,
+    /// Targets that leave.
+    pub leaving: Vec<key::Target>,
+}
+
+impl Peers {
+    /// Takes a report; `None` if it is older than one before.
+    pub fn receive(&mut self, report: Report, own: Ipv4Addr, now: Instant) -> Option<News> {
+        let address = Ipv4Addr::from(report.address);
+        if address == own {
+            return None;
+        }
+        let before = self.peers.get(&address);
+        if before.is_some_and(|before| {
+            before.report.incarnation == report.incarnation
+                && before.report.sequence >= report.sequence
+        }) {
+            return None;
+        }
+        let is_new = before.is_none_or(|before| {
+            before.report.incarnation != report.incarnation || now.since(before.heard) > SILENCE
+        });
+        for &introduced in &report.introductions {
+            let introduced = Ipv4Addr::from(introduced);
+            if introduced != own {
+                self.mentioned.insert(introduced, now);
+            }
+        }
+        let leaving = report.leaving.iter().map(|&raw| key::Target::from_raw(raw));
+        let leaving = leaving.collect();
+        self.peers.insert(address, Peer { report, heard: now });
+        Some(News { is_new, leaving })
+    }
+
+    /// Drops what is long gone.
+    pub fn advance(&mut self, now: Instant) {
+        self.peers.retain(|_, peer| now.since(peer.heard) < MEMORY);
+        self.mentioned.retain(|_, heard| now.since(*heard) < MEMORY);
+    }
+
+    /// Returns the peers that were heard lately.
+    pub fn live(&self, now: Instant) -> impl Iterator<Item = (Ipv4Addr, &Report)> {
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| now.since(peer.heard) <= SILENCE)
+            .map(|(address, peer)| (*address, &peer.report))
+    }
+
+    /// Returns every address that a report goes to.
+    pub fn addresses(&self, now: Instant) -> HashSet<Ipv4Addr> {
+        let live = self.live(now).map(|(address, _)| address);
+        let mentioned = self.mentioned.iter();
+        let unheard = mentioned
+            .filter(|(address, _)| !self.peers.contains_key(*address))
+            .map(|(address, _)| *address);
+        live.chain(unheard).collect()
+    }
+
+    /// Returns addresses that introduce live peers; `turn` moves on from report to report.
+    pub fn introductions(&self, turn: u64, now: Instant) -> Vec<u32> {
+        let mut live: Vec<_> = self
+            .live(now)
+            .map(|(address, _)| u32::from(address))
+            .collect();
+        live.sort_unstable();
+        let count = live.len().min(INTRODUCTIONS);
+        if count == 0 {
+            return live;
+        }
+        let start = (turn as usize).wrapping_mul(INTRODUCTIONS) % live.len();
+        live.rotate_left(start);
+        live.truncate(count);
+        live
+    }
+
+    /// Returns the work of all live peers at each target.
+    pub fn work(&self, now: Instant) -> HashMap<key::Target, Load> {
+        let mut total: HashMap<key::Target, Load> = HashMap::new();
+        for (_, report) in self.live(now) {
+            for work in &report.work {
+                *total.entry(key::Target::from_raw(work.target)).or_default() += Load {
+                    runs: work.runs,
+                    memory: work.memory,
+                    prefill: work.prefill,
+                    copies: work.copies,
+                };
+            }
+        }
+        total
+    }
+
+    /// Returns a live peer with a newer configuration than `version`, the newest first.
+    pub fn newer_configuration(&self, version: u64, now: Instant) -> Option<(Ipv4Addr, u64)> {
+        self.live(now)
+            .filter(|(_, report)| report.configuration > version)
+            .map(|(address, report)| (address, report.configuration))
+            .max_by_key(|(_, version)| *version)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/placement.rs
@@ -0,0 +1,200 @@
+//! Where a request goes: work in progress of this VM and of its peers, and what targets said.
+//!
+//! Load pattern: many VMs place generations on few engines at the same moment. Each knows its own
+//! work at once and its peers' within a datagram, so a draw among nearly equal targets keeps them
+//! from choosing the same one.
+
+use {
+    crate::{Load, configuration::Engine, listing::Target},
+    base::{Instant, key},
+    derive_more::Debug,
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    std::{collections::HashMap, time::Duration},
+};
+
+/// Prompt tokens that an engine reads in a millisecond; published for engines of this kind.
+const PREFILL_RATE: f64 = 14.0;
+/// Part of an engine's memory that placements may plan for; lengths are estimates.
+const MEMORY_SHARE: f64 = 0.97;
+/// Cost of one request that runs beside, in milliseconds: what it adds to the steps of an answer.
+const RUN_COST: f64 = 12.0;
+/// Cost of full memory, in milliseconds: a preempted request is read in again.
+const MEMORY_COST: f64 = 250.0;
+/// Cost of another data centre, in milliseconds.
+const DISTANCE_COST: f64 = 4.0;
+/// Width of the draw among nearly equal targets, in milliseconds.
+const DRAW_WIDTH: f64 = 12.0;
+/// Cost of one request at a plain service per slot, relative to the others.
+const SLOT_COST: f64 = 60.0;
+/// Time that a target is avoided after its first failure; doubles with each further one.
+const FIRST_BACKOFF: Duration = Duration::from_millis(400);
+/// Longest time that a target is avoided without a new failure.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(3);
+/// Time that a target is avoided after it refused for want of room: the lag of the peers' reports.
+const BUSY_BACKOFF: Duration = Duration::from_millis(150);
+
+/// One request in progress at a target.
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    target: key::Target,
+    load: Load,
+}
+
+/// Number of a request in progress of this VM.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct Ticket(u64);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Health {
+    failures: u32,
+    avoided_until: Instant,
+}
+
+/// What is asked of a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// Work that the request adds.
+    pub load: Load,
+    /// The engines' description; `None` for plain services.
+    pub engine: Option<Engine>,
+    /// Targets that must not be chosen.
+    pub exclude: &'a [key::Target],
+    /// Data centre of this VM.
+    pub data_centre: &'a str,
+}
+
+/// The machine.
+#[derive(Debug)]
+pub struct Placement {
+    runs: HashMap<Ticket, Run>,
+    next: u64,
+    peers: HashMap<key::Target, Load>,
+    health: HashMap<key::Target, Health>,
+    #[debug(skip)]
+    random: SmallRng,
+}
+
+impl Placement {
+    /// Starts without any work; equal seeds draw alike.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            runs: HashMap::new(),
+            next: 0,
+            peers: HashMap::new(),
+            health: HashMap::new(),
+            random: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Chooses a target with room for the request; `None` if there is none now.
+    pub fn choose<'a>(
+        &mut self,
+        now: Instant,
+        targets: &'a [Target],
+        ask: &Ask<'_>,
+    ) -> Option<&'a Target> {
+        let usable: Vec<_> = targets
+            .iter()
+            .filter(|target| !target.is_leaving && !ask.exclude.contains(&target.key))
+            .collect();
+        let own = self.own();
+        let mut scored: Vec<_> = Vec::new();
+        let all_avoided = usable.iter().all(|target| self.is_avoided(target.key, now));
+        for target in usable {
+            if !all_avoided && self.is_avoided(target.key, now) {
+                continue;
+            }
+            let mut load = own.get(&target.key).copied().unwrap_or_default();
+            load += self.peers.get(&target.key).copied().unwrap_or_default();
+            let Some(cost) = cost(target, load, ask) else {
+                continue;
+            };
+            scored.push((cost + self.random.random_range(0.0..DRAW_WIDTH), target));
+        }
+        scored
+            .into_iter()
+            .min_by(|one, other| one.0.total_cmp(&other.0))
+            .map(|(_, target)| target)
+    }
+
+    /// Notes that a request goes to a target.
+    pub fn begin(&mut self, target: key::Target, load: Load) -> Ticket {
+        let ticket = Ticket(self.next);
+        self.next += 1;
+        self.runs.insert(ticket, Run { target, load });
+        ticket
+    }
+
+    /// Notes that a request's prompt has been read.
+    pub fn started(&mut self, ticket: Ticket) {
+        if let Some(run) = self.runs.get_mut(&ticket) {
+            run.load.prefill = 0;
+        }
+    }
+
+    /// Notes that a request has left its target.
+    pub fn end(&mut self, ticket: Ticket) {
+        self.runs.remove(&ticket);
+    }
+
+    /// Takes the work of the other VMs.
+    pub fn set_peers(&mut self, peers: HashMap<key::Target, Load>) {
+        self.peers = peers;
+    }
+
+    /// Returns this VM's own work at each target.
+    pub fn own(&self) -> HashMap<key::Target, Load> {
+        let mut own: HashMap<key::Target, Load> = HashMap::new();
+        for run in self.runs.values() {
+            *own.entry(run.target).or_default() += run.load;
+        }
+        own
+    }
+
+    /// Notes an answer of a target.
+    pub fn succeeded(&mut self, target: key::Target) {
+        self.health.remove(&target);
+    }
+
+    /// Notes that a target failed a request.
+    pub fn failed(&mut self, target: key::Target, now: Instant) {
+        let health = self.health.entry(target).or_default();
+        let backoff = FIRST_BACKOFF * 2_u32.pow(health.failures.min(4));
+        health.failures += 1;
+        health.avoided_until = now + backoff.min(LONGEST_BACKOFF);
+    }
+
+    /// Notes that a target refused a request for want of room.
+    pub fn refused(&mut self, target: key::Target, now: Instant) {
+        let health = self.health.entry(target).or_default();
+        health.avoided_until = health.avoided_until.max(now + BUSY_BACKOFF);
+    }
+
+    fn is_avoided(&self, target: key::Target, now: Instant) -> bool {
+        let health = self.health.get(&target);
+        health.is_some_and(|health| now < health.avoided_until)
+    }
+}
+
+/// Returns what a request costs at a target; `None` if there is no room.
+fn cost(target: &Target, load: Load, ask: &Ask<'_>) -> Option<f64> {
+    let distance = if *target.data_centre == *ask.data_centre {
+        0.0
+    } else {
+        DISTANCE_COST
+    };
+    let Some(engine) = ask.engine else {
+        let slots = f64::from(target.slots.max(1));
+        return Some(distance + SLOT_COST * f64::from(load.runs + 1) / slots);
+    };
+    if load.runs >= engine.slots {
+        return None;
+    }
+    let planned = f64::from(load.memory + load.copies + ask.load.memory + ask.load.copies);
+    let filled = planned / f64::from(engine.memory.max(1));
+    if filled > MEMORY_SHARE {
+        return None;
+    }
+    let prefill = f64::from(load.prefill) / PREFILL_RATE;
+    Some(distance + prefill + RUN_COST * f64::from(load.runs) + MEMORY_COST * filled * filled)
+}
--- /dev/null
+++ b/crates/gateway/src/clients.rs
@@ -0,0 +1,8 @@
+//! Towards clients: connections, requests and answers.
+
+pub mod answer;
+pub mod exchange;
+pub mod generation;
+pub mod listener;
+pub mod plain;
+pub mod relay;
--- /dev/null
+++ b/crates/gateway/src/clients/generation.rs
@@ -0,0 +1,282 @@
+//! Requests for generations: finding an engine with room, and the head of the stream.
+
+use {
+    crate::{
+        clients::{
+            answer::{self, Body, Broken},
+            exchange::Exchange,
+            relay::{Relay, Source},
+        },
+        metrics::Outcome,
+        targets::{client::Answer, dispatcher::Place},
+    },
+    base::{Instant, Reason, Refusal, Verdict, key},
+    bytes::Bytes,
+    dispatch::{Generation, Load, configuration::Engine, listing::Target, placement::Ask},
+    futures_util::stream,
+    http_body_util::{BodyExt, Limited, StreamBody},
+    hyper::{Response, body::Frame, header::CONTENT_TYPE, http::response::Parts},
+    platform::request::{Added, belongs_to, is_not_run, strip},
+    smol::Timer,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Most sends of one request before its stream began.
+const MOST_SENDS: usize = 3;
+/// Time between two looks for room.
+const WAIT_POLL: Duration = Duration::from_millis(15);
+/// Part of the objective that a request may wait for room; reading its prompt takes the rest.
+const WAIT_SHARE: f64 = 0.6;
+/// When to come back if there was no room: about the time in which an engine finishes a request.
+const BUSY_DELAY: Duration = Duration::from_millis(400);
+/// Answers above this many tokens are copied to a second engine; shorter ones are made anew.
+const COPY_TOKENS: u32 = 100;
+/// Largest answer that is no stream, in bytes.
+const ANSWER_LIMIT: usize = 4 << 20;
+
+/// A generation as it was planned at its arrival.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Description of the engines.
+    pub engine: Option<Engine>,
+    /// What the client says.
+    pub generation: Generation,
+    /// Estimated tokens of the answer.
+    pub tokens: u32,
+}
+
+impl Plan {
+    /// Returns the work that the whole generation is for an engine.
+    pub fn load(&self) -> Load {
+        Load {
+            runs: 1,
+            memory: self.generation.prompt + self.tokens,
+            prefill: self.generation.prompt,
+            copies: 0,
+        }
+    }
+
+    /// Returns the work that a copy of it is for a second engine.
+    pub fn copy(&self) -> Load {
+        Load {
+            copies: self.generation.prompt + self.tokens,
+            ..Load::default()
+        }
+    }
+
+    /// Returns whether a copy is kept at a second engine.
+    pub fn is_copied(&self) -> bool {
+        self.engine.is_some_and(|engine| engine.backups) && self.tokens > COPY_TOKENS
+    }
+}
+
+/// Answers a request with a stream.
+pub async fn serve(exchange: &Arc<Exchange>) -> Result<Response<Body>, Refusal> {
+    let plan = plan(exchange);
+    let mut excluded = Vec::new();
+    let mut last = Refusal::not_run(Reason::NoTarget, "no engine has room").retry_after(BUSY_DELAY);
+    for sends in 0..MOST_SENDS {
+        let Some((target, place)) = wait(exchange, &plan, &excluded).await else {
+            break;
+        };
+        if sends > 0
+            && !exchange
+                .shared
+                .dispatcher
+                .retry(exchange.service, exchange.shared.now())
+        {
+            log::info!(target: "retry", request:% = exchange.head.attempt; "no retry: the budget is spent");
+            break;
+        }
+        excluded.push(target.key);
+        let source = Source::new((target, place), copy(exchange, &plan, &excluded));
+        match send(exchange, source, plan).await {
+            Ok(response) => return Ok(response),
+            Err(refusal) => last = refusal,
+        }
+        let is_repeatable = last.verdict == Verdict::NotRun
+            || exchange.route.repeat != dispatch::configuration::Repeat::Unsafe
+                && sends + 1 < exchange.route.attempts as usize;
+        if !is_repeatable {
+            break;
+        }
+    }
+    Err(last)
+}
+
+fn plan(exchange: &Exchange) -> Plan {
+    let generation = exchange.head.generation.unwrap_or_default();
+    let service = exchange.published.configuration.service(exchange.service);
+    Plan {
+        engine: service.and_then(|service| service.engine),
+        tokens: exchange
+            .shared
+            .dispatcher
+            .estimate(&exchange.route.name, &generation),
+        generation,
+    }
+}
+
+/// Waits until an engine has room, for as long as the objective can still be met.
+async fn wait(
+    exchange: &Exchange,
+    plan: &Plan,
+    excluded: &[key::Target],
+) -> Option<(Target, Place)> {
+    let end = exchange.arrived + exchange.route.objective.mul_f64(WAIT_SHARE);
+    loop {
+        let now = exchange.shared.now();
+        if let Some(placed) = place(exchange, plan.load(), plan.engine, excluded, now) {
+            return Some(placed);
+        }
+        if now >= end {
+            return None;
+        }
+        Timer::after(WAIT_POLL).await;
+    }
+}
+
+/// Takes a place at an engine, if one has room.
+pub fn place(
+    exchange: &Exchange,
+    load: Load,
+    engine: Option<Engine>,
+    excluded: &[key::Target],
+    now: Instant,
+) -> Option<(Target, Place)> {
+    let shared = &exchange.shared;
+    let settings = shared.settings.load();
+    let ask = Ask {
+        load,
+        engine,
+        exclude: excluded,
+        data_centre: &settings.vm.data_centre,
+    };
+    shared
+        .dispatcher
+        .place(now, &shared.directory.of(exchange.service), &ask)
+}
+
+/// Takes room for the copy of a run, if that is worth it.
+pub fn copy(exchange: &Exchange, plan: &Plan, excluded: &[key::Target]) -> Option<(Target, Place)> {
+    if !plan.is_copied() {
+        return None;
+    }
+    place(
+        exchange,
+        plan.copy(),
+        plan.engine,
+        excluded,
+        exchange.shared.now(),
+    )
+}
+
+async fn send(
+    exchange: &Arc<Exchange>,
+    source: Source,
+    plan: Plan,
+) -> Result<Response<Body>, Refusal> {
+    let shared = &exchange.shared;
+    let added = Added {
+        backup: source.backup().map(|backup| backup.address),
+        ..Added::default()
+    };
+    let backup: Option<SocketAddr> = added.backup;
+    exchange.note_sent();
+    let request = exchange.request(source.target(), added);
+    let sent = shared.client.send(source.target().address, request).await;
+    let target = source.target().clone();
+    let (outcome, refusal) = match sent {
+        Err(failure) => {
+            shared.dispatcher.failed(target.key, shared.now());
+            let refusal = Refusal {
+                verdict: failure.verdict,
+                ..Refusal::not_run(Reason::TargetLost, failure.message)
+            };
+            ("lost", refusal)
+        }
+        Ok(answer) if is_not_run(answer.response.status(), answer.response.headers()) => {
+            shared.dispatcher.refused(target.key, shared.now());
+            let message = format!("the engine refused with {}", answer.response.status());
+            ("not_run", Refusal::not_run(Reason::TargetRefused, message))
+        }
+        Ok(answer) if !belongs_to(answer.response.headers(), &exchange.head.attempt) => {
+            let message = "the answer belongs to another request";
+            (
+                "lost",
+                Refusal::may_have_run(Reason::TargetInvalid, message),
+            )
+        }
+        Ok(answer) => {
+            shared.dispatcher.succeeded(target.key);
+            log_sent(
+                exchange,
+                &target,
+                backup,
+                "answered",
+                answer.response.status().as_str(),
+            );
+            return deliver(exchange, source, plan, answer).await;
+        }
+    };
+    log_sent(exchange, &target, backup, outcome, &refusal.message);
+    Err(refusal.retry_after(BUSY_DELAY))
+}
+
+fn log_sent(
+    exchange: &Exchange,
+    target: &Target,
+    backup: Option<SocketAddr>,
+    outcome: &str,
+    detail: &str,
+) {
+    let backup = backup.map(|backup| backup.to_string()).unwrap_or_default();
+    log::info!(
+        target: "sent", request:% = exchange.head.attempt, route:% = exchange.route.name,
+        instance:% = target.instance, backup, outcome, detail,
+        elapsed_ms = exchange.shared.now().since(exchange.arrived).as_millis() as u64;
+        "a generation was sent to an engine"
+    );
+}
+
+async fn deliver(
+    exchange: &Arc<Exchange>,
+    source: Source,
+    plan: Plan,
+    answer: Answer,
+) -> Result<Response<Body>, Refusal> {
+    let (parts, body) = answer.response.into_parts();
+    if !parts.status.is_success() || !is_event_stream(&parts) {
+        let body = Limited::new(body, ANSWER_LIMIT).collect().await;
+        let body = body.map_err(|error| {
+            Refusal::may_have_run(Reason::TargetLost, format!("a broken answer: {error}"))
+        })?;
+        exchange.record(Outcome::Failed, parts.status.as_str());
+        return Ok(head(&parts, answer::whole(body.to_bytes())));
+    }
+    let relay = Relay::new(Arc::clone(exchange), source, plan, body, answer.connection);
+    let events = stream::unfold(relay, |mut relay| async move {
+        let next = relay.next().await?;
+        Some((next.map(Frame::data), relay))
+    });
+    let body = StreamBody::new(Box::pin(events));
+    Ok(head(&parts, BodyExt::boxed_unsync(body)))
+}
+
+fn is_event_stream(parts: &Parts) -> bool {
+    let kind = parts
+        .headers
+        .get(CONTENT_TYPE)
+        .and_then(|kind| kind.to_str().ok());
+    kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
+}
+
+fn head(parts: &Parts, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = strip(&parts.headers);
+    response
+}
+
+/// What a relay yields.
+pub type Item = Result<Bytes, Broken>;
--- /dev/null
+++ b/crates/gateway/src/control.rs
@@ -0,0 +1,9 @@
+//! Towards the platform, the other VMs and the operators.
+
+pub mod admin;
+pub mod configuration;
+pub mod current;
+pub mod discovery;
+pub mod drain;
+pub mod fleet;
+pub mod reports;
--- /dev/null
+++ b/crates/gateway/src/control/admin.rs
@@ -0,0 +1,73 @@
+//! What the load balancer, peers and operators ask a process.
+
+use {
+    crate::{Shared, control::configuration},
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{
+        Method, Request, Response, StatusCode, body::Incoming, server::conn::http1,
+        service::service_fn,
+    },
+    smol::net::{TcpListener, TcpStream},
+    smol_hyper::rt::{FuturesIo, SmolTimer},
+    std::{convert::Infallible, sync::Arc, time::Duration},
+};
+
+/// Path of the metrics.
+pub const METRICS_PATH: &str = "/metrics";
+/// Longest time between two requests of a connection.
+const IDLE_LIMIT: Duration = Duration::from_secs(10);
+/// Delay after a connection that could not be accepted.
+const ACCEPT_DELAY: Duration = Duration::from_millis(50);
+
+/// Answers on one address until the process ends.
+pub async fn listen(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let serving = Arc::clone(&shared);
+                shared.runtime.spawn(serve(serving, stream)).detach();
+            }
+            Err(error) => {
+                log::warn!(target: "admin", error:% = error; "a connection was not accepted");
+                smol::Timer::after(ACCEPT_DELAY).await;
+            }
+        }
+    }
+}
+
+async fn serve(shared: Arc<Shared>, stream: TcpStream) {
+    let service = service_fn(move |request: Request<Incoming>| {
+        let response = answer(&shared, &request);
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let served = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(IDLE_LIMIT)
+        .serve_connection(FuturesIo::new(stream), service)
+        .await;
+    if let Err(error) = served {
+        log::debug!(target: "admin", error:% = error; "a connection ended");
+    }
+}
+
+fn answer(shared: &Shared, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let (status, body) = match (request.method(), request.uri().path()) {
+        (&Method::GET, platform::READINESS_PATH) if shared.is_ready() => {
+            (StatusCode::OK, Bytes::new())
+        }
+        (&Method::GET, platform::READINESS_PATH) => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+        (&Method::GET, configuration::PATH) => match shared.current.load() {
+            Some(published) => (StatusCode::OK, published.bytes.clone()),
+            None => (StatusCode::NOT_FOUND, Bytes::new()),
+        },
+        (&Method::GET, METRICS_PATH) => match shared.metrics.encode(shared) {
+            Ok(text) => (StatusCode::OK, text.into()),
+            Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into()),
+        },
+        _ => (StatusCode::NOT_FOUND, Bytes::new()),
+    };
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/control/current.rs
@@ -0,0 +1,42 @@
+//! The configuration in force.
+
+use {
+    arc_swap::ArcSwapOption,
+    platform::store::Published,
+    std::sync::{Arc, Mutex, PoisonError},
+};
+
+/// The newest configuration; versions only rise.
+#[derive(Debug, Default)]
+pub struct Current {
+    published: ArcSwapOption<Published>,
+    replacing: Mutex<()>,
+}
+
+impl Current {
+    /// Returns the configuration in force.
+    pub fn load(&self) -> Option<Arc<Published>> {
+        self.published.load_full()
+    }
+
+    /// Returns its version; 0 before the first one.
+    pub fn version(&self) -> u64 {
+        let published = self.published.load();
+        published
+            .as_ref()
+            .map_or(0, |published| published.configuration.version())
+    }
+
+    /// Puts a configuration in force if it is newer; returns whether it is.
+    pub fn offer(&self, published: Published) -> bool {
+        let _guard = self
+            .replacing
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if published.configuration.version() <= self.version() {
+            return false;
+        }
+        self.published.store(Some(Arc::new(published)));
+        true
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control/fleet.rs
@@ -0,0 +1,93 @@
+//! The other VMs of the deployment.
+
+use {
+    base::Instant,
+    derive_more::Debug,
+    dispatch::Peers,
+    smol::{
+        Async,
+        channel::{Receiver, Sender, bounded},
+    },
+    std::{
+        net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket},
+        sync::{
+            Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
+    },
+};
+
+/// What this VM knows of the others, and the socket to them.
+#[derive(Debug)]
+pub struct Fleet {
+    peers: Mutex<Peers>,
+    #[debug(skip)]
+    socket: Async<UdpSocket>,
+    own: SocketAddrV4,
+    incarnation: u64,
+    sequence: AtomicU64,
+    newer: Sender<()>,
+    newer_seen: Receiver<()>,
+}
+
+impl Fleet {
+    /// Makes the state around a bound socket; `incarnation` is drawn at each start.
+    pub fn new(socket: Async<UdpSocket>, own: SocketAddrV4, incarnation: u64) -> Self {
+        let (newer, newer_seen) = bounded(1);
+        Self {
+            peers: Mutex::default(),
+            socket,
+            own,
+            incarnation,
+            sequence: AtomicU64::new(0),
+            newer,
+            newer_seen,
+        }
+    }
+
+    /// Returns the socket of reports.
+    pub fn socket(&self) -> &Async<UdpSocket> {
+        &self.socket
+    }
+
+    /// Returns this VM's address.
+    pub fn own(&self) -> Ipv4Addr {
+        *self.own.ip()
+    }
+
+    /// Returns where a VM takes reports; the port is the same on all.
+    pub fn address(&self, vm: Ipv4Addr) -> SocketAddr {
+        SocketAddr::from((vm, self.own.port()))
+    }
+
+    /// Returns the draw of this process.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Returns the number of the next report.
+    pub fn next_sequence(&self) -> u64 {
+        self.sequence.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Returns what is known of the peers.
+    pub fn peers(&self) -> MutexGuard<'_, Peers> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the number of VMs that were heard lately, with this one.
+    pub fn size(&self, now: Instant) -> usize {
+        self.peers().live(now).count() + 1
+    }
+
+    /// Tells the reader of configurations that a peer has a newer one.
+    pub fn tell_newer(&self) {
+        let _ = self.newer.try_send(());
+    }
+
+    /// Waits until a peer has a newer configuration.
+    pub async fn newer(&self) {
+        // The sender lives in `self`, so the channel is never closed.
+        let _ = self.newer_seen.recv().await;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,179 @@
+//! Counters and histograms of one process, in Prometheus' text format.
+//!
+//! Names and units follow OpenTelemetry's conventions. Attributes are routes of the configuration
+//! and words of this crate, so the number of series is bounded.
+
+use {
+    crate::Shared,
+    derive_more::{Debug, Display},
+    entry::{Error, logs},
+    opentelemetry::{
+        KeyValue,
+        metrics::{Counter, Gauge, Histogram, MeterProvider},
+    },
+    opentelemetry_sdk::{Resource, metrics::SdkMeterProvider},
+    prometheus::{Encoder, Registry, TextEncoder},
+    std::{sync::OnceLock, time::Duration},
+};
+
+/// Bounds of the buckets of times, in seconds.
+const TIMES: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.8, 3.0, 6.0, 15.0, 40.0,
+];
+
+/// What became of a request.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[display(rename_all = "snake_case")]
+pub enum Outcome {
+    /// A target's success was delivered whole.
+    Served,
+    /// It was refused and has not run.
+    Refused,
+    /// It failed, or its fate is unknown.
+    Failed,
+    /// The client left before the end.
+    Left,
+}
+
+/// The instruments.
+#[derive(Debug)]
+#[debug("metrics")]
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    moves: Counter<u64>,
+    first_event: Histogram<f64>,
+    duration: Histogram<f64>,
+    in_flight: Gauge<u64>,
+    version: Gauge<u64>,
+    ready: Gauge<u64>,
+    vms: Gauge<u64>,
+    leaving: Gauge<u64>,
+    log_dropped: Gauge<u64>,
+    log: OnceLock<logs::Queue>,
+}
+
+impl Metrics {
+    /// Makes the instruments of a VM.
+    ///
+    /// # Errors
+    /// Returns an error if the exporter refuses its own registry.
+    pub fn new(vm: &str) -> Result<Self, Error> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .scope_info_enabled(false)
+            .build()
+            .map_err(|error| Error::new(error.to_string()))?;
+        let resource = Resource::builder_empty()
+            .with_attribute(KeyValue::new("service.instance.id", vm.to_owned()))
+            .build();
+        let provider = SdkMeterProvider::builder()
+            .with_resource(resource)
+            .with_reader(exporter)
+            .build();
+        let meter = provider.meter("mastictrail");
+        let time = |name: &'static str, description: &'static str| {
+            let histogram = meter.f64_histogram(name).with_unit("s");
+            histogram
+                .with_description(description)
+                .with_boundaries(TIMES.to_vec())
+                .build()
+        };
+        let gauge = |name: &'static str, description: &'static str| {
+            meter.u64_gauge(name).with_description(description).build()
+        };
+        let counter = |name: &'static str, description: &'static str| {
+            meter
+                .u64_counter(name)
+                .with_description(description)
+                .build()
+        };
+        Ok(Self {
+            requests: counter(
+                "mastictrail.gateway.requests",
+                "Requests by route, outcome and reason",
+            ),
+            moves: counter(
+                "mastictrail.gateway.moves",
+                "Streams that went on at another engine, by whether it took them",
+            ),
+            first_event: time(
+                "mastictrail.gateway.first_event",
+                "Time from a request's arrival to its first event",
+            ),
+            duration: time(
+                "mastictrail.gateway.duration",
+                "Time from a request's arrival to its end",
+            ),
+            in_flight: gauge("mastictrail.gateway.in_flight", "Requests in progress"),
+            version: gauge(
+                "mastictrail.gateway.configuration.version",
+                "Configuration version in force",
+            ),
+            ready: gauge("mastictrail.gateway.ready", "1 if new connections may come"),
+            vms: gauge(
+                "mastictrail.gateway.vms",
+                "VMs that were heard lately, with this one",
+            ),
+            leaving: gauge(
+                "mastictrail.gateway.leaving_targets",
+                "Known targets that leave",
+            ),
+            log_dropped: gauge(
+                "mastictrail.gateway.log.dropped",
+                "Lines of the log that were dropped since the start",
+            ),
+            registry,
+            _provider: provider,
+            log: OnceLock::new(),
+        })
+    }
+
+    /// Counts the dropped lines of a log from now on.
+    pub fn watch_log(&self, log: logs::Queue) {
+        self.log.get_or_init(|| log);
+    }
+
+    /// Counts a request that has ended.
+    pub fn request(&self, route: &str, outcome: Outcome, reason: &str, duration: Duration) {
+        let route = KeyValue::new("route", route.to_owned());
+        let outcome = KeyValue::new("outcome", outcome.to_string());
+        let reason = KeyValue::new("reason", reason.to_owned());
+        self.duration
+            .record(duration.as_secs_f64(), &[route.clone(), outcome.clone()]);
+        self.requests.add(1, &[route, outcome, reason]);
+    }
+
+    /// Notes the time to a stream's first event.
+    pub fn first_event(&self, route: &str, time: Duration) {
+        let route = KeyValue::new("route", route.to_owned());
+        self.first_event.record(time.as_secs_f64(), &[route]);
+    }
+
+    /// Counts a stream that was to go on at another engine.
+    pub fn moved(&self, is_taken: bool) {
+        self.moves.add(1, &[KeyValue::new("taken", is_taken)]);
+    }
+
+    /// Writes all metrics.
+    ///
+    /// # Errors
+    /// Returns an error if a metric can't be written.
+    pub fn encode(&self, shared: &Shared) -> Result<Vec<u8>, Error> {
+        self.in_flight.record(shared.drain.in_flight() as u64, &[]);
+        self.version.record(shared.current.version(), &[]);
+        self.ready.record(shared.is_ready().into(), &[]);
+        self.vms.record(shared.fleet.size(shared.now()) as u64, &[]);
+        self.leaving
+            .record(shared.directory.leaving().len() as u64, &[]);
+        self.log_dropped
+            .record(self.log.get().map_or(0, logs::Queue::dropped), &[]);
+        let mut text = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut text)
+            .map_err(|error| Error::new(error.to_string()))?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/targets/directory.rs
@@ -0,0 +1,101 @@
+//! The known targets, as requests read them.
+
+use {
+    arc_swap::ArcSwap,
+    base::{Instant, key},
+    dispatch::{Listing, listing::Target},
+    std::{
+        collections::HashMap,
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+    },
+};
+
+/// Targets of each service.
+type Groups = HashMap<key::Service, Arc<[Target]>>;
+
+/// The list of targets, replaced as a whole when it changes.
+#[derive(Debug, Default)]
+pub struct Directory {
+    listing: Mutex<Listing>,
+    groups: ArcSwap<Groups>,
+    has_listed: AtomicBool,
+    revision: AtomicU64,
+}
+
+impl Directory {
+    /// Returns the targets of a service.
+    pub fn of(&self, service: key::Service) -> Arc<[Target]> {
+        self.groups
+            .load()
+            .get(&service)
+            .cloned()
+            .unwrap_or_default()
+    }
+
+    /// Returns a target by its key.
+    pub fn find(&self, target: key::Target) -> Option<Target> {
+        let groups = self.groups.load();
+        let mut targets = groups.values().flat_map(|group| group.iter());
+        targets.find(|known| known.key == target).cloned()
+    }
+
+    /// Returns whether a target is known and stays.
+    pub fn stays(&self, target: key::Target) -> bool {
+        self.find(target).is_some_and(|target| !target.is_leaving)
+    }
+
+    /// Returns the keys of targets that leave.
+    pub fn leaving(&self) -> Vec<key::Target> {
+        let groups = self.groups.load();
+        let targets = groups.values().flat_map(|group| group.iter());
+        targets
+            .filter(|target| target.is_leaving)
+            .map(|target| target.key)
+            .collect()
+    }
+
+    /// Returns whether a list of the store was ever read.
+    pub fn has_listed(&self) -> bool {
+        self.has_listed.load(Ordering::Acquire)
+    }
+
+    /// Returns the store's revision that the list has.
+    pub fn revision(&self) -> u64 {
+        self.revision.load(Ordering::Relaxed)
+    }
+
+    /// Sets the store's revision that the list has.
+    pub fn set_revision(&self, revision: u64) {
+        self.revision.store(revision, Ordering::Relaxed);
+    }
+
+    /// Changes the list; `change` returns whether anything changed.
+    pub fn update(&self, change: impl FnOnce(&mut Listing) -> bool) -> bool {
+        let mut listing = self.listing.lock().unwrap_or_else(PoisonError::into_inner);
+        if !change(&mut listing) {
+            return false;
+        }
+        let mut groups: HashMap<key::Service, Vec<Target>> = HashMap::new();
+        for target in listing.targets() {
+            groups.entry(target.service).or_default().push(target);
+        }
+        for group in groups.values_mut() {
+            group.sort_by_key(|target| target.key);
+        }
+        let groups = groups
+            .into_iter()
+            .map(|(service, group)| (service, group.into()));
+        self.groups.store(Arc::new(groups.collect()));
+        self.has_listed
+            .store(listing.has_listed(), Ordering::Release);
+        true
+    }
+
+    /// Notes that a target leaves; returns whether that is news.
+    pub fn notice(&self, target: key::Target, now: Instant) -> bool {
+        self.update(|listing| listing.notice(target, now))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -0,0 +1,187 @@
+//! Work in progress at the targets, and where new work goes.
+
+use {
+    base::{Instant, key},
+    derive_more::Debug,
+    dispatch::{
+        Budget, Generation, Lengths, Load, Placement,
+        budget::Terms,
+        listing::Target,
+        placement::{Ask, Ticket},
+    },
+    smol::channel::{Receiver, Sender, bounded},
+    std::{
+        collections::HashMap,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicUsize, Ordering},
+        },
+    },
+};
+
+#[derive(Debug)]
+struct State {
+    placement: Placement,
+    lengths: Lengths,
+    budgets: HashMap<key::Service, Budget>,
+}
+
+/// Joins the decisions about placement, lengths and retries.
+#[derive(Debug)]
+pub struct Dispatcher {
+    state: Arc<Mutex<State>>,
+    terms: Terms,
+    /// VMs that share the retry budget.
+    vms: AtomicUsize,
+    changed: Sender<()>,
+    changes: Receiver<()>,
+}
+
+/// A place at a target; dropping it frees the place.
+#[derive(Debug)]
+pub struct Place {
+    state: Arc<Mutex<State>>,
+    ticket: Ticket,
+    changed: Sender<()>,
+    is_told: bool,
+}
+
+impl Dispatcher {
+    /// Starts without work.
+    pub fn new(seed: u64, terms: Terms) -> Self {
+        let (changed, changes) = bounded(1);
+        Self {
+            state: Arc::new(Mutex::new(State {
+                placement: Placement::new(seed),
+                lengths: Lengths::default(),
+                budgets: HashMap::new(),
+            })),
+            terms,
+            vms: AtomicUsize::new(1),
+            changed,
+            changes,
+        }
+    }
+
+    /// Chooses a target and takes a place there; `None` if none has room.
+    pub fn place(
+        &self,
+        now: Instant,
+        targets: &[Target],
+        ask: &Ask<'_>,
+    ) -> Option<(Target, Place)> {
+        let mut state = self.lock();
+        let target = state.placement.choose(now, targets, ask)?.clone();
+        let ticket = state.placement.begin(target.key, ask.load);
+        drop(state);
+        Some((target, self.hold(ticket, ask.engine.is_some())))
+    }
+
+    /// Takes a place at a given target.
+    pub fn place_at(&self, target: key::Target, load: Load) -> Place {
+        let ticket = self.lock().placement.begin(target, load);
+        self.hold(ticket, true)
+    }
+
+    /// Notes an answer of a target.
+    pub fn succeeded(&self, target: key::Target) {
+        self.lock().placement.succeeded(target);
+    }
+
+    /// Notes that a target failed a request.
+    pub fn failed(&self, target: key::Target, now: Instant) {
+        self.lock().placement.failed(target, now);
+    }
+
+    /// Notes that a target refused a request for want of room.
+    pub fn refused(&self, target: key::Target, now: Instant) {
+        self.lock().placement.refused(target, now);
+    }
+
+    /// Takes the work of the other VMs, and how many VMs share the retry budget.
+    pub fn set_peers(&self, work: HashMap<key::Target, Load>, vms: usize) {
+        self.vms.store(vms, Ordering::Relaxed);
+        self.lock().placement.set_peers(work);
+    }
+
+    /// Returns this VM's own work.
+    pub fn own(&self) -> HashMap<key::Target, Load> {
+        self.lock().placement.own()
+    }
+
+    /// Estimates the tokens of an answer.
+    pub fn estimate(&self, route: &str, generation: &Generation) -> u32 {
+        self.lock().lengths.estimate(route, generation)
+    }
+
+    /// Learns from an answer that has ended.
+    pub fn learn(&self, route: &str, tokens: u32) {
+        self.lock().lengths.learn(route, tokens);
+    }
+
+    /// Counts a request of a client for the retry budget of its service.
+    pub fn request(&self, service: key::Service, now: Instant) {
+        let budgets = &mut self.lock().budgets;
+        budgets
+            .entry(service)
+            .or_default()
+            .request(now, &self.terms);
+    }
+
+    /// Takes a retry of a service's budget; returns whether there was one.
+    pub fn retry(&self, service: key::Service, now: Instant) -> bool {
+        let vms = self.vms.load(Ordering::Relaxed);
+        let budgets = &mut self.lock().budgets;
+        budgets
+            .entry(service)
+            .or_default()
+            .spend(now, &self.terms, vms)
+    }
+
+    /// Waits until this VM's own work has changed.
+    pub async fn change(&self) {
+        // The sender lives in `self`, so the channel is never closed.
+        let _ = self.changes.recv().await;
+    }
+
+    fn hold(&self, ticket: Ticket, is_told: bool) -> Place {
+        let place = Place {
+            state: Arc::clone(&self.state),
+            ticket,
+            changed: self.changed.clone(),
+            is_told,
+        };
+        place.tell();
+        place
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Place {
+    /// Notes that the prompt has been read.
+    pub fn started(&self) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.placement.started(self.ticket);
+        drop(state);
+        self.tell();
+    }
+
+    /// Wakes the sender of reports, unless it has work already.
+    fn tell(&self) {
+        if self.is_told {
+            let _ = self.changed.try_send(());
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.placement.end(self.ticket);
+        drop(state);
+        self.tell();
+    }
+}
