--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -20,12 +20,26 @@
 const RUN_COST: f64 = 12.0;
 /// Cost of full memory, in milliseconds: a preempted request is read in again.
 const MEMORY_COST: f64 = 250.0;
-/// Cost of another data centre, in milliseconds.
-const DISTANCE_COST: f64 = 4.0;
+/// Cost of another data centre for a run, in milliseconds: it is lost to a partition between them.
+const DISTANCE_COST: f64 = 30.0;
+/// Cost of another data centre for a copy, in milliseconds: the copy is what outlives a partition.
+const COPY_DISTANCE_COST: f64 = 150.0;
+/// Cost of a data centre to which the last connection failed, in milliseconds.
+const UNREACHED_COST: f64 = 600.0;
+/// Time after which a data centre is tried again.
+const UNREACHED_LIFE: Duration = Duration::from_millis(2_500);
+/// Part of a new time in the mean time that a plain service's target takes.
+const TIME_RATE: f64 = 0.3;
+/// Time in which half of what is known of a target's times is forgotten.
+const TIME_HALF_LIFE: Duration = Duration::from_secs(4);
+/// Time of a target that nothing is known of, in milliseconds.
+const TIME_PRIOR: f64 = 20.0;
 /// Width of the draw among nearly equal targets, in milliseconds.
 const DRAW_WIDTH: f64 = 12.0;
-/// Cost of one request at a plain service per slot, relative to the others.
-const SLOT_COST: f64 = 60.0;
+/// Cost of plain requests that fill all slots of a target, as a multiple of its mean time.
+const SLOT_COST: f64 = 3.0;
+/// Cost of another data centre for a plain request, in milliseconds.
+const PLAIN_DISTANCE_COST: f64 = 8.0;
 /// Time that a target is avoided after its first failure; doubles with each further one.
 const FIRST_BACKOFF: Duration = Duration::from_millis(400);
 /// Longest time that a target is avoided without a new failure.
@@ -63,6 +77,13 @@
     pub data_centre: &'a str,
 }
 
+/// How long a plain service's target took lately.
+#[derive(Clone, Copy, Debug)]
+struct Pace {
+    mean: f64,
+    at: Instant,
+}
+
 /// The machine.
 #[derive(Debug)]
 pub struct Placement {
@@ -70,6 +91,9 @@
     next: u64,
     peers: HashMap<key::Target, Load>,
     health: HashMap<key::Target, Health>,
+    paces: HashMap<key::Target, Pace>,
+    /// When a connection to a data centre last failed, unless one succeeded since.
+    unreached: HashMap<Box<str>, Instant>,
     #[debug(skip)]
     random: SmallRng,
 }
@@ -82,6 +106,8 @@
             next: 0,
             peers: HashMap::new(),
             health: HashMap::new(),
+            paces: HashMap::new(),
+            unreached: HashMap::new(),
             random: SmallRng::seed_from_u64(seed),
         }
     }
@@ -106,9 +132,12 @@
             }
             let mut load = own.get(&target.key).copied().unwrap_or_default();
             load += self.peers.get(&target.key).copied().unwrap_or_default();
-            let Some(cost) = cost(target, load, ask) else {
+            let Some(mut cost) = cost(target, load, ask, self.pace(target.key, now)) else {
                 continue;
             };
+            if self.is_unreached(&target.data_centre, now) {
+                cost += UNREACHED_COST;
+            }
             scored.push((cost + self.random.random_range(0.0..DRAW_WIDTH), target));
         }
         scored
@@ -152,8 +181,36 @@
     }
 
     /// Notes an answer of a target.
-    pub fn succeeded(&mut self, target: key::Target) {
-        self.health.remove(&target);
+    pub fn succeeded(&mut self, target: &Target) {
+        self.health.remove(&target.key);
+        self.unreached.remove(&target.data_centre);
+    }
+
+    /// Notes that no connection to a target could be made.
+    pub fn unreached(&mut self, target: &Target, now: Instant) {
+        self.failed(target.key, now);
+        self.unreached.insert(target.data_centre.clone(), now);
+    }
+
+    /// Notes the time that a plain service's target took.
+    pub fn took(&mut self, target: key::Target, time: Duration, now: Instant) {
+        let before = self.pace(target, now);
+        let mean = before + TIME_RATE * (time.as_secs_f64() * 1e3 - before);
+        self.paces.insert(target, Pace { mean, at: now });
+    }
+
+    /// Returns the mean time of a target in milliseconds; it returns to the prior as it ages.
+    fn pace(&self, target: key::Target, now: Instant) -> f64 {
+        let Some(pace) = self.paces.get(&target) else {
+            return TIME_PRIOR;
+        };
+        let lives = now.since(pace.at).as_secs_f64() / TIME_HALF_LIFE.as_secs_f64();
+        TIME_PRIOR + (pace.mean - TIME_PRIOR) * (-lives).exp2()
+    }
+
+    fn is_unreached(&self, data_centre: &str, now: Instant) -> bool {
+        let failed = self.unreached.get(data_centre);
+        failed.is_some_and(|failed| now.since(*failed) < UNREACHED_LIFE)
     }
 
     /// Notes that a target failed a request.
@@ -177,17 +234,16 @@
 }
 
 /// Returns what a request costs at a target; `None` if there is no room.
-fn cost(target: &Target, load: Load, ask: &Ask<'_>) -> Option<f64> {
-    let distance = if *target.data_centre == *ask.data_centre {
-        0.0
-    } else {
-        DISTANCE_COST
-    };
+fn cost(target: &Target, load: Load, ask: &Ask<'_>, pace: f64) -> Option<f64> {
+    let is_near = *target.data_centre == *ask.data_centre;
+    let distance = |cost| if is_near { 0.0 } else { cost };
     let Some(engine) = ask.engine else {
         let slots = f64::from(target.slots.max(1));
-        return Some(distance + SLOT_COST * f64::from(load.runs + 1) / slots);
+        let filled = f64::from(load.runs) / slots;
+        return Some(distance(PLAIN_DISTANCE_COST) + pace * (1.0 + SLOT_COST * filled));
     };
-    if load.runs >= engine.slots {
+    let is_copy = ask.load.runs == 0;
+    if !is_copy && load.runs >= engine.slots {
         return None;
     }
     let planned = f64::from(load.memory + load.copies + ask.load.memory + ask.load.copies);
@@ -195,6 +251,10 @@
     if filled > MEMORY_SHARE {
         return None;
     }
+    let memory = MEMORY_COST * filled * filled;
+    if is_copy {
+        return Some(distance(COPY_DISTANCE_COST) + memory);
+    }
     let prefill = f64::from(load.prefill) / PREFILL_RATE;
-    Some(distance + prefill + RUN_COST * f64::from(load.runs) + MEMORY_COST * filled * filled)
+    Some(distance(DISTANCE_COST) + prefill + RUN_COST * f64::from(load.runs) + memory)
 }
--- a/crates/entry/src/logs.rs
+++ b/crates/entry/src/logs.rs
@@ -16,9 +16,7 @@
     serde_json::{Map, json},
     std::{
         fmt::Arguments,
-        fs::File,
         io::{self, Write},
-        os::fd::AsFd,
         sync::{
             Arc,
             atomic::{AtomicU64, Ordering},
@@ -64,7 +62,7 @@
 pub fn start(settings: &settings::Log, vm: &str) -> Result<Queue, Error> {
     let sink: Sink = match &settings.file {
         Some(path) => Box::new(fern::log_file(path).map_err(|error| Error::file(path, error))?),
-        None => Box::new(standard_output()?),
+        None => Box::new(io::stdout()),
     };
     let queue = Queue::start(sink, settings.queue as usize, vm);
     let (lines, vm) = (queue.clone(), Box::from(vm));
@@ -79,13 +77,6 @@
     Ok(queue)
 }
 
-/// Returns standard output without the buffer that would keep the rest of a torn line.
-fn standard_output() -> Result<File, Error> {
-    let output = io::stdout().as_fd().try_clone_to_owned();
-    let output = output.map_err(|error| Error::new(format!("standard output: {error}")))?;
-    Ok(output.into())
-}
-
 impl Queue {
     /// Starts the thread that writes lines to a sink; `capacity` lines may wait.
     pub fn start(sink: Sink, capacity: usize, vm: &str) -> Self {
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -1,6 +1,7 @@
 //! Towards clients: connections, requests and answers.
 
 pub mod answer;
+pub mod evacuation;
 pub mod exchange;
 pub mod generation;
 pub mod listener;
--- /dev/null
+++ b/crates/gateway/src/clients/evacuation.rs
@@ -0,0 +1,154 @@
+//! Copies a run off an engine that leaves.
+//!
+//! Load pattern: the engine that held the copy of a run has left before the one that runs it. When
+//! the latter gives notice as well, its runs are copied once more, again and again until it is
+//! gone, so that little is read anew where they go on.
+
+use {
+    crate::{
+        Shared,
+        clients::{
+            exchange::Exchange,
+            generation::{Plan, copy},
+            relay::Copy,
+        },
+        targets::{client::Failure, dispatcher::Place},
+    },
+    base::Instant,
+    dispatch::listing::Target,
+    hyper::Method,
+    platform::engine,
+    smol::Task,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Time between two looks at the engines.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two copies of the same run.
+const COPY_INTERVAL: Duration = Duration::from_millis(400);
+/// Longest time for a copy: the longest notice of an engine, and a margin.
+const COPY_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// The copies of one run.
+#[derive(Debug, Default)]
+pub struct Evacuation {
+    under_way: Option<UnderWay>,
+    /// The engine that got a copy at the source's order.
+    copied_to: Option<Target>,
+    next_look: Instant,
+}
+
+#[derive(Debug)]
+struct UnderWay {
+    task: Task<Result<Box<str>, Failure>>,
+    target: Target,
+    /// Empty if the room is held by the copy before.
+    place: Option<Place>,
+}
+
+impl Evacuation {
+    /// Looks at the engines and starts a copy, or takes one that is complete.
+    pub fn tend(
+        &mut self,
+        exchange: &Exchange,
+        plan: &Plan,
+        source: &Target,
+        held: &mut Option<Copy>,
+    ) {
+        let shared = &exchange.shared;
+        let now = shared.now();
+        if now < self.next_look || !plan.engine.is_some_and(|engine| engine.moves) {
+            return;
+        }
+        self.next_look = now + LOOK_INTERVAL;
+        if let Some(under_way) = self
+            .under_way
+            .take_if(|under_way| under_way.task.is_finished())
+        {
+            self.complete(exchange, source, under_way, held);
+            self.next_look = now + COPY_INTERVAL;
+            return;
+        }
+        if self.under_way.is_some() || shared.directory.stays(source.key) {
+            return;
+        }
+        let stays = held
+            .as_ref()
+            .is_some_and(|held| shared.directory.stays(held.target.key));
+        let (target, place) = match (&self.copied_to, stays) {
+            (Some(target), true) => (target.clone(), None),
+            (None, true) => return,
+            (_, false) => match copy(exchange, plan, &[source.key]) {
+                Some((target, place)) => (target, Some(place)),
+                None => return,
+            },
+        };
+        let order = order(
+            Arc::clone(shared),
+            source.address,
+            exchange.head.attempt.clone(),
+            target.address,
+        );
+        self.under_way = Some(UnderWay {
+            task: shared.runtime.spawn(order),
+            target,
+            place,
+        });
+    }
+
+    fn complete(
+        &mut self,
+        exchange: &Exchange,
+        source: &Target,
+        under_way: UnderWay,
+        held: &mut Option<Copy>,
+    ) {
+        let result = smol::future::block_on(under_way.task);
+        let (is_copied, detail) = match &result {
+            Ok(_) => (true, "copied".to_owned()),
+            Err(failure) => (false, failure.to_string()),
+        };
+        log::info!(
+            target: "copied", request:% = exchange.head.attempt, instance:% = source.instance,
+            to:% = under_way.target.instance, is_copied, detail;
+            "a run was copied off an engine that leaves"
+        );
+        let Ok(handle) = result else {
+            return;
+        };
+        if let Some(place) = under_way.place {
+            *held = Some(Copy {
+                target: under_way.target.clone(),
+                place,
+                origin: source.address,
+                handle,
+            });
+        } else if let Some(held) = held {
+            held.handle = handle;
+        }
+        self.copied_to = Some(under_way.target);
+    }
+}
+
+/// Orders an engine to copy a run; returns the name of the copy.
+async fn order(
+    shared: Arc<Shared>,
+    source: SocketAddr,
+    attempt: Box<str>,
+    to: SocketAddr,
+) -> Result<Box<str>, Failure> {
+    let body = engine::move_order(&attempt, to, false);
+    let call = shared
+        .client
+        .call(source, Method::POST, engine::MOVE_PATH, body, COPY_LIMIT);
+    let (status, body) = call.await?;
+    if !status.is_success() {
+        return Err(Failure::may_have_run(format!(
+            "the engine answered {status}"
+        )));
+    }
+    let moved = engine::moved(&body).map_err(|error| Failure::may_have_run(error.to_string()))?;
+    moved
+        .handle
+        .ok_or_else(|| Failure::may_have_run("the engine named no copy"))
+}
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -12,7 +12,12 @@
     },
     base::{Instant, Reason, Refusal, Verdict, key},
     bytes::Bytes,
-    dispatch::{Generation, Load, configuration::Engine, listing::Target, placement::Ask},
+    dispatch::{
+        Generation, Load,
+        configuration::{Engine, Repeat},
+        listing::Target,
+        placement::Ask,
+    },
     futures_util::stream,
     http_body_util::{BodyExt, Limited, StreamBody},
     hyper::{Response, body::Frame, header::CONTENT_TYPE, http::response::Parts},
@@ -21,8 +26,10 @@
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
-/// Most sends of one request before its stream began.
-const MOST_SENDS: usize = 3;
+/// Most arrivals of one request at engines before its stream began.
+const MOST_ARRIVALS: u32 = 3;
+/// Time of one token of an answer, by which its end is foreseen: a step of a full batch.
+const TOKEN_TIME: Duration = Duration::from_millis(11);
 /// Time between two looks for room.
 const WAIT_POLL: Duration = Duration::from_millis(15);
 /// Part of the objective that a request may wait for room; reading its prompt takes the rest.
@@ -73,13 +80,15 @@
 /// Answers a request with a stream.
 pub async fn serve(exchange: &Arc<Exchange>) -> Result<Response<Body>, Refusal> {
     let plan = plan(exchange);
+    refuse_while_leaving(exchange, &plan)?;
     let mut excluded = Vec::new();
+    let mut arrivals = 0;
     let mut last = Refusal::not_run(Reason::NoTarget, "no engine has room").retry_after(BUSY_DELAY);
-    for sends in 0..MOST_SENDS {
+    while arrivals < MOST_ARRIVALS {
         let Some((target, place)) = wait(exchange, &plan, &excluded).await else {
             break;
         };
-        if sends > 0
+        if arrivals > 0
             && !exchange
                 .shared
                 .dispatcher
@@ -89,14 +98,20 @@
             break;
         }
         excluded.push(target.key);
-        let source = Source::new((target, place), copy(exchange, &plan, &excluded));
+        let source = Source::new(
+            (target, place),
+            copy(exchange, &plan, &excluded),
+            &exchange.head.attempt,
+        );
         match send(exchange, source, plan).await {
             Ok(response) => return Ok(response),
             Err(refusal) => last = refusal,
         }
+        // A target that was never reached leaves the retry budget and the attempts as they are.
+        let was_reached = last.reason != Reason::TargetLost || last.verdict != Verdict::NotRun;
+        arrivals += u32::from(was_reached);
         let is_repeatable = last.verdict == Verdict::NotRun
-            || exchange.route.repeat != dispatch::configuration::Repeat::Unsafe
-                && sends + 1 < exchange.route.attempts as usize;
+            || exchange.route.repeat != Repeat::Unsafe && arrivals < exchange.route.attempts;
         if !is_repeatable {
             break;
         }
@@ -104,6 +119,23 @@
     Err(last)
 }
 
+/// Sends a client whose answer would outlast this process to another VM at once.
+fn refuse_while_leaving(exchange: &Exchange, plan: &Plan) -> Result<(), Refusal> {
+    let shared = &exchange.shared;
+    if !shared.drain.is_leaving() {
+        return Ok(());
+    }
+    let duration = exchange.route.objective + TOKEN_TIME * plan.tokens;
+    if duration < shared.drain.left(shared.now()) {
+        return Ok(());
+    }
+    let refusal = Refusal::not_run(
+        Reason::NotReady,
+        "this VM stops before the answer would end",
+    );
+    Err(refusal.retry_after(Duration::ZERO))
+}
+
 fn plan(exchange: &Exchange) -> Plan {
     let generation = exchange.head.generation.unwrap_or_default();
     let service = exchange.published.configuration.service(exchange.service);
@@ -188,7 +220,11 @@
     let target = source.target().clone();
     let (outcome, refusal) = match sent {
         Err(failure) => {
-            shared.dispatcher.failed(target.key, shared.now());
+            if failure.verdict.is_repeatable() {
+                shared.dispatcher.unreached(&target, shared.now());
+            } else {
+                shared.dispatcher.failed(target.key, shared.now());
+            }
             let refusal = Refusal {
                 verdict: failure.verdict,
                 ..Refusal::not_run(Reason::TargetLost, failure.message)
@@ -208,7 +244,7 @@
             )
         }
         Ok(answer) => {
-            shared.dispatcher.succeeded(target.key);
+            shared.dispatcher.succeeded(&target);
             log_sent(
                 exchange,
                 &target,
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -9,6 +9,7 @@
     crate::{
         clients::{
             answer::Broken,
+            evacuation::Evacuation,
             exchange::Exchange,
             generation::{Item, Plan, copy, place},
         },
@@ -23,31 +24,61 @@
     dispatch::{Splitter, configuration::Repeat, listing::Target},
     entry::runtime::within,
     http_body_util::BodyExt,
-    hyper::body::Incoming,
+    hyper::body::{Frame, Incoming},
     platform::request::{Added, is_not_run},
-    std::{sync::Arc, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// Longest time without an event after which an engine counts as lost.
 const SILENCE_LIMIT: Duration = Duration::from_secs(5);
+/// Time without an event after which the engine is asked for a connection: twice the usual time
+/// between two events while other prompts are read.
+const PROBE_DELAY: Duration = Duration::from_millis(85);
+/// Time for that connection; links take a few milliseconds.
+const PROBE_LIMIT: Duration = Duration::from_millis(55);
+/// Least time between two such questions.
+const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 /// Most times that one stream goes on elsewhere.
 const MOST_MOVES: u32 = 8;
 
+/// A copy of a run's memory at another engine.
+#[derive(Debug)]
+pub struct Copy {
+    /// The engine that holds it.
+    pub target: Target,
+    /// Its room there.
+    pub place: Place,
+    /// Engine that the copy's name belongs to.
+    pub origin: SocketAddr,
+    /// Name of the copy.
+    pub handle: Box<str>,
+}
+
 /// The engine that a stream comes from, and the one that holds a copy of the run.
 #[derive(Debug)]
 pub struct Source {
     target: Target,
     place: Place,
-    backup: Option<(Target, Place)>,
+    copy: Option<Copy>,
 }
 
 impl Source {
-    /// Joins the two.
-    pub fn new((target, place): (Target, Place), backup: Option<(Target, Place)>) -> Self {
+    /// Joins an engine with the one that gets a copy as the run grows, named by the attempt.
+    pub fn new(
+        (target, place): (Target, Place),
+        backup: Option<(Target, Place)>,
+        attempt: &str,
+    ) -> Self {
+        let copy = backup.map(|(target, place)| Copy {
+            origin: target.address,
+            handle: attempt.into(),
+            target,
+            place,
+        });
         Self {
             target,
             place,
-            backup,
+            copy,
         }
     }
 
@@ -58,7 +89,7 @@
 
     /// Returns the engine that holds a copy.
     pub fn backup(&self) -> Option<&Target> {
-        self.backup.as_ref().map(|(target, _)| target)
+        self.copy.as_ref().map(|copy| &copy.target)
     }
 }
 
@@ -76,9 +107,19 @@
     events: u64,
     moves: u32,
     first: Option<Instant>,
+    heard: Instant,
+    probed: Instant,
+    evacuation: Evacuation,
     outcome: Option<(Outcome, Box<str>)>,
 }
 
+/// What reading from the engine came to.
+enum Read {
+    Bytes(Bytes),
+    End,
+    Lost(Box<str>),
+}
+
 impl Relay {
     /// Starts with the head of an answer.
     pub fn new(
@@ -88,7 +129,11 @@
         body: Incoming,
         connection: Connection,
     ) -> Self {
+        let now = exchange.shared.now();
         Self {
+            heard: now,
+            probed: now,
+            evacuation: Evacuation::default(),
             exchange,
             plan,
             source,
@@ -106,26 +151,30 @@
     /// Returns the next whole events; `None` at the end of the stream.
     pub async fn next(&mut self) -> Option<Item> {
         loop {
-            let body = self.body.as_mut()?;
-            let left = self.exchange.left();
-            if left.is_zero() {
+            self.body.as_ref()?;
+            if self.exchange.left().is_zero() {
                 return Some(Err(self.fail("the time is over")));
             }
-            let limit = left.min(SILENCE_LIMIT);
-            let lost = match within(limit, body.frame()).await {
-                Some(Some(Ok(frame))) => {
-                    if let Ok(data) = frame.into_data() {
-                        self.splitter.push(&data);
+            self.evacuation.tend(
+                &self.exchange,
+                &self.plan,
+                &self.source.target,
+                &mut self.source.copy,
+            );
+            let lost = match self.read().await {
+                Read::Bytes(bytes) => {
+                    self.splitter.push(&bytes);
+                    if self.splitter.is_overlong() {
+                        return Some(Err(self.fail("an event is too long")));
                     }
                     if let Some(events) = self.take_events() {
                         return Some(Ok(events));
                     }
                     continue;
                 }
-                Some(None) => return self.finish(),
-                Some(Some(Err(error))) => error.to_string(),
-                None if self.exchange.left().is_zero() => continue,
-                None => "no event in time".to_owned(),
+                Read::End => return self.finish(),
+                Read::Lost(_) if self.exchange.left().is_zero() => continue,
+                Read::Lost(reason) => reason,
             };
             if !self.go_on_elsewhere(&lost).await {
                 return Some(Err(self.fail(&lost)));
@@ -133,6 +182,43 @@
         }
     }
 
+    /// Reads from the engine; one that is silent is asked for a connection meanwhile.
+    async fn read(&mut self) -> Read {
+        let shared = Arc::clone(&self.exchange.shared);
+        let address = self.source.target.address;
+        loop {
+            let Some(body) = self.body.as_mut() else {
+                return Read::End;
+            };
+            let left = self.exchange.deadline.since(shared.now());
+            match within(left.min(PROBE_DELAY), body.frame()).await {
+                Some(read) => {
+                    self.heard = shared.now();
+                    return interpret(read);
+                }
+                None if left <= PROBE_DELAY => return Read::Lost("the time is over".into()),
+                None => {}
+            }
+            let now = shared.now();
+            if now.since(self.heard) >= SILENCE_LIMIT {
+                return Read::Lost("no event in time".into());
+            }
+            if self.first.is_none() || now.since(self.probed) < PROBE_INTERVAL {
+                continue;
+            }
+            self.probed = now;
+            let probe = async { Err(shared.client.reaches(address, PROBE_LIMIT).await) };
+            match smol::future::or(async { Ok(body.frame().await) }, probe).await {
+                Ok(read) => {
+                    self.heard = shared.now();
+                    return interpret(read);
+                }
+                Err(true) => {}
+                Err(false) => return Read::Lost("silent and not reachable".into()),
+            }
+        }
+    }
+
     fn take_events(&mut self) -> Option<Bytes> {
         let mut events = BytesMut::new();
         while let Some(event) = self.splitter.next_event() {
@@ -194,7 +280,7 @@
         log::info!(
             target: "moved", request:% = exchange.head.attempt, instance:% = former.instance,
             events = self.events, backup = self.source.backup().map_or("", |backup| &*backup.instance),
-            reason = lost;
+            reason:% = lost;
             "an engine broke off a stream"
         );
         self.splitter.take_rest();
@@ -202,28 +288,32 @@
         if self.moves > MOST_MOVES {
             return false;
         }
-        if let Some((backup, _copy)) = self.source.backup.take()
-            && self.go_on_from_copy(&backup, former.key).await
+        self.evacuation = Evacuation::default();
+        if let Some(copy) = self.source.copy.take()
+            && self.go_on_from_copy(copy, former.key).await
         {
             return true;
         }
         exchange.route.repeat == Repeat::Resumable && self.begin_anew(former.key).await
     }
 
-    async fn go_on_from_copy(&mut self, backup: &Target, former: key::Target) -> bool {
+    async fn go_on_from_copy(&mut self, held: Copy, former: key::Target) -> bool {
         let exchange = Arc::clone(&self.exchange);
         let shared = &exchange.shared;
-        let place = shared.dispatcher.place_at(backup.key, self.plan.load());
+        let place = shared
+            .dispatcher
+            .place_at(held.target.key, self.plan.load());
         place.started();
-        let next = copy(&exchange, &self.plan, &[former, backup.key]);
+        drop(held.place);
+        let next = copy(&exchange, &self.plan, &[former, held.target.key]);
         let added = Added {
             backup: next.as_ref().map(|(target, _)| target.address),
-            continue_from: Some((backup.address, &exchange.head.attempt)),
+            continue_from: Some((held.origin, &held.handle)),
             last_event: self.last,
             ..Added::default()
         };
-        self.attach(Source::new((backup.clone(), place), next), added)
-            .await
+        let source = Source::new((held.target, place), next, &exchange.head.attempt);
+        self.attach(source, added).await
     }
 
     async fn begin_anew(&mut self, former: key::Target) -> bool {
@@ -247,7 +337,8 @@
             last_event: self.last,
             ..Added::default()
         };
-        self.attach(Source::new(placed, None), added).await
+        self.attach(Source::new(placed, None, &exchange.head.attempt), added)
+            .await
     }
 
     /// Sends the request to another engine and takes its stream.
@@ -282,6 +373,7 @@
                 self.body = Some(response.into_body());
                 self._connection = connection;
                 self.source = source;
+                self.heard = self.exchange.shared.now();
                 true
             }
             _ => false,
@@ -308,3 +400,11 @@
         );
     }
 }
+
+fn interpret(read: Option<Result<Frame<Bytes>, hyper::Error>>) -> Read {
+    match read {
+        Some(Ok(frame)) => Read::Bytes(frame.into_data().unwrap_or_default()),
+        Some(Err(error)) => Read::Lost(error.to_string().into()),
+        None => Read::End,
+    }
+}
--- a/crates/gateway/src/control/drain.rs
+++ b/crates/gateway/src/control/drain.rs
@@ -1,13 +1,15 @@
 //! Requests in progress, and the planned stop that waits for them.
 
 use {
+    base::Instant,
     smol::channel::{Receiver, Sender, bounded},
     std::{
         convert::Infallible,
         sync::{
             Arc,
-            atomic::{AtomicBool, AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         },
+        time::Duration,
     },
 };
 
@@ -16,6 +18,8 @@
 pub struct Drain {
     in_flight: AtomicUsize,
     is_leaving: AtomicBool,
+    /// When a planned stop ends the process, in microseconds of the process's clock.
+    end: AtomicU64,
     close: Sender<Infallible>,
     closed: Receiver<Infallible>,
 }
@@ -30,6 +34,7 @@
         Self {
             in_flight: AtomicUsize::new(0),
             is_leaving: AtomicBool::new(false),
+            end: AtomicU64::new(0),
             close,
             closed,
         }
@@ -48,8 +53,9 @@
         self.in_flight.load(Ordering::Acquire)
     }
 
-    /// Begins the planned stop.
-    pub fn leave(&self) {
+    /// Begins the planned stop, which ends the process at `end`.
+    pub fn leave(&self, end: Instant) {
+        self.end.store(end.as_micros(), Ordering::Release);
         self.is_leaving.store(true, Ordering::Release);
     }
 
@@ -58,6 +64,11 @@
         self.is_leaving.load(Ordering::Acquire)
     }
 
+    /// Returns the time until a planned stop ends the process.
+    pub fn left(&self, now: Instant) -> Duration {
+        Instant::from_micros(self.end.load(Ordering::Acquire)).since(now)
+    }
+
     /// Ends idle connections, and others after their request.
     pub fn close(&self) {
         self.close.close();
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -92,7 +92,7 @@
         let begun = shared.now();
         let grace = shared.settings.load().promises.grace;
         let end = begun + grace.saturating_sub(GRACE_RESERVE);
-        shared.drain.leave();
+        shared.drain.leave(end);
         log::info!(target: "stop", in_flight = shared.drain.in_flight(); "leaving");
         let earliest = begun + LEAVE_DELAY.min(grace / 2);
         loop {
--- a/crates/gateway/src/targets/client.rs
+++ b/crates/gateway/src/targets/client.rs
@@ -127,7 +127,13 @@
         })
     }
 
-    /// Sends a small request without a body and returns the whole answer.
+    /// Returns whether a connection to an address is made within `limit`.
+    pub async fn reaches(&self, address: SocketAddr, limit: Duration) -> bool {
+        // A refused connection shows that the link is whole.
+        within(limit, TcpStream::connect(address)).await.is_some()
+    }
+
+    /// Sends a small request and returns the whole answer.
     ///
     /// # Errors
     /// Returns a failure if there is no whole answer within `limit`.
--- a/crates/gateway/src/targets/dispatcher.rs
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -16,6 +16,7 @@
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicUsize, Ordering},
         },
+        time::Duration,
     },
 };
 
@@ -84,10 +85,20 @@
     }
 
     /// Notes an answer of a target.
-    pub fn succeeded(&self, target: key::Target) {
+    pub fn succeeded(&self, target: &Target) {
         self.lock().placement.succeeded(target);
     }
 
+    /// Notes the time that a plain service's target took.
+    pub fn took(&self, target: key::Target, time: Duration, now: Instant) {
+        self.lock().placement.took(target, time, now);
+    }
+
+    /// Notes that no connection to a target could be made.
+    pub fn unreached(&self, target: &Target, now: Instant) {
+        self.lock().placement.unreached(target, now);
+    }
+
     /// Notes that a target failed a request.
     pub fn failed(&self, target: key::Target, now: Instant) {
         self.lock().placement.failed(target, now);
