--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -22,8 +22,9 @@
 const MEMORY_COST: f64 = 250.0;
 /// Cost of another data centre for a run, in milliseconds: it is lost to a partition between them.
 const DISTANCE_COST: f64 = 30.0;
-/// Cost of another data centre for a copy, in milliseconds: the copy is what outlives a partition.
-const COPY_DISTANCE_COST: f64 = 150.0;
+/// Cost of the wrong side for a copy, in milliseconds: one of the run and its copy belongs into the
+/// VM's data centre, so that a partition can't take both, and its memory holds only one of them.
+const COPY_SIDE_COST: f64 = 150.0;
 /// Cost of a data centre to which the last connection failed, in milliseconds.
 const UNREACHED_COST: f64 = 600.0;
 /// Time after which a data centre is tried again.
@@ -75,6 +76,8 @@
     pub exclude: &'a [key::Target],
     /// Data centre of this VM.
     pub data_centre: &'a str,
+    /// For a copy: whether the run is in the VM's data centre.
+    pub is_run_near: bool,
 }
 
 /// How long a plain service's target took lately.
@@ -253,7 +256,8 @@
     }
     let memory = MEMORY_COST * filled * filled;
     if is_copy {
-        return Some(distance(COPY_DISTANCE_COST) + memory);
+        let is_wrong = is_near == ask.is_run_near;
+        return Some(memory + if is_wrong { COPY_SIDE_COST } else { 0.0 });
     }
     let prefill = f64::from(load.prefill) / PREFILL_RATE;
     Some(distance(DISTANCE_COST) + prefill + RUN_COST * f64::from(load.runs) + memory)
--- a/crates/gateway/src/clients/evacuation.rs
+++ b/crates/gateway/src/clients/evacuation.rs
@@ -78,7 +78,7 @@
         let (target, place) = match (&self.copied_to, stays) {
             (Some(target), true) => (target.clone(), None),
             (None, true) => return,
-            (_, false) => match copy(exchange, plan, &[source.key]) {
+            (_, false) => match copy(exchange, plan, source, &[source.key]) {
                 Some((target, place)) => (target, Some(place)),
                 None => return,
             },
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -98,11 +98,8 @@
             break;
         }
         excluded.push(target.key);
-        let source = Source::new(
-            (target, place),
-            copy(exchange, &plan, &excluded),
-            &exchange.head.attempt,
-        );
+        let backup = copy(exchange, &plan, &target, &excluded);
+        let source = Source::new((target, place), backup, &exchange.head.attempt);
         match send(exchange, source, plan).await {
             Ok(response) => return Ok(response),
             Err(refusal) => last = refusal,
@@ -158,7 +155,7 @@
     let end = exchange.arrived + exchange.route.objective.mul_f64(WAIT_SHARE);
     loop {
         let now = exchange.shared.now();
-        if let Some(placed) = place(exchange, plan.load(), plan.engine, excluded, now) {
+        if let Some(placed) = place(exchange, plan, excluded, now) {
             return Some(placed);
         }
         if now >= end {
@@ -170,39 +167,51 @@
 
 /// Takes a place at an engine, if one has room.
 pub fn place(
+    exchange: &Exchange,
+    plan: &Plan,
+    excluded: &[key::Target],
+    now: Instant,
+) -> Option<(Target, Place)> {
+    choose(exchange, plan.load(), plan, excluded, false, now)
+}
+
+/// Takes room for the copy of a run, if that is worth it.
+pub fn copy(
+    exchange: &Exchange,
+    plan: &Plan,
+    run: &Target,
+    excluded: &[key::Target],
+) -> Option<(Target, Place)> {
+    if !plan.is_copied() {
+        return None;
+    }
+    let is_run_near = run.data_centre == exchange.shared.settings.load().vm.data_centre;
+    let now = exchange.shared.now();
+    choose(exchange, plan.copy(), plan, excluded, is_run_near, now)
+}
+
+fn choose(
     exchange: &Exchange,
     load: Load,
-    engine: Option<Engine>,
+    plan: &Plan,
     excluded: &[key::Target],
+    is_run_near: bool,
     now: Instant,
 ) -> Option<(Target, Place)> {
     let shared = &exchange.shared;
     let settings = shared.settings.load();
     let ask = Ask {
         load,
-        engine,
+        engine: plan.engine,
         exclude: excluded,
         data_centre: &settings.vm.data_centre,
+        is_run_near,
     };
     shared
         .dispatcher
         .place(now, &shared.directory.of(exchange.service), &ask)
 }
 
-/// Takes room for the copy of a run, if that is worth it.
-pub fn copy(exchange: &Exchange, plan: &Plan, excluded: &[key::Target]) -> Option<(Target, Place)> {
-    if !plan.is_copied() {
-        return None;
-    }
-    place(
-        exchange,
-        plan.copy(),
-        plan.engine,
-        excluded,
-        exchange.shared.now(),
-    )
-}
-
 async fn send(
     exchange: &Arc<Exchange>,
     source: Source,
--- a/crates/gateway/src/clients/plain.rs
+++ b/crates/gateway/src/clients/plain.rs
@@ -174,6 +174,7 @@
         engine: None,
         exclude: excluded,
         data_centre: &settings.vm.data_centre,
+        is_run_near: false,
     };
     shared
         .dispatcher
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -305,7 +305,12 @@
             .place_at(held.target.key, self.plan.load());
         place.started();
         drop(held.place);
-        let next = copy(&exchange, &self.plan, &[former, held.target.key]);
+        let next = copy(
+            &exchange,
+            &self.plan,
+            &held.target,
+            &[former, held.target.key],
+        );
         let added = Added {
             backup: next.as_ref().map(|(target, _)| target.address),
             continue_from: Some((held.origin, &held.handle)),
@@ -320,13 +325,7 @@
         let exchange = Arc::clone(&self.exchange);
         let shared = &exchange.shared;
         let now = shared.now();
-        let placed = place(
-            &exchange,
-            self.plan.load(),
-            self.plan.engine,
-            &[former],
-            now,
-        );
+        let placed = place(&exchange, &self.plan, &[former], now);
         let Some(placed) = placed else {
             return false;
         };
