feat(gateway): three VMs watch the list of targets for all

Placement took prompts to be read at the speed of an idle engine, and copies took room that runs then lacked.

Change: the watching VMs tell the others what has changed; a VM that stays behind its peers for half a second asks itself. Failed calls back off.

--- a/crates/dispatch/src/listing.rs
+++ b/crates/dispatch/src/listing.rs
@@ -66,11 +66,16 @@
     }
 
     /// Takes the removal of an entry; returns whether anything changed.
-    pub fn remove(&mut self, target: key::Target, now: Instant) -> bool {
+    ///
+    /// An entry that may return is kept for a while, and so is one removed around trouble here.
+    pub fn remove(&mut self, target: key::Target, may_return: bool, now: Instant) -> bool {
         if !self.targets.contains_key(&target) {
             return false;
         }
-        if self.in_trouble || now < self.settled {
+        if may_return {
+            self.settled = self.settled.max(now + RETURN_WINDOW);
+        }
+        if self.may_return(now) {
             let until = now.max(self.settled);
             self.lapsed.entry(target).or_insert(until);
             return false;
@@ -93,11 +98,16 @@
             changed |= self.put(target);
         }
         for key in missing {
-            changed |= self.remove(key, now);
+            changed |= self.remove(key, false, now);
         }
         changed
     }
 
+    /// Returns whether removed entries may come back.
+    pub fn may_return(&self, now: Instant) -> bool {
+        self.in_trouble || now < self.settled
+    }
+
     /// Notes that the store does not answer.
     pub fn lose_store(&mut self) {
         self.in_trouble = true;
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::Load,
-    base::{Instant, key},
+    base::{Instant, key, rendezvous},
     std::{
         collections::{HashMap, HashSet},
         net::Ipv4Addr,
@@ -19,6 +19,8 @@
 const MEMORY: Duration = Duration::from_secs(30);
 /// Addresses of other VMs in a report.
 const INTRODUCTIONS: usize = 12;
+/// Item by which the VMs that watch the store are chosen.
+const WATCH_ITEM: u64 = 1;
 
 /// Work at one target, as the inner protocol carries it.
 #[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
@@ -55,7 +57,7 @@
     /// Configuration version in force.
     #[prost(uint64, tag = "4")]
     pub configuration: u64,
-    /// Revision of the store that its list of targets has.
+    /// Revision of the last change in its list of targets.
     #[prost(uint64, tag = "5")]
     pub listing: u64,
     /// Work in progress.
@@ -70,6 +72,83 @@
     /// Whether the sender is about to stop.
     #[prost(bool, tag = "9")]
     pub is_stopping: bool,
+    /// Whether the store left the sender's last call unanswered.
+    #[prost(bool, tag = "10")]
+    pub is_store_lost: bool,
+    /// Hash of the sender's data centre.
+    #[prost(fixed64, tag = "11")]
+    pub data_centre: u64,
+}
+
+/// A target as the inner protocol carries it.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct Entry {
+    /// Revision of the store at which it was written.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Raw key of the target.
+    #[prost(fixed64, tag = "2")]
+    pub target: u64,
+    /// Its description; absent if its entry was removed.
+    #[prost(message, optional, tag = "3")]
+    pub description: Option<Description>,
+}
+
+/// What a target says of itself.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct Description {
+    /// Name of the instance.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// IP address.
+    #[prost(fixed32, tag = "2")]
+    pub address: u32,
+    /// Port.
+    #[prost(uint32, tag = "3")]
+    pub port: u32,
+    /// Raw key of the service.
+    #[prost(fixed64, tag = "4")]
+    pub service: u64,
+    /// Name of the data centre.
+    #[prost(string, tag = "5")]
+    pub data_centre: String,
+    /// Requests that it runs at once.
+    #[prost(uint32, tag = "6")]
+    pub slots: u32,
+    /// Whether it leaves.
+    #[prost(bool, tag = "7")]
+    pub is_leaving: bool,
+    /// Start of its process in Unix milliseconds.
+    #[prost(uint64, optional, tag = "8")]
+    pub born: Option<u64>,
+}
+
+/// Changes of the list of targets, from a VM that watches the store to the others.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct Changes {
+    /// Revision of the last change before these.
+    #[prost(uint64, tag = "1")]
+    pub from: u64,
+    /// Revision of the last of these.
+    #[prost(uint64, tag = "2")]
+    pub to: u64,
+    /// The changes in their order.
+    #[prost(message, repeated, tag = "3")]
+    pub entries: Vec<Entry>,
+    /// Whether removed entries may come back, since the store was in trouble.
+    #[prost(bool, tag = "4")]
+    pub may_return: bool,
+}
+
+/// What one datagram holds.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct Datagram {
+    /// A VM's report.
+    #[prost(message, optional, tag = "1")]
+    pub report: Option<Report>,
+    /// Changes of the list of targets.
+    #[prost(message, optional, tag = "2")]
+    pub changes: Option<Changes>,
 }
 
 #[derive(Debug)]
@@ -138,6 +217,51 @@
             .map(|(address, peer)| (*address, &peer.report))
     }
 
+    /// Returns the live peers of a data centre.
+    pub fn near(&self, data_centre: u64, now: Instant) -> HashSet<Ipv4Addr> {
+        let live = self.live(now);
+        live.filter(|(_, report)| report.data_centre == data_centre)
+            .map(|(address, _)| address)
+            .collect()
+    }
+
+    /// Returns whether a VM is one of `count` that watch the store for all.
+    ///
+    /// They are chosen among those whose calls the store answers, or among all if there are none.
+    pub fn is_watcher(
+        &self,
+        own: Ipv4Addr,
+        is_store_lost: bool,
+        count: usize,
+        now: Instant,
+    ) -> bool {
+        let others = || self.live(now).filter(|(_, report)| !report.is_stopping);
+        let answered = others().filter(|(_, report)| !report.is_store_lost);
+        let answered: Vec<_> = answered
+            .map(|(address, _)| u64::from(u32::from(address)))
+            .collect();
+        let own = u64::from(u32::from(own));
+        if !answered.is_empty() && is_store_lost {
+            return false;
+        }
+        let members: Vec<_> = if answered.is_empty() {
+            others()
+                .map(|(address, _)| u64::from(u32::from(address)))
+                .collect()
+        } else {
+            answered
+        };
+        rendezvous::rank(WATCH_ITEM, own, members.into_iter()) < count
+    }
+
+    /// Returns the highest revision of a change that a live peer has in its list of targets.
+    pub fn newest_listing(&self, now: Instant) -> u64 {
+        self.live(now)
+            .map(|(_, report)| report.listing)
+            .max()
+            .unwrap_or_default()
+    }
+
     /// Returns every address that a report goes to.
     pub fn addresses(&self, now: Instant) -> HashSet<Ipv4Addr> {
         let live = self.live(now).map(|(address, _)| address);
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -12,10 +12,13 @@
     std::{collections::HashMap, time::Duration},
 };
 
-/// Prompt tokens that an engine reads in a millisecond; published for engines of this kind.
-const PREFILL_RATE: f64 = 14.0;
+/// Prompt tokens that an engine reads in a millisecond between the steps of other answers: half of
+/// what engines of this kind read alone.
+const PREFILL_RATE: f64 = 7.0;
 /// Part of an engine's memory that placements may plan for; lengths are estimates.
 const MEMORY_SHARE: f64 = 0.97;
+/// Part of an engine's memory up to which copies are planned; the rest is left to runs.
+const COPY_MEMORY_SHARE: f64 = 0.75;
 /// Cost of one request that runs beside, in milliseconds: what it adds to the steps of an answer.
 const RUN_COST: f64 = 12.0;
 /// Cost of full memory, in milliseconds: a preempted request is read in again.
@@ -36,7 +39,7 @@
 /// Time of a target that nothing is known of, in milliseconds.
 const TIME_PRIOR: f64 = 20.0;
 /// Width of the draw among nearly equal targets, in milliseconds.
-const DRAW_WIDTH: f64 = 12.0;
+const DRAW_WIDTH: f64 = 40.0;
 /// Cost of plain requests that fill all slots of a target, as a multiple of its mean time.
 const SLOT_COST: f64 = 3.0;
 /// Cost of another data centre for a plain request, in milliseconds.
@@ -251,7 +254,13 @@
     }
     let planned = f64::from(load.memory + load.copies + ask.load.memory + ask.load.copies);
     let filled = planned / f64::from(engine.memory.max(1));
-    if filled > MEMORY_SHARE {
+    if filled
+        > if is_copy {
+            COPY_MEMORY_SHARE
+        } else {
+            MEMORY_SHARE
+        }
+    {
         return None;
     }
     let memory = MEMORY_COST * filled * filled;
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,6 +1,7 @@
 //! Towards the platform, the other VMs and the operators.
 
 pub mod admin;
+pub mod backoff;
 pub mod configuration;
 pub mod current;
 pub mod discovery;
--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -1,19 +1,16 @@
 //! Keeps the configuration in force up to date, from the store or from a peer.
 
 use {
-    crate::Shared,
+    crate::{Shared, control::backoff::Backoff},
     bytes::Bytes,
     hyper::Method,
     platform::store::{ANSWER_LIMIT, Failure, Published, Store, read_configuration},
-    rand::Rng,
     smol::Timer,
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// Path at which peers give their configuration.
 pub const PATH: &str = "/configuration";
-/// Time after a failed call until the next one.
-const RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Least time between two watches; a storm of changes is read in fewer calls.
 const GATHER: Duration = Duration::from_millis(250);
 /// Time that a watch of the platform has to tell of a version that a peer has already.
@@ -23,6 +20,7 @@
 pub async fn run(shared: Arc<Shared>, store: Arc<Store>) {
     let mut revision = None;
     let mut is_lost = false;
+    let mut backoff = Backoff::default();
     loop {
         let watched = match revision {
             None => store.configuration().await,
@@ -30,6 +28,7 @@
         };
         match watched {
             Ok(answer) => {
+                backoff.reset();
                 if std::mem::take(&mut is_lost) {
                     log::info!(target: "store", of = "configuration"; "the store answers again");
                 }
@@ -47,8 +46,7 @@
                     log::warn!(target: "store", of = "configuration", reason:% = failure; "the store does not answer");
                 }
                 ask_peer(&shared).await;
-                let delay = RETRY_DELAY.mul_f64(rand::rng().random_range(0.7..1.5));
-                Timer::after(delay).await;
+                Timer::after(backoff.next_delay()).await;
             }
         }
     }
--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -1,45 +1,83 @@
 //! Keeps the list of targets up to date.
+//!
+//! Calls to the store cost, so a few VMs watch the list for all and tell the others what has
+//! changed. A VM that missed a change sees it in the reports of its peers and asks the store itself.
 
 use {
-    crate::Shared,
-    dispatch::listing::Target,
-    platform::store::{Answer, Change, Failure, Store},
-    rand::Rng,
+    crate::{
+        Shared,
+        control::{backoff::Backoff, reports},
+    },
+    base::key,
+    dispatch::{
+        listing::Target,
+        peers::{Changes, Description, Entry},
+    },
+    platform::store::{Answer, Change, Failure, Kind, Store},
     smol::Timer,
-    std::{sync::Arc, time::Duration},
+    std::{
+        net::{IpAddr, Ipv4Addr, SocketAddr},
+        sync::Arc,
+        time::Duration,
+    },
 };
 
-/// Time after a failed call until the next one.
-const RETRY_DELAY: Duration = Duration::from_millis(300);
+/// VMs that watch the list for all.
+const WATCHERS: usize = 3;
+/// Longest wait of such a watch; a link that went silent is noticed after it.
+const WATCH_WAIT: Duration = Duration::from_millis(2_500);
 /// Least time between two watches: changes that come together are read in one call.
-const GATHER: Duration = Duration::from_millis(200);
+const GATHER: Duration = Duration::from_millis(100);
+/// Time between two looks of the others at what their peers know.
+const LOOK: Duration = Duration::from_millis(250);
+/// Longest wait of a read that catches up.
+const CATCH_UP_WAIT: Duration = Duration::from_millis(1);
 /// Time between two looks at what has lapsed.
 const TICK: Duration = Duration::from_millis(500);
 
 /// Reads and watches the list until the process ends.
 pub async fn run(shared: Arc<Shared>, store: Arc<Store>) {
-    let mut revision = None;
+    let mut has_history = false;
+    let mut backoff = Backoff::default();
+    let mut was_behind = false;
     loop {
-        let answer = match revision {
-            None => store.targets().await,
-            Some(revision) => {
-                let wait = shared.settings.load().platform.watch;
-                store.watch_targets(revision, wait).await
+        let answer = if !has_history {
+            store.targets().await
+        } else if shared.fleet.is_watcher(WATCHERS, shared.now()) {
+            store
+                .watch_targets(shared.directory.revision(), WATCH_WAIT)
+                .await
+        } else {
+            let is_behind = is_behind(&shared);
+            // What a peer has is on its way; only what stays behind is asked for.
+            if !(is_behind && was_behind) && !shared.fleet.is_store_lost() {
+                was_behind = is_behind;
+                Timer::after(LOOK).await;
+                continue;
             }
+            was_behind = false;
+            store
+                .watch_targets(shared.directory.revision(), CATCH_UP_WAIT)
+                .await
         };
         match answer {
             Ok(answer) => {
-                take(&shared, answer, &mut revision);
+                backoff.reset();
+                regain(&shared);
+                let changes = take(&shared, answer, !has_history);
+                has_history = true;
+                if let Some(changes) = changes {
+                    reports::tell(&shared, changes).await;
+                }
                 Timer::after(GATHER).await;
             }
             Err(Failure::HistoryGone) => {
                 log::info!(target: "store", of = "targets"; "the store dropped its history; reading the list anew");
-                revision = None;
+                has_history = false;
             }
             Err(failure) => {
                 lose(&shared, &failure);
-                let delay = RETRY_DELAY.mul_f64(rand::rng().random_range(0.7..1.5));
-                Timer::after(delay).await;
+                Timer::after(backoff.next_delay()).await;
             }
         }
     }
@@ -54,60 +92,162 @@
     }
 }
 
+/// Takes changes that a watching VM has read.
+pub fn take_changes(shared: &Shared, changes: &Changes) {
+    let known = shared.directory.revision();
+    if known < changes.from || known >= changes.to {
+        return;
+    }
+    let now = shared.now();
+    shared.directory.update(|listing| {
+        let mut changed = false;
+        for entry in changes
+            .entries
+            .iter()
+            .filter(|entry| entry.revision > known)
+        {
+            let key = key::Target::from_raw(entry.target);
+            changed |= match &entry.description {
+                Some(description) => listing.put(decode(key, description)),
+                None => listing.remove(key, changes.may_return, now),
+            };
+        }
+        changed
+    });
+    log::info!(
+        target: "target", revision = changes.to, changes = changes.entries.len();
+        "a peer told what the store has changed"
+    );
+    shared.directory.raise_revision(changes.to);
+}
+
+/// Returns whether a peer has a later list.
+fn is_behind(shared: &Shared) -> bool {
+    let newest = shared.fleet.peers().newest_listing(shared.now());
+    newest > shared.directory.revision()
+}
+
 fn lose(shared: &Shared, failure: &Failure) {
-    log::warn!(target: "store", of = "targets", reason:% = failure; "the store does not answer");
+    if shared.fleet.set_store_lost(true) {
+        log::warn!(target: "store", of = "targets", reason:% = failure; "the store does not answer");
+    }
     shared.directory.update(|listing| {
         listing.lose_store();
         false
     });
 }
 
-fn take(shared: &Shared, answer: Answer<Vec<Change>>, revision: &mut Option<u64>) {
+fn regain(shared: &Shared) {
     let now = shared.now();
-    let is_whole = revision.is_none();
     shared.directory.update(|listing| {
-        if listing.regain_store(now) {
-            log::info!(target: "store", of = "targets"; "the store answers again");
-        }
+        listing.regain_store(now);
+        false
+    });
+    if shared.fleet.set_store_lost(false) {
+        log::info!(target: "store", of = "targets"; "the store answers again");
+    }
+}
+
+/// Takes an answer of the store; returns what the other VMs are told.
+fn take(shared: &Shared, answer: Answer<Vec<Change>>, is_whole: bool) -> Option<Changes> {
+    let now = shared.now();
+    let from = shared.directory.revision();
+    let last = answer
+        .content
+        .iter()
+        .map(|change| change.revision)
+        .max()
+        .unwrap_or_default();
+    let mut changes = Changes {
+        from,
+        to: last,
+        ..Changes::default()
+    };
+    shared.directory.update(|listing| {
         if is_whole {
             let targets = answer.content.into_iter().filter_map(put).collect();
             return listing.replace(targets, now);
         }
+        changes.may_return = listing.may_return(now);
         let mut changed = false;
         for change in answer.content {
-            changed |= match change {
-                Change::Put(target) => {
+            let (entry, is_change) = match change.kind {
+                Kind::Put(target) => {
+                    let entry = encode(change.revision, &target);
                     let (key, is_leaving) = (target.key, target.is_leaving);
                     let is_change = listing.put(target);
-                    if is_change {
-                        log::info!(target: "target", target_key:% = key, is_leaving; "the store lists a target");
-                    }
-                    is_change
+                    log::info!(target: "target", target_key:% = key, is_leaving, revision = change.revision, is_change; "the store lists a target");
+                    (entry, is_change)
                 }
-                Change::Removed(key) => {
-                    let is_change = listing.remove(key, now);
-                    log::info!(target: "target", target_key:% = key, at_once = is_change; "the store no longer lists a target");
-                    is_change
+                Kind::Removed(key) => {
+                    let is_change = listing.remove(key, false, now);
+                    log::info!(target: "target", target_key:% = key, revision = change.revision, at_once = is_change; "the store no longer lists a target");
+                    let entry = Entry {
+                        revision: change.revision,
+                        target: key.raw(),
+                        description: None,
+                    };
+                    (entry, is_change)
                 }
-                Change::Unreadable(key, error) => {
+                Kind::Unreadable(key, error) => {
                     log::warn!(target: "target", target_key:% = key, error:% = error; "an entry of the store can't be read");
-                    false
+                    continue;
                 }
             };
+            changes.entries.push(entry);
+            changed |= is_change;
         }
         changed
     });
-    shared.directory.set_revision(answer.revision);
-    *revision = Some(answer.revision);
+    // A whole list holds everything up to the revision that it was read at.
+    let revision = if is_whole { answer.revision } else { last };
+    shared.directory.raise_revision(revision);
+    (!is_whole && last > from).then_some(changes)
 }
 
 fn put(change: Change) -> Option<Target> {
-    match change {
-        Change::Put(target) => Some(target),
-        Change::Removed(_) => None,
-        Change::Unreadable(key, error) => {
+    match change.kind {
+        Kind::Put(target) => Some(target),
+        Kind::Removed(_) => None,
+        Kind::Unreadable(key, error) => {
             log::warn!(target: "target", target_key:% = key, error:% = error; "an entry of the store can't be read");
             None
         }
     }
 }
+
+fn encode(revision: u64, target: &Target) -> Entry {
+    let address = match target.address.ip() {
+        IpAddr::V4(address) => u32::from(address),
+        // The platform is IPv4 alone; such an address can't be reached, here or there.
+        IpAddr::V6(_) => 0,
+    };
+    Entry {
+        revision,
+        target: target.key.raw(),
+        description: Some(Description {
+            instance: target.instance.to_string(),
+            address,
+            port: target.address.port().into(),
+            service: target.service.raw(),
+            data_centre: target.data_centre.to_string(),
+            slots: target.slots,
+            is_leaving: target.is_leaving,
+            born: target.born,
+        }),
+    }
+}
+
+fn decode(key: key::Target, description: &Description) -> Target {
+    let address = Ipv4Addr::from(description.address);
+    Target {
+        key,
+        instance: description.instance.as_str().into(),
+        address: SocketAddr::from((address, description.port as u16)),
+        service: key::Service::from_raw(description.service),
+        data_centre: description.data_centre.as_str().into(),
+        slots: description.slots,
+        is_leaving: description.is_leaving,
+        born: description.born,
+    }
+}
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -12,7 +12,7 @@
         net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket},
         sync::{
             Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
     },
 };
@@ -28,11 +28,18 @@
     sequence: AtomicU64,
     newer: Sender<()>,
     newer_seen: Receiver<()>,
+    is_store_lost: AtomicBool,
+    data_centre: u64,
 }
 
 impl Fleet {
     /// Makes the state around a bound socket; `incarnation` is drawn at each start.
-    pub fn new(socket: Async<UdpSocket>, own: SocketAddrV4, incarnation: u64) -> Self {
+    pub fn new(
+        socket: Async<UdpSocket>,
+        own: SocketAddrV4,
+        incarnation: u64,
+        data_centre: u64,
+    ) -> Self {
         let (newer, newer_seen) = bounded(1);
         Self {
             peers: Mutex::default(),
@@ -42,6 +49,8 @@
             sequence: AtomicU64::new(0),
             newer,
             newer_seen,
+            is_store_lost: AtomicBool::new(false),
+            data_centre,
         }
     }
 
@@ -75,6 +84,27 @@
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the hash of this VM's data centre.
+    pub fn data_centre(&self) -> u64 {
+        self.data_centre
+    }
+
+    /// Returns whether the store left the last call of this VM unanswered.
+    pub fn is_store_lost(&self) -> bool {
+        self.is_store_lost.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether the store answers this VM; returns whether that is a change.
+    pub fn set_store_lost(&self, is_lost: bool) -> bool {
+        self.is_store_lost.swap(is_lost, Ordering::Relaxed) != is_lost
+    }
+
+    /// Returns whether this VM watches the list of targets for all.
+    pub fn is_watcher(&self, count: usize, now: Instant) -> bool {
+        self.peers()
+            .is_watcher(self.own(), self.is_store_lost(), count, now)
+    }
+
     /// Returns the number of VMs that were heard lately, with this one.
     pub fn size(&self, now: Instant) -> usize {
         self.peers().live(now).count() + 1
--- a/crates/gateway/src/targets/directory.rs
+++ b/crates/gateway/src/targets/directory.rs
@@ -62,14 +62,14 @@
         self.has_listed.load(Ordering::Acquire)
     }
 
-    /// Returns the store's revision that the list has.
+    /// Returns the store's revision of the last change that the list has.
     pub fn revision(&self) -> u64 {
         self.revision.load(Ordering::Relaxed)
     }
 
-    /// Sets the store's revision that the list has.
-    pub fn set_revision(&self, revision: u64) {
-        self.revision.store(revision, Ordering::Relaxed);
+    /// Raises the store's revision of the last change that the list has.
+    pub fn raise_revision(&self, revision: u64) {
+        self.revision.fetch_max(revision, Ordering::Relaxed);
     }
 
     /// Changes the list; `change` returns whether anything changed.
