feat(gateway): runs without a copy are copied when their engine gives notice

Cause (grown site): copies made in advance filled the engines, so that runs found room on few of them; a VM that knew the list at another revision asked the store again and again.

--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -17,14 +17,17 @@
 const PREFILL_RATE: f64 = 7.0;
 /// Part of an engine's memory that placements may plan for; lengths are estimates.
 const MEMORY_SHARE: f64 = 0.97;
-/// Part of an engine's memory up to which copies are planned; the rest is left to runs.
-const COPY_MEMORY_SHARE: f64 = 0.75;
+/// Part of an engine's memory up to which copies are planned in advance; the rest is left to runs.
+const COPY_MEMORY_SHARE: f64 = 0.5;
 /// Cost of one request that runs beside, in milliseconds: what it adds to the steps of an answer.
 const RUN_COST: f64 = 12.0;
 /// Cost of full memory, in milliseconds: a preempted request is read in again.
 const MEMORY_COST: f64 = 250.0;
 /// Cost of another data centre for a run, in milliseconds: it is lost to a partition between them.
 const DISTANCE_COST: f64 = 30.0;
+/// The same where the work of other data centres is known only by heartbeats: what looks idle there
+/// looks so to all, and all would choose it.
+const STALE_DISTANCE_COST: f64 = 600.0;
 /// Cost of the wrong side for a copy, in milliseconds: one of the run and its copy belongs into the
 /// VM's data centre, so that a partition can't take both, and its memory holds only one of them.
 const COPY_SIDE_COST: f64 = 150.0;
@@ -69,7 +72,7 @@
 }
 
 /// What is asked of a target.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Ask<'a> {
     /// Work that the request adds.
     pub load: Load,
@@ -79,6 +82,10 @@
     pub exclude: &'a [key::Target],
     /// Data centre of this VM.
     pub data_centre: &'a str,
+    /// Whether the work in other data centres is known only by heartbeats.
+    pub is_far_stale: bool,
+    /// Whether the run of a copy is on an engine that leaves; the copy may then take all room.
+    pub is_urgent: bool,
     /// For a copy: whether the run is in the VM's data centre.
     pub is_run_near: bool,
 }
@@ -254,13 +261,12 @@
     }
     let planned = f64::from(load.memory + load.copies + ask.load.memory + ask.load.copies);
     let filled = planned / f64::from(engine.memory.max(1));
-    if filled
-        > if is_copy {
-            COPY_MEMORY_SHARE
-        } else {
-            MEMORY_SHARE
-        }
-    {
+    let limit = if is_copy && !ask.is_urgent {
+        COPY_MEMORY_SHARE
+    } else {
+        MEMORY_SHARE
+    };
+    if filled > limit {
         return None;
     }
     let memory = MEMORY_COST * filled * filled;
@@ -269,5 +275,10 @@
         return Some(memory + if is_wrong { COPY_SIDE_COST } else { 0.0 });
     }
     let prefill = f64::from(load.prefill) / PREFILL_RATE;
-    Some(distance(DISTANCE_COST) + prefill + RUN_COST * f64::from(load.runs) + memory)
+    let far = if ask.is_far_stale {
+        STALE_DISTANCE_COST
+    } else {
+        DISTANCE_COST
+    };
+    Some(distance(far) + prefill + RUN_COST * f64::from(load.runs) + memory)
 }
--- a/crates/gateway/src/clients/evacuation.rs
+++ b/crates/gateway/src/clients/evacuation.rs
@@ -9,7 +9,7 @@
         Shared,
         clients::{
             exchange::Exchange,
-            generation::{Plan, copy},
+            generation::{Plan, refuge},
             relay::Copy,
         },
         targets::{client::Failure, dispatcher::Place},
@@ -78,7 +78,7 @@
         let (target, place) = match (&self.copied_to, stays) {
             (Some(target), true) => (target.clone(), None),
             (None, true) => return,
-            (_, false) => match copy(exchange, plan, source, &[source.key]) {
+            (_, false) => match refuge(exchange, plan, source) {
                 Some((target, place)) => (target, Some(place)),
                 None => return,
             },
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -7,6 +7,7 @@
             exchange::Exchange,
             relay::{Relay, Source},
         },
+        control::reports,
         metrics::Outcome,
         targets::{client::Answer, dispatcher::Place},
     },
@@ -172,7 +173,7 @@
     excluded: &[key::Target],
     now: Instant,
 ) -> Option<(Target, Place)> {
-    choose(exchange, plan.load(), plan, excluded, false, now)
+    choose(exchange, plan.load(), plan, now, |ask| ask.exclude = excluded)
 }
 
 /// Takes room for the copy of a run, if that is worth it.
@@ -186,30 +187,44 @@
         return None;
     }
     let is_run_near = run.data_centre == exchange.shared.settings.load().vm.data_centre;
-    let now = exchange.shared.now();
-    choose(exchange, plan.copy(), plan, excluded, is_run_near, now)
+    choose(exchange, plan.copy(), plan, exchange.shared.now(), |ask| {
+        ask.exclude = excluded;
+        ask.is_run_near = is_run_near;
+    })
 }
 
-fn choose(
+/// Takes room for a run that has to leave its engine, near to it since moves over distance are slow.
+pub fn refuge(exchange: &Exchange, plan: &Plan, run: &Target) -> Option<(Target, Place)> {
+    let is_near = run.data_centre == exchange.shared.settings.load().vm.data_centre;
+    let excluded = [run.key];
+    choose(exchange, plan.copy(), plan, exchange.shared.now(), |ask| {
+        ask.exclude = &excluded;
+        ask.is_run_near = !is_near;
+        ask.is_urgent = true;
+    })
+}
+
+fn choose<'a>(
     exchange: &Exchange,
     load: Load,
     plan: &Plan,
-    excluded: &[key::Target],
-    is_run_near: bool,
     now: Instant,
+    refine: impl FnOnce(&mut Ask<'a>),
 ) -> Option<(Target, Place)> {
     let shared = &exchange.shared;
     let settings = shared.settings.load();
-    let ask = Ask {
+    let mut ask = Ask {
         load,
         engine: plan.engine,
-        exclude: excluded,
+        is_far_stale: shared.dispatcher.vms() > reports::FULL_MESH,
+        ..Ask::default()
+    };
+    refine(&mut ask);
+    let ask = Ask {
         data_centre: &settings.vm.data_centre,
-        is_run_near,
+        ..ask
     };
-    shared
-        .dispatcher
-        .place(now, &shared.directory.of(exchange.service), &ask)
+    shared.dispatcher.place(now, &shared.directory.of(exchange.service), &ask)
 }
 
 async fn send(
--- a/crates/gateway/src/clients/plain.rs
+++ b/crates/gateway/src/clients/plain.rs
@@ -171,10 +171,9 @@
             runs: 1,
             ..Load::default()
         },
-        engine: None,
         exclude: excluded,
         data_centre: &settings.vm.data_centre,
-        is_run_near: false,
+        ..Ask::default()
     };
     shared
         .dispatcher
--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -45,7 +45,7 @@
             store.targets().await
         } else if shared.fleet.is_watcher(WATCHERS, shared.now()) {
             store
-                .watch_targets(shared.directory.revision(), WATCH_WAIT)
+                .watch_targets(shared.directory.known(), WATCH_WAIT)
                 .await
         } else {
             let is_behind = is_behind(&shared);
@@ -57,7 +57,7 @@
             }
             was_behind = false;
             store
-                .watch_targets(shared.directory.revision(), CATCH_UP_WAIT)
+                .watch_targets(shared.directory.known(), CATCH_UP_WAIT)
                 .await
         };
         match answer {
@@ -94,7 +94,7 @@
 
 /// Takes changes that a watching VM has read.
 pub fn take_changes(shared: &Shared, changes: &Changes) {
-    let known = shared.directory.revision();
+    let known = shared.directory.known();
     if known < changes.from || known >= changes.to {
         return;
     }
@@ -118,13 +118,13 @@
         target: "target", revision = changes.to, changes = changes.entries.len();
         "a peer told what the store has changed"
     );
-    shared.directory.raise_revision(changes.to);
+    shared.directory.raise(changes.to, changes.to);
 }
 
 /// Returns whether a peer has a later list.
 fn is_behind(shared: &Shared) -> bool {
     let newest = shared.fleet.peers().newest_listing(shared.now());
-    newest > shared.directory.revision()
+    newest > shared.directory.known()
 }
 
 fn lose(shared: &Shared, failure: &Failure) {
@@ -151,7 +151,7 @@
 /// Takes an answer of the store; returns what the other VMs are told.
 fn take(shared: &Shared, answer: Answer<Vec<Change>>, is_whole: bool) -> Option<Changes> {
     let now = shared.now();
-    let from = shared.directory.revision();
+    let from = shared.directory.changed();
     let last = answer
         .content
         .iter()
@@ -199,9 +199,7 @@
         }
         changed
     });
-    // A whole list holds everything up to the revision that it was read at.
-    let revision = if is_whole { answer.revision } else { last };
-    shared.directory.raise_revision(revision);
+    shared.directory.raise(answer.revision, last);
     (!is_whole && last > from).then_some(changes)
 }
 
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -20,7 +20,7 @@
 const GATHER: Duration = Duration::from_millis(25);
 /// Most VMs that each change of work is told to at once; in a larger fleet only those of the same
 /// data centre hear of it before the next heartbeat.
-const FULL_MESH: usize = 40;
+pub const FULL_MESH: usize = 40;
 /// Largest datagram that is read, in bytes.
 const DATAGRAM_LIMIT: usize = 8 << 10;
 
@@ -96,7 +96,7 @@
         incarnation: shared.fleet.incarnation(),
         sequence: shared.fleet.next_sequence(),
         configuration: shared.current.version(),
-        listing: shared.directory.revision(),
+        listing: shared.directory.changed(),
         work: work(shared),
         leaving: shared
             .directory
--- a/crates/gateway/src/targets/directory.rs
+++ b/crates/gateway/src/targets/directory.rs
@@ -22,7 +22,10 @@
     listing: Mutex<Listing>,
     groups: ArcSwap<Groups>,
     has_listed: AtomicBool,
-    revision: AtomicU64,
+    /// Revision of the store up to which all changes are known.
+    known: AtomicU64,
+    /// Revision of the last change.
+    changed: AtomicU64,
 }
 
 impl Directory {
@@ -62,14 +65,20 @@
         self.has_listed.load(Ordering::Acquire)
     }
 
-    /// Returns the store's revision of the last change that the list has.
-    pub fn revision(&self) -> u64 {
-        self.revision.load(Ordering::Relaxed)
+    /// Returns the store's revision up to which all changes are known.
+    pub fn known(&self) -> u64 {
+        self.known.load(Ordering::Relaxed)
     }
 
-    /// Raises the store's revision of the last change that the list has.
-    pub fn raise_revision(&self, revision: u64) {
-        self.revision.fetch_max(revision, Ordering::Relaxed);
+    /// Returns the store's revision of the last change.
+    pub fn changed(&self) -> u64 {
+        self.changed.load(Ordering::Relaxed)
+    }
+
+    /// Notes that all changes up to a revision are known, the last of which had another.
+    pub fn raise(&self, known: u64, changed: u64) {
+        self.known.fetch_max(known.max(changed), Ordering::Relaxed);
+        self.changed.fetch_max(changed, Ordering::Relaxed);
     }
 
     /// Changes the list; `change` returns whether anything changed.
--- a/crates/gateway/src/targets/dispatcher.rs
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -115,6 +115,11 @@
         self.lock().placement.set_peers(work);
     }
 
+    /// Returns the number of VMs that were heard lately, with this one.
+    pub fn vms(&self) -> usize {
+        self.vms.load(Ordering::Relaxed)
+    }
+
     /// Returns this VM's own work.
     pub fn own(&self) -> HashMap<key::Target, Load> {
         self.lock().placement.own()
