feat(gateway): a load view that is fresh on 139 VMs

Each report made a VM sum up all of them, heartbeats came in step, other data centres were known by heartbeats alone and looked idle to all, and copies made in advance left half of the engines without room. At the start every VM watched the list of targets, since none knew another yet.

Ruled out: lost datagrams (138 of 138 heartbeats arrive).

--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -61,7 +61,7 @@
 pub struct Platform {
     /// Address of the store.
     pub address: SocketAddr,
-    /// Longest wait of a watch.
+    /// Longest wait of a watch; shorter than the 20 s of history that the store keeps.
     pub watch: Duration,
 }
 
@@ -69,7 +69,7 @@
     fn default() -> Self {
         Self {
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8742)),
-            watch: Duration::from_secs(10),
+            watch: Duration::from_secs(15),
         }
     }
 }
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -13,12 +13,12 @@
     },
 };
 
-/// Time without a report after which a peer counts as gone: three heartbeats.
-pub const SILENCE: Duration = Duration::from_secs(4);
+/// Time without a report after which a peer counts as gone: two missed heartbeats and a margin.
+pub const SILENCE: Duration = Duration::from_secs(5);
 /// Time after which an address that never answered is asked less often.
 const MEMORY: Duration = Duration::from_secs(30);
 /// Addresses of other VMs in a report.
-const INTRODUCTIONS: usize = 12;
+const INTRODUCTIONS: usize = 40;
 /// Item by which the VMs that watch the store are chosen.
 const WATCH_ITEM: u64 = 1;
 
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -18,7 +18,7 @@
 /// Part of an engine's memory that placements may plan for; lengths are estimates.
 const MEMORY_SHARE: f64 = 0.97;
 /// Part of an engine's memory up to which copies are planned in advance; the rest is left to runs.
-const COPY_MEMORY_SHARE: f64 = 0.5;
+const COPY_MEMORY_SHARE: f64 = 0.35;
 /// Cost of one request that runs beside, in milliseconds: what it adds to the steps of an answer.
 const RUN_COST: f64 = 12.0;
 /// Cost of full memory, in milliseconds: a preempted request is read in again.
@@ -90,6 +90,26 @@
     pub is_run_near: bool,
 }
 
+/// What a choice was made by.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Basis {
+    /// Cost of the chosen target in milliseconds.
+    pub cost: f64,
+    /// Work known there before.
+    pub load: Load,
+    /// Targets with room.
+    pub candidates: usize,
+}
+
+/// A chosen target.
+#[derive(Clone, Copy, Debug)]
+pub struct Choice<'a> {
+    /// The target.
+    pub target: &'a Target,
+    /// What it was chosen by.
+    pub basis: Basis,
+}
+
 /// How long a plain service's target took lately.
 #[derive(Clone, Copy, Debug)]
 struct Pace {
@@ -131,14 +151,15 @@
         now: Instant,
         targets: &'a [Target],
         ask: &Ask<'_>,
-    ) -> Option<&'a Target> {
+    ) -> Option<Choice<'a>> {
         let usable: Vec<_> = targets
             .iter()
             .filter(|target| !target.is_leaving && !ask.exclude.contains(&target.key))
             .collect();
-        let own = self.own();
-        let mut scored: Vec<_> = Vec::new();
         let all_avoided = usable.iter().all(|target| self.is_avoided(target.key, now));
+        let own = self.own();
+        let mut best: Option<(f64, &Target, Load)> = None;
+        let mut candidates = 0;
         for target in usable {
             if !all_avoided && self.is_avoided(target.key, now) {
                 continue;
@@ -148,15 +169,23 @@
             let Some(mut cost) = cost(target, load, ask, self.pace(target.key, now)) else {
                 continue;
             };
+            candidates += 1;
             if self.is_unreached(&target.data_centre, now) {
                 cost += UNREACHED_COST;
             }
-            scored.push((cost + self.random.random_range(0.0..DRAW_WIDTH), target));
+            cost += self.random.random_range(0.0..DRAW_WIDTH);
+            if best.is_none_or(|(lowest, ..)| cost < lowest) {
+                best = Some((cost, target, load));
+            }
         }
-        scored
-            .into_iter()
-            .min_by(|one, other| one.0.total_cmp(&other.0))
-            .map(|(_, target)| target)
+        best.map(|(cost, target, load)| Choice {
+            target,
+            basis: Basis {
+                cost,
+                load,
+                candidates,
+            },
+        })
     }
 
     /// Notes that a request goes to a target.
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -24,7 +24,7 @@
     hyper::{Response, body::Frame, header::CONTENT_TYPE, http::response::Parts},
     platform::request::{Added, belongs_to, is_not_run, strip},
     smol::Timer,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{sync::Arc, time::Duration},
 };
 
 /// Most arrivals of one request at engines before its stream began.
@@ -173,7 +173,9 @@
     excluded: &[key::Target],
     now: Instant,
 ) -> Option<(Target, Place)> {
-    choose(exchange, plan.load(), plan, now, |ask| ask.exclude = excluded)
+    choose(exchange, plan.load(), plan, now, |ask| {
+        ask.exclude = excluded
+    })
 }
 
 /// Takes room for the copy of a run, if that is worth it.
@@ -212,6 +214,7 @@
     refine: impl FnOnce(&mut Ask<'a>),
 ) -> Option<(Target, Place)> {
     let shared = &exchange.shared;
+    shared.take_peers_work();
     let settings = shared.settings.load();
     let mut ask = Ask {
         load,
@@ -224,7 +227,9 @@
         data_centre: &settings.vm.data_centre,
         ..ask
     };
-    shared.dispatcher.place(now, &shared.directory.of(exchange.service), &ask)
+    shared
+        .dispatcher
+        .place(now, &shared.directory.of(exchange.service), &ask)
 }
 
 async fn send(
@@ -237,7 +242,6 @@
         backup: source.backup().map(|backup| backup.address),
         ..Added::default()
     };
-    let backup: Option<SocketAddr> = added.backup;
     exchange.note_sent();
     let request = exchange.request(source.target(), added);
     let sent = shared.client.send(source.target().address, request).await;
@@ -271,29 +275,26 @@
             shared.dispatcher.succeeded(&target);
             log_sent(
                 exchange,
-                &target,
-                backup,
+                &source,
                 "answered",
                 answer.response.status().as_str(),
             );
             return deliver(exchange, source, plan, answer).await;
         }
     };
-    log_sent(exchange, &target, backup, outcome, &refusal.message);
+    log_sent(exchange, &source, outcome, &refusal.message);
     Err(refusal.retry_after(BUSY_DELAY))
 }
 
-fn log_sent(
-    exchange: &Exchange,
-    target: &Target,
-    backup: Option<SocketAddr>,
-    outcome: &str,
-    detail: &str,
-) {
-    let backup = backup.map(|backup| backup.to_string()).unwrap_or_default();
+fn log_sent(exchange: &Exchange, source: &Source, outcome: &str, detail: &str) {
+    let basis = source.place().basis();
     log::info!(
         target: "sent", request:% = exchange.head.attempt, route:% = exchange.route.name,
-        instance:% = target.instance, backup, outcome, detail,
+        instance:% = source.target().instance,
+        backup = source.backup().map_or("", |backup| &*backup.instance), outcome, detail,
+        runs = basis.load.runs, memory = basis.load.memory, copies = basis.load.copies,
+        prefill = basis.load.prefill, candidates = basis.candidates, cost_ms = basis.cost as u64,
+        vms = exchange.shared.dispatcher.vms(),
         elapsed_ms = exchange.shared.now().since(exchange.arrived).as_millis() as u64;
         "a generation was sent to an engine"
     );
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -87,6 +87,11 @@
         &self.target
     }
 
+    /// Returns the run's place at the engine.
+    pub fn place(&self) -> &Place {
+        &self.place
+    }
+
     /// Returns the engine that holds a copy.
     pub fn backup(&self) -> Option<&Target> {
         self.copy.as_ref().map(|copy| &copy.target)
--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -12,7 +12,7 @@
 /// Path at which peers give their configuration.
 pub const PATH: &str = "/configuration";
 /// Least time between two watches; a storm of changes is read in fewer calls.
-const GATHER: Duration = Duration::from_millis(250);
+const GATHER: Duration = Duration::from_millis(500);
 /// Time that a watch of the platform has to tell of a version that a peer has already.
 const PEER_LEAD: Duration = Duration::from_millis(100);
 
--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -30,6 +30,8 @@
 const GATHER: Duration = Duration::from_millis(100);
 /// Time between two looks of the others at what their peers know.
 const LOOK: Duration = Duration::from_millis(250);
+/// Time after the start in which peers are heard, so that few VMs begin to watch.
+const SETTLE: Duration = Duration::from_millis(2_500);
 /// Longest wait of a read that catches up.
 const CATCH_UP_WAIT: Duration = Duration::from_millis(1);
 /// Time between two looks at what has lapsed.
@@ -40,6 +42,7 @@
     let mut has_history = false;
     let mut backoff = Backoff::default();
     let mut was_behind = false;
+    let started = shared.now();
     loop {
         let answer = if !has_history {
             store.targets().await
@@ -69,7 +72,8 @@
                 if let Some(changes) = changes {
                     reports::tell(&shared, changes).await;
                 }
-                Timer::after(GATHER).await;
+                let settled = started + SETTLE;
+                Timer::after(GATHER.max(settled.since(shared.now()))).await;
             }
             Err(Failure::HistoryGone) => {
                 log::info!(target: "store", of = "targets"; "the store dropped its history; reading the list anew");
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -29,6 +29,7 @@
     newer: Sender<()>,
     newer_seen: Receiver<()>,
     is_store_lost: AtomicBool,
+    has_changed: AtomicBool,
     data_centre: u64,
 }
 
@@ -50,6 +51,7 @@
             newer,
             newer_seen,
             is_store_lost: AtomicBool::new(false),
+            has_changed: AtomicBool::new(false),
             data_centre,
         }
     }
@@ -105,6 +107,16 @@
             .is_watcher(self.own(), self.is_store_lost(), count, now)
     }
 
+    /// Notes that a peer has reported.
+    pub fn set_changed(&self) {
+        self.has_changed.store(true, Ordering::Release);
+    }
+
+    /// Returns whether a peer has reported since the last call.
+    pub fn take_changed(&self) -> bool {
+        self.has_changed.swap(false, Ordering::AcqRel)
+    }
+
     /// Returns the number of VMs that were heard lately, with this one.
     pub fn size(&self, now: Instant) -> usize {
         self.peers().live(now).count() + 1
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -5,6 +5,7 @@
     dispatch::peers::{Changes, Datagram, Report, Work},
     entry::runtime::within,
     prost::Message,
+    rand::Rng,
     smol::Timer,
     std::{
         collections::HashSet,
@@ -14,10 +15,14 @@
     },
 };
 
-/// Longest time between two reports; a third of the silence after which a VM counts as gone.
+/// Longest time between two reports in a small fleet; several are missed before a VM counts as gone.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// The same in a large fleet, where each costs a datagram to every other VM.
+const LARGE_HEARTBEAT: Duration = Duration::from_millis(2_000);
+/// Part of a heartbeat by which it is drawn longer or shorter, so that VMs don't report in step.
+const SCATTER: f64 = 0.15;
 /// Time in which changes of work are gathered into one report.
-const GATHER: Duration = Duration::from_millis(25);
+const GATHER: Duration = Duration::from_millis(4);
 /// Most VMs that each change of work is told to at once; in a larger fleet only those of the same
 /// data centre hear of it before the next heartbeat.
 pub const FULL_MESH: usize = 40;
@@ -28,20 +33,32 @@
 pub async fn send(shared: Arc<Shared>) {
     let mut turn = 0;
     let mut last_to_all = shared.now();
+    let mut heartbeat = HEARTBEAT;
     loop {
         let now = shared.now();
-        let is_heartbeat = turn == 0 || now.since(last_to_all) >= HEARTBEAT;
+        let is_heartbeat = turn == 0 || now.since(last_to_all) >= heartbeat;
         if is_heartbeat {
             last_to_all = now;
+            heartbeat = next_heartbeat(&shared);
+            shared.take_peers_work();
         }
         turn += 1;
         send_once(&shared, turn, is_heartbeat).await;
-        let pause = HEARTBEAT.saturating_sub(shared.now().since(last_to_all));
+        let pause = heartbeat.saturating_sub(shared.now().since(last_to_all));
         within(pause, shared.dispatcher.change()).await;
         Timer::after(GATHER).await;
     }
 }
 
+fn next_heartbeat(shared: &Shared) -> Duration {
+    let heartbeat = if shared.dispatcher.vms() > FULL_MESH {
+        LARGE_HEARTBEAT
+    } else {
+        HEARTBEAT
+    };
+    heartbeat.mul_f64(rand::rng().random_range(1.0 - SCATTER..1.0 + SCATTER))
+}
+
 /// Takes datagrams until the process ends.
 pub async fn receive(shared: Arc<Shared>) {
     let mut buffer = vec![0; DATAGRAM_LIMIT];
@@ -49,8 +66,12 @@
         match shared.fleet.socket().recv_from(&mut buffer).await {
             Ok((length, _sender)) => match Datagram::decode(&buffer[..length]) {
                 Ok(datagram) => {
-                    if let Some(report) = datagram.report {
-                        take(&shared, report);
+                    if let Some(report) = datagram.report
+                        && let Some(newcomer) = take(&shared, report)
+                    {
+                        // A VM that has just started hears of all others from the first answers.
+                        let answer = self::report(&shared, rand::random());
+                        broadcast(&shared, &answer, HashSet::from([newcomer])).await;
                     }
                     if let Some(changes) = datagram.changes {
                         discovery::take_changes(&shared, &changes);
@@ -80,17 +101,23 @@
 
 async fn send_once(shared: &Shared, turn: u64, is_heartbeat: bool) {
     let now = shared.now();
-    let (mut addresses, introductions) = {
+    let mut addresses = {
         let mut peers = shared.fleet.peers();
         peers.advance(now);
         let all = peers.addresses(now);
-        let addresses = if is_heartbeat || all.len() <= FULL_MESH {
+        if is_heartbeat || all.len() <= FULL_MESH {
             all
         } else {
             peers.near(shared.fleet.data_centre(), now)
-        };
-        (addresses, peers.introductions(turn, now))
+        }
     };
+    if is_heartbeat {
+        addresses.extend(seeds(shared));
+    }
+    broadcast(shared, &report(shared, turn), addresses).await;
+}
+
+fn report(shared: &Shared, turn: u64) -> Datagram {
     let report = Report {
         address: shared.fleet.own().into(),
         incarnation: shared.fleet.incarnation(),
@@ -104,19 +131,15 @@
             .iter()
             .map(|key| key.raw())
             .collect(),
-        introductions,
+        introductions: shared.fleet.peers().introductions(turn, shared.now()),
         is_stopping: shared.drain.is_leaving(),
         is_store_lost: shared.fleet.is_store_lost(),
         data_centre: shared.fleet.data_centre(),
     };
-    if is_heartbeat {
-        addresses.extend(seeds(shared));
-    }
-    let datagram = Datagram {
+    Datagram {
         report: Some(report),
         changes: None,
-    };
-    broadcast(shared, &datagram, addresses).await;
+    }
 }
 
 async fn broadcast(shared: &Shared, datagram: &Datagram, mut addresses: HashSet<Ipv4Addr>) {
@@ -156,20 +179,19 @@
         .collect()
 }
 
-fn take(shared: &Shared, report: Report) {
+/// Takes a report; returns the address of a VM that was not known before.
+fn take(shared: &Shared, report: Report) -> Option<Ipv4Addr> {
     let now = shared.now();
     let address = Ipv4Addr::from(report.address);
     let configuration = report.configuration;
-    let (news, work, vms) = {
-        let mut peers = shared.fleet.peers();
-        let Some(news) = peers.receive(report, shared.fleet.own(), now) else {
-            return;
-        };
-        (news, peers.work(now), peers.live(now).count() + 1)
-    };
-    shared.dispatcher.set_peers(work, vms);
+    let news = shared
+        .fleet
+        .peers()
+        .receive(report, shared.fleet.own(), now);
+    let news = news?;
+    shared.fleet.set_changed();
     if news.is_new {
-        log::info!(target: "peer", peer:% = address, vms = vms; "a peer was heard");
+        log::info!(target: "peer", peer:% = address, vms = shared.fleet.size(now); "a peer was heard");
     }
     for target in news.leaving {
         if shared.directory.notice(target, now) {
@@ -182,4 +204,5 @@
     if configuration > shared.current.version() {
         shared.fleet.tell_newer();
     }
+    news.is_new.then_some(address)
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -44,6 +44,18 @@
         self.clock.now()
     }
 
+    /// Takes the work of the peers into account, if any has reported since the last time.
+    pub fn take_peers_work(&self) {
+        if !self.fleet.take_changed() {
+            return;
+        }
+        let now = self.now();
+        let peers = self.fleet.peers();
+        let (work, vms) = (peers.work(now), peers.live(now).count() + 1);
+        drop(peers);
+        self.dispatcher.set_peers(work, vms);
+    }
+
     /// Returns whether new connections may come: configured, with a list of targets, not stopping.
     pub fn is_ready(&self) -> bool {
         !self.drain.is_leaving() && self.current.load().is_some() && self.directory.has_listed()
--- a/crates/gateway/src/targets/dispatcher.rs
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -7,7 +7,7 @@
         Budget, Generation, Lengths, Load, Placement,
         budget::Terms,
         listing::Target,
-        placement::{Ask, Ticket},
+        placement::{Ask, Basis, Ticket},
     },
     smol::channel::{Receiver, Sender, bounded},
     std::{
@@ -43,6 +43,7 @@
 pub struct Place {
     state: Arc<Mutex<State>>,
     ticket: Ticket,
+    basis: Basis,
     changed: Sender<()>,
     is_told: bool,
 }
@@ -72,16 +73,17 @@
         ask: &Ask<'_>,
     ) -> Option<(Target, Place)> {
         let mut state = self.lock();
-        let target = state.placement.choose(now, targets, ask)?.clone();
+        let choice = state.placement.choose(now, targets, ask)?;
+        let (target, basis) = (choice.target.clone(), choice.basis);
         let ticket = state.placement.begin(target.key, ask.load);
         drop(state);
-        Some((target, self.hold(ticket, ask.engine.is_some())))
+        Some((target, self.hold(ticket, basis, ask.engine.is_some())))
     }
 
     /// Takes a place at a given target.
     pub fn place_at(&self, target: key::Target, load: Load) -> Place {
         let ticket = self.lock().placement.begin(target, load);
-        self.hold(ticket, true)
+        self.hold(ticket, Basis::default(), true)
     }
 
     /// Notes an answer of a target.
@@ -160,10 +162,11 @@
         let _ = self.changes.recv().await;
     }
 
-    fn hold(&self, ticket: Ticket, is_told: bool) -> Place {
+    fn hold(&self, ticket: Ticket, basis: Basis, is_told: bool) -> Place {
         let place = Place {
             state: Arc::clone(&self.state),
             ticket,
+            basis,
             changed: self.changed.clone(),
             is_told,
         };
@@ -177,6 +180,11 @@
 }
 
 impl Place {
+    /// Returns what the target was chosen by.
+    pub fn basis(&self) -> &Basis {
+        &self.basis
+    }
+
     /// Notes that the prompt has been read.
     pub fn started(&self) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
