test(gateway): the real process before stand-ins of the platform

A test found that a copy which was ready when its engine broke off was not used, since its result was looked for only every 100 ms; it is now waited for.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod platform;
 pub mod proxy;
 pub mod service;
+pub mod site;
 pub mod sync;
 
 pub use command::run;
--- a/crates/gateway/src/clients/evacuation.rs
+++ b/crates/gateway/src/clients/evacuation.rs
@@ -16,6 +16,7 @@
     },
     base::Instant,
     dispatch::listing::Target,
+    entry::runtime::within,
     hyper::Method,
     platform::engine,
     smol::Task,
@@ -29,6 +30,9 @@
 /// Longest time for a copy: the longest notice of an engine, and a margin.
 const COPY_LIMIT: Duration = Duration::from_millis(2_500);
 
+/// Time for the answer about a copy once its engine has broken off: the answer was on its way.
+const FINISH_LIMIT: Duration = Duration::from_millis(50);
+
 /// The copies of one run.
 #[derive(Debug, Default)]
 pub struct Evacuation {
@@ -65,7 +69,14 @@
             .under_way
             .take_if(|under_way| under_way.task.is_finished())
         {
-            self.complete(exchange, source, under_way, held);
+            let result = smol::future::block_on(under_way.task);
+            self.complete(
+                exchange,
+                source,
+                (under_way.target, under_way.place),
+                result,
+                held,
+            );
             self.next_look = now + COPY_INTERVAL;
             return;
         }
@@ -96,29 +107,45 @@
         });
     }
 
+    /// Waits for a copy that is under way when the engine breaks off.
+    pub async fn finish(&mut self, exchange: &Exchange, source: &Target, held: &mut Option<Copy>) {
+        let Some(under_way) = self.under_way.take() else {
+            return;
+        };
+        let result = within(FINISH_LIMIT, under_way.task).await;
+        let result = result.unwrap_or_else(|| Err(Failure::may_have_run("no answer in time")));
+        self.complete(
+            exchange,
+            source,
+            (under_way.target, under_way.place),
+            result,
+            held,
+        );
+    }
+
     fn complete(
         &mut self,
         exchange: &Exchange,
         source: &Target,
-        under_way: UnderWay,
+        (target, place): (Target, Option<Place>),
+        result: Result<Box<str>, Failure>,
         held: &mut Option<Copy>,
     ) {
-        let result = smol::future::block_on(under_way.task);
         let (is_copied, detail) = match &result {
             Ok(_) => (true, "copied".to_owned()),
             Err(failure) => (false, failure.to_string()),
         };
         log::info!(
             target: "copied", request:% = exchange.head.attempt, instance:% = source.instance,
-            to:% = under_way.target.instance, is_copied, detail;
+            to:% = target.instance, is_copied, detail;
             "a run was copied off an engine that leaves"
         );
         let Ok(handle) = result else {
             return;
         };
-        if let Some(place) = under_way.place {
+        if let Some(place) = place {
             *held = Some(Copy {
-                target: under_way.target.clone(),
+                target: target.clone(),
                 place,
                 origin: source.address,
                 handle,
@@ -126,7 +153,7 @@
         } else if let Some(held) = held {
             held.handle = handle;
         }
-        self.copied_to = Some(under_way.target);
+        self.copied_to = Some(target);
     }
 }
 
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -293,7 +293,10 @@
         if self.moves > MOST_MOVES {
             return false;
         }
-        self.evacuation = Evacuation::default();
+        let mut evacuation = std::mem::take(&mut self.evacuation);
+        evacuation
+            .finish(&exchange, &former, &mut self.source.copy)
+            .await;
         if let Some(copy) = self.source.copy.take()
             && self.go_on_from_copy(copy, former.key).await
         {
--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -31,7 +31,7 @@
 /// Time between two looks of the others at what their peers know.
 const LOOK: Duration = Duration::from_millis(250);
 /// Time after the start in which peers are heard, so that few VMs begin to watch.
-const SETTLE: Duration = Duration::from_millis(2_500);
+const SETTLE: Duration = Duration::from_millis(1_200);
 /// Longest wait of a read that catches up.
 const CATCH_UP_WAIT: Duration = Duration::from_millis(1);
 /// Time between two looks at what has lapsed.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -49,7 +49,7 @@
     version: Gauge<u64>,
     ready: Gauge<u64>,
     vms: Gauge<u64>,
-    leaving: Gauge<u64>,
+    targets: Gauge<u64>,
     log_dropped: Gauge<u64>,
     log: OnceLock<logs::Queue>,
 }
@@ -117,9 +117,9 @@
                 "mastictrail.gateway.vms",
                 "VMs that were heard lately, with this one",
             ),
-            leaving: gauge(
-                "mastictrail.gateway.leaving_targets",
-                "Known targets that leave",
+            targets: gauge(
+                "mastictrail.gateway.targets",
+                "Known targets, by whether they leave",
             ),
             log_dropped: gauge(
                 "mastictrail.gateway.log.dropped",
@@ -166,8 +166,10 @@
         self.version.record(shared.current.version(), &[]);
         self.ready.record(shared.is_ready().into(), &[]);
         self.vms.record(shared.fleet.size(shared.now()) as u64, &[]);
-        self.leaving
-            .record(shared.directory.leaving().len() as u64, &[]);
+        for (is_leaving, count) in shared.directory.count() {
+            let is_leaving = KeyValue::new("leaving", is_leaving);
+            self.targets.record(count, &[is_leaving]);
+        }
         self.log_dropped
             .record(self.log.get().map_or(0, logs::Queue::dropped), &[]);
         let mut text = Vec::new();
--- a/crates/gateway/src/targets/directory.rs
+++ b/crates/gateway/src/targets/directory.rs
@@ -60,6 +60,16 @@
             .collect()
     }
 
+    /// Returns how many targets stay and how many leave.
+    pub fn count(&self) -> [(bool, u64); 2] {
+        let groups = self.groups.load();
+        let mut counts = [(false, 0), (true, 0)];
+        for target in groups.values().flat_map(|group| group.iter()) {
+            counts[usize::from(target.is_leaving)].1 += 1;
+        }
+        counts
+    }
+
     /// Returns whether a list of the store was ever read.
     pub fn has_listed(&self) -> bool {
         self.has_listed.load(Ordering::Acquire)
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -12,6 +12,7 @@
 pub mod client;
 mod deployment;
 pub mod process;
+pub mod site;
 
 pub use client::{Answer, Draft, End, PATIENCE, Stream};
 
