--- /dev/null
+++ b/crates/config/tests/gateway.rs
@@ -0,0 +1,70 @@
+//! Settings of the gateway.
+
+use {mastictrail_config::gateway, std::time::Duration};
+
+/// What the template of the deploy file renders to, with the platform's example values.
+const RENDERED: &str = "[vm]\nname = edge-wlkp-a-1\ndata_centre = wlkp-a\n\n[listen]\n\
+    clients = 10.1.0.19:8740\nreadiness = 10.1.0.19:8749\ncontrol = 10.1.0.19:8748\n\
+    peers = 10.1.0.19:7200\nmetrics = 10.1.0.19:7201\n\n[platform]\naddress = 10.200.1.7:8742\n\n\
+    [peers]\nseeds = 10.1.0.19:8748,10.2.0.13:8748\n\n[limits]\nthreads = 1\n\n[promises]\n\
+    grace = 8s\nretry_ratio = 0.2\nretry_extra = 122\nretry_window = 10s\n";
+
+fn faults(text: &str) -> Vec<String> {
+    let faults = gateway::parse("gateway.ini", text).unwrap_err();
+    let fault = |fault: &mastictrail_config::Fault| {
+        format!("{} {}: {}", fault.section, fault.key, fault.message)
+    };
+    faults.iter().map(fault).collect()
+}
+
+#[test]
+fn the_rendered_template_is_read() {
+    let settings = gateway::parse("gateway.ini", RENDERED).unwrap();
+    assert_eq!(&*settings.vm.name, "edge-wlkp-a-1");
+    assert_eq!(settings.seeds.len(), 2);
+    assert_eq!(settings.promises.grace, Duration::from_secs(8));
+    assert!((settings.promises.retry_extra - 122.0).abs() < f64::EPSILON);
+}
+
+#[test]
+fn the_template_gives_every_key_of_the_rendered_text() {
+    let template = include_str!("../../../deploy/gateway.ini");
+    let keys = |text: &str| -> Vec<String> {
+        let lines = text
+            .lines()
+            .map(|line| line.split('=').next().unwrap_or_default().trim().to_owned());
+        lines.collect()
+    };
+    assert_eq!(keys(template), keys(RENDERED));
+}
+
+#[test]
+fn no_seeds_and_seconds_with_a_fraction_are_fine() {
+    let text = RENDERED.replace("seeds = 10.1.0.19:8748,10.2.0.13:8748", "seeds =");
+    let text = text.replace("grace = 8s", "grace = 7.5s");
+    let settings = gateway::parse("gateway.ini", &text).unwrap();
+    assert!(settings.seeds.is_empty());
+    assert_eq!(settings.promises.grace, Duration::from_millis(7_500));
+}
+
+#[test]
+fn every_fault_is_named() {
+    assert_eq!(faults(""), ["vm : the section is missing"]);
+    let text = RENDERED
+        .replace("name = edge-wlkp-a-1", "name = not a name")
+        .replace("grace = 8s", "grace = soon")
+        .replace("retry_ratio = 0.2", "retry_ratio = -1")
+        .replace("threads = 1", "threads = 0\ncolour = blue")
+        .replace("[platform]", "[platforms]");
+    assert_eq!(
+        faults(&text),
+        [
+            "vm name: `not a name` is not permitted",
+            "platforms : the section is unknown",
+            "limits threads: `0` is not permitted",
+            "limits colour: the key is unknown",
+            "promises grace: `soon` is not permitted",
+            "promises retry_ratio: `-1` is not permitted",
+        ]
+    );
+}
--- /dev/null
+++ b/crates/dispatch/tests/configuration.rs
@@ -0,0 +1,83 @@
+//! Which route, service and customer a request belongs to.
+
+use {
+    base::key,
+    mastictrail_dispatch::{
+        Configuration,
+        configuration::{Customer, Limits, Repeat, Route, Share},
+    },
+    std::time::Duration,
+};
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        repeat: Repeat::Safe,
+        is_stream: false,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        priority: 0,
+        shares: Vec::new(),
+        attempts: 2,
+        is_public: false,
+        pause: None,
+    }
+}
+
+fn configuration() -> Configuration {
+    let routes = vec![
+        route("short", "a.example", "/x/"),
+        route("long", "a.example", "/x/y/"),
+        route("other", "b.example", "/x/"),
+    ];
+    let customers = vec![Customer {
+        name: "alpha".into(),
+        keys: vec!["k-1".into(), "k-2".into()],
+    }];
+    Configuration::new(7, Limits::default(), routes, Vec::new(), customers)
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let configuration = configuration();
+    let name = |host, path| configuration.route(host, path).map(|route| &*route.name);
+    assert_eq!(name("a.example", "/x/1"), Some("short"));
+    assert_eq!(name("a.example", "/x/y/1"), Some("long"));
+    assert_eq!(name("a.example:8740", "/x/y/1"), Some("long"));
+    assert_eq!(name("b.example", "/x/y/1"), Some("other"));
+    assert_eq!(name("a.example", "/z/"), None);
+    assert_eq!(name("c.example", "/x/1"), None);
+}
+
+#[test]
+fn every_key_of_a_customer_names_it() {
+    let configuration = configuration();
+    let name = |key| configuration.customer(key).map(|customer| &*customer.name);
+    assert_eq!(
+        [name("k-1"), name("k-2"), name("k-3")],
+        [Some("alpha"), Some("alpha"), None]
+    );
+}
+
+#[test]
+fn a_service_is_drawn_by_the_shares() {
+    let shares = [("a", 90), ("b", 0), ("c", 10)].map(|(name, weight)| Share {
+        service: key::Service::of(name),
+        weight,
+    });
+    let route = Route {
+        shares: shares.into(),
+        ..route("split", "a.example", "/x/")
+    };
+    let draws = (0..1000).map(|point| route.draw(f64::from(point) / 1000.0));
+    let draws: Vec<_> = draws.collect();
+    let count = |name| {
+        draws
+            .iter()
+            .filter(|draw| **draw == Some(key::Service::of(name)))
+            .count()
+    };
+    assert_eq!([count("a"), count("b"), count("c")], [900, 0, 100]);
+}
--- /dev/null
+++ b/crates/dispatch/tests/listing.rs
@@ -0,0 +1,75 @@
+//! Which targets take new work.
+
+use {
+    base::{Instant, key},
+    mastictrail_dispatch::{Listing, listing::Target},
+    std::time::Duration,
+};
+
+fn target(name: &str, is_leaving: bool, born: u64) -> Target {
+    Target {
+        key: key::Target::of(name),
+        instance: name.into(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        service: key::Service::of("s"),
+        data_centre: "dc-1".into(),
+        slots: 8,
+        is_leaving,
+        born: Some(born),
+    }
+}
+
+fn at(milliseconds: u64) -> Instant {
+    Instant::default() + Duration::from_millis(milliseconds)
+}
+
+fn names(listing: &Listing) -> Vec<Box<str>> {
+    let mut names: Vec<_> = listing.targets().map(|target| target.instance).collect();
+    names.sort();
+    names
+}
+
+#[test]
+fn a_removed_target_is_gone_at_once_while_the_store_is_well() {
+    let mut listing = Listing::default();
+    listing.replace(vec![target("a", false, 1), target("b", false, 1)], at(0));
+    assert!(listing.remove(key::Target::of("a"), false, at(1)));
+    assert_eq!(names(&listing), [Box::from("b")]);
+}
+
+#[test]
+fn an_entry_that_lapses_while_the_store_is_away_has_time_to_return() {
+    let mut listing = Listing::default();
+    listing.replace(vec![target("a", false, 1), target("b", false, 1)], at(0));
+    listing.lose_store();
+    assert!(listing.regain_store(at(5_000)));
+    assert!(!listing.replace(Vec::new(), at(5_001)));
+    assert_eq!(names(&listing).len(), 2);
+    listing.put(target("a", false, 1));
+    listing.advance(at(7_000));
+    assert_eq!(names(&listing).len(), 2);
+    listing.advance(at(7_300));
+    assert_eq!(names(&listing), [Box::from("a")]);
+}
+
+#[test]
+fn a_removal_that_a_peer_doubts_has_time_to_return() {
+    let mut listing = Listing::default();
+    listing.replace(vec![target("a", false, 1)], at(0));
+    assert!(!listing.remove(key::Target::of("a"), true, at(10)));
+    listing.advance(at(2_000));
+    assert_eq!(names(&listing).len(), 1);
+    listing.advance(at(2_300));
+    assert!(names(&listing).is_empty());
+}
+
+#[test]
+fn a_notice_of_departure_stands_until_the_target_starts_anew() {
+    let mut listing = Listing::default();
+    listing.put(target("a", false, 1));
+    assert!(listing.notice(key::Target::of("a"), at(0)));
+    assert!(!listing.notice(key::Target::of("a"), at(1)));
+    assert!(listing.targets().all(|target| target.is_leaving));
+    listing.put(target("a", false, 2));
+    assert!(listing.targets().all(|target| !target.is_leaving));
+}
--- /dev/null
+++ b/crates/dispatch/tests/parts.rs
@@ -0,0 +1,95 @@
+//! Events of streams, lengths of answers, and the retry budget.
+
+use {
+    base::Instant,
+    mastictrail_dispatch::{Budget, Generation, Lengths, Splitter, budget::Terms},
+    std::time::Duration,
+};
+
+fn at(milliseconds: u64) -> Instant {
+    Instant::default() + Duration::from_millis(milliseconds)
+}
+
+#[test]
+fn events_come_out_whole_and_unchanged_however_the_bytes_are_cut() {
+    let stream = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n: comment\n\nx-version: 3\nid: 3\ndata:\n\nid: 4\nda";
+    for size in 1..stream.len() {
+        let mut splitter = Splitter::default();
+        let mut events = Vec::new();
+        for piece in stream.as_bytes().chunks(size) {
+            splitter.push(piece);
+            while let Some(event) = splitter.next_event() {
+                events.push(event);
+            }
+        }
+        let ids: Vec<_> = events.iter().map(|event| event.id).collect();
+        assert_eq!(ids, [Some(1), Some(2), None, Some(3)], "pieces of {size}");
+        let mut bytes: Vec<u8> = events
+            .iter()
+            .flat_map(|event| event.bytes.to_vec())
+            .collect();
+        bytes.extend_from_slice(&splitter.take_rest());
+        assert_eq!(String::from_utf8_lossy(&bytes), stream);
+    }
+}
+
+#[test]
+fn an_event_without_an_end_is_noticed() {
+    let mut splitter = Splitter::default();
+    splitter.push(&vec![b'a'; mastictrail_dispatch::frame::EVENT_LIMIT + 1]);
+    assert!(splitter.next_event().is_none());
+    assert!(splitter.is_overlong());
+}
+
+#[test]
+fn a_length_lies_between_the_hint_and_what_was_learned() {
+    let generation = |hint| Generation {
+        prompt: 100,
+        most: 2_000,
+        hint,
+    };
+    let mut lengths = Lengths::default();
+    for _ in 0..200 {
+        lengths.learn("r", 800);
+    }
+    assert!((790..=810).contains(&lengths.estimate("r", &generation(None))));
+    let low = lengths.estimate("r", &generation(Some(100)));
+    assert!((200..800).contains(&low), "{low}");
+    let high = lengths.estimate("r", &generation(Some(1_000_000)));
+    assert_eq!(high, 2_000, "never above the most that is permitted");
+    assert!(lengths.estimate("unknown", &generation(None)) > 0);
+}
+
+#[test]
+fn all_vms_together_stay_within_the_retry_budget() {
+    const VMS: usize = 19;
+    let terms = Terms {
+        ratio: 0.2,
+        extra: 122.0,
+        window: Duration::from_secs(10),
+    };
+    let mut budgets: Vec<Budget> = (0..VMS).map(|_| Budget::default()).collect();
+    let (mut requests, mut retries) = (Vec::new(), Vec::new());
+    for now in (0..40_000).step_by(20) {
+        let budget = &mut budgets[now as usize / 20 % VMS];
+        budget.request(at(now), &terms);
+        requests.push(now);
+        // Every request fails and asks for two retries.
+        for _ in 0..2 {
+            if budget.spend(at(now), &terms, VMS) {
+                retries.push(now);
+            }
+        }
+    }
+    assert!(retries.len() > 100);
+    for start in (0..30_000_u64).step_by(100) {
+        let within = |times: &[u64]| {
+            times
+                .iter()
+                .filter(|time| (start..start + 10_000).contains(*time))
+                .count()
+        };
+        let bound = terms.ratio * within(&requests) as f64 + terms.extra;
+        assert!(within(&retries) as f64 <= bound, "from {start} ms");
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/placement.rs
@@ -0,0 +1,255 @@
+//! Where requests go, under replayed load.
+
+use {
+    base::{Instant, key},
+    mastictrail_dispatch::{
+        Load, Placement,
+        configuration::Engine,
+        listing::Target,
+        placement::{Ask, Ticket},
+    },
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    std::{collections::HashMap, time::Duration},
+};
+
+const ENGINE: Engine = Engine {
+    slots: 32,
+    memory: 34_000,
+    moves: true,
+    backups: true,
+    stride: 4,
+};
+
+fn at(milliseconds: u64) -> Instant {
+    Instant::default() + Duration::from_millis(milliseconds)
+}
+
+fn targets(count: usize, data_centres: usize) -> Vec<Target> {
+    (0..count)
+        .map(|index| Target {
+            key: key::Target::of(&format!("t-{index}")),
+            instance: format!("t-{index}").into(),
+            address: format!("10.0.0.{}:80", index + 1)
+                .parse()
+                .expect("an address"),
+            service: key::Service::of("s"),
+            data_centre: format!("dc-{}", index % data_centres).into(),
+            slots: 6,
+            is_leaving: false,
+            born: None,
+        })
+        .collect()
+}
+
+fn draft() -> Load {
+    Load {
+        runs: 1,
+        memory: 3_700,
+        prefill: 3_000,
+        copies: 0,
+    }
+}
+
+fn ask(load: Load) -> Ask<'static> {
+    Ask {
+        load,
+        engine: Some(ENGINE),
+        data_centre: "dc-0",
+        ..Ask::default()
+    }
+}
+
+/// Load pattern: 19 VMs place 9 generations a second on 9 engines; each VM hears of the others'
+/// work 10 ms later. Returns the share of prompts that went to an engine which was reading another
+/// one while one of the engines was idle.
+fn share_of_collisions(seed: u64) -> f64 {
+    const VMS: usize = 19;
+    const READING_MS: u64 = 430;
+    const DELAY_MS: u64 = 10;
+    let targets = targets(9, 1);
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut vms: Vec<_> = (0..VMS)
+        .map(|vm| Placement::new(seed + vm as u64))
+        .collect();
+    let mut active: Vec<(u64, usize, key::Target, Ticket)> = Vec::new();
+    let (mut collisions, mut placed) = (0, 0);
+    for now in 0..40_000_u64 {
+        active.retain(|&(begun, vm, _, ticket)| {
+            let is_reading = now < begun + READING_MS;
+            if !is_reading {
+                vms[vm].end(ticket);
+            }
+            is_reading
+        });
+        if !random.random_bool(9.0 / 1_000.0) {
+            continue;
+        }
+        let vm = random.random_range(0..VMS);
+        let mut peers: HashMap<key::Target, Load> = HashMap::new();
+        for (_, _, target, _) in active
+            .iter()
+            .filter(|run| run.1 != vm && run.0 + DELAY_MS <= now)
+        {
+            *peers.entry(*target).or_default() += draft();
+        }
+        vms[vm].set_peers(peers);
+        let choice = vms[vm].choose(at(now), &targets, &ask(draft()));
+        let target = choice.expect("there is room").target.key;
+        let is_busy = |target| active.iter().any(|run| run.2 == target);
+        let has_idle = targets.iter().any(|target| !is_busy(target.key));
+        placed += 1;
+        collisions += usize::from(has_idle && is_busy(target));
+        let ticket = vms[vm].begin(target, draft());
+        active.push((now, vm, target, ticket));
+    }
+    f64::from(collisions as u32) / f64::from(placed)
+}
+
+#[test]
+fn vms_seldom_send_a_prompt_to_an_engine_that_reads_another_one() {
+    for seed in 1..=5 {
+        let share = share_of_collisions(seed);
+        assert!(share < 0.05, "seed {seed}: {share}");
+    }
+}
+
+#[test]
+fn no_run_is_planned_beyond_an_engines_memory() {
+    let targets = targets(3, 1);
+    let mut placement = Placement::new(1);
+    let mut placed: HashMap<key::Target, u32> = HashMap::new();
+    while let Some(choice) = placement.choose(at(0), &targets, &ask(draft())) {
+        let target = choice.target.key;
+        placement.begin(target, draft());
+        *placed.entry(target).or_default() += 3_700;
+    }
+    assert_eq!(placed.len(), 3);
+    assert!(placed.values().all(|&tokens| tokens <= ENGINE.memory));
+    assert!(
+        placed
+            .values()
+            .all(|&tokens| tokens > ENGINE.memory * 3 / 4)
+    );
+}
+
+#[test]
+fn copies_in_advance_leave_room_for_runs_and_urgent_ones_take_it() {
+    let targets = targets(1, 1);
+    let mut placement = Placement::new(1);
+    let copy = Load {
+        copies: 3_700,
+        ..Load::default()
+    };
+    let mut copies = 0;
+    while placement.choose(at(0), &targets, &ask(copy)).is_some() {
+        placement.begin(targets[0].key, copy);
+        copies += 3_700;
+    }
+    assert!(copies <= ENGINE.memory / 2);
+    let urgent = Ask {
+        is_urgent: true,
+        ..ask(copy)
+    };
+    assert!(placement.choose(at(0), &targets, &urgent).is_some());
+    assert!(placement.choose(at(0), &targets, &ask(draft())).is_some());
+}
+
+#[test]
+fn a_run_and_its_copy_stand_on_different_sides() {
+    let targets = targets(4, 2);
+    let mut placement = Placement::new(1);
+    let copy = Load {
+        copies: 3_700,
+        ..Load::default()
+    };
+    for (is_run_near, expected) in [(true, "dc-1"), (false, "dc-0")] {
+        let ask = Ask {
+            is_run_near,
+            ..ask(copy)
+        };
+        let choice = placement
+            .choose(at(0), &targets, &ask)
+            .expect("there is room");
+        assert_eq!(&*choice.target.data_centre, expected);
+    }
+}
+
+#[test]
+fn a_large_fleet_leaves_its_data_centre_only_when_that_is_full_of_prompts() {
+    let targets = targets(4, 2);
+    let mut placement = Placement::new(1);
+    let far_stale = Ask {
+        is_far_stale: true,
+        ..ask(draft())
+    };
+    let mut near = 0;
+    loop {
+        let choice = placement
+            .choose(at(0), &targets, &far_stale)
+            .expect("there is room");
+        if &*choice.target.data_centre == "dc-1" {
+            break;
+        }
+        near += 1;
+        placement.begin(choice.target.key, draft());
+    }
+    assert!(near >= 4, "{near}");
+}
+
+#[test]
+fn a_target_that_fails_is_avoided_and_all_that_fail_are_not() {
+    let targets = targets(2, 1);
+    let mut placement = Placement::new(1);
+    placement.failed(targets[0].key, at(0));
+    for _ in 0..20 {
+        let choice = placement
+            .choose(at(1), &targets, &ask(draft()))
+            .expect("one is well");
+        assert_eq!(choice.target.key, targets[1].key);
+    }
+    placement.failed(targets[1].key, at(2));
+    assert!(placement.choose(at(3), &targets, &ask(draft())).is_some());
+}
+
+#[test]
+fn a_data_centre_that_can_not_be_reached_is_left_out_while_another_has_room() {
+    let targets = targets(4, 2);
+    let mut placement = Placement::new(1);
+    placement.unreached(&targets[0], at(0));
+    for _ in 0..20 {
+        let choice = placement
+            .choose(at(1), &targets, &ask(draft()))
+            .expect("there is room");
+        assert_eq!(&*choice.target.data_centre, "dc-1");
+    }
+    placement.succeeded(&targets[2]);
+    let choice = placement
+        .choose(at(2), &targets, &ask(draft()))
+        .expect("there is room");
+    assert_eq!(&*choice.target.data_centre, "dc-0");
+}
+
+#[test]
+fn a_plain_target_that_turned_slow_gets_less_and_is_tried_again_later() {
+    let targets = targets(2, 1);
+    let mut placement = Placement::new(1);
+    let plain = Ask {
+        engine: None,
+        ..ask(Load {
+            runs: 1,
+            ..Load::default()
+        })
+    };
+    for _ in 0..5 {
+        placement.took(targets[0].key, Duration::from_millis(400), at(0));
+    }
+    let mut chosen = |now| {
+        placement
+            .choose(at(now), &targets, &plain)
+            .expect("a target")
+            .target
+            .key
+    };
+    assert!((0..20).all(|_| chosen(10) == targets[1].key));
+    assert!((0..200).any(|_| chosen(60_000) == targets[0].key));
+}
