--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -2,10 +2,10 @@
 
 use {
     crate::{cli::BAD_INPUT, input, output},
-    clap::{Arg, ArgMatches, Command, value_parser},
+    clap::{Arg, ArgAction, ArgMatches, Command, value_parser},
     serde_json::{Map, Value, json},
     std::{
-        collections::BTreeSet,
+        collections::{BTreeMap, BTreeSet},
         fs::File,
         io::{self, BufRead, BufReader},
         path::{Path, PathBuf},
@@ -20,7 +20,8 @@
 
 Examples:
   mastictrail explain 01f3a9 entry-a1.log entry-b2.log
-  mastictrail explain --json 01f3a9 *.log";
+  mastictrail explain --json 01f3a9 *.log
+  mastictrail explain --failed *.log";
 
 /// Fields that stand at the head of a line and are not repeated after it.
 const HEAD: [&str; 7] = [
@@ -45,10 +46,18 @@
             Arg::new("logs")
                 .value_name("LOGS")
                 .help("JSON logs of one or several VMs")
-                .required(true)
+                .required_unless_present("failed")
                 .num_args(1..)
                 .value_parser(value_parser!(PathBuf)),
         )
+        .arg(
+            Arg::new("failed")
+                .long("failed")
+                .help(
+                    "Groups all requests of the logs that failed by cause; all arguments are logs",
+                )
+                .action(ArgAction::SetTrue),
+        )
         .arg(input::json())
 }
 
@@ -57,7 +66,11 @@
     let Some(request) = arguments.get_one::<String>("request") else {
         return ExitCode::from(BAD_INPUT);
     };
-    let paths = input::paths(arguments, "logs");
+    let mut paths = input::paths(arguments, "logs");
+    if arguments.get_flag("failed") {
+        paths.insert(0, Path::new(request));
+        return group(&paths);
+    }
     let story = match Story::read(request, &paths) {
         Ok(story) => story,
         Err((path, error)) => {
@@ -132,7 +145,7 @@
             if !names.iter().any(|name| line.contains(name)) {
                 continue;
             }
-            match serde_json::from_str(&line) {
+            match serde_json::from_str(json_part(&line)) {
                 Ok(line) => self.lines.push(line),
                 Err(_) => self.malformed += 1,
             }
@@ -141,6 +154,71 @@
     }
 }
 
+/// A cause of failures: event, verdict or outcome, and reason.
+type Cause = (String, String, String);
+
+/// Prints the failed requests of logs by cause, the most frequent first.
+fn group(paths: &[&Path]) -> ExitCode {
+    let mut causes: BTreeMap<Cause, BTreeSet<String>> = BTreeMap::new();
+    for path in paths {
+        let file = match File::open(path) {
+            Ok(file) => file,
+            Err(error) => {
+                eprintln!("{}: {error}", path.display());
+                return ExitCode::from(BAD_INPUT);
+            }
+        };
+        for line in BufReader::new(file).split(b'\n') {
+            let line = match line {
+                Ok(line) => line,
+                Err(error) => {
+                    eprintln!("{}: {error}", path.display());
+                    return ExitCode::from(BAD_INPUT);
+                }
+            };
+            let line = String::from_utf8_lossy(&line);
+            if let Ok(line) = serde_json::from_str::<Line>(json_part(&line))
+                && let Some(cause) = cause(&line)
+            {
+                causes
+                    .entry(cause)
+                    .or_default()
+                    .insert(text(&line, "request").to_owned());
+            }
+        }
+    }
+    let mut causes: Vec<_> = causes.into_iter().collect();
+    causes.sort_by_key(|(_, requests)| std::cmp::Reverse(requests.len()));
+    let rows = causes.iter().map(|((event, kind, reason), requests)| {
+        let example = requests.iter().next().map_or("", String::as_str);
+        format!(
+            "{:>6}  {event}  {kind}  {reason}  (such as {example})\n",
+            requests.len()
+        )
+    });
+    output::print(&rows.collect::<String>())
+}
+
+/// Returns why a request failed, if the line is the last word on one.
+fn cause(line: &Line) -> Option<Cause> {
+    let event = text(line, "event");
+    let kind = match event {
+        "answer" => text(line, "verdict"),
+        "ended" if text(line, "outcome") == "failed" => "failed",
+        _ => return None,
+    };
+    Some((
+        event.to_owned(),
+        kind.to_owned(),
+        text(line, "reason").to_owned(),
+    ))
+}
+
+/// Returns the JSON object of a line that may have another program's words before it.
+fn json_part(line: &str) -> &str {
+    line.find('{').map_or(line, |start| &line[start..])
+}
+
 /// Returns whether a line is of the request, or of one that went on with its stream.
 fn is_own(line: &Line, request: &str) -> bool {
     [text(line, "request"), text(line, "origin")].contains(&request)
--- a/crates/cli/src/gateway.rs
+++ b/crates/cli/src/gateway.rs
@@ -84,7 +84,7 @@
             Ok(Signal::Hup) => match read(path) {
                 Ok(settings) => daemon.reload(settings),
                 Err(_) => {
-                    log::error!(target: "reload", "the settings can't be read; the old ones stay")
+                    log::error!(target: "reload", "the settings can't be read; the old ones stay");
                 }
             },
             Ok(_) => break,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,8 +12,10 @@
 pub mod peers;
 pub mod placement;
 pub mod request;
+pub mod waiting;
 
 pub use {
     budget::Budget, configuration::Configuration, frame::Splitter, length::Lengths,
     listing::Listing, load::Load, peers::Peers, placement::Placement, request::Generation,
+    waiting::Waiting,
 };
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -78,6 +78,20 @@
     /// Hash of the sender's data centre.
     #[prost(fixed64, tag = "11")]
     pub data_centre: u64,
+    /// Requests that wait for a place, by service.
+    #[prost(message, repeated, tag = "12")]
+    pub waiting: Vec<Wait>,
+}
+
+/// Requests of one service that wait at a VM.
+#[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
+pub struct Wait {
+    /// Raw key of the service.
+    #[prost(fixed64, tag = "1")]
+    pub service: u64,
+    /// How many wait.
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
 }
 
 /// A target as the inner protocol carries it.
@@ -305,6 +319,19 @@
         total
     }
 
+    /// Returns how many requests of each service wait at live peers.
+    pub fn waiting(&self, now: Instant) -> HashMap<key::Service, u32> {
+        let mut total = HashMap::new();
+        for (_, report) in self.live(now) {
+            for wait in &report.waiting {
+                *total
+                    .entry(key::Service::from_raw(wait.service))
+                    .or_default() += wait.count;
+            }
+        }
+        total
+    }
+
     /// Returns a live peer with a newer configuration than `version`, the newest first.
     pub fn newer_configuration(&self, version: u64, now: Instant) -> Option<(Ipv4Addr, u64)> {
         self.live(now)
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -18,7 +18,7 @@
 /// Part of an engine's memory that placements may plan for; lengths are estimates.
 const MEMORY_SHARE: f64 = 0.97;
 /// Part of an engine's memory up to which copies are planned in advance; the rest is left to runs.
-const COPY_MEMORY_SHARE: f64 = 0.35;
+const COPY_MEMORY_SHARE: f64 = 0.45;
 /// Cost of one request that runs beside, in milliseconds: what it adds to the steps of an answer.
 const RUN_COST: f64 = 12.0;
 /// Cost of full memory, in milliseconds: a preempted request is read in again.
@@ -86,7 +86,9 @@
     pub is_far_stale: bool,
     /// Whether the run of a copy is on an engine that leaves; the copy may then take all room.
     pub is_urgent: bool,
-    /// For a copy: whether the run is in the VM's data centre.
+    /// For an urgent copy: data centre of the run; moves to another one take twice as long.
+    pub beside: Option<&'a str>,
+    /// For any other copy: whether the run is in the VM's data centre.
     pub is_run_near: bool,
 }
 
@@ -213,6 +215,18 @@
         self.peers = peers;
     }
 
+    /// Returns the requests in progress at some targets, of this VM and its peers.
+    pub fn runs(&self, targets: &[Target]) -> u32 {
+        let own = self.own();
+        let runs = |work: &HashMap<key::Target, Load>, target: &Target| {
+            work.get(&target.key).map_or(0, |load| load.runs)
+        };
+        let targets = targets.iter();
+        targets
+            .map(|target| runs(&own, target) + runs(&self.peers, target))
+            .sum()
+    }
+
     /// Returns this VM's own work at each target.
     pub fn own(&self) -> HashMap<key::Target, Load> {
         let mut own: HashMap<key::Target, Load> = HashMap::new();
@@ -300,7 +314,10 @@
     }
     let memory = MEMORY_COST * filled * filled;
     if is_copy {
-        let is_wrong = is_near == ask.is_run_near;
+        let is_wrong = match ask.beside {
+            Some(data_centre) => *target.data_centre != *data_centre,
+            None => is_near == ask.is_run_near,
+        };
         return Some(memory + if is_wrong { COPY_SIDE_COST } else { 0.0 });
     }
     let prefill = f64::from(load.prefill) / PREFILL_RATE;
--- a/crates/fakes/src/site/target.rs
+++ b/crates/fakes/src/site/target.rs
@@ -181,7 +181,7 @@
 
 async fn answer(state: Arc<Mutex<State>>, request: Request) -> Answer {
     if &*request.path == "/v1/kv-move" {
-        return copy(&state, &request);
+        return Ok(copy(&state, &request));
     }
     let attempt: Box<str> = request.header("x-attempt-id").into();
     let expected = request.header("x-expect-instance").to_owned();
@@ -244,15 +244,15 @@
     lock(&copies).remove(&(address, handle.into()))
 }
 
-fn copy(state: &Mutex<State>, request: &Request) -> Answer {
+fn copy(state: &Mutex<State>, request: &Request) -> hyper::Response<http::Body> {
     let order: MoveOrder = match request.json() {
         Ok(order) => order,
-        Err(refusal) => return Ok(*refusal),
+        Err(refusal) => return *refusal,
     };
     let state = lock(state);
     let handle = format!("h-{}", order.id);
     lock(&state.copies).insert((state.address, handle.as_str().into()));
-    Ok(http::json(&json!({"Handle": handle, "Created": 0})))
+    http::json(&json!({"Handle": handle, "Created": 0}))
 }
 
 fn sign(response: &mut hyper::Response<http::Body>, attempt: &str) {
--- a/crates/gateway/src/clients/evacuation.rs
+++ b/crates/gateway/src/clients/evacuation.rs
@@ -14,7 +14,7 @@
         },
         targets::{client::Failure, dispatcher::Place},
     },
-    base::Instant,
+    base::{Instant, key},
     dispatch::listing::Target,
     entry::runtime::within,
     hyper::Method,
@@ -39,6 +39,8 @@
     under_way: Option<UnderWay>,
     /// The engine that got a copy at the source's order.
     copied_to: Option<Target>,
+    /// Engines that had no room.
+    full: Vec<key::Target>,
     next_look: Instant,
 }
 
@@ -77,8 +79,10 @@
                 result,
                 held,
             );
-            self.next_look = now + COPY_INTERVAL;
-            return;
+            if self.copied_to.is_some() {
+                self.next_look = now + COPY_INTERVAL;
+                return;
+            }
         }
         if self.under_way.is_some() || shared.directory.stays(source.key) {
             return;
@@ -89,10 +93,14 @@
         let (target, place) = match (&self.copied_to, stays) {
             (Some(target), true) => (target.clone(), None),
             (None, true) => return,
-            (_, false) => match refuge(exchange, plan, source) {
-                Some((target, place)) => (target, Some(place)),
-                None => return,
-            },
+            (_, false) => {
+                let excluded = [&*self.full, &[source.key]].concat();
+                let Some((target, place)) = refuge(exchange, plan, source, &excluded) else {
+                    self.full.clear();
+                    return;
+                };
+                (target, Some(place))
+            }
         };
         let order = order(
             Arc::clone(shared),
@@ -141,6 +149,7 @@
             "a run was copied off an engine that leaves"
         );
         let Ok(handle) = result else {
+            self.full.push(target.key);
             return;
         };
         if let Some(place) = place {
--- a/crates/gateway/src/clients/exchange.rs
+++ b/crates/gateway/src/clients/exchange.rs
@@ -69,12 +69,12 @@
     }
 
     /// Builds the request as it goes to a target.
-    pub fn request(&self, target: &Target, added: Added<'_>) -> Request<Full<Bytes>> {
+    pub fn request(&self, target: &Target, added: &Added<'_>) -> Request<Full<Bytes>> {
         let added = Added {
             deadline: self.left(),
             instance: &target.instance,
             customer: self.customer.as_deref(),
-            ..added
+            ..*added
         };
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -79,15 +79,23 @@
 }
 
 /// Answers a request with a stream.
+///
+/// # Errors
+/// The refusal says whether the request may have run.
 pub async fn serve(exchange: &Arc<Exchange>) -> Result<Response<Body>, Refusal> {
     let plan = plan(exchange);
     refuse_while_leaving(exchange, &plan)?;
     let mut excluded = Vec::new();
     let mut arrivals = 0;
-    let mut last = Refusal::not_run(Reason::NoTarget, "no engine has room").retry_after(BUSY_DELAY);
+    let mut last: Option<Refusal> = None;
     while arrivals < MOST_ARRIVALS {
-        let Some((target, place)) = wait(exchange, &plan, &excluded).await else {
-            break;
+        let (target, place) = match wait(exchange, &plan, &excluded).await {
+            Ok(placed) => placed,
+            // What an engine said before goes before the want of room at the others.
+            Err(refusal) => {
+                last.get_or_insert(refusal);
+                break;
+            }
         };
         if arrivals > 0
             && !exchange
@@ -101,20 +109,24 @@
         excluded.push(target.key);
         let backup = copy(exchange, &plan, &target, &excluded);
         let source = Source::new((target, place), backup, &exchange.head.attempt);
-        match send(exchange, source, plan).await {
+        let refusal = match send(exchange, source, plan).await {
             Ok(response) => return Ok(response),
-            Err(refusal) => last = refusal,
-        }
+            Err(refusal) => refusal,
+        };
         // A target that was never reached leaves the retry budget and the attempts as they are.
-        let was_reached = last.reason != Reason::TargetLost || last.verdict != Verdict::NotRun;
+        let was_reached =
+            refusal.reason != Reason::TargetLost || refusal.verdict != Verdict::NotRun;
         arrivals += u32::from(was_reached);
-        let is_repeatable = last.verdict == Verdict::NotRun
+        let is_repeatable = refusal.verdict == Verdict::NotRun
             || exchange.route.repeat != Repeat::Unsafe && arrivals < exchange.route.attempts;
+        last = Some(refusal);
         if !is_repeatable {
             break;
         }
     }
-    Err(last)
+    Err(last.unwrap_or_else(|| {
+        Refusal::not_run(Reason::NoTarget, "no engine has room").retry_after(BUSY_DELAY)
+    }))
 }
 
 /// Sends a client whose answer would outlast this process to another VM at once.
@@ -148,19 +160,45 @@
 }
 
 /// Waits until an engine has room, for as long as the objective can still be met.
+///
+/// # Errors
+/// Returns at once if no room is expected by then, with the time to come back in.
 async fn wait(
     exchange: &Exchange,
     plan: &Plan,
     excluded: &[key::Target],
-) -> Option<(Target, Place)> {
+) -> Result<(Target, Place), Refusal> {
+    let shared = &exchange.shared;
+    let service = exchange.service;
+    if !shared.dispatcher.has_waiting(service)
+        && let Some(placed) = place(exchange, plan, excluded, shared.now())
+    {
+        return Ok(placed);
+    }
     let end = exchange.arrived + exchange.route.objective.mul_f64(WAIT_SHARE);
+    let targets = shared.directory.of(service);
+    let queued = shared.dispatcher.enter(
+        service,
+        exchange.route.priority,
+        shared.now(),
+        end,
+        &targets,
+    );
+    let queued = queued.map_err(|expected| {
+        let message = "no engine is expected to have room within the objective";
+        Refusal::not_run(Reason::Overloaded, message).retry_after(expected)
+    })?;
     loop {
-        let now = exchange.shared.now();
-        if let Some(placed) = place(exchange, plan, excluded, now) {
-            return Some(placed);
+        let now = shared.now();
+        if queued.is_next()
+            && let Some(placed) = place(exchange, plan, excluded, now)
+        {
+            return Ok(placed);
         }
         if now >= end {
-            return None;
+            return Err(
+                Refusal::not_run(Reason::NoTarget, "no engine had room").retry_after(BUSY_DELAY)
+            );
         }
         Timer::after(WAIT_POLL).await;
     }
@@ -174,7 +212,7 @@
     now: Instant,
 ) -> Option<(Target, Place)> {
     choose(exchange, plan.load(), plan, now, |ask| {
-        ask.exclude = excluded
+        ask.exclude = excluded;
     })
 }
 
@@ -196,12 +234,16 @@
 }
 
 /// Takes room for a run that has to leave its engine, near to it since moves over distance are slow.
-pub fn refuge(exchange: &Exchange, plan: &Plan, run: &Target) -> Option<(Target, Place)> {
-    let is_near = run.data_centre == exchange.shared.settings.load().vm.data_centre;
-    let excluded = [run.key];
-    choose(exchange, plan.copy(), plan, exchange.shared.now(), |ask| {
-        ask.exclude = &excluded;
-        ask.is_run_near = !is_near;
+pub fn refuge(
+    exchange: &Exchange,
+    plan: &Plan,
+    run: &Target,
+    excluded: &[key::Target],
+) -> Option<(Target, Place)> {
+    let now = exchange.shared.now();
+    choose(exchange, plan.copy(), plan, now, |ask| {
+        ask.exclude = excluded;
+        ask.beside = Some(&run.data_centre);
         ask.is_urgent = true;
     })
 }
@@ -243,7 +285,7 @@
         ..Added::default()
     };
     exchange.note_sent();
-    let request = exchange.request(source.target(), added);
+    let request = exchange.request(source.target(), &added);
     let sent = shared.client.send(source.target().address, request).await;
     let target = source.target().clone();
     let (outcome, refusal) = match sent {
--- a/crates/gateway/src/clients/listener.rs
+++ b/crates/gateway/src/clients/listener.rs
@@ -59,12 +59,11 @@
         drain.closed().await;
         None
     });
-    let ended = match ended.await {
-        Some(ended) => ended,
-        None => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
+    let ended = if let Some(ended) = ended.await {
+        ended
+    } else {
+        connection.as_mut().graceful_shutdown();
+        connection.await
     };
     if let Err(error) = ended {
         log::debug!(target: "client", error:% = error; "a connection ended");
--- a/crates/gateway/src/clients/plain.rs
+++ b/crates/gateway/src/clients/plain.rs
@@ -93,6 +93,9 @@
 }
 
 /// Answers a request from a target's whole answer.
+///
+/// # Errors
+/// The refusal says whether the request may have run.
 pub async fn serve(exchange: &Exchange) -> Result<Response<Body>, Refusal> {
     let mut attempts = Attempts::default();
     while let Some((target, place)) = attempts.next(exchange) {
@@ -189,7 +192,7 @@
 }
 
 async fn ask(exchange: &Exchange, target: &Target) -> Sent {
-    let request = exchange.request(target, Added::default());
+    let request = exchange.request(target, &Added::default());
     exchange.note_sent();
     let answer = match exchange.shared.client.send(target.address, request).await {
         Ok(answer) => answer,
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -105,8 +105,7 @@
     plan: Plan,
     source: Source,
     /// Empty once the stream has ended.
-    body: Option<Incoming>,
-    _connection: Connection,
+    upstream: Option<Upstream>,
     splitter: Splitter,
     last: Option<u64>,
     events: u64,
@@ -118,6 +117,13 @@
     outcome: Option<(Outcome, Box<str>)>,
 }
 
+/// The body of an engine's answer; dropping it closes the connection.
+#[derive(Debug)]
+struct Upstream {
+    body: Incoming,
+    _connection: Connection,
+}
+
 /// What reading from the engine came to.
 enum Read {
     Bytes(Bytes),
@@ -142,8 +148,10 @@
             exchange,
             plan,
             source,
-            body: Some(body),
-            _connection: connection,
+            upstream: Some(Upstream {
+                body,
+                _connection: connection,
+            }),
             splitter: Splitter::default(),
             last: None,
             events: 0,
@@ -156,7 +164,7 @@
     /// Returns the next whole events; `None` at the end of the stream.
     pub async fn next(&mut self) -> Option<Item> {
         loop {
-            self.body.as_ref()?;
+            self.upstream.as_ref()?;
             if self.exchange.left().is_zero() {
                 return Some(Err(self.fail("the time is over")));
             }
@@ -192,7 +200,7 @@
         let shared = Arc::clone(&self.exchange.shared);
         let address = self.source.target.address;
         loop {
-            let Some(body) = self.body.as_mut() else {
+            let Some(Upstream { body, .. }) = self.upstream.as_mut() else {
                 return Read::End;
             };
             let left = self.exchange.deadline.since(shared.now());
@@ -253,7 +261,7 @@
     }
 
     fn finish(&mut self) -> Option<Item> {
-        self.body = None;
+        self.upstream = None;
         let stride = self.plan.engine.map_or(1, |engine| engine.stride);
         let tokens = u32::try_from(self.events)
             .unwrap_or(u32::MAX)
@@ -263,13 +271,15 @@
             .shared
             .dispatcher
             .learn(&exchange.route.name, tokens);
+        let time = exchange.shared.now().since(exchange.arrived);
+        exchange.shared.dispatcher.ended(exchange.service, time);
         self.outcome = Some((Outcome::Served, "whole".into()));
         let rest = self.splitter.take_rest();
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
     fn fail(&mut self, message: &str) -> Broken {
-        self.body = None;
+        self.upstream = None;
         self.outcome = Some((Outcome::Failed, message.into()));
         Broken {
             message: message.into(),
@@ -326,7 +336,7 @@
             ..Added::default()
         };
         let source = Source::new((held.target, place), next, &exchange.head.attempt);
-        self.attach(source, added).await
+        self.attach(source, &added).await
     }
 
     async fn begin_anew(&mut self, former: key::Target) -> bool {
@@ -344,12 +354,12 @@
             last_event: self.last,
             ..Added::default()
         };
-        self.attach(Source::new(placed, None, &exchange.head.attempt), added)
+        self.attach(Source::new(placed, None, &exchange.head.attempt), &added)
             .await
     }
 
     /// Sends the request to another engine and takes its stream.
-    async fn attach(&mut self, source: Source, added: Added<'_>) -> bool {
+    async fn attach(&mut self, source: Source, added: &Added<'_>) -> bool {
         let exchange = &self.exchange;
         let request = exchange.request(&source.target, added);
         let sent = exchange
@@ -377,8 +387,10 @@
                 response,
                 connection,
             }) if is_taken => {
-                self.body = Some(response.into_body());
-                self._connection = connection;
+                self.upstream = Some(Upstream {
+                    body: response.into_body(),
+                    _connection: connection,
+                });
                 self.source = source;
                 self.heard = self.exchange.shared.now();
                 true
--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -53,7 +53,8 @@
         } else {
             let is_behind = is_behind(&shared);
             // What a peer has is on its way; only what stays behind is asked for.
-            if !(is_behind && was_behind) && !shared.fleet.is_store_lost() {
+            let is_due = shared.fleet.is_store_lost() || is_behind && was_behind;
+            if !is_due {
                 was_behind = is_behind;
                 Timer::after(LOOK).await;
                 continue;
@@ -104,19 +105,19 @@
     }
     let now = shared.now();
     shared.directory.update(|listing| {
-        let mut changed = false;
+        let mut is_new = false;
         for entry in changes
             .entries
             .iter()
             .filter(|entry| entry.revision > known)
         {
             let key = key::Target::from_raw(entry.target);
-            changed |= match &entry.description {
+            is_new |= match &entry.description {
                 Some(description) => listing.put(decode(key, description)),
                 None => listing.remove(key, changes.may_return, now),
             };
         }
-        changed
+        is_new
     });
     log::info!(
         target: "target", revision = changes.to, changes = changes.entries.len();
@@ -173,7 +174,7 @@
             return listing.replace(targets, now);
         }
         changes.may_return = listing.may_return(now);
-        let mut changed = false;
+        let mut is_new = false;
         for change in answer.content {
             let (entry, is_change) = match change.kind {
                 Kind::Put(target) => {
@@ -199,9 +200,9 @@
                 }
             };
             changes.entries.push(entry);
-            changed |= is_change;
+            is_new |= is_change;
         }
-        changed
+        is_new
     });
     shared.directory.raise(answer.revision, last);
     (!is_whole && last > from).then_some(changes)
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -2,14 +2,14 @@
 
 use {
     crate::{Shared, control::discovery},
-    dispatch::peers::{Changes, Datagram, Report, Work},
+    dispatch::peers::{Changes, Datagram, Report, Wait, Work},
     entry::runtime::within,
     prost::Message,
     rand::Rng,
     smol::Timer,
     std::{
         collections::HashSet,
-        net::{IpAddr, Ipv4Addr},
+        net::{IpAddr, Ipv4Addr, SocketAddr},
         sync::Arc,
         time::Duration,
     },
@@ -18,7 +18,7 @@
 /// Longest time between two reports in a small fleet; several are missed before a VM counts as gone.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// The same in a large fleet, where each costs a datagram to every other VM.
-const LARGE_HEARTBEAT: Duration = Duration::from_millis(2_000);
+const LARGE_HEARTBEAT: Duration = Duration::from_secs(2);
 /// Part of a heartbeat by which it is drawn longer or shorter, so that VMs don't report in step.
 const SCATTER: f64 = 0.15;
 /// Time in which changes of work are gathered into one report.
@@ -135,6 +135,7 @@
         is_stopping: shared.drain.is_leaving(),
         is_store_lost: shared.fleet.is_store_lost(),
         data_centre: shared.fleet.data_centre(),
+        waiting: waiting(shared),
     };
     Datagram {
         report: Some(report),
@@ -156,6 +157,15 @@
     }
 }
 
+fn waiting(shared: &Shared) -> Vec<Wait> {
+    let counts = shared.dispatcher.waiting().into_iter();
+    let waits = counts.map(|(service, count)| Wait {
+        service: service.raw(),
+        count,
+    });
+    waits.collect()
+}
+
 fn work(shared: &Shared) -> Vec<Work> {
     let own = shared.dispatcher.own().into_iter();
     own.map(|(target, load)| Work {
@@ -170,7 +180,7 @@
 
 fn seeds(shared: &Shared) -> Vec<Ipv4Addr> {
     let settings = shared.settings.load();
-    let seeds = settings.seeds.iter().map(|seed| seed.ip());
+    let seeds = settings.seeds.iter().map(SocketAddr::ip);
     seeds
         .filter_map(|ip| match ip {
             IpAddr::V4(ip) => Some(ip),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -51,9 +51,10 @@
         }
         let now = self.now();
         let peers = self.fleet.peers();
-        let (work, vms) = (peers.work(now), peers.live(now).count() + 1);
+        let (work, waiting) = (peers.work(now), peers.waiting(now));
+        let vms = peers.live(now).count() + 1;
         drop(peers);
-        self.dispatcher.set_peers(work, vms);
+        self.dispatcher.set_peers(work, waiting, vms);
     }
 
     /// Returns whether new connections may come: configured, with a list of targets, not stopping.
--- a/crates/gateway/src/targets/dispatcher.rs
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -8,6 +8,7 @@
         budget::Terms,
         listing::Target,
         placement::{Ask, Basis, Ticket},
+        waiting::{Crowd, Turn, Waiting},
     },
     smol::channel::{Receiver, Sender, bounded},
     std::{
@@ -25,6 +26,9 @@
     placement: Placement,
     lengths: Lengths,
     budgets: HashMap<key::Service, Budget>,
+    waiting: Waiting,
+    /// Requests that wait at other VMs.
+    peers_waiting: HashMap<key::Service, u32>,
 }
 
 /// Joins the decisions about placement, lengths and retries.
@@ -35,7 +39,7 @@
     /// VMs that share the retry budget.
     vms: AtomicUsize,
     changed: Sender<()>,
-    changes: Receiver<()>,
+    waker: Receiver<()>,
 }
 
 /// A place at a target; dropping it frees the place.
@@ -51,17 +55,19 @@
 impl Dispatcher {
     /// Starts without work.
     pub fn new(seed: u64, terms: Terms) -> Self {
-        let (changed, changes) = bounded(1);
+        let (changed, waker) = bounded(1);
         Self {
             state: Arc::new(Mutex::new(State {
                 placement: Placement::new(seed),
                 lengths: Lengths::default(),
                 budgets: HashMap::new(),
+                waiting: Waiting::default(),
+                peers_waiting: HashMap::new(),
             })),
             terms,
             vms: AtomicUsize::new(1),
             changed,
-            changes,
+            waker,
         }
     }
 
@@ -111,10 +117,63 @@
         self.lock().placement.refused(target, now);
     }
 
-    /// Takes the work of the other VMs, and how many VMs share the retry budget.
-    pub fn set_peers(&self, work: HashMap<key::Target, Load>, vms: usize) {
+    /// Takes the work and the waiting requests of the other VMs, and how many VMs there are.
+    pub fn set_peers(
+        &self,
+        work: HashMap<key::Target, Load>,
+        waiting: HashMap<key::Service, u32>,
+        vms: usize,
+    ) {
         self.vms.store(vms, Ordering::Relaxed);
-        self.lock().placement.set_peers(work);
+        let mut state = self.lock();
+        state.placement.set_peers(work);
+        state.peers_waiting = waiting;
+    }
+
+    /// Takes a place in the queue of a service if room is expected by `end`.
+    ///
+    /// # Errors
+    /// Returns the time in which room is expected if that is later.
+    pub fn enter(
+        &self,
+        service: key::Service,
+        priority: u32,
+        now: Instant,
+        end: Instant,
+        targets: &[Target],
+    ) -> Result<Queued, Duration> {
+        let mut state = self.lock();
+        let crowd = Crowd {
+            runs: state.placement.runs(targets),
+            waiting: state
+                .peers_waiting
+                .get(&service)
+                .copied()
+                .unwrap_or_default(),
+        };
+        let turn = state.waiting.enter(service, priority, now, end, crowd)?;
+        drop(state);
+        self.tell();
+        Ok(Queued {
+            state: Arc::clone(&self.state),
+            service,
+            turn,
+        })
+    }
+
+    /// Returns whether requests of a service wait here.
+    pub fn has_waiting(&self, service: key::Service) -> bool {
+        !self.lock().waiting.is_empty(service)
+    }
+
+    /// Returns the requests that wait here for each service.
+    pub fn waiting(&self) -> Vec<(key::Service, u32)> {
+        self.lock().waiting.counts().collect()
+    }
+
+    /// Learns from a run that has ended.
+    pub fn ended(&self, service: key::Service, time: Duration) {
+        self.lock().waiting.ended(service, time);
     }
 
     /// Returns the number of VMs that were heard lately, with this one.
@@ -159,7 +218,7 @@
     /// Waits until this VM's own work has changed.
     pub async fn change(&self) {
         // The sender lives in `self`, so the channel is never closed.
-        let _ = self.changes.recv().await;
+        let _ = self.waker.recv().await;
     }
 
     fn hold(&self, ticket: Ticket, basis: Basis, is_told: bool) -> Place {
@@ -174,11 +233,39 @@
         place
     }
 
+    /// Wakes the sender of reports, unless it has work already.
+    fn tell(&self) {
+        let _ = self.changed.try_send(());
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+/// A place in the queue of a service; dropping it gives the place up.
+#[derive(Debug)]
+pub struct Queued {
+    state: Arc<Mutex<State>>,
+    service: key::Service,
+    turn: Turn,
+}
+
+impl Queued {
+    /// Returns whether no other request of the service goes before.
+    pub fn is_next(&self) -> bool {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.waiting.is_next(self.service, self.turn)
+    }
+}
+
+impl Drop for Queued {
+    fn drop(&mut self) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.waiting.leave(self.service, self.turn);
+    }
+}
+
 impl Place {
     /// Returns what the target was chosen by.
     pub fn basis(&self) -> &Basis {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use {
-    fakes::site::{store::Mood, target::Behaviour},
+    fakes::site::{Target, store::Mood, target::Behaviour},
     hyper::{Method, StatusCode},
     std::time::Duration,
     support::{
@@ -36,7 +36,7 @@
     assert_eq!(reply.headers["x-server-signature"], "signed");
     let seen = site.services[0].seen().remove(0);
     assert_eq!(&*seen.path, HOLD);
-    assert_eq!(&seen.body[..], b"the body");
+    assert_eq!(&*seen.body, b"the body");
     assert_eq!(seen.headers["x-custom"], "kept");
     assert_eq!(seen.headers["x-tenant"], "alpha");
     assert_eq!(seen.headers["x-expect-instance"], "s-0");
@@ -74,7 +74,7 @@
 fn a_new_configuration_is_in_force_within_its_bound() {
     let site = Site::start(1, 1, 1);
     site.publish(2, |document| {
-        document["Tenants"][0]["ApiKeys"] = ["another"].into()
+        document["Tenants"][0]["ApiKeys"] = ["another"].into();
     });
     until("the old key is refused", || {
         site.ask(&Method::GET, READ, &[]).status == StatusCode::UNAUTHORIZED
@@ -134,7 +134,7 @@
     }
     let reply = site.ask(&Method::GET, READ, &[("x-attempt-id", "a-1")]);
     assert_eq!(reply.status, StatusCode::INTERNAL_SERVER_ERROR);
-    let runs: usize = site.services.iter().map(|service| service.runs()).sum();
+    let runs: usize = site.services.iter().map(Target::runs).sum();
     assert_eq!(runs, 2);
 }
 
@@ -150,13 +150,7 @@
     let reply = site.ask(&Method::POST, HOLD, &[("x-attempt-id", "a-1")]);
     assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
     assert!(reply.headers.contains_key("retry-after"));
-    assert_eq!(
-        site.services
-            .iter()
-            .map(|service| service.runs())
-            .sum::<usize>(),
-        0
-    );
+    assert_eq!(site.services.iter().map(Target::runs).sum::<usize>(), 0);
 }
 
 #[test]
@@ -207,13 +201,7 @@
     });
     let reply = finish(site.draft("a-1", 600));
     assert_eq!(reply.body, Some(events(6)));
-    assert_eq!(
-        site.engines
-            .iter()
-            .map(|engine| engine.runs())
-            .sum::<usize>(),
-        1
-    );
+    assert_eq!(site.engines.iter().map(Target::runs).sum::<usize>(), 1);
 }
 
 #[test]
@@ -261,7 +249,7 @@
     let check = site.open(0, &Method::POST, CHECK, &usage);
     site.engines_behave(&Behaviour::default());
     assert_eq!(finish(check).body, Some(events(20)));
-    let resumed = site.engines.iter().flat_map(|engine| engine.seen());
+    let resumed = site.engines.iter().flat_map(Target::seen);
     let resumed = resumed.filter_map(|seen| seen.headers.get("last-event-id").cloned());
     assert_eq!(resumed.collect::<Vec<_>>(), ["5"]);
 }
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -323,7 +323,8 @@
 
 /// Returns the text of all events of a whole stream.
 pub fn events(count: u64) -> String {
-    (0..count)
+    let events: Vec<_> = (0..count)
         .map(|id| format!("id: {id}\ndata: token {id}\n\n"))
-        .collect()
+        .collect();
+    events.concat()
 }
