--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -18,7 +18,7 @@
 /// Part of an engine's memory that placements may plan for; lengths are estimates.
 const MEMORY_SHARE: f64 = 0.97;
 /// Part of an engine's memory up to which copies are planned in advance; the rest is left to runs.
-const COPY_MEMORY_SHARE: f64 = 0.45;
+const COPY_MEMORY_SHARE: f64 = 0.4;
 /// Cost of one request that runs beside, in milliseconds: what it adds to the steps of an answer.
 const RUN_COST: f64 = 12.0;
 /// Cost of full memory, in milliseconds: a preempted request is read in again.
@@ -31,6 +31,8 @@
 /// Cost of the wrong side for a copy, in milliseconds: one of the run and its copy belongs into the
 /// VM's data centre, so that a partition can't take both, and its memory holds only one of them.
 const COPY_SIDE_COST: f64 = 150.0;
+/// Cost of memory that is full of other copies, in milliseconds.
+const COPY_SPREAD_COST: f64 = 200.0;
 /// Cost of a data centre to which the last connection failed, in milliseconds.
 const UNREACHED_COST: f64 = 600.0;
 /// Time after which a data centre is tried again.
@@ -318,7 +320,10 @@
             Some(data_centre) => *target.data_centre != *data_centre,
             None => is_near == ask.is_run_near,
         };
-        return Some(memory + if is_wrong { COPY_SIDE_COST } else { 0.0 });
+        let side = if is_wrong { COPY_SIDE_COST } else { 0.0 };
+        // Runs whose engine ends go on at once at the engines with their copies: spread them.
+        let shared = f64::from(load.copies) / f64::from(engine.memory.max(1));
+        return Some(side + memory + COPY_SPREAD_COST * shared);
     }
     let prefill = f64::from(load.prefill) / PREFILL_RATE;
     let far = if ask.is_far_stale {
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -111,6 +111,11 @@
     events: u64,
     moves: u32,
     first: Option<Instant>,
+    /// When events were last passed on, and the longest time between two such moments.
+    delivered: Instant,
+    longest_pause: Duration,
+    /// Where the longest pause began, as a number of events.
+    paused_at: u64,
     heard: Instant,
     probed: Instant,
     evacuation: Evacuation,
@@ -157,6 +162,9 @@
             events: 0,
             moves: 0,
             first: None,
+            delivered: now,
+            longest_pause: Duration::ZERO,
+            paused_at: 0,
             outcome: None,
         }
     }
@@ -247,8 +255,20 @@
         if events.is_empty() {
             return None;
         }
+        let now = self.exchange.shared.now();
+        if self.first.is_some() {
+            let pause = now.since(self.delivered);
+            self.exchange
+                .shared
+                .metrics
+                .pause(&self.exchange.route.name, pause);
+            if pause > self.longest_pause {
+                self.longest_pause = pause;
+                self.paused_at = self.events;
+            }
+        }
+        self.delivered = now;
         if self.first.is_none() {
-            let now = self.exchange.shared.now();
             self.first = Some(now);
             self.source.place.started();
             let route = &self.exchange.route.name;
@@ -413,6 +433,7 @@
             instance:% = self.source.target.instance, outcome:% = outcome, reason:% = reason,
             events = self.events, moves = self.moves, prompt = self.plan.generation.prompt,
             estimate = self.plan.tokens,
+            longest_pause_ms = self.longest_pause.as_millis() as u64, paused_at = self.paused_at,
             first_ms = first.since(exchange.arrived).as_millis() as u64,
             elapsed_ms = now.since(exchange.arrived).as_millis() as u64;
             "a stream ended"
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -44,6 +44,7 @@
     requests: Counter<u64>,
     moves: Counter<u64>,
     first_event: Histogram<f64>,
+    pause: Histogram<f64>,
     duration: Histogram<f64>,
     in_flight: Gauge<u64>,
     version: Gauge<u64>,
@@ -103,6 +104,10 @@
                 "mastictrail.gateway.first_event",
                 "Time from a request's arrival to its first event",
             ),
+            pause: time(
+                "mastictrail.gateway.pause",
+                "Time between two deliveries of events of a stream",
+            ),
             duration: time(
                 "mastictrail.gateway.duration",
                 "Time from a request's arrival to its end",
@@ -152,6 +157,12 @@
         self.first_event.record(time.as_secs_f64(), &[route]);
     }
 
+    /// Notes the time between two deliveries of events.
+    pub fn pause(&self, route: &str, time: Duration) {
+        let route = KeyValue::new("route", route.to_owned());
+        self.pause.record(time.as_secs_f64(), &[route]);
+    }
+
     /// Counts a stream that was to go on at another engine.
     pub fn moved(&self, is_taken: bool) {
         self.moves.add(1, &[KeyValue::new("taken", is_taken)]);
