--- a/crates/cli/tests/documents.rs
+++ b/crates/cli/tests/documents.rs
@@ -1,7 +1,7 @@
 //! The operators' page agrees with the program.
 
 use {
-    config::{parse, settings},
+    config::{gateway, parse, settings},
     std::{collections::BTreeSet, fs, path::Path},
 };
 
@@ -156,6 +156,49 @@
     }
 }
 
+#[test]
+fn every_setting_of_the_gateway_stands_on_the_page_with_its_default() {
+    let tables = tables("Gateway");
+    let required = "[vm]\nname = a\ndata_centre = b\n";
+    let mut explicit = String::new();
+    for (section, rows) in &tables {
+        let required = if section == "vm" {
+            "name = a\ndata_centre = b\n"
+        } else {
+            ""
+        };
+        let vm = if section == "vm" {
+            ""
+        } else {
+            "[vm]\nname = a\ndata_centre = b\n"
+        };
+        let unknown = format!("{vm}[{section}]\n{required}unknown_key = 1\n");
+        let faults = gateway::parse("a", &unknown).expect_err("the key is unknown");
+        assert_eq!(keys(rows), permitted(&faults), "[{section}]");
+        explicit += &format!("[{section}]\n{required}{}", defaults(rows));
+    }
+    let documented = gateway::parse("a", &explicit).expect("the defaults are valid");
+    let built_in = gateway::parse("a", required).expect("the required keys suffice");
+    assert_eq!(format!("{documented:#?}"), format!("{built_in:#?}"));
+}
+
+#[test]
+fn every_metric_and_event_of_the_gateway_stands_on_the_page() {
+    let page = read("docs/OPERATIONS.md");
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../gateway/src");
+    for event in events(&folder) {
+        assert!(page.contains(&format!("\n| `{event}` |")), "event {event}");
+    }
+    let source = read("crates/gateway/src/metrics.rs");
+    for name in source.split("\"mastictrail.gateway.").skip(1) {
+        let name = name.split('"').next().unwrap_or_default().replace('.', "_");
+        assert!(
+            page.contains(&format!("| `mastictrail_gateway_{name}")),
+            "metric {name}"
+        );
+    }
+}
+
 /// Returns the events that the daemon's log calls name.
 fn events(folder: &Path) -> BTreeSet<String> {
     let mut events = BTreeSet::new();
--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -79,9 +79,7 @@
 pub struct Limits {
     /// Threads that run requests.
     pub threads: u32,
-    /// Open connections of clients.
-    pub connections: u32,
-    /// Longest time to connect to a target.
+    /// Longest time to connect to a target; links take a few milliseconds.
     pub connect_timeout: Duration,
 }
 
@@ -89,8 +87,7 @@
     fn default() -> Self {
         Self {
             threads: 1,
-            connections: 1_000,
-            connect_timeout: Duration::from_millis(400),
+            connect_timeout: Duration::from_millis(250),
         }
     }
 }
@@ -214,7 +211,6 @@
 impl Limits {
     fn read(&mut self, reader: &Reader<'_>) {
         reader.update("threads", &mut self.threads, value::positive);
-        reader.update("connections", &mut self.connections, value::positive);
         reader.update(
             "connect_timeout",
             &mut self.connect_timeout,
--- a/crates/gateway/src/clients/exchange.rs
+++ b/crates/gateway/src/clients/exchange.rs
@@ -100,11 +100,12 @@
 /// Answers one request.
 pub async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let is_leaving = shared.drain.is_leaving();
+    let attempt: Box<str> = platform::request::attempt(request.headers()).into();
     let mut response = match begin(&shared, request).await {
         Ok(exchange) => respond(Arc::new(exchange)).await,
         Err(refusal) => {
             log::info!(
-                target: "answer", verdict:% = refusal.verdict, reason:% = refusal.reason,
+                target: "answer", request:% = attempt, verdict:% = refusal.verdict, reason:% = refusal.reason,
                 configuration = shared.current.version();
                 "refused before its route was known: {}", refusal.message
             );
