--- a/crates/fakes/src/site/target.rs
+++ b/crates/fakes/src/site/target.rs
@@ -143,6 +143,11 @@
         })
     }
 
+    /// Sets the address that others know it by, if a proxy stands before it.
+    pub fn advertise(&self, address: SocketAddr) {
+        lock(&self.state).address = address;
+    }
+
     /// Sets what it does from now on.
     pub fn behave(&self, behaviour: Behaviour) {
         lock(&self.state).behaviour = behaviour;
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -33,7 +33,7 @@
     pub engines: Vec<Target>,
     pub services: Vec<Target>,
     pub gateways: Vec<Gateway>,
-    copies: Copies,
+    pub copies: Copies,
     directory: tempfile::TempDir,
 }
 
@@ -52,6 +52,8 @@
     pub headers: HeaderMap,
     /// The body; `None` if it broke off.
     pub body: Option<String>,
+    /// What came of the body.
+    pub received: String,
     /// Longest time between two pieces of the body.
     pub longest_pause: Duration,
 }
@@ -65,17 +67,21 @@
 }
 
 impl Site {
-    /// Starts a store, engines, services and gateways, and waits until these are ready.
-    pub fn start(engines: usize, services: usize, gateways: usize) -> Self {
-        let store = Store::start(free_address()).expect("an address of our own");
-        let mut site = Self {
-            store,
+    /// Starts a store alone.
+    pub fn new() -> Self {
+        Self {
+            store: Store::start(free_address()).expect("an address of our own"),
             engines: Vec::new(),
             services: Vec::new(),
             gateways: Vec::new(),
             copies: Copies::default(),
             directory: tempfile::tempdir().expect("a directory"),
-        };
+        }
+    }
+
+    /// Starts a store, engines, services and gateways, and waits until these are ready.
+    pub fn start(engines: usize, services: usize, gateways: usize) -> Self {
+        let mut site = Self::new();
         site.publish(1, |_| {});
         for index in 0..engines {
             site.add_engine(index, "dc-1");
@@ -87,7 +93,8 @@
             site.list(&target, "ledger", "dc-1", "ready");
             site.services.push(target);
         }
-        site.start_gateways(gateways);
+        let store = site.store.address;
+        site.start_gateways(gateways, store);
         for gateway in &site.gateways {
             until("a gateway is ready", || is_ready(gateway));
         }
@@ -105,8 +112,20 @@
 
     /// Writes a target's entry.
     pub fn list(&self, target: &Target, service: &str, data_centre: &str, state: &str) {
+        self.list_at(target, target.address, service, data_centre, state);
+    }
+
+    /// Writes a target's entry with the address of a proxy before it.
+    pub fn list_at(
+        &self,
+        target: &Target,
+        address: SocketAddr,
+        service: &str,
+        data_centre: &str,
+        state: &str,
+    ) {
         let entry = json!({
-            "Service": service, "Address": target.address, "Zone": data_centre, "Version": "v1",
+            "Service": service, "Address": address, "Zone": data_centre, "Version": "v1",
             "Slots": 8, "State": state, "ColdRemainingMs": 0, "Sequence": 1, "born": 1,
         });
         self.store
@@ -148,7 +167,8 @@
         self.store.put("op/config", &document.to_string());
     }
 
-    fn start_gateways(&mut self, count: usize) {
+    /// Starts gateways that reach the store at an address.
+    pub fn start_gateways(&mut self, count: usize, store: SocketAddr) {
         let ports: Vec<u16> = (0..5).map(|_| free_address().port()).collect();
         let ips: Vec<Ipv4Addr> = (0..count).map(address_of_vm).collect();
         for (index, ip) in ips.iter().enumerate() {
@@ -163,7 +183,7 @@
                 at(2),
                 at(3),
                 at(4),
-                self.store.address,
+                store,
                 seeds.join(","),
             );
             let settings = self.directory.path().join(format!("vm-{index}.ini"));
@@ -249,7 +269,7 @@
     Ipv4Addr::new(127, first + high % 64, middle, low)
 }
 
-fn start_process(settings: &std::path::Path) -> Process {
+pub fn start_process(settings: &std::path::Path) -> Process {
     let arguments = ["gateway".to_owned(), settings.display().to_string()];
     Process::start(env!("CARGO_BIN_EXE_mastictrail"), &arguments)
 }
@@ -297,26 +317,28 @@
 
 /// Reads an answer to its end.
 pub fn finish(mut open: Open) -> Reply {
-    let mut body = Some(String::new());
+    let mut received = String::new();
+    let mut is_whole = true;
     let mut longest_pause = Duration::ZERO;
     let mut last = std::time::Instant::now();
     smol::block_on(async {
         while let Some(frame) = open.body.frame().await {
             let Ok(frame) = frame else {
-                body = None;
+                is_whole = false;
                 return;
             };
             longest_pause = longest_pause.max(last.elapsed());
             last = std::time::Instant::now();
-            if let (Some(body), Ok(data)) = (&mut body, frame.into_data()) {
-                body.push_str(&String::from_utf8_lossy(&data));
+            if let Ok(data) = frame.into_data() {
+                received.push_str(&String::from_utf8_lossy(&data));
             }
         }
     });
     Reply {
         status: open.status,
         headers: open.headers,
-        body,
+        body: is_whole.then(|| received.clone()),
+        received,
         longest_pause,
     }
 }
