--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -81,6 +81,9 @@
     /// Requests that wait for a place, by service.
     #[prost(message, repeated, tag = "12")]
     pub waiting: Vec<Wait>,
+    /// Raw keys of targets that fail the sender's requests.
+    #[prost(fixed64, repeated, tag = "13")]
+    pub failing: Vec<u64>,
 }
 
 /// Requests of one service that wait at a VM.
@@ -319,6 +322,17 @@
         total
     }
 
+    /// Returns how many live peers say of each target that it fails requests.
+    pub fn failing(&self, now: Instant) -> HashMap<key::Target, u32> {
+        let mut total = HashMap::new();
+        for (_, report) in self.live(now) {
+            for &target in &report.failing {
+                *total.entry(key::Target::from_raw(target)).or_default() += 1;
+            }
+        }
+        total
+    }
+
     /// Returns how many requests of each service wait at live peers.
     pub fn waiting(&self, now: Instant) -> HashMap<key::Service, u32> {
         let mut total = HashMap::new();
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -16,7 +16,7 @@
 /// what engines of this kind read alone.
 const PREFILL_RATE: f64 = 7.0;
 /// Part of an engine's memory that placements may plan for; lengths are estimates.
-const MEMORY_SHARE: f64 = 0.97;
+const MEMORY_SHARE: f64 = 0.85;
 /// Part of an engine's memory up to which copies are planned in advance; the rest is left to runs.
 const COPY_MEMORY_SHARE: f64 = 0.4;
 /// Cost of one request that runs beside, in milliseconds: what it adds to the steps of an answer.
@@ -49,6 +49,8 @@
 const SLOT_COST: f64 = 3.0;
 /// Cost of another data centre for a plain request, in milliseconds.
 const PLAIN_DISTANCE_COST: f64 = 8.0;
+/// Cost of a target for each VM that says that it fails requests, in milliseconds.
+const REPORTED_COST: f64 = 400.0;
 /// Time that a target is avoided after its first failure; doubles with each further one.
 const FIRST_BACKOFF: Duration = Duration::from_millis(400);
 /// Longest time that a target is avoided without a new failure.
@@ -70,16 +72,20 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Health {
     failures: u32,
+    /// Whether the last failure was of the target, not of the way to it.
+    is_failing: bool,
     avoided_until: Instant,
 }
 
 /// What is asked of a target.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct Ask<'a> {
     /// Work that the request adds.
     pub load: Load,
     /// The engines' description; `None` for plain services.
     pub engine: Option<Engine>,
+    /// Most tokens of prompts that may be read before this one.
+    pub prefill_room: u32,
     /// Targets that must not be chosen.
     pub exclude: &'a [key::Target],
     /// Data centre of this VM.
@@ -94,6 +100,22 @@
     pub is_run_near: bool,
 }
 
+impl Default for Ask<'_> {
+    fn default() -> Self {
+        Self {
+            load: Load::default(),
+            engine: None,
+            prefill_room: u32::MAX,
+            exclude: &[],
+            data_centre: "",
+            is_far_stale: false,
+            is_urgent: false,
+            beside: None,
+            is_run_near: false,
+        }
+    }
+}
+
 /// What a choice was made by.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Basis {
@@ -121,6 +143,16 @@
     at: Instant,
 }
 
+/// Returns the tokens of prompts that engines read in a time.
+pub fn prefill(time: Duration) -> u32 {
+    (time.as_secs_f64() * 1e3 * PREFILL_RATE) as u32
+}
+
+/// Returns the time in which engines read tokens of prompts.
+pub fn prefill_time(tokens: u32) -> Duration {
+    Duration::from_secs_f64(f64::from(tokens) / PREFILL_RATE / 1e3)
+}
+
 /// The machine.
 #[derive(Debug)]
 pub struct Placement {
@@ -129,6 +161,8 @@
     peers: HashMap<key::Target, Load>,
     health: HashMap<key::Target, Health>,
     paces: HashMap<key::Target, Pace>,
+    /// VMs that say that a target fails requests.
+    reported: HashMap<key::Target, u32>,
     /// When a connection to a data centre last failed, unless one succeeded since.
     unreached: HashMap<Box<str>, Instant>,
     #[debug(skip)]
@@ -144,6 +178,7 @@
             peers: HashMap::new(),
             health: HashMap::new(),
             paces: HashMap::new(),
+            reported: HashMap::new(),
             unreached: HashMap::new(),
             random: SmallRng::seed_from_u64(seed),
         }
@@ -177,6 +212,8 @@
             if self.is_unreached(&target.data_centre, now) {
                 cost += UNREACHED_COST;
             }
+            let reported = self.reported.get(&target.key).copied().unwrap_or_default();
+            cost += REPORTED_COST * f64::from(reported);
             cost += self.random.random_range(0.0..DRAW_WIDTH);
             if best.is_none_or(|(lowest, ..)| cost < lowest) {
                 best = Some((cost, target, load));
@@ -217,6 +254,18 @@
         self.peers = peers;
     }
 
+    /// Takes how many peers say of each target that it fails requests.
+    pub fn set_reported(&mut self, reported: HashMap<key::Target, u32>) {
+        self.reported = reported;
+    }
+
+    /// Returns the targets that this VM avoids since they failed requests.
+    pub fn failing(&self, now: Instant) -> Vec<key::Target> {
+        let failing = self.health.iter();
+        let failing = failing.filter(|(_, health)| health.is_failing && now < health.avoided_until);
+        failing.map(|(target, _)| *target).collect()
+    }
+
     /// Returns the requests in progress at some targets, of this VM and its peers.
     pub fn runs(&self, targets: &[Target]) -> u32 {
         let own = self.own();
@@ -247,6 +296,9 @@
     /// Notes that no connection to a target could be made.
     pub fn unreached(&mut self, target: &Target, now: Instant) {
         self.failed(target.key, now);
+        if let Some(health) = self.health.get_mut(&target.key) {
+            health.is_failing = false;
+        }
         self.unreached.insert(target.data_centre.clone(), now);
     }
 
@@ -276,6 +328,7 @@
         let health = self.health.entry(target).or_default();
         let backoff = FIRST_BACKOFF * 2_u32.pow(health.failures.min(4));
         health.failures += 1;
+        health.is_failing = true;
         health.avoided_until = now + backoff.min(LONGEST_BACKOFF);
     }
 
@@ -325,6 +378,9 @@
         let shared = f64::from(load.copies) / f64::from(engine.memory.max(1));
         return Some(side + memory + COPY_SPREAD_COST * shared);
     }
+    if load.prefill > ask.prefill_room {
+        return None;
+    }
     let prefill = f64::from(load.prefill) / PREFILL_RATE;
     let far = if ask.is_far_stale {
         STALE_DISTANCE_COST
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -17,7 +17,7 @@
         Generation, Load,
         configuration::{Engine, Repeat},
         listing::Target,
-        placement::Ask,
+        placement::{Ask, prefill, prefill_time},
     },
     futures_util::stream,
     http_body_util::{BodyExt, Limited, StreamBody},
@@ -33,8 +33,9 @@
 const TOKEN_TIME: Duration = Duration::from_millis(11);
 /// Time between two looks for room.
 const WAIT_POLL: Duration = Duration::from_millis(15);
-/// Part of the objective that a request may wait for room; reading its prompt takes the rest.
-const WAIT_SHARE: f64 = 0.6;
+/// Part of the objective in which the prompts before a request, and its own, must be read; the steps
+/// to the first event and the way of the bytes take the rest.
+const FIRST_SHARE: f64 = 0.85;
 /// When to come back if there was no room: about the time in which an engine finishes a request.
 const BUSY_DELAY: Duration = Duration::from_millis(400);
 /// Answers above this many tokens are copied to a second engine; shorter ones are made anew.
@@ -107,9 +108,11 @@
             break;
         }
         excluded.push(target.key);
+        let may_repeat =
+            exchange.route.repeat != Repeat::Unsafe && arrivals + 1 < exchange.route.attempts;
         let backup = copy(exchange, &plan, &target, &excluded);
         let source = Source::new((target, place), backup, &exchange.head.attempt);
-        let refusal = match send(exchange, source, plan).await {
+        let refusal = match send(exchange, source, plan, may_repeat).await {
             Ok(response) => return Ok(response),
             Err(refusal) => refusal,
         };
@@ -117,8 +120,7 @@
         let was_reached =
             refusal.reason != Reason::TargetLost || refusal.verdict != Verdict::NotRun;
         arrivals += u32::from(was_reached);
-        let is_repeatable = refusal.verdict == Verdict::NotRun
-            || exchange.route.repeat != Repeat::Unsafe && arrivals < exchange.route.attempts;
+        let is_repeatable = refusal.verdict == Verdict::NotRun || may_repeat;
         last = Some(refusal);
         if !is_repeatable {
             break;
@@ -175,7 +177,9 @@
     {
         return Ok(placed);
     }
-    let end = exchange.arrived + exchange.route.objective.mul_f64(WAIT_SHARE);
+    let reading = exchange.route.objective.mul_f64(FIRST_SHARE);
+    let reading = reading.saturating_sub(prefill_time(plan.generation.prompt));
+    let end = exchange.arrived + reading;
     let targets = shared.directory.of(service);
     let queued = shared.dispatcher.enter(
         service,
@@ -213,9 +217,17 @@
 ) -> Option<(Target, Place)> {
     choose(exchange, plan.load(), plan, now, |ask| {
         ask.exclude = excluded;
+        ask.prefill_room = prefill_room(exchange, plan, now);
     })
 }
 
+/// Returns the tokens of prompts that an engine may have to read before this one, so that its first
+/// event still comes within the objective.
+fn prefill_room(exchange: &Exchange, plan: &Plan, now: Instant) -> u32 {
+    let due = exchange.arrived + exchange.route.objective.mul_f64(FIRST_SHARE);
+    prefill(due.since(now)).saturating_sub(plan.generation.prompt)
+}
+
 /// Takes room for the copy of a run, if that is worth it.
 pub fn copy(
     exchange: &Exchange,
@@ -278,6 +290,7 @@
     exchange: &Arc<Exchange>,
     source: Source,
     plan: Plan,
+    may_repeat: bool,
 ) -> Result<Response<Body>, Refusal> {
     let shared = &exchange.shared;
     let added = Added {
@@ -313,8 +326,20 @@
                 Refusal::may_have_run(Reason::TargetInvalid, message),
             )
         }
+        Ok(answer) if may_repeat && answer.response.status().is_server_error() => {
+            shared.dispatcher.failed(target.key, shared.now());
+            let message = format!("the engine answered {}", answer.response.status());
+            (
+                "error",
+                Refusal::may_have_run(Reason::TargetInvalid, message),
+            )
+        }
         Ok(answer) => {
-            shared.dispatcher.succeeded(&target);
+            if answer.response.status().is_server_error() {
+                shared.dispatcher.failed(target.key, shared.now());
+            } else {
+                shared.dispatcher.succeeded(&target);
+            }
             log_sent(
                 exchange,
                 &source,
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -136,6 +136,12 @@
         is_store_lost: shared.fleet.is_store_lost(),
         data_centre: shared.fleet.data_centre(),
         waiting: waiting(shared),
+        failing: shared
+            .dispatcher
+            .failing(shared.now())
+            .iter()
+            .map(|key| key.raw())
+            .collect(),
     };
     Datagram {
         report: Some(report),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -51,10 +51,7 @@
         }
         let now = self.now();
         let peers = self.fleet.peers();
-        let (work, waiting) = (peers.work(now), peers.waiting(now));
-        let vms = peers.live(now).count() + 1;
-        drop(peers);
-        self.dispatcher.set_peers(work, waiting, vms);
+        self.dispatcher.set_peers(&peers, now);
     }
 
     /// Returns whether new connections may come: configured, with a list of targets, not stopping.
--- a/crates/gateway/src/targets/dispatcher.rs
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -4,7 +4,7 @@
     base::{Instant, key},
     derive_more::Debug,
     dispatch::{
-        Budget, Generation, Lengths, Load, Placement,
+        Budget, Generation, Lengths, Load, Peers, Placement,
         budget::Terms,
         listing::Target,
         placement::{Ask, Basis, Ticket},
@@ -110,6 +110,7 @@
     /// Notes that a target failed a request.
     pub fn failed(&self, target: key::Target, now: Instant) {
         self.lock().placement.failed(target, now);
+        self.tell();
     }
 
     /// Notes that a target refused a request for want of room.
@@ -117,17 +118,19 @@
         self.lock().placement.refused(target, now);
     }
 
-    /// Takes the work and the waiting requests of the other VMs, and how many VMs there are.
-    pub fn set_peers(
-        &self,
-        work: HashMap<key::Target, Load>,
-        waiting: HashMap<key::Service, u32>,
-        vms: usize,
-    ) {
-        self.vms.store(vms, Ordering::Relaxed);
+    /// Takes what the other VMs report.
+    pub fn set_peers(&self, peers: &Peers, now: Instant) {
+        self.vms
+            .store(peers.live(now).count() + 1, Ordering::Relaxed);
         let mut state = self.lock();
-        state.placement.set_peers(work);
-        state.peers_waiting = waiting;
+        state.placement.set_peers(peers.work(now));
+        state.placement.set_reported(peers.failing(now));
+        state.peers_waiting = peers.waiting(now);
+    }
+
+    /// Returns the targets that this VM avoids since they failed requests.
+    pub fn failing(&self, now: Instant) -> Vec<key::Target> {
+        self.lock().placement.failing(now)
     }
 
     /// Takes a place in the queue of a service if room is expected by `end`.
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -176,9 +176,15 @@
         site.store.remove(&format!("servers/{instance}"));
         let address = slot.target.lock().expect("no holder panics").address;
         let name = format!("{}-{generation}", slot.name);
-        let target = Target::start(address, &name, slot.service == "engines", &site.copies);
+        let start = || Target::start(address, &name, slot.service == "engines", &site.copies);
+        let mut target = None;
+        // The former listener is closed by another thread.
+        until("the address is free again", || {
+            target = start().ok();
+            target.is_some()
+        });
+        let target = target.expect("it has been started");
         drop(site);
-        let target = target.expect("the address is free again");
         let former = std::mem::replace(&mut *slot.target.lock().expect("no holder panics"), target);
         self.retired.lock().expect("no holder panics").push(former);
         self.list(slot, "ready");
