--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -16,7 +16,7 @@
 /// what engines of this kind read alone.
 const PREFILL_RATE: f64 = 7.0;
 /// Part of an engine's memory that placements may plan for; lengths are estimates.
-const MEMORY_SHARE: f64 = 0.85;
+const MEMORY_SHARE: f64 = 0.97;
 /// Part of an engine's memory up to which copies are planned in advance; the rest is left to runs.
 const COPY_MEMORY_SHARE: f64 = 0.4;
 /// Cost of one request that runs beside, in milliseconds: what it adds to the steps of an answer.
@@ -25,9 +25,6 @@
 const MEMORY_COST: f64 = 250.0;
 /// Cost of another data centre for a run, in milliseconds: it is lost to a partition between them.
 const DISTANCE_COST: f64 = 30.0;
-/// The same where the work of other data centres is known only by heartbeats: what looks idle there
-/// looks so to all, and all would choose it.
-const STALE_DISTANCE_COST: f64 = 600.0;
 /// Cost of the wrong side for a copy, in milliseconds: one of the run and its copy belongs into the
 /// VM's data centre, so that a partition can't take both, and its memory holds only one of them.
 const COPY_SIDE_COST: f64 = 150.0;
@@ -196,11 +193,20 @@
             .filter(|target| !target.is_leaving && !ask.exclude.contains(&target.key))
             .collect();
         let all_avoided = usable.iter().all(|target| self.is_avoided(target.key, now));
+        // What looks idle far away looks so to all VMs; where that is known only by heartbeats, all
+        // would choose it.
+        let is_near = |target: &Target| *target.data_centre == *ask.data_centre;
+        let stays_near = ask.is_far_stale
+            && ask.load.runs > 0
+            && usable
+                .iter()
+                .any(|target| is_near(target) && !self.is_unreached(&target.data_centre, now));
         let own = self.own();
         let mut best: Option<(f64, &Target, Load)> = None;
         let mut candidates = 0;
         for target in usable {
-            if !all_avoided && self.is_avoided(target.key, now) {
+            let is_avoided = !all_avoided && self.is_avoided(target.key, now);
+            if is_avoided || stays_near && !is_near(target) {
                 continue;
             }
             let mut load = own.get(&target.key).copied().unwrap_or_default();
@@ -382,10 +388,5 @@
         return None;
     }
     let prefill = f64::from(load.prefill) / PREFILL_RATE;
-    let far = if ask.is_far_stale {
-        STALE_DISTANCE_COST
-    } else {
-        DISTANCE_COST
-    };
-    Some(distance(far) + prefill + RUN_COST * f64::from(load.runs) + memory)
+    Some(distance(DISTANCE_COST) + prefill + RUN_COST * f64::from(load.runs) + memory)
 }
