--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -174,11 +174,6 @@
         self.services.get(&service)
     }
 
-    /// Returns all services.
-    pub fn services(&self) -> impl Iterator<Item = (key::Service, &Service)> {
-        self.services.iter().map(|(key, service)| (*key, service))
-    }
-
     /// Finds the route of a request: the longest prefix of its host that begins the path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let indexes = self.by_host.get(host).or_else(|| {
--- a/crates/gateway/src/targets/client.rs
+++ b/crates/gateway/src/targets/client.rs
@@ -11,10 +11,7 @@
     entry::runtime::{Runtime, within},
     http_body_util::{BodyExt, Full, Limited},
     hyper::{
-        Method, Request, Response, StatusCode,
-        body::Incoming,
-        client::conn::http1,
-        header::{HOST, HeaderValue},
+        Method, Request, Response, StatusCode, body::Incoming, client::conn::http1, header::HOST,
     },
     platform::store::{Reply, Transport},
     smol::{Task, net::TcpStream},
@@ -179,11 +176,6 @@
     }
 }
 
-/// Returns the value of a `Host` field, if `text` can be one.
-pub fn host(text: &str) -> Option<HeaderValue> {
-    HeaderValue::from_str(text).ok()
-}
-
 /// Asks the kernel to end a connection whose link went silent.
 fn watch_link(stream: &TcpStream) {
     let socket = SockRef::from(stream);
