fix(gateway): a refusal after a lost answer is no longer called not run

Cause (read as a newcomer): a resumable stream that one engine may have run, and another one then refused, was answered 503, which says that it has not run. The verdicts of all attempts are joined now. The test fails without it (503).

--- a/crates/fakes/src/site/target.rs
+++ b/crates/fakes/src/site/target.rs
@@ -220,6 +220,9 @@
             .insert("x-not-executed", HeaderValue::from_static("1"));
         return Ok(response);
     }
+    if is_engine && behaviour.loses_answer {
+        return Err(http::hang_up());
+    }
     if is_engine {
         return Ok(stream(state, behaviour, &attempt, &request));
     }
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -112,7 +112,7 @@
             exchange.route.repeat != Repeat::Unsafe && arrivals + 1 < exchange.route.attempts;
         let backup = copy(exchange, &plan, &target, &excluded);
         let source = Source::new((target, place), backup, &exchange.head.attempt);
-        let refusal = match send(exchange, source, plan, may_repeat).await {
+        let mut refusal = match send(exchange, source, plan, may_repeat).await {
             Ok(response) => return Ok(response),
             Err(refusal) => refusal,
         };
@@ -121,6 +121,10 @@
             refusal.reason != Reason::TargetLost || refusal.verdict != Verdict::NotRun;
         arrivals += u32::from(was_reached);
         let is_repeatable = refusal.verdict == Verdict::NotRun || may_repeat;
+        // What an earlier engine may have run has not become unrun by a later refusal.
+        if let Some(earlier) = &last {
+            refusal.verdict = refusal.verdict.and(earlier.verdict);
+        }
         last = Some(refusal);
         if !is_repeatable {
             break;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -278,6 +278,31 @@
     assert_eq!(resumed.collect::<Vec<_>>(), ["5"]);
 }
 
+#[test]
+fn what_one_engine_may_have_run_is_not_called_not_run_after_the_refusal_of_another() {
+    let site = Site::start(2, 1, 1);
+    site.engines[0].behave(Behaviour {
+        loses_answer: true,
+        ..Behaviour::default()
+    });
+    site.engines[1].behave(Behaviour {
+        refuses: true,
+        ..Behaviour::default()
+    });
+    for attempt in 0..6 {
+        let attempt = format!("a-{attempt}");
+        let fields = [("x-attempt-id", &*attempt), ("x-token-usage", "1000,80")];
+        let reply = site.ask(&Method::POST, CHECK, &fields);
+        let ran = site.engines[0]
+            .seen()
+            .iter()
+            .any(|seen| *seen.attempt == *attempt);
+        let is_not_run = reply.status == StatusCode::SERVICE_UNAVAILABLE;
+        assert!(!(ran && is_not_run), "{attempt}: {:?}", reply.status);
+    }
+    assert!(site.engines[0].runs() > 0);
+}
+
 #[test]
 fn nothing_is_sent_to_a_target_that_leaves() {
     let site = Site::start(2, 1, 1);
