feat(dispatch): no copies in advance while the data centre's engines are full

Engines that had just started took most of the copies, since each was still under its own limit of 0.4.

Ruled out: engines that hold more than is planned (reported use was 0.8 of the plan); slow reading (7 tokens a millisecond at the median, as planned).

Now copies in advance are planned only while the engines of the data centre are under 0.45 full together. The log tells the occupancy that an engine reports and the time that a request waited.

--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -23,3 +23,12 @@
         self.copies += rhs.copies;
     }
 }
+
+/// What a target says of itself on an answer: all that it has, of all VMs.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Occupancy {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait there for a slot or for memory.
+    pub waiting: u32,
+}
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -19,6 +19,9 @@
 const MEMORY_SHARE: f64 = 0.97;
 /// Part of an engine's memory up to which copies are planned in advance; the rest is left to runs.
 const COPY_MEMORY_SHARE: f64 = 0.4;
+/// Mean part of the engines' memory up to which copies are planned in advance: beyond it a copy takes
+/// the room of a request that would be refused.
+const COPY_FLEET_SHARE: f64 = 0.45;
 /// Cost of one request that runs beside, in milliseconds: what it adds to the steps of an answer.
 const RUN_COST: f64 = 12.0;
 /// Cost of full memory, in milliseconds: a preempted request is read in again.
@@ -202,6 +205,10 @@
                 .iter()
                 .any(|target| is_near(target) && !self.is_unreached(&target.data_centre, now));
         let own = self.own();
+        let is_spare_copy = ask.engine.is_some() && ask.load.runs == 0 && !ask.is_urgent;
+        if is_spare_copy && self.fill(&usable, &own, ask) > COPY_FLEET_SHARE {
+            return None;
+        }
         let mut best: Option<(f64, &Target, Load)> = None;
         let mut candidates = 0;
         for target in usable {
@@ -235,6 +242,21 @@
         })
     }
 
+    /// Returns the part of the engines' memory that is planned, in the VM's data centre if that is
+    /// the one whose load is known.
+    fn fill(&self, targets: &[&Target], own: &HashMap<key::Target, Load>, ask: &Ask<'_>) -> f64 {
+        let is_known =
+            |target: &&&Target| !ask.is_far_stale || *target.data_centre == *ask.data_centre;
+        let (mut planned, mut room) = (0.0, 0.0);
+        for target in targets.iter().filter(is_known) {
+            let mut load = own.get(&target.key).copied().unwrap_or_default();
+            load += self.peers.get(&target.key).copied().unwrap_or_default();
+            planned += f64::from(load.memory + load.copies);
+            room += f64::from(ask.engine.map_or(0, |engine| engine.memory));
+        }
+        planned / room.max(1.0)
+    }
+
     /// Notes that a request goes to a target.
     pub fn begin(&mut self, target: key::Target, load: Load) -> Ticket {
         let ticket = Ticket(self.next);
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -154,6 +154,25 @@
     assert!(placement.choose(at(0), &targets, &ask(draft())).is_some());
 }
 
+/// Load pattern: drafts come faster than they end, and an engine that has just started is empty.
+#[test]
+fn copies_in_advance_end_when_the_data_centre_fills_although_one_engine_is_empty() {
+    let targets = targets(4, 1);
+    let mut placement = Placement::new(1);
+    let copy = Load {
+        copies: 3_700,
+        ..Load::default()
+    };
+    assert!(placement.choose(at(0), &targets, &ask(copy)).is_some());
+    for target in &targets[1..] {
+        for _ in 0..6 {
+            placement.begin(target.key, draft());
+        }
+    }
+    assert!(placement.choose(at(0), &targets, &ask(copy)).is_none());
+    assert!(placement.choose(at(0), &targets, &ask(draft())).is_some());
+}
+
 #[test]
 fn a_run_and_its_copy_stand_on_different_sides() {
     let targets = targets(4, 2);
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -17,12 +17,13 @@
         Generation, Load,
         configuration::{Engine, Repeat},
         listing::Target,
+        load::Occupancy,
         placement::{Ask, prefill, prefill_time},
     },
     futures_util::stream,
     http_body_util::{BodyExt, Limited, StreamBody},
     hyper::{Response, body::Frame, header::CONTENT_TYPE, http::response::Parts},
-    platform::request::{Added, belongs_to, is_not_run, strip},
+    platform::request::{Added, belongs_to, is_not_run, occupancy, strip},
     smol::Timer,
     std::{sync::Arc, time::Duration},
 };
@@ -302,6 +303,7 @@
         ..Added::default()
     };
     exchange.note_sent();
+    let waited = shared.now().since(exchange.arrived);
     let request = exchange.request(source.target(), &added);
     let sent = shared.client.send(source.target().address, request).await;
     let target = source.target().clone();
@@ -349,22 +351,33 @@
                 &source,
                 "answered",
                 answer.response.status().as_str(),
+                occupancy(answer.response.headers()),
+                waited,
             );
             return deliver(exchange, source, plan, answer).await;
         }
     };
-    log_sent(exchange, &source, outcome, &refusal.message);
+    log_sent(exchange, &source, outcome, &refusal.message, None, waited);
     Err(refusal.retry_after(BUSY_DELAY))
 }
 
-fn log_sent(exchange: &Exchange, source: &Source, outcome: &str, detail: &str) {
+fn log_sent(
+    exchange: &Exchange,
+    source: &Source,
+    outcome: &str,
+    detail: &str,
+    told: Option<Occupancy>,
+    waited: Duration,
+) {
+    let told = told.unwrap_or_default();
     let basis = source.place().basis();
     log::info!(
         target: "sent", request:% = exchange.head.attempt, route:% = exchange.route.name,
         instance:% = source.target().instance,
         backup = source.backup().map_or("", |backup| &*backup.instance), outcome, detail,
         runs = basis.load.runs, memory = basis.load.memory, copies = basis.load.copies,
-        prefill = basis.load.prefill, candidates = basis.candidates, cost_ms = basis.cost as u64,
+        prefill = basis.load.prefill, told_running = told.running, told_waiting = told.waiting, waited_ms = waited.as_millis() as u64,
+        candidates = basis.candidates, cost_ms = basis.cost as u64,
         vms = exchange.shared.dispatcher.vms(),
         elapsed_ms = exchange.shared.now().since(exchange.arrived).as_millis() as u64;
         "a generation was sent to an engine"
