feat(gateway): fresh view of other data centres, copies freed, fewer calls to the store

Copies of runs that ended before their engine left stayed there until their time was over. Each VM watched the configuration for itself.

Now every VM sends the work of its data centre to a few VMs of the others, what has changed every 50 ms; copies that are no longer needed are freed by order; VMs read a new configuration from a peer of their data centre, and from the store if that fails or if it is large; a VM that hears no peer for 0.8 s watches for itself. VMs that watch stand in all data centres, so that one that is cut off has its own; one reads each change at once, the others make good what it misses. The setting [platform] watch is gone with the long watch.

Not measured yet: an engine takes requests of one other data centre only, and clients that waited in vain come back spread over a run's time.

Ruled out: engines slower than planned (7 tokens a millisecond at the median).

--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -61,15 +61,12 @@
 pub struct Platform {
     /// Address of the store.
     pub address: SocketAddr,
-    /// Longest wait of a watch; shorter than the 20 s of history that the store keeps.
-    pub watch: Duration,
 }
 
 impl Default for Platform {
     fn default() -> Self {
         Self {
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8742)),
-            watch: Duration::from_secs(15),
         }
     }
 }
@@ -204,7 +201,6 @@
 impl Platform {
     fn read(&mut self, reader: &Reader<'_>) {
         reader.update("address", &mut self.address, value::address);
-        reader.update("watch", &mut self.watch, value::duration);
     }
 }
 
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -20,14 +20,15 @@
 /// Addresses of other VMs in a report.
 const INTRODUCTIONS: usize = 40;
 /// Time for which a summary of a data centre counts: several that were lost.
-const SUMMARY_LIFE: Duration = Duration::from_millis(900);
+const SUMMARY_LIFE: Duration = Duration::from_millis(1_200);
 /// Tokens that a run adds to its memory in a second, by which older reports are brought forward: a
 /// step of a busy engine takes about 11 ms.
 const GROWTH_RATE: f64 = 90.0;
 /// Most waiting requests in a report.
 const MOST_WAITERS: usize = 16;
-/// Item by which the VM that speaks for its data centre is chosen.
-const SPEAKER_ITEM: u64 = 2;
+/// Time without a word from any peer after which a VM watches the store for itself: a fleet of two
+/// reports less often, a cut must be noticed well within the bounds for configurations.
+const ISOLATION: Duration = Duration::from_millis(800);
 /// Item by which the VMs that watch the store are chosen.
 const WATCH_ITEM: u64 = 1;
 
@@ -122,6 +123,20 @@
     /// Raw keys of targets that fail the sender's requests.
     #[prost(fixed64, repeated, tag = "13")]
     pub failing: Vec<u64>,
+    /// Bytes of the configuration in force.
+    #[prost(uint64, tag = "14")]
+    pub configuration_bytes: u64,
+}
+
+/// A peer that has a newer configuration.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Offer {
+    /// The peer.
+    pub peer: Ipv4Addr,
+    /// Version that it has.
+    pub version: u64,
+    /// Size of that version in bytes.
+    pub bytes: u64,
 }
 
 /// A request that waits at a VM.
@@ -167,15 +182,18 @@
     }
 }
 
-/// Work of all VMs of a data centre, from one of them to those of the other data centres.
+/// Work of all VMs of a data centre, from one of them to some VMs of the other data centres.
 #[derive(Clone, Eq, PartialEq, prost::Message)]
 pub struct Summary {
     /// Hash of the data centre.
     #[prost(fixed64, tag = "1")]
     pub data_centre: u64,
-    /// Their work in progress.
+    /// Their work in progress; at targets that are not named it is as before.
     #[prost(message, repeated, tag = "2")]
     pub work: Vec<Work>,
+    /// Whether there is no work at targets that are not named.
+    #[prost(bool, tag = "3")]
+    pub is_whole: bool,
 }
 
 /// A target as the inner protocol carries it.
@@ -252,9 +270,10 @@
     pub summary: Option<Summary>,
 }
 
-#[derive(Debug)]
+/// What summaries have told of a data centre.
+#[derive(Debug, Default)]
 struct Heard {
-    summary: Summary,
+    work: HashMap<u64, (Work, Instant)>,
     at: Instant,
 }
 
@@ -270,8 +289,19 @@
     peers: HashMap<Ipv4Addr, Peer>,
     /// Addresses that reports named, with the time of the newest mention.
     mentioned: HashMap<Ipv4Addr, Instant>,
-    /// The last summary of each other data centre.
+    /// What summaries have told of each other data centre.
     summaries: HashMap<u64, Heard>,
+    /// When any peer was last heard.
+    heard: Instant,
+}
+
+/// The part that a VM has in watching the store for all.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Watch {
+    /// It reads each change at once.
+    First,
+    /// It makes good what the first one misses.
+    Reserve,
 }
 
 /// What a report changed.
@@ -309,6 +339,7 @@
         let leaving = report.leaving.iter().map(|&raw| key::Target::from_raw(raw));
         let leaving = leaving.collect();
         self.peers.insert(address, Peer { report, heard: now });
+        self.heard = now;
         Some(News { is_new, leaving })
     }
 
@@ -334,33 +365,47 @@
             .collect()
     }
 
-    /// Returns whether a VM is one of `count` that watch the store for all.
+    /// Returns the part that a VM has in watching the store for all, at least `count` VMs together.
     ///
-    /// They are chosen among those whose calls the store answers, or among all if there are none.
-    pub fn is_watcher(
+    /// A VM that hears no peer watches for itself. The others are chosen among those whose calls
+    /// the store answers, or among all if there are none, and evenly from the data centres, so that one that is cut off has its own.
+    pub fn watch(
         &self,
         own: Ipv4Addr,
+        data_centre: u64,
         is_store_lost: bool,
         count: usize,
         now: Instant,
-    ) -> bool {
+    ) -> Option<Watch> {
         let others = || self.live(now).filter(|(_, report)| !report.is_stopping);
-        let answered = others().filter(|(_, report)| !report.is_store_lost);
-        let answered: Vec<_> = answered
-            .map(|(address, _)| u64::from(u32::from(address)))
+        let has_answered = others().any(|(_, report)| !report.is_store_lost);
+        if now.since(self.heard) > ISOLATION {
+            return Some(Watch::First);
+        }
+        if has_answered && is_store_lost {
+            return None;
+        }
+        let members: Vec<_> = others()
+            .filter(|(_, report)| !has_answered || !report.is_store_lost)
+            .map(|(address, report)| (report.data_centre, u64::from(u32::from(address))))
             .collect();
         let own = u64::from(u32::from(own));
-        if !answered.is_empty() && is_store_lost {
-            return false;
+        let data_centres: HashSet<_> = members
+            .iter()
+            .map(|(data_centre, _)| *data_centre)
+            .chain([data_centre])
+            .collect();
+        let each = count.div_ceil(data_centres.len());
+        let near = members.iter().filter(|(of, _)| *of == data_centre);
+        if rendezvous::rank(WATCH_ITEM, own, near.map(|(_, id)| *id)) >= each {
+            return None;
         }
-        let members: Vec<_> = if answered.is_empty() {
-            others()
-                .map(|(address, _)| u64::from(u32::from(address)))
-                .collect()
+        let rank = rendezvous::rank(WATCH_ITEM, own, members.iter().map(|(_, id)| *id));
+        Some(if rank == 0 {
+            Watch::First
         } else {
-            answered
-        };
-        rendezvous::rank(WATCH_ITEM, own, members.into_iter()) < count
+            Watch::Reserve
+        })
     }
 
     /// Returns the highest revision of a change that a live peer has in its list of targets.
@@ -400,33 +445,41 @@
 
     /// Takes a summary of another data centre.
     pub fn receive_summary(&mut self, summary: Summary, now: Instant) {
-        let heard = Heard { summary, at: now };
-        self.summaries.insert(heard.summary.data_centre, heard);
+        let heard = self.summaries.entry(summary.data_centre).or_default();
+        heard.at = now;
+        if summary.is_whole {
+            heard.work.clear();
+        }
+        for work in summary.work {
+            heard.work.insert(work.target, (work, now));
+        }
     }
 
     /// Returns the data centres with a fresh summary.
     pub fn summarized(&self, now: Instant) -> HashSet<key::DataCentre> {
         let fresh = self.fresh_summaries(now);
         fresh
-            .map(|heard| key::DataCentre::from_raw(heard.summary.data_centre))
+            .map(|(data_centre, _)| key::DataCentre::from_raw(*data_centre))
             .collect()
     }
 
-    /// Returns whether a VM sends the summary of its data centre.
-    pub fn is_speaker(&self, own: Ipv4Addr, data_centre: u64, now: Instant) -> bool {
-        let near = self
+    /// Returns the VMs of other data centres to which a VM sends the summaries of its own one; each
+    /// of them has one such VM in each data centre.
+    pub fn listeners(&self, own: Ipv4Addr, data_centre: u64, now: Instant) -> HashSet<Ipv4Addr> {
+        let near: Vec<_> = self
             .live(now)
             .filter(|(_, report)| report.data_centre == data_centre && !report.is_stopping)
-            .map(|(address, _)| u64::from(u32::from(address)));
-        rendezvous::rank(SPEAKER_ITEM, u64::from(u32::from(own)), near) == 0
-    }
-
-    /// Returns the live peers of other data centres.
-    pub fn far(&self, data_centre: u64, now: Instant) -> HashSet<Ipv4Addr> {
-        let live = self.live(now);
-        live.filter(|(_, report)| report.data_centre != data_centre)
-            .map(|(address, _)| address)
-            .collect()
+            .map(|(address, _)| u64::from(u32::from(address)))
+            .collect();
+        let own = u64::from(u32::from(own));
+        let far = self
+            .live(now)
+            .filter(|(_, report)| report.data_centre != data_centre);
+        let heard_here = far.filter(|(address, _)| {
+            let listener = u64::from(u32::from(*address));
+            rendezvous::rank(listener, own, near.iter().copied()) == 0
+        });
+        heard_here.map(|(address, _)| address).collect()
     }
 
     /// Returns the work of the live peers of a data centre.
@@ -450,15 +503,17 @@
                 add(&mut total, &peer.report.work, now.since(peer.heard));
             }
         }
-        for heard in self.fresh_summaries(now) {
-            add(&mut total, &heard.summary.work, now.since(heard.at));
+        for (_, heard) in self.fresh_summaries(now) {
+            for (work, at) in heard.work.values() {
+                add(&mut total, &[*work], now.since(*at));
+            }
         }
         total
     }
 
-    fn fresh_summaries(&self, now: Instant) -> impl Iterator<Item = &Heard> {
-        let heard = self.summaries.values();
-        heard.filter(move |heard| now.since(heard.at) <= SUMMARY_LIFE)
+    fn fresh_summaries(&self, now: Instant) -> impl Iterator<Item = (&u64, &Heard)> {
+        let heard = self.summaries.iter();
+        heard.filter(move |(_, heard)| now.since(heard.at) <= SUMMARY_LIFE)
     }
 
     fn live_peers(&self, now: Instant) -> impl Iterator<Item = &Peer> {
@@ -489,12 +544,32 @@
         waiters.filter(|waiter| waiter.end > now).collect()
     }
 
-    /// Returns a live peer with a newer configuration than `version`, the newest first.
-    pub fn newer_configuration(&self, version: u64, now: Instant) -> Option<(Ipv4Addr, u64)> {
-        self.live(now)
-            .filter(|(_, report)| report.configuration > version)
-            .map(|(address, report)| (address, report.configuration))
-            .max_by_key(|(_, version)| *version)
+    /// Returns a live peer with a newer configuration than `version`: the newest, from the data
+    /// centre if it is there, and by `draw` one of several.
+    pub fn newer_configuration(
+        &self,
+        version: u64,
+        data_centre: u64,
+        draw: u64,
+        now: Instant,
+    ) -> Option<Offer> {
+        let newest = self.live(now).map(|(_, report)| report.configuration).max();
+        let newest = newest.filter(|newest| *newest > version)?;
+        let holders = self
+            .live(now)
+            .filter(|(_, report)| report.configuration == newest && !report.is_stopping);
+        let best = holders.max_by_key(|(address, report)| {
+            let id = u64::from(u32::from(*address));
+            (
+                report.data_centre == data_centre,
+                rendezvous::weight(draw, id),
+            )
+        });
+        best.map(|(peer, report)| Offer {
+            peer,
+            version: newest,
+            bytes: report.configuration_bytes,
+        })
     }
 }
 
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -6,7 +6,7 @@
 
 use {
     crate::{Load, configuration::Engine, listing::Target},
-    base::{Instant, key},
+    base::{Instant, key, rendezvous},
     derive_more::Debug,
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{
@@ -22,7 +22,7 @@
 const MEMORY_SHARE: f64 = 0.97;
 /// Runs whose growth is planned beside what is held: the memory that the others need until one of
 /// them ends and frees its own.
-const GROWING_RUNS: f64 = 2.5;
+const GROWING_RUNS: f64 = 3.0;
 /// Part of an engine's memory up to which copies are planned in advance; the rest is left to runs.
 const COPY_MEMORY_SHARE: f64 = 0.4;
 /// Mean part of the engines' memory up to which copies are planned in advance: beyond it a copy takes
@@ -36,7 +36,7 @@
 const DISTANCE_COST: f64 = 30.0;
 /// Further cost of a data centre whose load is known with delay, in milliseconds: others may have
 /// chosen the same engine since.
-const DELAY_COST: f64 = 150.0;
+const DELAY_COST: f64 = 100.0;
 /// Cost of the wrong side for a copy, in milliseconds: one of the run and its copy belongs into the
 /// VM's data centre, so that a partition can't take both, and its memory holds only one of them.
 const COPY_SIDE_COST: f64 = 150.0;
@@ -266,13 +266,27 @@
                     .summarized
                     .contains(&key::DataCentre::of(&target.data_centre))
         };
+        let data_centres: HashSet<_> = usable
+            .iter()
+            .map(|target| key::DataCentre::of(&target.data_centre).raw())
+            .collect();
+        let own_data_centre = key::DataCentre::of(ask.data_centre).raw();
+        // Two other data centres that chose the same engine would learn it too late, so each engine
+        // is open to one of them.
+        let is_open = |target: &Target| {
+            let home = key::DataCentre::of(&target.data_centre).raw();
+            let guests = data_centres.iter().copied().filter(|guest| *guest != home);
+            rendezvous::choose(target.key.raw(), guests.chain([own_data_centre]))
+                == Some(own_data_centre)
+        };
         let stays_where_known = ask.load.runs > 0
             && usable
                 .iter()
                 .any(|target| is_known(target) && !self.is_unreached(&target.data_centre, now));
         let usable = usable.iter().copied().filter(|target| {
             let is_avoided = !all_avoided && self.is_avoided(target.key, now);
-            !is_avoided && (!stays_where_known || is_known(target))
+            let is_open = !is_delayed(target) || ask.load.runs == 0 || is_open(target);
+            !is_avoided && (!stays_where_known || is_known(target) && is_open)
         });
         let candidates = usable.filter_map(|target| {
             let mut load = own.get(&target.key).copied().unwrap_or_default();
--- a/crates/dispatch/src/waiting.rs
+++ b/crates/dispatch/src/waiting.rs
@@ -20,6 +20,9 @@
 const RUN_RATE: f64 = 0.1;
 /// Longest time that a client is told to come back in; the load has changed by then.
 const LONGEST_DELAY: Duration = Duration::from_secs(3);
+/// Part of the mean run in which a client comes back that has waited in vain: the least, and the width
+/// of the draw. Its objective is over, so it had better come when runs have ended than soon.
+const RETURN_SHARE: (f64, f64) = (0.2, 0.5);
 /// Shortest such time.
 const SHORTEST_DELAY: Duration = Duration::from_millis(200);
 
@@ -147,6 +150,15 @@
         self.ahead(service, last, now)
     }
 
+    /// Returns when a client had better come back that has waited in vain; `draw` from 0 to 1 spreads
+    /// the return of a crowd.
+    pub fn return_delay(&self, service: key::Service, draw: f64) -> Duration {
+        let queue = self.queues.get(&service);
+        let mean = queue.map_or(RUN_PRIOR, |queue| queue.mean_run);
+        let (least, width) = RETURN_SHARE;
+        mean.mul_f64(least + width * draw).max(SHORTEST_DELAY)
+    }
+
     /// Gives a place up.
     pub fn leave(&mut self, service: key::Service, turn: Turn) {
         if let Some(queue) = self.queues.get_mut(&service) {
--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -4,7 +4,8 @@
     base::{Instant, key},
     mastictrail_dispatch::{
         Load, Peers,
-        peers::{News, Report, Work},
+        peers::{News, Offer, Report, Summary, Wait, Watch, Work},
+        waiting::Waiter,
     },
     std::{net::Ipv4Addr, time::Duration},
 };
@@ -103,7 +104,8 @@
                     };
                     peers.receive(report, own_address, at(0));
                 }
-                peers.is_watcher(own_address, lost.contains(&own), 3, at(1))
+                let is_lost = lost.contains(&own);
+                peers.watch(own_address, 0, is_lost, 3, at(1)).is_some()
             })
             .collect()
     };
@@ -119,3 +121,142 @@
         "somebody goes on asking while the store is away"
     );
 }
+
+/// Reports of 20 VMs, those with even numbers in the second data centre.
+fn two_data_centres(own: u8) -> Peers {
+    let mut peers = Peers::default();
+    for other in (1..=20).filter(|&other| other != own) {
+        let report = Report {
+            data_centre: u64::from(other % 2),
+            configuration: 7,
+            configuration_bytes: 100,
+            ..report(other, 1)
+        };
+        peers.receive(report, Ipv4Addr::new(10, 0, 0, own), at(0));
+    }
+    peers
+}
+
+#[test]
+fn each_data_centre_has_vms_that_watch_and_one_of_all_is_the_first() {
+    let parts: Vec<_> = (1..=20)
+        .filter_map(|own| {
+            let data_centre = u64::from(own % 2);
+            let address = Ipv4Addr::new(10, 0, 0, own);
+            let part = two_data_centres(own).watch(address, data_centre, false, 3, at(1));
+            part.map(|part| (data_centre, part))
+        })
+        .collect();
+    assert_eq!(parts.len(), 4, "{parts:?}");
+    for data_centre in [0, 1] {
+        assert_eq!(parts.iter().filter(|part| part.0 == data_centre).count(), 2);
+    }
+    let first = parts.iter().filter(|part| part.1 == Watch::First);
+    assert_eq!(first.count(), 1);
+}
+
+#[test]
+fn a_vm_that_hears_no_peer_soon_watches_for_itself() {
+    let part = |own: u8, now| {
+        let address = Ipv4Addr::new(10, 0, 0, own);
+        two_data_centres(own).watch(address, u64::from(own % 2), false, 3, at(now))
+    };
+    let idle: Vec<u8> = (1..=20).filter(|&own| part(own, 1).is_none()).collect();
+    assert!(!idle.is_empty());
+    for own in idle {
+        assert_eq!(part(own, 1_000), Some(Watch::First));
+    }
+}
+
+#[test]
+fn a_newer_configuration_is_asked_for_in_the_own_data_centre() {
+    let peers = two_data_centres(1);
+    for draw in 0..10 {
+        let offer = peers.newer_configuration(6, 1, draw, at(1));
+        let Some(Offer { peer, .. }) = offer else {
+            panic!("peers have a newer one");
+        };
+        assert_eq!(peer.octets()[3] % 2, 1);
+    }
+    assert_eq!(peers.newer_configuration(7, 1, 0, at(1)), None);
+}
+
+#[test]
+fn a_summary_takes_the_place_of_the_reports_of_its_data_centre_while_it_is_fresh() {
+    let mut peers = two_data_centres(1);
+    let target = key::Target::of("t");
+    let runs = |peers: &Peers, now| peers.work(at(now)).get(&target).map(|load| load.runs);
+    assert_eq!(runs(&peers, 10), Some(19));
+    let load = Load {
+        runs: 3,
+        ..Load::default()
+    };
+    let summary = |load, is_whole| Summary {
+        data_centre: 0,
+        work: vec![Work::new(target, load)],
+        is_whole,
+    };
+    peers.receive_summary(summary(load, true), at(20));
+    assert_eq!(runs(&peers, 30), Some(9 + 3));
+    let other = Summary {
+        work: vec![Work::new(key::Target::of("u"), load)],
+        ..summary(load, false)
+    };
+    peers.receive_summary(other, at(40));
+    assert_eq!(runs(&peers, 50), Some(9 + 3), "as before");
+    peers.receive_summary(summary(Load::default(), false), at(60));
+    assert_eq!(runs(&peers, 70), Some(9));
+    assert_eq!(runs(&peers, 1_500), Some(19), "the summary is old");
+}
+
+#[test]
+fn each_vm_hears_one_vm_of_every_other_data_centre() {
+    let mut heard = [0; 21];
+    for own in 1..=20 {
+        let address = Ipv4Addr::new(10, 0, 0, own);
+        for listener in two_data_centres(own).listeners(address, u64::from(own % 2), at(1)) {
+            assert_ne!(listener.octets()[3] % 2, own % 2);
+            heard[usize::from(listener.octets()[3])] += 1;
+        }
+    }
+    assert!(heard[1..].iter().all(|&count| count == 1), "{heard:?}");
+}
+
+#[test]
+fn requests_that_wait_elsewhere_are_known_until_they_give_up() {
+    let service = key::Service::of("s");
+    let waiter = |arrived, end| Waiter {
+        service,
+        priority: 1,
+        arrived: at(arrived),
+        end: at(end),
+    };
+    let waiters = [waiter(100, 900), waiter(50, 400)].into_iter();
+    let mut peers = Peers::default();
+    let told = Report {
+        waiting: Wait::list(waiters, at(200)),
+        ..report(2, 1)
+    };
+    // The clocks of two VMs differ; ages and rests don't.
+    peers.receive(told, OWN, at(5_200));
+    let mut known = peers.waiting(None, at(5_200));
+    known.sort_by_key(|waiter| waiter.arrived);
+    assert_eq!(known, [waiter(5_050, 5_400), waiter(5_100, 5_900)]);
+    assert_eq!(peers.waiting(None, at(5_500)).len(), 1);
+    assert_eq!(peers.waiting(Some(9), at(5_200)).len(), 0);
+}
+
+#[test]
+fn runs_are_expected_to_grow_between_two_reports() {
+    let mut peers = Peers::default();
+    peers.receive(report(2, 1), OWN, at(0));
+    let held = |now| {
+        peers
+            .work(at(now))
+            .get(&key::Target::of("t"))
+            .map(|load| load.held)
+    };
+    assert_eq!(held(0), Some(90));
+    assert_eq!(held(100), Some(99));
+    assert_eq!(held(4_000), Some(100), "not beyond what the run is to need");
+}
--- a/crates/dispatch/tests/waiting.rs
+++ b/crates/dispatch/tests/waiting.rs
@@ -91,6 +91,18 @@
     assert!(outcome.longest_refused_delay >= PATIENCE, "{outcome:?}");
 }
 
+#[test]
+fn a_crowd_that_waited_in_vain_returns_spread_over_the_time_in_which_runs_end() {
+    let mut waiting = Waiting::default();
+    for _ in 0..100 {
+        waiting.ended(service(), Duration::from_secs(10));
+    }
+    let returns = |draw| waiting.return_delay(service(), draw);
+    assert!(returns(0.0) > Duration::from_millis(1_900));
+    assert!(returns(1.0) < Duration::from_millis(7_100));
+    assert!(returns(1.0) - returns(0.0) > Duration::from_secs(4));
+}
+
 #[test]
 fn urgency_goes_before_arrival() {
     let mut waiting = Waiting::default();
--- a/crates/fakes/src/site/target.rs
+++ b/crates/fakes/src/site/target.rs
@@ -188,6 +188,11 @@
     if &*request.path == "/v1/kv-move" {
         return Ok(copy(&state, &request));
     }
+    if let Some(handle) = request.path.strip_prefix("/v1/kv-handle/") {
+        let state = lock(&state);
+        lock(&state.copies).remove(&(state.address, handle.into()));
+        return Ok(http::status(StatusCode::OK, ""));
+    }
     let attempt: Box<str> = request.header("x-attempt-id").into();
     let expected = request.header("x-expect-instance").to_owned();
     let (behaviour, is_engine, instance) = {
--- a/crates/gateway/src/clients/evacuation.rs
+++ b/crates/gateway/src/clients/evacuation.rs
@@ -15,6 +15,7 @@
         targets::{client::Failure, dispatcher::Place},
     },
     base::{Instant, key},
+    bytes::Bytes,
     dispatch::listing::Target,
     entry::runtime::within,
     hyper::Method,
@@ -29,7 +30,8 @@
 const COPY_INTERVAL: Duration = Duration::from_millis(400);
 /// Longest time for a copy: the longest notice of an engine, and a margin.
 const COPY_LIMIT: Duration = Duration::from_millis(2_500);
-
+/// Time for an engine to free a copy; its memory counts as taken meanwhile.
+const FREE_LIMIT: Duration = Duration::from_millis(500);
 /// Time for the answer about a copy once its engine has broken off: the answer was on its way.
 const FINISH_LIMIT: Duration = Duration::from_millis(50);
 
@@ -39,6 +41,8 @@
     under_way: Option<UnderWay>,
     /// The engine that got a copy at the source's order.
     copied_to: Option<Target>,
+    /// Engine that the copies are made at.
+    source: Option<SocketAddr>,
     /// Engines that had no room.
     full: Vec<key::Target>,
     next_look: Instant,
@@ -108,6 +112,7 @@
             exchange.head.attempt.clone(),
             target.address,
         );
+        self.source = Some(source.address);
         self.under_way = Some(UnderWay {
             task: shared.runtime.spawn(order),
             target,
@@ -131,6 +136,39 @@
         );
     }
 
+    /// Frees the copies of a run that has ended without them.
+    ///
+    /// Those that grow with the run go by themselves once it has ended well.
+    pub fn release(self, exchange: &Exchange, held: Option<Copy>, has_ended_well: bool) {
+        let shared = Arc::clone(&exchange.shared);
+        let held = held.filter(|_| self.copied_to.is_some() || !has_ended_well);
+        if let Some(held) = held {
+            let freed = free(Arc::clone(&shared), held);
+            shared.runtime.spawn(freed).detach();
+        }
+        let Some(UnderWay {
+            task,
+            target,
+            place: Some(place),
+        }) = self.under_way
+        else {
+            return;
+        };
+        let origin = self.source;
+        let freed = async move {
+            if let (Ok(handle), Some(origin)) = (task.await, origin) {
+                let copy = Copy {
+                    target,
+                    place,
+                    origin,
+                    handle,
+                };
+                free(Arc::clone(&shared), copy).await;
+            }
+        };
+        exchange.shared.runtime.spawn(freed).detach();
+    }
+
     fn complete(
         &mut self,
         exchange: &Exchange,
@@ -188,3 +226,23 @@
         .handle
         .ok_or_else(|| Failure::may_have_run("the engine named no copy"))
 }
+
+/// Frees a copy at the engine that named it, or at the one that holds it if the former is gone.
+async fn free(shared: Arc<Shared>, copy: Copy) {
+    let path = engine::copy_path(&copy.handle);
+    for address in [copy.origin, copy.target.address] {
+        let body = Bytes::new();
+        let call = shared
+            .client
+            .call(address, Method::DELETE, &path, body, FREE_LIMIT);
+        match call.await {
+            Ok((status, _)) => {
+                log::debug!(target: "copied", instance:% = copy.target.instance, status = status.as_u16(); "a copy that is not needed was freed");
+                return;
+            }
+            Err(failure) => {
+                log::debug!(target: "copied", instance:% = copy.target.instance, reason:% = failure; "a copy could not be freed at one engine");
+            }
+        }
+    }
+}
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -204,9 +204,8 @@
             return Ok(placed);
         }
         if now >= end {
-            return Err(
-                Refusal::not_run(Reason::NoTarget, "no engine had room").retry_after(BUSY_DELAY)
-            );
+            let delay = shared.dispatcher.return_delay(service);
+            return Err(Refusal::not_run(Reason::NoTarget, "no engine had room").retry_after(delay));
         }
         Timer::after(WAIT_POLL).await;
     }
@@ -374,7 +373,7 @@
     let basis = source.place().basis();
     log::info!(
         target: "sent", request:% = exchange.head.attempt, route:% = exchange.route.name,
-        instance:% = source.target().instance,
+        instance:% = source.target().instance, data_centre:% = source.target().data_centre,
         backup = source.backup().map_or("", |backup| &*backup.instance), outcome, detail,
         runs = basis.load.runs, memory = basis.load.memory, copies = basis.load.copies,
         prefill = basis.load.prefill, told_running = told.running, told_waiting = told.waiting, waited_ms = waited.as_millis() as u64,
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -434,6 +434,12 @@
         let (outcome, reason) = self.outcome.take().unwrap_or(left);
         let now = exchange.shared.now();
         let first = self.first.unwrap_or(now);
+        let has_ended_well = outcome == Outcome::Served;
+        std::mem::take(&mut self.evacuation).release(
+            exchange,
+            self.source.copy.take(),
+            has_ended_well,
+        );
         exchange.record(outcome, &reason);
         log::info!(
             target: "ended", request:% = exchange.head.attempt, route:% = exchange.route.name,
--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -6,21 +6,32 @@
         control::{
             backoff::Backoff,
             discovery::{WATCH_WAIT, WATCHERS},
+            reports,
         },
     },
     bytes::Bytes,
+    dispatch::peers::Offer,
+    entry::runtime::within,
     hyper::Method,
     platform::store::{ANSWER_LIMIT, Failure, Published, Store, read_configuration},
+    rand::Rng,
     smol::Timer,
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
+/// Where a configuration came from, in the log.
+const FROM_STORE: &str = "store";
 /// Path at which peers give their configuration.
 pub const PATH: &str = "/configuration";
 /// Least time between two watches; a storm of changes is read in fewer calls.
 const GATHER: Duration = Duration::from_millis(500);
-/// Time that a watch of the platform has to tell of a version that a peer has already.
-const PEER_LEAD: Duration = Duration::from_millis(100);
+/// Longest time by which VMs put off asking a peer, so that they don't all ask the same one.
+const PEER_SPREAD: Duration = Duration::from_millis(250);
+/// Largest configuration that peers give, in bytes: a small VM passes it on to some others in a
+/// tenth of a second. Larger ones come from the store.
+const PEER_LIMIT: u64 = 32 << 10;
+/// Time between two looks whether this VM has become one that watches.
+const LOOK: Duration = Duration::from_millis(250);
 
 /// Reads and watches the configuration until the process ends.
 pub async fn run(shared: Arc<Shared>, store: Arc<Store>) {
@@ -39,7 +50,7 @@
                     log::info!(target: "store", of = "configuration"; "the store answers again");
                 }
                 if let Some(published) = answer.content {
-                    offer(&shared, published, "store");
+                    offer(&shared, published, FROM_STORE).await;
                     revision = Some(answer.revision);
                 } else if revision.is_some() {
                     revision = Some(answer.revision);
@@ -58,58 +69,51 @@
     }
 }
 
-/// Watches until there is a change; a peer with a newer version ends the watch with a read.
+/// Waits until there is a change and reads it.
 ///
-/// An answer that the store lost leaves its connection silent for good, so a few VMs watch in short
-/// turns for all; the long turns of the others only serve where none of these is heard.
+/// Calls to the store cost, so a few VMs watch it for all and the others read from their peers what
+/// these report. An answer that the store lost leaves its connection silent for good, so the watch
+/// is made in short turns.
 async fn watch(
     shared: &Shared,
     store: &Store,
     revision: u64,
 ) -> Result<platform::store::Answer<Option<Published>>, Failure> {
-    if is_watcher(shared) {
-        return store.watch_configuration(revision, WATCH_WAIT).await;
-    }
-    let wait = shared.settings.load().platform.watch;
-    let watched = async { Some(store.watch_configuration(revision, wait).await) };
-    let told = async {
-        loop {
-            shared.fleet.newer().await;
-            Timer::after(PEER_LEAD).await;
-            let now = shared.now();
-            let version = shared.current.version();
-            if shared
-                .fleet
-                .peers()
-                .newer_configuration(version, now)
-                .is_some()
-            {
-                return None;
-            }
+    loop {
+        let is_watcher = shared.fleet.watch(WATCHERS, shared.now()).is_some();
+        if is_watcher {
+            return store.watch_configuration(revision, WATCH_WAIT).await;
         }
-    };
-    let promoted = async {
-        while !is_watcher(shared) {
-            Timer::after(WATCH_WAIT).await;
+        within(LOOK, shared.fleet.newer()).await;
+        let Some(offer) = newer(shared) else {
+            continue;
+        };
+        if offer.bytes > PEER_LIMIT {
+            return store.configuration().await;
+        }
+        let delay = PEER_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
+        Timer::after(delay).await;
+        ask_peer(shared).await;
+        // What no peer could give comes from the store.
+        if newer(shared).is_some() {
+            return store.configuration().await;
         }
-        None
-    };
-    let ended = smol::future::or(watched, smol::future::or(told, promoted));
-    match ended.await {
-        Some(answer) => answer,
-        None => store.configuration().await,
     }
 }
 
-fn is_watcher(shared: &Shared) -> bool {
-    shared.fleet.is_watcher(WATCHERS, shared.now())
+fn newer(shared: &Shared) -> Option<Offer> {
+    let version = shared.current.version();
+    shared.fleet.newer_configuration(version, shared.now())
 }
 
 /// Reads the configuration of the peer with the newest one.
 async fn ask_peer(shared: &Shared) {
-    let (now, version) = (shared.now(), shared.current.version());
-    let newer = shared.fleet.peers().newer_configuration(version, now);
-    let Some((peer, announced)) = newer else {
+    let Some(Offer {
+        peer,
+        version: announced,
+        ..
+    }) = newer(shared)
+    else {
         return;
     };
     let port = shared.settings.load().listen.control.port();
@@ -119,7 +123,7 @@
         .call(address, Method::GET, PATH, Bytes::new(), ANSWER_LIMIT);
     match answer.await {
         Ok((status, body)) if status.is_success() => match read_configuration(body) {
-            Ok(published) => offer(shared, published, "peer"),
+            Ok(published) => offer(shared, published, "peer").await,
             Err(error) => {
                 log::warn!(target: "configuration", peer:% = peer, error:% = error; "a peer's configuration can't be read");
             }
@@ -133,9 +137,12 @@
     }
 }
 
-fn offer(shared: &Shared, published: Published, source: &str) {
+/// Puts a configuration in force if it is newer, and tells the peers.
+async fn offer(shared: &Shared, published: Published, source: &str) {
     let version = published.configuration.version();
-    if shared.current.offer(published) {
-        log::info!(target: "configuration", version, source; "a configuration is in force");
+    if !shared.current.offer(published) {
+        return;
     }
+    log::info!(target: "configuration", version, source; "a configuration is in force");
+    reports::announce(shared, source == FROM_STORE).await;
 }
--- a/crates/gateway/src/control/current.rs
+++ b/crates/gateway/src/control/current.rs
@@ -27,6 +27,14 @@
             .map_or(0, |published| published.configuration.version())
     }
 
+    /// Returns its size in bytes; 0 before the first one.
+    pub fn size(&self) -> u64 {
+        let published = self.published.load();
+        published
+            .as_ref()
+            .map_or(0, |published| published.bytes.len() as u64)
+    }
+
     /// Puts a configuration in force if it is newer; returns whether it is.
     pub fn offer(&self, published: Published) -> bool {
         let _guard = self
--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -11,7 +11,7 @@
     base::key,
     dispatch::{
         listing::Target,
-        peers::{Changes, Description, Entry},
+        peers::{Changes, Description, Entry, Watch},
     },
     platform::store::{Answer, Change, Failure, Kind, Store},
     smol::Timer,
@@ -22,13 +22,15 @@
     },
 };
 
-/// VMs that watch the store for all.
+/// Least VMs that watch the store for all; one of each data centre if there are more of these.
 pub const WATCHERS: usize = 3;
 /// Longest wait of such a watch. A link or an answer that went silent is noticed after it and the time
 /// for an answer, together within the bounds for configurations and leaving targets.
 pub const WATCH_WAIT: Duration = Duration::from_secs(1);
 /// Least time between two watches: changes that come together are read in one call.
 const GATHER: Duration = Duration::from_millis(100);
+/// The same for those that only make good what the first one misses.
+const RESERVE_GATHER: Duration = Duration::from_millis(600);
 /// Time between two looks of the others at what their peers know.
 const LOOK: Duration = Duration::from_millis(250);
 /// Time after the start in which peers are heard, so that few VMs begin to watch.
@@ -45,9 +47,10 @@
     let mut was_behind = false;
     let started = shared.now();
     loop {
+        let part = shared.fleet.watch(WATCHERS, shared.now());
         let answer = if !has_history {
             store.targets().await
-        } else if shared.fleet.is_watcher(WATCHERS, shared.now()) {
+        } else if part.is_some() {
             store
                 .watch_targets(shared.directory.known(), WATCH_WAIT)
                 .await
@@ -75,7 +78,11 @@
                     reports::tell(&shared, changes).await;
                 }
                 let settled = started + SETTLE;
-                Timer::after(GATHER.max(settled.since(shared.now()))).await;
+                let gather = match part {
+                    Some(Watch::Reserve) => RESERVE_GATHER,
+                    Some(Watch::First) | None => GATHER,
+                };
+                Timer::after(gather.max(settled.since(shared.now()))).await;
             }
             Err(Failure::HistoryGone) => {
                 log::info!(target: "store", of = "targets"; "the store dropped its history; reading the list anew");
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -3,7 +3,10 @@
 use {
     base::Instant,
     derive_more::Debug,
-    dispatch::Peers,
+    dispatch::{
+        Peers,
+        peers::{Offer, Watch},
+    },
     smol::{
         Async,
         channel::{Receiver, Sender, bounded},
@@ -101,10 +104,17 @@
         self.is_store_lost.swap(is_lost, Ordering::Relaxed) != is_lost
     }
 
-    /// Returns whether this VM watches the list of targets for all.
-    pub fn is_watcher(&self, count: usize, now: Instant) -> bool {
+    /// Returns the part that this VM has in watching the store for all.
+    pub fn watch(&self, count: usize, now: Instant) -> Option<Watch> {
+        let is_lost = self.is_store_lost();
+        self.peers()
+            .watch(self.own(), self.data_centre, is_lost, count, now)
+    }
+
+    /// Returns a peer with a newer configuration than `version`.
+    pub fn newer_configuration(&self, version: u64, now: Instant) -> Option<Offer> {
         self.peers()
-            .is_watcher(self.own(), self.is_store_lost(), count, now)
+            .newer_configuration(version, self.data_centre, self.incarnation, now)
     }
 
     /// Notes that a peer has reported.
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -2,13 +2,17 @@
 
 use {
     crate::{Shared, control::discovery},
-    dispatch::peers::{Changes, Datagram, Report, Summary, Wait, Work},
+    base::key,
+    dispatch::{
+        Load,
+        peers::{Changes, Datagram, Report, Summary, Wait, Work},
+    },
     entry::runtime::within,
     prost::Message,
     rand::Rng,
     smol::Timer,
     std::{
-        collections::HashSet,
+        collections::{HashMap, HashSet},
         net::{IpAddr, Ipv4Addr, SocketAddr},
         sync::Arc,
         time::Duration,
@@ -26,8 +30,10 @@
 /// Most VMs that each change of work is told to at once; in a larger fleet only those of the same
 /// data centre hear of it before the next heartbeat.
 pub const FULL_MESH: usize = 40;
-/// Time between two summaries of a data centre: a prompt takes about twice as long to read.
-const SUMMARY_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two summaries of a data centre: an eighth of the time in which a prompt is read.
+const SUMMARY_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two whole summaries.
+const WHOLE_INTERVAL: Duration = Duration::from_secs(1);
 /// Largest datagram that is read, in bytes.
 const DATAGRAM_LIMIT: usize = 8 << 10;
 
@@ -96,41 +102,87 @@
     }
 }
 
-/// Tells the other data centres of a large fleet the work of this one until the process ends.
+/// Tells VMs of the other data centres of a large fleet the work of this one until the process ends.
+///
+/// What has changed goes at once; a whole summary from time to time makes good what was lost.
 pub async fn summarize(shared: Arc<Shared>) {
+    let mut listeners = HashSet::new();
+    let mut told = HashMap::new();
+    let mut whole_at = shared.now();
     loop {
         Timer::after(SUMMARY_INTERVAL).await;
         let now = shared.now();
-        let data_centre = shared.fleet.data_centre();
-        let (far, work) = {
-            let peers = shared.fleet.peers();
-            let is_speaker = peers.live(now).count() >= FULL_MESH
-                && !shared.drain.is_leaving()
-                && peers.is_speaker(shared.fleet.own(), data_centre, now);
-            if !is_speaker {
-                continue;
-            }
-            (
-                peers.far(data_centre, now),
-                peers.work_near(data_centre, now),
-            )
+        let is_whole = now.since(whole_at) >= WHOLE_INTERVAL;
+        if is_whole {
+            whole_at = now;
+            listeners = listeners_of(&shared);
+        }
+        if listeners.is_empty() {
+            continue;
+        }
+        let work = near_work(&shared);
+        let changed: Vec<_> = if is_whole {
+            work.iter()
+                .map(|(target, load)| Work::new(*target, *load))
+                .collect()
+        } else {
+            changes(&told, &work)
         };
-        let mut work = work;
-        for (target, load) in shared.dispatcher.own() {
-            *work.entry(target).or_default() += load;
+        told = work;
+        if changed.is_empty() && !is_whole {
+            continue;
         }
-        let work = work.into_iter();
         let datagram = Datagram {
             summary: Some(Summary {
-                data_centre,
-                work: work.map(|(target, load)| Work::new(target, load)).collect(),
+                data_centre: shared.fleet.data_centre(),
+                work: changed,
+                is_whole,
             }),
             ..Datagram::default()
         };
-        broadcast(&shared, &datagram, far).await;
+        broadcast(&shared, &datagram, listeners.clone()).await;
     }
 }
 
+fn listeners_of(shared: &Shared) -> HashSet<Ipv4Addr> {
+    let now = shared.now();
+    let peers = shared.fleet.peers();
+    if peers.live(now).count() < FULL_MESH || shared.drain.is_leaving() {
+        return HashSet::new();
+    }
+    peers.listeners(shared.fleet.own(), shared.fleet.data_centre(), now)
+}
+
+/// Returns the work of all VMs of the data centre.
+fn near_work(shared: &Shared) -> HashMap<key::Target, Load> {
+    let data_centre = shared.fleet.data_centre();
+    let mut work = shared.fleet.peers().work_near(data_centre, shared.now());
+    for (target, load) in shared.dispatcher.own() {
+        *work.entry(target).or_default() += load;
+    }
+    work
+}
+
+/// Returns the work at targets where it is not as it was told; growth alone is foreseen there.
+fn changes(told: &HashMap<key::Target, Load>, work: &HashMap<key::Target, Load>) -> Vec<Work> {
+    let is_told = |target: &key::Target, load: &Load| {
+        told.get(target).is_some_and(|told| {
+            (told.runs, told.prefill, told.copies) == (load.runs, load.prefill, load.copies)
+        })
+    };
+    let changed = work.iter().filter(|(target, load)| !is_told(target, load));
+    let ended = told.keys().filter(|target| !work.contains_key(*target));
+    changed
+        .map(|(target, load)| Work::new(*target, *load))
+        .chain(ended.map(|target| Work::new(*target, Load::default())))
+        .collect()
+}
+
+/// Sends a report at once, to all peers or to those of the data centre.
+pub async fn announce(shared: &Shared, is_for_all: bool) {
+    send_once(shared, 0, is_for_all).await;
+}
+
 /// Sends changes of the list of targets to all peers.
 pub async fn tell(shared: &Shared, changes: Changes) {
     let addresses = shared.fleet.peers().addresses(shared.now());
@@ -165,6 +217,7 @@
         incarnation: shared.fleet.incarnation(),
         sequence: shared.fleet.next_sequence(),
         configuration: shared.current.version(),
+        configuration_bytes: shared.current.size(),
         listing: shared.directory.changed(),
         work: work(shared),
         leaving: shared
--- a/crates/gateway/src/targets/dispatcher.rs
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -10,6 +10,7 @@
         placement::{Ask, Basis, Ticket},
         waiting::{Crowd, Turn, Waiter, Waiting},
     },
+    rand::Rng,
     smol::channel::{Receiver, Sender, bounded},
     std::{
         collections::HashMap,
@@ -169,6 +170,12 @@
             .ahead_of_newcomer(service, priority, now)
     }
 
+    /// Returns when a client had better come back that has waited in vain.
+    pub fn return_delay(&self, service: key::Service) -> Duration {
+        let draw = rand::rng().random_range(0.0..1.0);
+        self.lock().waiting.return_delay(service, draw)
+    }
+
     /// Returns the requests that wait here.
     pub fn waiters(&self) -> Vec<Waiter> {
         self.lock().waiting.waiters().collect()
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -250,6 +250,25 @@
     assert_eq!(site.engines[1].runs(), 1);
 }
 
+#[test]
+fn the_copy_of_a_draft_that_ends_before_its_engine_has_left_is_freed() {
+    let mut site = Site::start(1, 1, 1);
+    let slow = Behaviour {
+        events: 100,
+        ..slow_draft()
+    };
+    site.engines_behave(&slow);
+    let draft = site.draft("a-1", 600);
+    until("the draft runs", || site.engines[0].active() == 1);
+    site.add_engine(1, "dc-1");
+    site.wait_for_targets(3, 0);
+    site.list(&site.engines[0], "engines", "dc-1", "draining");
+    until("the run is copied", || site.copies() == 1);
+    assert_eq!(finish(draft).body, Some(events(100)));
+    until("the copy is freed", || site.copies() == 0);
+    assert_eq!(site.engines[1].runs(), 0);
+}
+
 #[test]
 fn a_draft_without_any_copy_ends_broken_and_never_looks_whole() {
     let site = Site::start(1, 1, 1);
