fix(gateway): a stream that begins anew stays within the attempts of its route

Now the exchange counts the targets that have run a request, or may have, and another run needs the route's leave; going on from a copy is the same run.

--- a/crates/gateway/src/clients/exchange.rs
+++ b/crates/gateway/src/clients/exchange.rs
@@ -24,7 +24,7 @@
     std::{
         sync::{
             Arc,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicU32, Ordering},
         },
         time::Duration,
     },
@@ -59,6 +59,8 @@
     headers: HeaderMap,
     body: Bytes,
     sent: AtomicBool,
+    /// Targets that have run it, or may have.
+    runs: AtomicU32,
     _guard: Guard,
 }
 
@@ -88,6 +90,16 @@
         self.sent.store(true, Ordering::Relaxed);
     }
 
+    /// Notes that a target has run it, or may have.
+    pub fn note_run(&self) {
+        self.runs.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns whether the route permits a run at one more target.
+    pub fn may_run_again(&self) -> bool {
+        self.runs.load(Ordering::Relaxed) < self.route.attempts
+    }
+
     /// Writes what became of the request.
     pub fn record(&self, outcome: Outcome, reason: &str) {
         let now = self.shared.now();
@@ -183,6 +195,7 @@
         headers: parts.headers,
         body,
         sent: AtomicBool::new(false),
+        runs: AtomicU32::new(0),
         published,
         _guard: guard,
     })
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -354,9 +354,13 @@
                 occupancy(answer.response.headers()),
                 waited,
             );
+            exchange.note_run();
             return deliver(exchange, source, plan, answer).await;
         }
     };
+    if refusal.verdict != Verdict::NotRun {
+        exchange.note_run();
+    }
     log_sent(exchange, &source, outcome, &refusal.message, None, waited);
     Err(refusal.retry_after(BUSY_DELAY))
 }
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -369,6 +369,9 @@
     async fn begin_anew(&mut self, former: key::Target) -> bool {
         let exchange = Arc::clone(&self.exchange);
         let shared = &exchange.shared;
+        if !exchange.may_run_again() {
+            return false;
+        }
         let now = shared.now();
         let placed = place(&exchange, &self.plan, &[former], 0, now);
         let Some(placed) = placed else {
@@ -381,8 +384,12 @@
             last_event: self.last,
             ..Added::default()
         };
-        self.attach(Source::new(placed, None, &exchange.head.attempt), &added)
-            .await
+        let source = Source::new(placed, None, &exchange.head.attempt);
+        let is_taken = self.attach(source, &added).await;
+        if is_taken {
+            exchange.note_run();
+        }
+        is_taken
     }
 
     /// Sends the request to another engine and takes its stream.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -293,6 +293,20 @@
     assert_eq!(site.engines[1].runs(), 0);
 }
 
+#[test]
+fn a_resumable_stream_runs_at_no_more_targets_than_its_route_permits() {
+    let site = Site::start(4, 1, 1);
+    site.engines_behave(&Behaviour {
+        break_after: Some(2),
+        ..slow_draft()
+    });
+    // Too short for a copy, so that each break begins a run anew.
+    let usage = [("x-attempt-id", "a-1"), ("x-token-usage", "1000,40")];
+    let reply = finish(site.open(0, &Method::POST, CHECK, &usage));
+    assert_eq!(reply.body, None, "each engine breaks off");
+    assert_eq!(site.engines.iter().map(Target::runs).sum::<usize>(), 2);
+}
+
 #[test]
 fn a_draft_without_any_copy_ends_broken_and_never_looks_whole() {
     let site = Site::start(1, 1, 1);
