--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -230,7 +230,7 @@
     };
     assert!(placement.choose(at(0), &targets, &ask(copy)).is_some());
     for target in &targets[1..] {
-        for _ in 0..7 {
+        for _ in 0..9 {
             placement.begin(target.key, draft());
         }
     }
