refactor(dispatch): candidates read in one place, one wake-up of the sender of reports

No change of behaviour: the work of all VMs at a target, and which data centre an engine is open to, are functions of their own; places, queues and the dispatcher share one wake-up.

--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -268,29 +268,22 @@
         };
         let data_centres: HashSet<_> = usable
             .iter()
-            .map(|target| key::DataCentre::of(&target.data_centre).raw())
+            .map(|target| key::DataCentre::of(&target.data_centre))
             .collect();
-        let own_data_centre = key::DataCentre::of(ask.data_centre).raw();
-        // Two other data centres that chose the same engine would learn it too late, so each engine
-        // is open to one of them.
-        let is_open = |target: &Target| {
-            let home = key::DataCentre::of(&target.data_centre).raw();
-            let guests = data_centres.iter().copied().filter(|guest| *guest != home);
-            rendezvous::choose(target.key.raw(), guests.chain([own_data_centre]))
-                == Some(own_data_centre)
-        };
+        let own_data_centre = key::DataCentre::of(ask.data_centre);
         let stays_where_known = ask.load.runs > 0
             && usable
                 .iter()
                 .any(|target| is_known(target) && !self.is_unreached(&target.data_centre, now));
         let usable = usable.iter().copied().filter(|target| {
             let is_avoided = !all_avoided && self.is_avoided(target.key, now);
-            let is_open = !is_delayed(target) || ask.load.runs == 0 || is_open(target);
+            let is_open = ask.load.runs == 0
+                || !is_delayed(target)
+                || is_open_to(target, own_data_centre, &data_centres);
             !is_avoided && (!stays_where_known || is_known(target) && is_open)
         });
         let candidates = usable.filter_map(|target| {
-            let mut load = own.get(&target.key).copied().unwrap_or_default();
-            load += self.peers.get(&target.key).copied().unwrap_or_default();
+            let load = self.load(target.key, own);
             let mut surcharge = 0.0;
             if self.is_unreached(&target.data_centre, now) {
                 surcharge += UNREACHED_COST;
@@ -315,6 +308,13 @@
         candidates.collect()
     }
 
+    /// Returns the work of all VMs at a target, given this VM's own.
+    fn load(&self, target: key::Target, own: &HashMap<key::Target, Load>) -> Load {
+        let mut load = own.get(&target).copied().unwrap_or_default();
+        load += self.peers.get(&target).copied().unwrap_or_default();
+        load
+    }
+
     /// Returns the part of the engines' memory that is planned, in the VM's data centre if that is
     /// the one whose load is known.
     fn fill(&self, targets: &[&Target], own: &HashMap<key::Target, Load>, ask: &Ask<'_>) -> f64 {
@@ -322,9 +322,7 @@
             |target: &&&Target| !ask.is_far_stale || *target.data_centre == *ask.data_centre;
         let (mut filled, mut room) = (0.0, 0.0);
         for target in targets.iter().filter(is_known) {
-            let mut load = own.get(&target.key).copied().unwrap_or_default();
-            load += self.peers.get(&target.key).copied().unwrap_or_default();
-            filled += planned(load);
+            filled += planned(self.load(target.key, own));
             room += f64::from(ask.engine.map_or(0, |engine| engine.memory));
         }
         filled / room.max(1.0)
@@ -460,6 +458,20 @@
     }
 }
 
+/// Returns whether an engine takes requests of a data centre other than its own.
+///
+/// Two that chose the same engine would learn it too late, so it is open to one of them.
+fn is_open_to(
+    target: &Target,
+    guest: key::DataCentre,
+    data_centres: &HashSet<key::DataCentre>,
+) -> bool {
+    let home = key::DataCentre::of(&target.data_centre);
+    let guests = data_centres.iter().chain([&guest]);
+    let guests = guests.filter(|of| **of != home).map(|of| of.raw());
+    rendezvous::choose(target.key.raw(), guests) == Some(guest.raw())
+}
+
 /// Returns the candidate with room that costs least; `draw` adds to each cost.
 fn cheapest<'a, 'b>(
     candidates: &'b mut [Candidate<'a>],
--- a/crates/gateway/src/targets/dispatcher.rs
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -40,17 +40,28 @@
     terms: Terms,
     /// VMs that share the retry budget.
     vms: AtomicUsize,
-    changed: Sender<()>,
+    changed: Change,
     waker: Receiver<()>,
 }
 
+/// Wakes the sender of reports.
+#[derive(Clone, Debug)]
+struct Change(Sender<()>);
+
+impl Change {
+    fn tell(&self) {
+        // A full channel means that it has work already.
+        let _ = self.0.try_send(());
+    }
+}
+
 /// A place at a target; dropping it frees the place.
 #[derive(Debug)]
 pub struct Place {
     state: Arc<Mutex<State>>,
     ticket: Ticket,
     basis: Basis,
-    changed: Sender<()>,
+    changed: Change,
     is_told: bool,
 }
 
@@ -67,7 +78,7 @@
             })),
             terms,
             vms: AtomicUsize::new(1),
-            changed,
+            changed: Change(changed),
             waker,
         }
     }
@@ -111,7 +122,7 @@
     /// Notes that a target failed a request.
     pub fn failed(&self, target: key::Target, now: Instant) {
         self.lock().placement.failed(target, now);
-        self.tell();
+        self.changed.tell();
     }
 
     /// Notes that a target refused a request for want of room.
@@ -154,7 +165,7 @@
         };
         let turn = state.waiting.enter(service, priority, now, end, crowd)?;
         drop(state);
-        self.tell();
+        self.changed.tell();
         Ok(Queued {
             state: Arc::clone(&self.state),
             service,
@@ -243,11 +254,6 @@
         place
     }
 
-    /// Wakes the sender of reports, unless it has work already.
-    fn tell(&self) {
-        let _ = self.changed.try_send(());
-    }
-
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -259,7 +265,7 @@
     state: Arc<Mutex<State>>,
     service: key::Service,
     turn: Turn,
-    changed: Sender<()>,
+    changed: Change,
 }
 
 impl Queued {
@@ -276,8 +282,7 @@
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         state.waiting.leave(self.service, self.turn);
         drop(state);
-        // A full channel means that the sender of reports will wake in any case.
-        let _ = self.changed.try_send(());
+        self.changed.tell();
     }
 }
 
@@ -301,10 +306,10 @@
         state.placement.grew(self.ticket, prompt, tokens);
     }
 
-    /// Wakes the sender of reports, unless it has work already.
+    /// Wakes the sender of reports if peers hear of the place at once.
     fn tell(&self) {
         if self.is_told {
-            let _ = self.changed.try_send(());
+            self.changed.tell();
         }
     }
 }
