--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod load;
 pub mod peers;
 pub mod placement;
+pub mod report;
 pub mod request;
 pub mod waiting;
 
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -1,10 +1,14 @@
-//! What the entry VMs tell each other: one datagram holds all that a VM has to say.
+//! What a VM knows of the other entry VMs, from the messages of [`crate::report`].
 //!
 //! Each VM sends its report to every other one when its work changes, and at least once in a while;
 //! a report replaces the one before, so a lost one does no harm. Reports double as heartbeats.
 
 use {
-    crate::{Load, waiting::Waiter},
+    crate::{
+        Load,
+        report::{Report, Summary, Work},
+        waiting::Waiter,
+    },
     base::{Instant, key, rendezvous},
     std::{
         collections::{HashMap, HashSet},
@@ -21,255 +25,12 @@
 const INTRODUCTIONS: usize = 40;
 /// Time for which a summary of a data centre counts: several that were lost.
 const SUMMARY_LIFE: Duration = Duration::from_millis(1_200);
-/// Tokens that a run adds to its memory in a second, by which older reports are brought forward: a
-/// step of a busy engine takes about 11 ms.
-const GROWTH_RATE: f64 = 90.0;
-/// Most waiting requests in a report.
-const MOST_WAITERS: usize = 16;
 /// Time without a word from any peer after which a VM watches the store for itself: a fleet of two
 /// reports less often, a cut must be noticed well within the bounds for configurations.
 const ISOLATION: Duration = Duration::from_millis(800);
 /// Item by which the VMs that watch the store are chosen.
 const WATCH_ITEM: u64 = 1;
 
-/// Work at one target, as the inner protocol carries it.
-#[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
-pub struct Work {
-    /// Raw key of the target.
-    #[prost(fixed64, tag = "1")]
-    pub target: u64,
-    /// Requests in progress.
-    #[prost(uint32, tag = "2")]
-    pub runs: u32,
-    /// Tokens of memory that they need at their ends.
-    #[prost(uint32, tag = "3")]
-    pub memory: u32,
-    /// Tokens of prompts that have not been read yet.
-    #[prost(uint32, tag = "4")]
-    pub prefill: u32,
-    /// Tokens of memory of copies.
-    #[prost(uint32, tag = "5")]
-    pub copies: u32,
-    /// Tokens of memory that the requests need by now.
-    #[prost(uint32, tag = "6")]
-    pub held: u32,
-}
-
-impl Work {
-    /// Describes the load of a target.
-    pub fn new(target: key::Target, load: Load) -> Self {
-        Self {
-            target: target.raw(),
-            runs: load.runs,
-            memory: load.memory,
-            prefill: load.prefill,
-            copies: load.copies,
-            held: load.held,
-        }
-    }
-
-    /// Returns the load, with what the requests have grown by since.
-    fn load(&self, age: Duration) -> Load {
-        let grown = f64::from(self.runs) * GROWTH_RATE * age.as_secs_f64();
-        Load {
-            runs: self.runs,
-            memory: self.memory,
-            held: self.memory.max(self.held).min(self.held + grown as u32),
-            prefill: self.prefill,
-            copies: self.copies,
-        }
-    }
-}
-
-/// One VM's report.
-#[derive(Clone, Eq, PartialEq, prost::Message)]
-pub struct Report {
-    /// IP address of the sender; the port is the same on all VMs.
-    #[prost(fixed32, tag = "1")]
-    pub address: u32,
-    /// Draw of the sender's process at its start.
-    #[prost(fixed64, tag = "2")]
-    pub incarnation: u64,
-    /// Number of the report within the incarnation.
-    #[prost(uint64, tag = "3")]
-    pub sequence: u64,
-    /// Configuration version in force.
-    #[prost(uint64, tag = "4")]
-    pub configuration: u64,
-    /// Revision of the last change in its list of targets.
-    #[prost(uint64, tag = "5")]
-    pub listing: u64,
-    /// Work in progress.
-    #[prost(message, repeated, tag = "6")]
-    pub work: Vec<Work>,
-    /// Raw keys of targets that leave.
-    #[prost(fixed64, repeated, tag = "7")]
-    pub leaving: Vec<u64>,
-    /// Addresses of other VMs.
-    #[prost(fixed32, repeated, tag = "8")]
-    pub introductions: Vec<u32>,
-    /// Whether the sender is about to stop.
-    #[prost(bool, tag = "9")]
-    pub is_stopping: bool,
-    /// Whether the store left the sender's last call unanswered.
-    #[prost(bool, tag = "10")]
-    pub is_store_lost: bool,
-    /// Hash of the sender's data centre.
-    #[prost(fixed64, tag = "11")]
-    pub data_centre: u64,
-    /// Requests that wait for a place, by service.
-    #[prost(message, repeated, tag = "12")]
-    pub waiting: Vec<Wait>,
-    /// Raw keys of targets that fail the sender's requests.
-    #[prost(fixed64, repeated, tag = "13")]
-    pub failing: Vec<u64>,
-    /// Bytes of the configuration in force.
-    #[prost(uint64, tag = "14")]
-    pub configuration_bytes: u64,
-}
-
-/// A peer that has a newer configuration.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Offer {
-    /// The peer.
-    pub peer: Ipv4Addr,
-    /// Version that it has.
-    pub version: u64,
-    /// Size of that version in bytes.
-    pub bytes: u64,
-}
-
-/// A request that waits at a VM.
-#[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
-pub struct Wait {
-    /// Raw key of the service.
-    #[prost(fixed64, tag = "1")]
-    pub service: u64,
-    /// Urgency, 0 first.
-    #[prost(uint32, tag = "3")]
-    pub priority: u32,
-    /// Milliseconds since its arrival.
-    #[prost(uint32, tag = "4")]
-    pub age_ms: u32,
-    /// Milliseconds until it gives up.
-    #[prost(uint32, tag = "5")]
-    pub left_ms: u32,
-}
-
-impl Wait {
-    /// Describes those of the requests that go first.
-    pub fn list(waiters: impl Iterator<Item = Waiter>, now: Instant) -> Vec<Self> {
-        let mut waiters: Vec<_> = waiters.collect();
-        waiters.sort_unstable_by_key(|waiter| (waiter.priority, waiter.arrived));
-        let first = waiters.into_iter().take(MOST_WAITERS);
-        let waits = first.map(|waiter| Self {
-            service: waiter.service.raw(),
-            priority: waiter.priority,
-            age_ms: now.since(waiter.arrived).as_millis() as u32,
-            left_ms: waiter.end.since(now).as_millis() as u32,
-        });
-        waits.collect()
-    }
-
-    fn waiter(&self, heard: Instant) -> Waiter {
-        let age = u64::from(self.age_ms) * 1_000;
-        Waiter {
-            service: key::Service::from_raw(self.service),
-            priority: self.priority,
-            arrived: Instant::from_micros(heard.as_micros().saturating_sub(age)),
-            end: heard + Duration::from_millis(self.left_ms.into()),
-        }
-    }
-}
-
-/// Work of all VMs of a data centre, from one of them to some VMs of the other data centres.
-#[derive(Clone, Eq, PartialEq, prost::Message)]
-pub struct Summary {
-    /// Hash of the data centre.
-    #[prost(fixed64, tag = "1")]
-    pub data_centre: u64,
-    /// Their work in progress; at targets that are not named it is as before.
-    #[prost(message, repeated, tag = "2")]
-    pub work: Vec<Work>,
-    /// Whether there is no work at targets that are not named.
-    #[prost(bool, tag = "3")]
-    pub is_whole: bool,
-}
-
-/// A target as the inner protocol carries it.
-#[derive(Clone, Eq, PartialEq, prost::Message)]
-pub struct Entry {
-    /// Revision of the store at which it was written.
-    #[prost(uint64, tag = "1")]
-    pub revision: u64,
-    /// Raw key of the target.
-    #[prost(fixed64, tag = "2")]
-    pub target: u64,
-    /// Its description; absent if its entry was removed.
-    #[prost(message, optional, tag = "3")]
-    pub description: Option<Description>,
-}
-
-/// What a target says of itself.
-#[derive(Clone, Eq, PartialEq, prost::Message)]
-pub struct Description {
-    /// Name of the instance.
-    #[prost(string, tag = "1")]
-    pub instance: String,
-    /// IP address.
-    #[prost(fixed32, tag = "2")]
-    pub address: u32,
-    /// Port.
-    #[prost(uint32, tag = "3")]
-    pub port: u32,
-    /// Raw key of the service.
-    #[prost(fixed64, tag = "4")]
-    pub service: u64,
-    /// Name of the data centre.
-    #[prost(string, tag = "5")]
-    pub data_centre: String,
-    /// Requests that it runs at once.
-    #[prost(uint32, tag = "6")]
-    pub slots: u32,
-    /// Whether it leaves.
-    #[prost(bool, tag = "7")]
-    pub is_leaving: bool,
-    /// Start of its process in Unix milliseconds.
-    #[prost(uint64, optional, tag = "8")]
-    pub born: Option<u64>,
-}
-
-/// Changes of the list of targets, from a VM that watches the store to the others.
-#[derive(Clone, Eq, PartialEq, prost::Message)]
-pub struct Changes {
-    /// Revision of the last change before these.
-    #[prost(uint64, tag = "1")]
-    pub from: u64,
-    /// Revision of the last of these.
-    #[prost(uint64, tag = "2")]
-    pub to: u64,
-    /// The changes in their order.
-    #[prost(message, repeated, tag = "3")]
-    pub entries: Vec<Entry>,
-    /// Milliseconds for which removed entries may come back, since the store was in trouble.
-    #[prost(uint32, tag = "4")]
-    pub hold_ms: u32,
-}
-
-/// What one datagram holds.
-#[derive(Clone, Eq, PartialEq, prost::Message)]
-pub struct Datagram {
-    /// A VM's report.
-    #[prost(message, optional, tag = "1")]
-    pub report: Option<Report>,
-    /// Changes of the list of targets.
-    #[prost(message, optional, tag = "2")]
-    pub changes: Option<Changes>,
-    /// Work of a data centre.
-    #[prost(message, optional, tag = "3")]
-    pub summary: Option<Summary>,
-}
-
 /// What summaries have told of a data centre.
 #[derive(Debug, Default)]
 struct Heard {
@@ -304,6 +65,17 @@
     Reserve,
 }
 
+/// A peer that has a newer configuration.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Offer {
+    /// The peer.
+    pub peer: Ipv4Addr,
+    /// Version that it has.
+    pub version: u64,
+    /// Size of that version in bytes.
+    pub bytes: u64,
+}
+
 /// What a report changed.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct News {
--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -4,7 +4,8 @@
     base::{Instant, key},
     mastictrail_dispatch::{
         Load, Peers,
-        peers::{News, Offer, Report, Summary, Wait, Watch, Work},
+        peers::{News, Offer, Watch},
+        report::{Report, Summary, Wait, Work},
         waiting::Waiter,
     },
     std::{net::Ipv4Addr, time::Duration},
--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -11,7 +11,8 @@
     base::key,
     dispatch::{
         listing::Target,
-        peers::{Changes, Description, Entry, Watch},
+        peers::Watch,
+        report::{Changes, Description, Entry},
     },
     platform::store::{Answer, Change, Failure, Kind, Store},
     smol::Timer,
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -5,7 +5,7 @@
     base::key,
     dispatch::{
         Load,
-        peers::{Changes, Datagram, Report, Summary, Wait, Work},
+        report::{Changes, Datagram, Report, Summary, Wait, Work},
     },
     entry::runtime::within,
     prost::Message,
