fix(gateway): an engine that tells no load is logged as such, not as idle

The line `sent` gave 0 running and 0 waiting where the answer had no such field; it gives the engine's words or nothing now. Configuration and discovery share the interval of their looks.

--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -1,6 +1,6 @@
 //! What is in progress at a target, as one VM knows it.
 
-use std::ops::AddAssign;
+use {derive_more::Display, std::ops::AddAssign};
 
 /// Work of one VM, or of several, at one target.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -28,7 +28,8 @@
 }
 
 /// What a target says of itself on an answer: all that it has, of all VMs.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[display("{running} running, {waiting} waiting")]
 pub struct Occupancy {
     /// Requests that it runs.
     pub running: u32,
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -373,14 +373,14 @@
     told: Option<Occupancy>,
     waited: Duration,
 ) {
-    let told = told.unwrap_or_default();
+    let told = told.map_or_else(String::new, |told| told.to_string());
     let basis = source.place().basis();
     log::info!(
         target: "sent", request:% = exchange.head.attempt, route:% = exchange.route.name,
         instance:% = source.target().instance, data_centre:% = source.target().data_centre,
         backup = source.backup().map_or("", |backup| &*backup.instance), outcome, detail,
         runs = basis.load.runs, memory = basis.load.memory, copies = basis.load.copies,
-        prefill = basis.load.prefill, told_running = told.running, told_waiting = told.waiting, waited_ms = waited.as_millis() as u64,
+        prefill = basis.load.prefill, told, waited_ms = waited.as_millis() as u64,
         candidates = basis.candidates, cost_ms = basis.cost as u64,
         vms = exchange.shared.dispatcher.vms(),
         elapsed_ms = exchange.shared.now().since(exchange.arrived).as_millis() as u64;
--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -5,7 +5,7 @@
         Shared,
         control::{
             backoff::Backoff,
-            discovery::{WATCH_WAIT, WATCHERS},
+            discovery::{LOOK, WATCH_WAIT, WATCHERS},
             reports,
         },
     },
@@ -30,8 +30,6 @@
 /// Largest configuration that peers give, in bytes: a small VM passes it on to some others in a
 /// tenth of a second. Larger ones come from the store.
 const PEER_LIMIT: u64 = 32 << 10;
-/// Time between two looks whether this VM has become one that watches.
-const LOOK: Duration = Duration::from_millis(250);
 
 /// Reads and watches the configuration until the process ends.
 pub async fn run(shared: Arc<Shared>, store: Arc<Store>) {
--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -32,8 +32,8 @@
 const GATHER: Duration = Duration::from_millis(100);
 /// The same for those that only make good what the first one misses.
 const RESERVE_GATHER: Duration = Duration::from_millis(600);
-/// Time between two looks of the others at what their peers know.
-const LOOK: Duration = Duration::from_millis(250);
+/// Time between two looks of the others at what their peers know, and whether they have to watch.
+pub const LOOK: Duration = Duration::from_millis(250);
 /// Time after the start in which peers are heard, so that few VMs begin to watch.
 const SETTLE: Duration = Duration::from_millis(1_200);
 /// Longest wait of a read that catches up.
