fix(dispatch): the work of a data centre is told in datagrams that fit

Cause (read before the landing): a summary of more than some 290 targets would have been longer than the 8 KiB that a datagram may have, and dropped by all receivers, which then fall back to heartbeats.

Work is told in parts of 150 targets, only the first of which replaces what was told before. The new test holds 600 targets against the limit.

--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -9,6 +9,8 @@
 /// Tokens that a run adds to its memory in a second, by which older reports are brought forward: a
 /// step of a busy engine takes about 11 ms.
 const GROWTH_RATE: f64 = 90.0;
+/// Most targets in a summary, of about 40 bytes each.
+const MOST_WORK: usize = 150;
 /// Most waiting requests in a report.
 const MOST_WAITERS: usize = 16;
 
@@ -166,6 +168,31 @@
     pub is_whole: bool,
 }
 
+impl Summary {
+    /// Splits work into summaries that fit a datagram each; only the first may be a whole one.
+    pub fn parts(data_centre: u64, work: &[Work], is_whole: bool) -> Vec<Self> {
+        let first = Self {
+            data_centre,
+            work: Vec::new(),
+            is_whole,
+        };
+        let mut parts: Vec<_> = work
+            .chunks(MOST_WORK)
+            .map(|chunk| Self {
+                work: chunk.to_vec(),
+                is_whole: false,
+                ..first.clone()
+            })
+            .collect();
+        if let Some(part) = parts.first_mut() {
+            part.is_whole = is_whole;
+        } else if is_whole {
+            parts.push(first);
+        }
+        parts
+    }
+}
+
 /// A target as the inner protocol carries it.
 #[derive(Clone, Eq, PartialEq, prost::Message)]
 pub struct Entry {
--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -8,6 +8,7 @@
         report::{Report, Summary, Wait, Work},
         waiting::Waiter,
     },
+    prost::Message,
     std::{net::Ipv4Addr, time::Duration},
 };
 
@@ -261,3 +262,25 @@
     assert_eq!(held(100), Some(99));
     assert_eq!(held(4_000), Some(100), "not beyond what the run is to need");
 }
+
+#[test]
+fn the_work_at_many_targets_is_told_in_several_datagrams() {
+    let load = Load {
+        runs: u32::MAX,
+        memory: u32::MAX,
+        held: u32::MAX,
+        prefill: u32::MAX,
+        copies: u32::MAX,
+    };
+    let work: Vec<_> = (0..600)
+        .map(|index| Work::new(key::Target::of(&format!("t-{index}")), load))
+        .collect();
+    let parts = Summary::parts(7, &work, true);
+    assert!(parts.iter().all(|part| part.encoded_len() < 8 << 10));
+    let wholes: Vec<_> = parts.iter().map(|part| part.is_whole).collect();
+    assert_eq!(wholes, [true, false, false, false]);
+    let told: usize = parts.iter().map(|part| part.work.len()).sum();
+    assert_eq!(told, 600);
+    assert_eq!(Summary::parts(7, &[], true).len(), 1, "no work at all");
+    assert_eq!(Summary::parts(7, &[], false).len(), 0, "no change");
+}
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -129,18 +129,14 @@
             changes(&told, &work)
         };
         told = work;
-        if changed.is_empty() && !is_whole {
-            continue;
+        let data_centre = shared.fleet.data_centre();
+        for summary in Summary::parts(data_centre, &changed, is_whole) {
+            let datagram = Datagram {
+                summary: Some(summary),
+                ..Datagram::default()
+            };
+            broadcast(&shared, &datagram, listeners.clone()).await;
         }
-        let datagram = Datagram {
-            summary: Some(Summary {
-                data_centre: shared.fleet.data_centre(),
-                work: changed,
-                is_whole,
-            }),
-            ..Datagram::default()
-        };
-        broadcast(&shared, &datagram, listeners.clone()).await;
     }
 }
 
