feat(gateway): log how an answer marked its end and what was left of it

The `moved` and `ended` lines of a stream now say how its latest answer was framed (a length, chunks, or the end of the connection) and how many bytes of an incomplete event it left. Without these two, the logs can't tell an engine that ended its framing early from one whose connection just ended, see docs/incidents.

--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -424,7 +424,14 @@
         exchange.record_outcome(Outcome::Failed, parts.status.as_str());
         return Ok(response_with_head(&parts, answer::full(body.to_bytes())));
     }
-    let relay = Relay::new(Arc::clone(exchange), source, plan, body, answer.connection);
+    let relay = Relay::new(
+        Arc::clone(exchange),
+        source,
+        plan,
+        body,
+        answer.framing,
+        answer.connection,
+    );
     let events = stream::unfold(relay, |mut relay| async move {
         let next = relay.next().await?;
         Some((next.map(Frame::data), relay))
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -15,7 +15,7 @@
         },
         metrics::Outcome,
         targets::{
-            client::{Answer, Connection},
+            client::{Answer, Connection, Framing},
             dispatcher::Reservation,
         },
     },
@@ -117,6 +117,10 @@
     /// When events were last forwarded to the client.
     last_delivery: Instant,
     longest_pause: Duration,
+    /// How the latest answer marks its end.
+    framing: Framing,
+    /// Bytes of an incomplete event at the end of the latest answer.
+    incomplete_bytes: usize,
     /// Number of events up to and including the delivery that ended the longest pause.
     paused_at: u64,
     last_received: Instant,
@@ -146,6 +150,7 @@
         source: Source,
         plan: Plan,
         body: Incoming,
+        framing: Framing,
         connection: Connection,
     ) -> Self {
         let now = exchange.shared.now();
@@ -167,6 +172,8 @@
             first_event_at: None,
             last_delivery: now,
             longest_pause: Duration::ZERO,
+            framing,
+            incomplete_bytes: 0,
             paused_at: 0,
             outcome: None,
         }
@@ -307,6 +314,7 @@
             .record_run(exchange.service, time);
         self.outcome = Some((Outcome::Served, "whole".into()));
         let rest = self.splitter.take_rest();
+        self.incomplete_bytes = rest.len();
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
@@ -328,13 +336,13 @@
         shared
             .dispatcher
             .record_failure(failed_target.key, shared.now());
+        self.incomplete_bytes = self.splitter.take_rest().len();
         log::info!(
             target: "moved", request:% = exchange.head.attempt_id, instance:% = failed_target.instance,
             events = self.events, backup = self.source.backup().map_or("", |backup| &*backup.instance),
-            reason:% = reason;
+            reason:% = reason, framing:% = self.framing, incomplete_bytes = self.incomplete_bytes;
             "engine lost while streaming"
         );
-        self.splitter.take_rest();
         self.migrations += 1;
         if self.migrations > MAX_MIGRATIONS {
             return false;
@@ -430,8 +438,10 @@
         match result {
             Ok(Answer {
                 response,
+                framing,
                 connection,
             }) if is_taken => {
+                self.framing = framing;
                 self.upstream = Some(Upstream {
                     body: response.into_body(),
                     _connection: connection,
@@ -463,7 +473,8 @@
             target: "ended", request:% = exchange.head.attempt_id, route:% = exchange.route.name,
             instance:% = self.source.target.instance, outcome:% = outcome, reason:% = reason,
             events = self.events, moves = self.migrations, prompt = self.plan.generation.prompt_tokens,
-            estimate = self.plan.estimated_tokens,
+            estimate = self.plan.estimated_tokens, framing:% = self.framing,
+            incomplete_bytes = self.incomplete_bytes,
             longest_pause_ms = self.longest_pause.as_millis() as u64, paused_at = self.paused_at,
             first_ms = first_event_at.since(exchange.arrived).as_millis() as u64,
             elapsed_ms = now.since(exchange.arrived).as_millis() as u64;
--- a/crates/gateway/src/targets/client.rs
+++ b/crates/gateway/src/targets/client.rs
@@ -11,7 +11,10 @@
     entry::runtime::{Runtime, with_timeout},
     http_body_util::{BodyExt, Full, Limited},
     hyper::{
-        Method, Request, Response, StatusCode, body::Incoming, client::conn::http1, header::HOST,
+        HeaderMap, Method, Request, Response, StatusCode,
+        body::Incoming,
+        client::conn::http1,
+        header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
     },
     platform::store::{Reply, Transport},
     smol::{Task, net::TcpStream},
@@ -59,11 +62,45 @@
     }
 }
 
+/// How a response marks the end of its body.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Framing {
+    /// The header contains the length.
+    #[display("length")]
+    Length,
+    /// A last chunk follows the others.
+    #[display("chunks")]
+    Chunks,
+    /// The connection ends with the body, but also when the sender fails.
+    #[display("close")]
+    Close,
+}
+
+impl Framing {
+    fn of(headers: &HeaderMap) -> Self {
+        let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+        if let Some(last) = codings.next_back() {
+            let is_chunked = last.as_bytes().to_ascii_lowercase().ends_with(b"chunked");
+            if is_chunked {
+                Self::Chunks
+            } else {
+                Self::Close
+            }
+        } else if headers.contains_key(CONTENT_LENGTH) {
+            Self::Length
+        } else {
+            Self::Close
+        }
+    }
+}
+
 /// The head of a response and the connection that delivers its body.
 #[derive(Debug)]
 pub struct Answer {
     /// Response whose body is still being received.
     pub response: Response<Incoming>,
+    /// How the response marks the end of its body.
+    pub framing: Framing,
     /// Connection of the body; dropping it closes the socket.
     pub connection: Connection,
 }
@@ -121,6 +158,7 @@
             .await
             .map_err(|error| Failure::may_have_run(format!("no answer: {error}")))?;
         Ok(Answer {
+            framing: Framing::of(response.headers()),
             response,
             connection,
         })
