test(gateway): streams that an engine breaks off, by framing and kind of break

Fails on the current code: a stream that ends inside an event reaches the client as a complete answer with part of an event at its end, if it had neither length nor chunks and its connection closed (Close, Close), or if its chunks were ended properly (Chunks, End); a copy of the run is not used then. Responses of plain services that are broken off pass in all five noticeable ways.

The fakes can end bodies by length, chunks or close, and break them off by a close, a reset or a proper end.

--- a/crates/fakes/src/http.rs
+++ b/crates/fakes/src/http.rs
@@ -18,7 +18,8 @@
         net::{TcpListener, TcpStream},
     },
     smol_hyper::rt::{FuturesIo, SmolTimer},
-    std::{fmt::Debug, io},
+    socket2::SockRef,
+    std::{error::Error as _, fmt::Debug, io, time::Duration},
 };
 
 /// Maximum size of a request body; larger requests fail.
@@ -137,6 +138,11 @@
     io::Error::from(io::ErrorKind::ConnectionAborted)
 }
 
+/// Returns the error that makes a body stream reset its connection.
+pub fn reset() -> io::Error {
+    io::Error::from(io::ErrorKind::ConnectionReset)
+}
+
 /// Accepts connections in an endless loop and passes each request to the handler.
 ///
 /// # Errors
@@ -149,12 +155,38 @@
     loop {
         let (stream, _peer) = listener.accept().await?;
         stream.set_nodelay(true)?;
-        smol::spawn(serve_connection::<TcpStream, H, F>(stream, handler.clone())).detach();
+        let handler = handler.clone();
+        smol::spawn(async move {
+            let result = serve_http1::<TcpStream, H, F>(stream.clone(), handler).await;
+            if result.is_err_and(|error| is_reset(&error))
+                && let Err(error) = SockRef::from(&stream).set_linger(Some(Duration::ZERO))
+            {
+                log::debug!(target: "fake", error:% = error; "failed to reset a connection");
+            }
+        })
+        .detach();
     }
 }
 
+/// Returns whether a connection ended with the error of [`reset`].
+fn is_reset(error: &hyper::Error) -> bool {
+    let source = error.source();
+    let cause = source.and_then(|source| source.downcast_ref::<io::Error>());
+    cause.is_some_and(|cause| cause.kind() == io::ErrorKind::ConnectionReset)
+}
+
 /// Serves the requests of one connection until it closes.
 pub async fn serve_connection<S, H, F>(stream: S, handler: H)
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    H: Fn(Request) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = HandlerResult> + Send + 'static,
+{
+    // A disconnect by the client or an injected fault is no error of the fake.
+    drop(serve_http1(stream, handler).await);
+}
+
+async fn serve_http1<S, H, F>(stream: S, handler: H) -> Result<(), hyper::Error>
 where
     S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     H: Fn(Request) -> F + Clone + Send + Sync + 'static,
@@ -164,10 +196,8 @@
         let handler = handler.clone();
         async move { handler(Request::read(request).await?).await }
     });
-    let result = http1::Builder::new()
+    http1::Builder::new()
         .timer(SmolTimer::new())
         .serve_connection(FuturesIo::new(stream), service)
-        .await;
-    // A disconnect by the client or an injected fault is no error of the fake.
-    drop(result);
+        .await
 }
--- a/crates/fakes/src/site/target.rs
+++ b/crates/fakes/src/site/target.rs
@@ -7,8 +7,8 @@
     },
     bytes::Bytes,
     hyper::{
-        StatusCode,
-        header::{HeaderMap, HeaderValue},
+        StatusCode, Version,
+        header::{CONTENT_LENGTH, HeaderMap, HeaderValue},
     },
     serde::Deserialize,
     serde_json::json,
@@ -22,6 +22,30 @@
     },
 };
 
+/// How a target marks the end of a response body.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Framing {
+    /// By a last chunk.
+    #[default]
+    Chunks,
+    /// By a length in the header.
+    Length,
+    /// By the end of the connection.
+    Close,
+}
+
+/// How a target breaks off a response.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Break {
+    /// Closes the connection, a stream's inside an event.
+    #[default]
+    Close,
+    /// Resets the connection, a stream's between two events.
+    Reset,
+    /// Completes the framing, a stream's inside an event.
+    End,
+}
+
 /// How a target handles requests.
 #[derive(Clone, Debug)]
 pub struct Behaviour {
@@ -31,8 +55,12 @@
     pub event_interval: Duration,
     /// Number of events in a stream.
     pub events: u64,
-    /// Aborts the stream after the event with this id.
+    /// Breaks off the stream after the event with this id, or half-way the response of a service.
     pub break_after: Option<u64>,
+    /// How a response is broken off.
+    pub break_kind: Break,
+    /// How the end of a body is marked.
+    pub framing: Framing,
     /// Stops sending after the event with this id and keeps the connection open.
     pub silent_after: Option<u64>,
     /// Response status of a plain service.
@@ -52,6 +80,8 @@
             event_interval: Duration::from_millis(10),
             events: 20,
             break_after: None,
+            break_kind: Break::default(),
+            framing: Framing::default(),
             silent_after: None,
             status: 200,
             refuses: false,
@@ -245,11 +275,48 @@
         return Err(http::aborted());
     }
     let status = StatusCode::from_u16(behaviour.status).map_err(io::Error::other)?;
-    let mut response = http::text(status, &format!("{instance} ran {attempt}"));
+    let text = format!("{instance} ran {attempt}");
+    let (sender, receiver) = channel::bounded(2);
+    let sent = match behaviour.break_after {
+        Some(_) => text.len() / 2,
+        None => text.len(),
+    };
+    let mut chunks = vec![Ok(Bytes::copy_from_slice(&text.as_bytes()[..sent]))];
+    if behaviour.break_after.is_some() {
+        chunks.extend(break_error(behaviour.break_kind).map(Err));
+    }
+    for chunk in chunks {
+        sender.send(chunk).await.map_err(io::Error::other)?;
+    }
+    let mut response = http::stream(receiver, "text/plain");
+    *response.status_mut() = status;
+    frame(&mut response, behaviour.framing, text.len());
     sign(&mut response, &attempt);
     Ok(response)
 }
 
+/// Returns the error that ends a body that is broken off; `None` if its framing is completed.
+fn break_error(kind: Break) -> Option<io::Error> {
+    match kind {
+        Break::Close => Some(http::aborted()),
+        Break::Reset => Some(http::reset()),
+        Break::End => None,
+    }
+}
+
+/// Sets how a response marks the end of a body of `length` bytes.
+fn frame(response: &mut hyper::Response<http::Body>, framing: Framing, length: usize) {
+    match framing {
+        Framing::Chunks => {}
+        Framing::Length => {
+            let length = HeaderValue::from(length);
+            response.headers_mut().insert(CONTENT_LENGTH, length);
+        }
+        // HTTP/1.0 has no chunks, so a body without a length ends with its connection.
+        Framing::Close => *response.version_mut() = Version::HTTP_10,
+    }
+}
+
 /// Consumes the copy that a request resumes from; returns false if that copy does not exist.
 fn take_copy(state: &Mutex<State>, request: &Request) -> bool {
     let from = request.header("kv-from");
@@ -305,6 +372,9 @@
     }
     let attempt: Box<str> = attempt.into();
     let attempt_id = attempt.clone();
+    let framing = behaviour.framing;
+    let events = (first_id..behaviour.events).map(event);
+    let length = events.map(|event| event.len()).sum();
     smol::spawn(async move {
         lock(&state).active_streams += 1;
         let is_cancelled = send_events(&state, &behaviour, first_id, &sender)
@@ -318,10 +388,16 @@
     })
     .detach();
     let mut response = http::stream(receiver, "text/event-stream");
+    frame(&mut response, framing, length);
     sign(&mut response, &attempt);
     response
 }
 
+/// Returns the event with an id.
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: token {id}\n\n")
+}
+
 /// Sends the events of a stream; fails if the client closes the connection.
 async fn send_events(
     state: &Mutex<State>,
@@ -332,18 +408,20 @@
     Timer::after(behaviour.delay).await;
     for id in first_id..behaviour.events {
         if lock(state).has_crashed || behaviour.break_after.is_some_and(|last_id| id > last_id) {
-            // An engine may fail anywhere, so the stream ends in the middle of an event.
-            sender
-                .send(Ok(Bytes::from(format!("id: {id}\nda"))))
-                .await?;
-            return sender.send(Err(http::aborted())).await;
+            if behaviour.break_kind != Break::Reset {
+                let part = Bytes::from(format!("id: {id}\nda"));
+                sender.send(Ok(part)).await?;
+            }
+            return match break_error(behaviour.break_kind) {
+                Some(error) => sender.send(Err(error)).await,
+                None => Ok(()),
+            };
         }
         if behaviour.silent_after.is_some_and(|last_id| id > last_id) {
             sender.closed().await;
             return sender.send(Err(http::aborted())).await;
         }
-        let event = format!("id: {id}\ndata: token {id}\n\n");
-        sender.send(Ok(Bytes::from(event))).await?;
+        sender.send(Ok(Bytes::from(event(id)))).await?;
         Timer::after(behaviour.event_interval).await;
     }
     Ok(())
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,7 +6,11 @@
 mod support;
 
 use {
-    fakes::site::{Target, store::Mode, target::Behaviour},
+    fakes::site::{
+        Target,
+        store::Mode,
+        target::{Behaviour, Break, Framing},
+    },
     hyper::{Method, StatusCode},
     std::time::{Duration, Instant},
     support::{
@@ -363,6 +367,116 @@
     assert_eq!(response.body, None);
 }
 
+/// The ways in which an engine can break off a stream.
+const BREAKS: [(Framing, Break); 7] = [
+    (Framing::Chunks, Break::Close),
+    (Framing::Chunks, Break::Reset),
+    (Framing::Chunks, Break::End),
+    (Framing::Length, Break::Close),
+    (Framing::Length, Break::Reset),
+    (Framing::Close, Break::Close),
+    (Framing::Close, Break::Reset),
+];
+
+fn broken_stream(framing: Framing, break_kind: Break) -> Behaviour {
+    Behaviour {
+        break_after: Some(5),
+        break_kind,
+        framing,
+        ..Behaviour::default()
+    }
+}
+
+/// A stream without a length or chunks ends with its connection, and so does one that was broken
+/// off. An incomplete event at the end is then the only difference.
+#[test]
+fn a_stream_that_its_engine_breaks_off_never_looks_complete() {
+    let looks_complete = |&(framing, break_kind): &(Framing, Break)| {
+        let site = Site::start(1, 1, 1);
+        site.set_engine_behaviour(&broken_stream(framing, break_kind));
+        let response = read_to_end(site.open_stream("a-1", 600));
+        assert_eq!(response.status, StatusCode::OK);
+        response.body.is_some() || response.received != event_stream(6)
+    };
+    let failed: Vec<_> = BREAKS.into_iter().filter(looks_complete).collect();
+    assert_eq!(failed, []);
+}
+
+#[test]
+fn a_draft_that_its_engine_breaks_off_goes_on_from_its_copy() {
+    let is_cut = |&(framing, break_kind): &(Framing, Break)| {
+        let site = Site::start(2, 1, 1);
+        site.set_engine_behaviour(&broken_stream(framing, break_kind));
+        let stream = site.open_stream("a-1", 600);
+        site.set_engine_behaviour(&Behaviour {
+            framing,
+            ..Behaviour::default()
+        });
+        read_to_end(stream).body != Some(event_stream(20))
+    };
+    let failed: Vec<_> = BREAKS.into_iter().filter(is_cut).collect();
+    assert_eq!(failed, []);
+}
+
+/// An engine that fails before its first event leaves nothing but the end of the connection.
+#[test]
+fn an_unframed_stream_without_any_event_never_looks_complete() {
+    let site = Site::start(1, 1, 1);
+    site.set_engine_behaviour(&Behaviour {
+        events: 0,
+        framing: Framing::Close,
+        ..Behaviour::default()
+    });
+    assert_eq!(read_to_end(site.open_stream("a-1", 600)).body, None);
+}
+
+#[test]
+fn a_whole_stream_is_complete_however_its_end_is_marked() {
+    let site = Site::start(1, 1, 1);
+    for framing in [Framing::Chunks, Framing::Length, Framing::Close] {
+        site.set_engine_behaviour(&Behaviour {
+            framing,
+            ..Behaviour::default()
+        });
+        let response = read_to_end(site.open_stream("a-1", 600));
+        assert_eq!(response.body, Some(event_stream(20)), "{framing:?}");
+    }
+}
+
+/// The client must not take half a response of a service for a whole one.
+#[test]
+fn a_response_that_its_service_breaks_off_never_looks_complete() {
+    let breaks = [
+        (Framing::Chunks, Break::Close),
+        (Framing::Chunks, Break::Reset),
+        (Framing::Length, Break::Close),
+        (Framing::Length, Break::Reset),
+        (Framing::Close, Break::Reset),
+    ];
+    for (framing, break_kind) in breaks {
+        let site = Site::start(1, 1, 1);
+        site.services[0].set_behaviour(broken_stream(framing, break_kind));
+        for path in [UNSAFE_PATH, SAFE_PATH] {
+            let response = site.fetch(&Method::POST, path, &[("x-attempt-id", "a-1")]);
+            let case = format!("{framing:?} {break_kind:?} {path}");
+            assert_eq!(response.status, StatusCode::BAD_GATEWAY, "{case}");
+        }
+    }
+}
+
+#[test]
+fn a_whole_response_is_complete_however_its_end_is_marked() {
+    let site = Site::start(1, 1, 1);
+    for framing in [Framing::Chunks, Framing::Length, Framing::Close] {
+        site.services[0].set_behaviour(Behaviour {
+            framing,
+            ..Behaviour::default()
+        });
+        let response = site.fetch(&Method::POST, UNSAFE_PATH, &[("x-attempt-id", "a-1")]);
+        assert_eq!(response.body.as_deref(), Some("s-0 ran a-1"), "{framing:?}");
+    }
+}
+
 #[test]
 fn a_resumable_stream_goes_on_at_another_engine_after_its_last_event() {
     let site = Site::start(2, 1, 1);
