fix(gateway): take a stream that ends inside an event for broken off

Callers saw status 200, a proper end and a body with the first part of an event at its end: the answer was framed as complete and wasn't.

Cause: the relay took each end of an answer's body for the end of the stream, and sent what was left in its buffer on. Where an answer has neither a length nor chunks, its body ends with its connection, also if the engine crashes.

Change: the relay asks the splitter, which alone knows where an event ends, whether the answer can be complete at this point. If it ends inside an event, or without any event and by nothing but the end of its connection, the engine counts as lost: the stream moves to its copy or to another engine, or the client's answer is cut. A continued stream is judged by the answer that continues it, since each takes a splitter of its own.

--- a/crates/dispatch/src/frame.rs
+++ b/crates/dispatch/src/frame.rs
@@ -1,6 +1,9 @@
 //! Splits a server-sent event stream into complete events without changing their bytes.
 
-use bytes::{Bytes, BytesMut};
+use {
+    bytes::{Bytes, BytesMut},
+    derive_more::Display,
+};
 
 /// Size limit of an event in bytes; a larger one ends the stream.
 pub const EVENT_LIMIT: usize = 1 << 20;
@@ -14,12 +17,24 @@
     pub bytes: Bytes,
 }
 
-/// Buffers the bytes of an incomplete event.
+/// Why the end of an answer is not the end of its stream.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Defect {
+    /// The last event is incomplete.
+    #[display("the answer ended inside an event")]
+    InsideEvent,
+    /// There was no event, nor an end that only a whole answer has.
+    #[display("the answer ended before its first event")]
+    NoEvent,
+}
+
+/// Buffers the bytes of an incomplete event; each answer takes a splitter of its own.
 #[derive(Debug, Default)]
 pub struct Splitter {
     buffer: BytesMut,
     /// Length of the part of `buffer` that contains no end of an event.
     searched: usize,
+    has_event: bool,
 }
 
 impl Splitter {
@@ -38,6 +53,7 @@
         };
         let bytes = self.buffer.split_to(end).freeze();
         self.searched = 0;
+        self.has_event = true;
         Some(Event {
             id: find_id(&bytes),
             bytes,
@@ -49,6 +65,25 @@
         self.buffer.len() > EVENT_LIMIT
     }
 
+    /// Returns why the answer can't be complete if it ends here; `None` if it can.
+    ///
+    /// `is_delimited` is false if the answer ends with its connection, as one that is broken off
+    /// does, too.
+    pub fn find_defect(&self, is_delimited: bool) -> Option<Defect> {
+        // Empty lines between events belong to none of them.
+        let is_inside = self
+            .buffer
+            .iter()
+            .any(|byte| !matches!(byte, b'\r' | b'\n'));
+        if is_inside {
+            Some(Defect::InsideEvent)
+        } else if !self.has_event && !is_delimited {
+            Some(Defect::NoEvent)
+        } else {
+            None
+        }
+    }
+
     /// Removes and returns the bytes after the last complete event.
     pub fn take_rest(&mut self) -> Bytes {
         self.searched = 0;
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -2,7 +2,7 @@
 
 use {
     base::Instant,
-    mastictrail_dispatch::{Budget, Generation, Lengths, Splitter, budget::Policy},
+    mastictrail_dispatch::{Budget, Generation, Lengths, Splitter, budget::Policy, frame::Defect},
     std::time::Duration,
 };
 
@@ -33,6 +33,25 @@
     }
 }
 
+/// An answer that is broken off anywhere but between two events must not pass for a whole one.
+#[test]
+fn an_answer_that_ends_inside_an_event_is_not_complete() {
+    let stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n";
+    let ends = [15, stream.len()];
+    for length in 0..=stream.len() {
+        let mut splitter = Splitter::default();
+        splitter.push(&stream.as_bytes()[..length]);
+        while splitter.next_event().is_some() {}
+        let expected = match length {
+            0 => Some(Defect::NoEvent),
+            _ if ends.contains(&length) => None,
+            _ => Some(Defect::InsideEvent),
+        };
+        assert_eq!(splitter.find_defect(false), expected, "{length} bytes");
+    }
+    assert_eq!(Splitter::default().find_defect(true), None);
+}
+
 #[test]
 fn an_event_without_an_end_exceeds_the_limit() {
     let mut splitter = Splitter::default();
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -192,7 +192,8 @@
                 &self.source.target,
                 &mut self.source.copy,
             );
-            let reason = match self.read().await {
+            let read = self.read().await;
+            let reason = match self.check_end(read) {
                 Read::Bytes(bytes) => {
                     self.splitter.push(&bytes);
                     if self.splitter.is_overlong() {
@@ -250,6 +251,18 @@
         }
     }
 
+    /// Turns the end of an answer that can't be complete into the loss of its engine.
+    fn check_end(&self, read: Read) -> Read {
+        if !matches!(read, Read::End) {
+            return read;
+        }
+        let is_delimited = self.framing != Framing::Close;
+        match self.splitter.find_defect(is_delimited) {
+            Some(defect) => Read::Lost(defect.to_string().into()),
+            None => read,
+        }
+    }
+
     fn next_events(&mut self) -> Option<Bytes> {
         let mut events = BytesMut::new();
         while let Some(event) = self.splitter.next_event() {
@@ -314,7 +327,6 @@
             .record_run(exchange.service, time);
         self.outcome = Some((Outcome::Served, "whole".into()));
         let rest = self.splitter.take_rest();
-        self.incomplete_bytes = rest.len();
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
@@ -442,6 +454,7 @@
                 connection,
             }) if is_taken => {
                 self.framing = framing;
+                self.splitter = Splitter::default();
                 self.upstream = Some(Upstream {
                     body: response.into_body(),
                     _connection: connection,
