fix(gateway): continue a stream only with an answer to its own request

Found while looking for further ends that pass for others: the first answer of a stream was checked for the attempt that it names and for its media type, the answer that continues it at another engine for its status only. A late answer to another request, or a page that is no event stream, would have reached the caller inside the stream.

Test: a_stream_never_goes_on_with_the_answer_to_another_request; before, the stream ended complete with all 20 events of the other request's answer.

--- a/crates/fakes/src/site/target.rs
+++ b/crates/fakes/src/site/target.rs
@@ -69,6 +69,8 @@
     pub refuses: bool,
     /// Runs requests, but closes the connection without a response.
     pub drops_response: bool,
+    /// Attempt that a stream claims to answer instead of the one of its request.
+    pub answers_for: Option<Box<str>>,
     /// Reports the target as draining.
     pub leaves: bool,
 }
@@ -86,6 +88,7 @@
             status: 200,
             refuses: false,
             drops_response: false,
+            answers_for: None,
             leaves: false,
         }
     }
@@ -373,6 +376,8 @@
     let attempt: Box<str> = attempt.into();
     let attempt_id = attempt.clone();
     let framing = behaviour.framing;
+    let answered = behaviour.answers_for.clone();
+    let answered = answered.unwrap_or_else(|| attempt.clone());
     let events = (first_id..behaviour.events).map(event);
     let length = events.map(|event| event.len()).sum();
     smol::spawn(async move {
@@ -389,7 +394,7 @@
     .detach();
     let mut response = http::stream(receiver, "text/event-stream");
     frame(&mut response, framing, length);
-    sign(&mut response, &attempt);
+    sign(&mut response, &answered);
     response
 }
 
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -22,7 +22,7 @@
     },
     futures_util::stream,
     http_body_util::{BodyExt, Limited, StreamBody},
-    hyper::{Response, body::Frame, header::CONTENT_TYPE, http::response::Parts},
+    hyper::{HeaderMap, Response, body::Frame, header::CONTENT_TYPE, http::response::Parts},
     platform::request::{
         GatewayFields, is_for_attempt, is_not_executed, parse_occupancy, strip_connection_fields,
     },
@@ -416,7 +416,7 @@
     answer: Answer,
 ) -> Result<Response<Body>, Refusal> {
     let (parts, body) = answer.response.into_parts();
-    if !parts.status.is_success() || !is_event_stream(&parts) {
+    if !parts.status.is_success() || !is_event_stream(&parts.headers) {
         let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
         let body = body.map_err(|error| {
             Refusal::may_have_run(Reason::TargetLost, format!("a broken answer: {error}"))
@@ -440,9 +440,9 @@
     Ok(response_with_head(&parts, BodyExt::boxed_unsync(body)))
 }
 
-fn is_event_stream(parts: &Parts) -> bool {
-    let content_type = parts
-        .headers
+/// Returns whether a response's body is a stream of server-sent events.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers
         .get(CONTENT_TYPE)
         .and_then(|value| value.to_str().ok());
     content_type.is_some_and(|content_type| content_type.starts_with("text/event-stream"))
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -11,7 +11,7 @@
             answer::BodyError,
             evacuation::Evacuation,
             exchange::Exchange,
-            generation::{Item, Plan, reserve, reserve_copy},
+            generation::{Item, Plan, is_event_stream, reserve, reserve_copy},
         },
         metrics::Outcome,
         targets::{
@@ -25,7 +25,7 @@
     entry::runtime::with_timeout,
     http_body_util::BodyExt,
     hyper::body::{Frame, Incoming},
-    platform::request::{GatewayFields, is_not_executed},
+    platform::request::{GatewayFields, is_for_attempt, is_not_executed},
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -434,10 +434,15 @@
             .await;
         let (is_taken, detail) = match &result {
             Ok(answer) => {
-                let status = answer.response.status();
-                let is_taken =
-                    status.is_success() && !is_not_executed(status, answer.response.headers());
-                (is_taken, status.to_string())
+                let (status, headers) = (answer.response.status(), answer.response.headers());
+                if is_for_attempt(headers, &exchange.head.attempt_id) {
+                    let is_taken = status.is_success()
+                        && !is_not_executed(status, headers)
+                        && is_event_stream(headers);
+                    (is_taken, status.to_string())
+                } else {
+                    (false, "the answer belongs to another request".to_owned())
+                }
             }
             Err(failure) => (false, failure.to_string()),
         };
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -430,6 +430,21 @@
     assert_eq!(read_to_end(site.open_stream("a-1", 600)).body, None);
 }
 
+/// The run goes on in the answer of another request, whose bytes must not reach the client.
+#[test]
+fn a_stream_never_goes_on_with_the_answer_to_another_request() {
+    let site = Site::start(2, 1, 1);
+    site.set_engine_behaviour(&broken_stream(Framing::Chunks, Break::Close));
+    let stream = site.open_stream("a-1", 600);
+    site.set_engine_behaviour(&Behaviour {
+        answers_for: Some("a-2".into()),
+        ..Behaviour::default()
+    });
+    let response = read_to_end(stream);
+    assert_eq!(response.body, None);
+    assert_eq!(response.received, event_stream(6));
+}
+
 #[test]
 fn a_whole_stream_is_complete_however_its_end_is_marked() {
     let site = Site::start(1, 1, 1);
