fix(gateway): give clients of HTTP/1.0 a length

Found while going through the ways in which a body ends, towards clients this time. A client that knows no chunks got streams without a length, ended by the connection: a stream that broke off looked complete to it.

Such a client now gets the whole body with its length, or 502 if it breaks off.

Test: a_client_without_chunks_gets_a_length_or_a_failure; before, both the whole and the broken stream came with status 200 and neither length nor chunks.

--- a/crates/gateway/src/clients/answer.rs
+++ b/crates/gateway/src/clients/answer.rs
@@ -4,7 +4,7 @@
     base::{Reason, Refusal, Verdict},
     bytes::Bytes,
     derive_more::{Debug, Display, Error},
-    http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody},
+    http_body_util::{BodyExt, Full, Limited, combinators::UnsyncBoxBody},
     hyper::{
         Response, StatusCode,
         header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
@@ -12,6 +12,9 @@
     std::convert::Infallible,
 };
 
+/// Maximum size of a body that is buffered for its length, in bytes.
+const MAX_BUFFERED_BYTES: usize = 4 << 20;
+
 /// Body of a response.
 pub type Body = UnsyncBoxBody<Bytes, BodyError>;
 
@@ -30,6 +33,21 @@
         .boxed_unsync()
 }
 
+/// Reads the whole body of a response, so that it has a length; becomes a refusal if it breaks off.
+///
+/// A client that knows no chunks can't tell a broken body without a length from a whole one.
+pub async fn buffered(response: Response<Body>, attempt_id: &str) -> Response<Body> {
+    let (parts, body) = response.into_parts();
+    match Limited::new(body, MAX_BUFFERED_BYTES).collect().await {
+        Ok(body) => Response::from_parts(parts, full(body.to_bytes())),
+        Err(error) => {
+            let message = error.to_string();
+            log::info!(target: "answer", request:% = attempt_id, reason:% = Reason::TargetLost; "request refused: {message}");
+            refusal(&Refusal::may_have_run(Reason::TargetLost, message))
+        }
+    }
+}
+
 /// Creates the response for a refusal.
 pub fn refusal(refusal: &Refusal) -> Response<Body> {
     let text = format!(
--- a/crates/gateway/src/clients/exchange.rs
+++ b/crates/gateway/src/clients/exchange.rs
@@ -15,7 +15,7 @@
     dispatch::{configuration::Route, listing::Target},
     entry::runtime::with_timeout,
     http_body_util::{BodyExt, Full, LengthLimitError, Limited},
-    hyper::{HeaderMap, Method, Request, Response, Uri, body::Incoming, header::HOST},
+    hyper::{HeaderMap, Method, Request, Response, Uri, Version, body::Incoming, header::HOST},
     platform::{
         request::{GatewayFields, Head, forwarded_headers},
         store::Published,
@@ -115,6 +115,7 @@
 /// Handles a request and returns the response, which is a refusal if it fails.
 pub async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let is_draining = shared.drain.is_draining();
+    let knows_chunks = request.version() >= Version::HTTP_11;
     let attempt_id: Box<str> = platform::request::attempt_id(request.headers()).into();
     let mut response = match accept(&shared, request).await {
         Ok(exchange) => respond(Arc::new(exchange)).await,
@@ -133,6 +134,9 @@
             answer::refusal(&refusal)
         }
     };
+    if !knows_chunks {
+        response = answer::buffered(response, &attempt_id).await;
+    }
     if is_draining || shared.drain.is_draining() {
         answer::set_connection_close(&mut response);
     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -12,10 +12,14 @@
         target::{Behaviour, Break, Framing},
     },
     hyper::{Method, StatusCode},
-    std::time::{Duration, Instant},
+    std::{
+        io::{Read, Write},
+        net::TcpStream,
+        time::{Duration, Instant},
+    },
     support::{
         site::{
-            API_KEY, RESUMABLE_PATH, SAFE_PATH, STREAM_PATH, Site, UNSAFE_PATH, event_stream,
+            API_KEY, HOST, RESUMABLE_PATH, SAFE_PATH, STREAM_PATH, Site, UNSAFE_PATH, event_stream,
             is_ready, read_to_end, send,
         },
         wait_until,
@@ -430,6 +434,31 @@
     assert_eq!(read_to_end(site.open_stream("a-1", 600)).body, None);
 }
 
+/// Without chunks, a client can tell a whole body from a broken one only by its length.
+#[test]
+fn a_client_without_chunks_gets_a_length_or_a_failure() {
+    let site = Site::start(1, 1, 1);
+    let fetch = || {
+        let request = format!(
+            "POST {STREAM_PATH} HTTP/1.0\r\nHost: {HOST}\r\nAuthorization: Token {API_KEY}\r\n\
+             X-Attempt-Id: a-1\r\nContent-Length: 0\r\n\r\n"
+        );
+        let mut stream = TcpStream::connect(site.gateways[0].clients).unwrap();
+        stream.write_all(request.as_bytes()).unwrap();
+        let mut response = String::new();
+        stream.read_to_string(&mut response).unwrap();
+        response
+    };
+    let whole = fetch();
+    let length = format!("content-length: {}\r\n", event_stream(20).len());
+    assert!(whole.starts_with("HTTP/1.0 200"), "{whole}");
+    assert!(whole.contains(&length), "{whole}");
+    assert!(whole.ends_with(&event_stream(20)), "{whole}");
+    site.set_engine_behaviour(&broken_stream(Framing::Chunks, Break::Close));
+    let broken = fetch();
+    assert!(broken.starts_with("HTTP/1.0 502"), "{broken}");
+}
+
 /// The run goes on in the answer of another request, whose bytes must not reach the client.
 #[test]
 fn a_stream_never_goes_on_with_the_answer_to_another_request() {
