feat(gateway): know and log the release of a target's software

The store's entry of a target names the version of its software, which was not decoded. Nothing is decided by it yet.

--- a/crates/dispatch/src/listing.rs
+++ b/crates/dispatch/src/listing.rs
@@ -36,6 +36,8 @@
     pub is_leaving: bool,
     /// Start of its process in Unix milliseconds, if known.
     pub started_ms: Option<u64>,
+    /// Release of the software that it runs; empty if a peer described it without one.
+    pub release: Box<str>,
 }
 
 /// The known targets, with pending removals and notices that some are leaving.
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -237,6 +237,9 @@
     /// Start of its process in Unix milliseconds, if known.
     #[prost(uint64, optional, tag = "8")]
     pub started_ms: Option<u64>,
+    /// Release of the software that it runs.
+    #[prost(string, tag = "9")]
+    pub release: String,
 }
 
 /// Changes of the list of targets, sent to all peers by a VM that watches the store.
--- a/crates/dispatch/tests/listing.rs
+++ b/crates/dispatch/tests/listing.rs
@@ -16,6 +16,7 @@
         slots: 8,
         is_leaving,
         started_ms: Some(started_ms),
+        release: "v1".into(),
     }
 }
 
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -37,6 +37,7 @@
             slots: 6,
             is_leaving: false,
             started_ms: None,
+            release: "v1".into(),
         })
         .collect()
 }
--- a/crates/dispatch/tests/waiting.rs
+++ b/crates/dispatch/tests/waiting.rs
@@ -181,6 +181,7 @@
         slots: 24,
         is_leaving: false,
         started_ms: None,
+        release: "v1".into(),
     }];
     let mut random = SmallRng::seed_from_u64(seed);
     let demand = Demand {
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -397,7 +397,8 @@
     let basis = source.reservation().basis();
     log::info!(
         target: "sent", request:% = exchange.head.attempt_id, route:% = exchange.route.name,
-        instance:% = source.target().instance, data_centre:% = source.target().data_centre,
+        instance:% = source.target().instance, release:% = source.target().release,
+        data_centre:% = source.target().data_centre,
         backup = source.backup().map_or("", |backup| &*backup.instance), outcome, detail,
         runs = basis.load.runs, memory = basis.load.peak_memory, copies = basis.load.copy_memory,
         prefill = basis.load.pending_prefill, told = occupancy, waited_ms = waited.as_millis() as u64,
--- a/crates/gateway/src/clients/listener.rs
+++ b/crates/gateway/src/clients/listener.rs
@@ -49,7 +49,8 @@
     let drain = Arc::clone(&shared.drain);
     let service = service_fn(move |request| {
         let shared = Arc::clone(&shared);
-        async move { Ok::<_, Infallible>(exchange::serve(shared, request).await) }
+        // Boxed, so that an idle connection doesn't hold the memory of a request.
+        async move { Ok::<_, Infallible>(Box::pin(exchange::serve(shared, request)).await) }
     });
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -351,7 +351,7 @@
         self.incomplete_bytes = self.splitter.take_rest().len();
         log::info!(
             target: "moved", request:% = exchange.head.attempt_id, instance:% = failed_target.instance,
-            events = self.events, backup = self.source.backup().map_or("", |backup| &*backup.instance),
+            release:% = failed_target.release, events = self.events, backup = self.source.backup().map_or("", |backup| &*backup.instance),
             reason:% = reason, framing:% = self.framing, incomplete_bytes = self.incomplete_bytes;
             "engine lost while streaming"
         );
@@ -448,7 +448,7 @@
         };
         log::info!(
             target: "moved", request:% = exchange.head.attempt_id, instance:% = source.target.instance,
-            events = self.events, is_taken, detail;
+            release:% = source.target.release, events = self.events, is_taken, detail;
             "stream migration attempted"
         );
         exchange.shared.metrics.record_migration(is_taken);
--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -258,6 +258,7 @@
             slots: target.slots,
             is_leaving: target.is_leaving,
             started_ms: target.started_ms,
+            release: target.release.to_string(),
         }),
     }
 }
@@ -273,5 +274,6 @@
         slots: description.slots,
         is_leaving: description.is_leaving,
         started_ms: description.started_ms,
+        release: description.release.as_str().into(),
     }
 }
