test(gateway): streams that go on while two releases serve

A stream of which nothing has reached the client may begin again anywhere; that test passes and is to stay so.

--- a/crates/fakes/src/site/target.rs
+++ b/crates/fakes/src/site/target.rs
@@ -122,6 +122,8 @@
     /// Attempts whose client closed the connection before the stream ended.
     cancelled: Vec<Box<str>>,
     active_streams: usize,
+    /// Addresses to which runs were copied on request.
+    copied_to: Vec<SocketAddr>,
     has_crashed: bool,
     copies: Copies,
 }
@@ -142,6 +144,7 @@
 #[serde(rename_all = "PascalCase")]
 struct MoveRequest {
     id: Box<str>,
+    to: SocketAddr,
 }
 
 impl Target {
@@ -165,6 +168,7 @@
             received: Vec::new(),
             cancelled: Vec::new(),
             active_streams: 0,
+            copied_to: Vec::new(),
             has_crashed: false,
             copies: Arc::clone(copies),
         }));
@@ -215,6 +219,11 @@
         lock(&self.state).cancelled.clone()
     }
 
+    /// Returns the addresses to which runs were copied on request.
+    pub fn copied_to(&self) -> Vec<SocketAddr> {
+        lock(&self.state).copied_to.clone()
+    }
+
     /// Returns the number of open streams.
     pub fn active_streams(&self) -> usize {
         lock(&self.state).active_streams
@@ -342,7 +351,8 @@
         Ok(move_request) => move_request,
         Err(response) => return *response,
     };
-    let state = lock(state);
+    let mut state = lock(state);
+    state.copied_to.push(move_request.to);
     let handle = format!("h-{}", move_request.id);
     lock(&state.copies).insert((state.address, handle.as_str().into()));
     http::json(&json!({"Handle": handle, "Created": 0}))
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -537,6 +537,94 @@
     assert_eq!(resumed.collect::<Vec<_>>(), ["5"]);
 }
 
+/// Breaks off a stream after its sixth event while its engine is the only one of its release.
+///
+/// Returns the number of engines that ran it.
+fn break_off_between_releases(site: &Site, path: &str, tokens: &str) -> usize {
+    site.set_engine_behaviour(&broken_stream(Framing::Chunks, Break::Close));
+    let headers = [("x-attempt-id", "a-1"), ("x-token-usage", tokens)];
+    let stream = site.send(0, &Method::POST, path, &headers);
+    site.set_engine_behaviour(&Behaviour::default());
+    let response = read_to_end(stream);
+    assert_eq!(response.body, None);
+    assert_eq!(response.received, event_stream(6));
+    site.engines.iter().map(Target::run_count).sum()
+}
+
+/// What two releases write doesn't fit together, and engines don't check it.
+#[test]
+fn a_draft_never_goes_on_at_an_engine_of_another_release() {
+    let site = Site::start_releases(&["v1", "v2"], 1, 1);
+    assert_eq!(
+        break_off_between_releases(&site, STREAM_PATH, "1000,600"),
+        1
+    );
+}
+
+#[test]
+fn a_resumable_stream_never_goes_on_at_an_engine_of_another_release() {
+    let site = Site::start_releases(&["v1", "v2"], 1, 1);
+    assert_eq!(
+        break_off_between_releases(&site, RESUMABLE_PATH, "1000,40"),
+        1
+    );
+}
+
+#[test]
+fn a_draft_is_not_copied_to_another_release_when_its_engine_leaves() {
+    let mut site = Site::start_releases(&["v1"], 1, 1);
+    let behaviour = Behaviour {
+        events: 150,
+        ..slow_stream()
+    };
+    site.set_engine_behaviour(&behaviour);
+    let stream = site.open_stream("a-1", 600);
+    wait_until("an engine runs the stream", || {
+        site.engines[0].active_streams() == 1
+    });
+    site.add_engine_of(1, "dc-1", "v2");
+    site.wait_for_targets(3, 0);
+    site.register(&site.engines[0], "engines", "dc-1", "draining");
+    site.wait_for_targets(2, 1);
+    assert_eq!(site.engines[0].active_streams(), 1);
+    assert_eq!(read_to_end(stream).body, Some(event_stream(150)));
+    assert_eq!(site.engines[0].copied_to(), []);
+}
+
+/// Two engines of each release serve side by side, as during a rolling update.
+#[test]
+fn a_stream_goes_on_at_another_engine_of_its_release() {
+    for (path, tokens) in [(STREAM_PATH, "1000,600"), (RESUMABLE_PATH, "1000,40")] {
+        let site = Site::start_releases(&["v1", "v2", "v1", "v2"], 1, 1);
+        site.set_engine_behaviour(&broken_stream(Framing::Chunks, Break::Close));
+        let headers = [("x-attempt-id", "a-1"), ("x-token-usage", tokens)];
+        let stream = site.send(0, &Method::POST, path, &headers);
+        site.set_engine_behaviour(&Behaviour::default());
+        assert_eq!(read_to_end(stream).body, Some(event_stream(20)), "{path}");
+        let runs: Vec<_> = site.engines.iter().map(Target::run_count).collect();
+        assert!(
+            runs == [1, 0, 1, 0] || runs == [0, 1, 0, 1],
+            "{path}: {runs:?}"
+        );
+    }
+}
+
+/// Nothing of the first engine has reached the client, so nothing has to fit together.
+#[test]
+fn a_stream_without_any_event_may_begin_again_at_another_release() {
+    let site = Site::start_releases(&["v1", "v2"], 1, 1);
+    site.set_engine_behaviour(&Behaviour {
+        events: 0,
+        framing: Framing::Close,
+        delay: Duration::from_millis(100),
+        ..Behaviour::default()
+    });
+    let headers = [("x-attempt-id", "a-1"), ("x-token-usage", "1000,40")];
+    let stream = site.send(0, &Method::POST, RESUMABLE_PATH, &headers);
+    site.set_engine_behaviour(&Behaviour::default());
+    assert_eq!(read_to_end(stream).body, Some(event_stream(20)));
+}
+
 /// One engine runs the request and drops the connection, and the other one refuses the retry. The
 /// refusal of the second must not be reported as the result of both: 503 means that nothing ran.
 #[test]
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -21,6 +21,8 @@
 };
 
 pub const HOST: &str = "site.example";
+/// Software version of the targets unless a test says otherwise.
+const RELEASE: &str = "v1";
 pub const API_KEY: &str = "key-of-alpha";
 /// Path of the streaming route; its streams are moved to another engine only with a copy.
 pub const STREAM_PATH: &str = "/draft/1";
@@ -88,10 +90,15 @@
 
     /// Starts a site and waits until its gateways are ready.
     pub fn start(engines: usize, services: usize, gateways: usize) -> Self {
+        Self::start_releases(&vec![RELEASE; engines], services, gateways)
+    }
+
+    /// Starts a site with an engine of each of these releases.
+    pub fn start_releases(releases: &[&str], services: usize, gateways: usize) -> Self {
         let mut site = Self::new();
         site.publish(1, |_| {});
-        for index in 0..engines {
-            site.add_engine(index, "dc-1");
+        for (index, release) in releases.iter().enumerate() {
+            site.add_engine_of(index, "dc-1", release);
         }
         for index in 0..services {
             let name = format!("s-{index}");
@@ -110,10 +117,22 @@
 
     /// Starts another fake engine and registers it in the store.
     pub fn add_engine(&mut self, index: usize, data_centre: &str) {
+        self.add_engine_of(index, data_centre, RELEASE);
+    }
+
+    /// Starts another fake engine of a release and registers it in the store.
+    pub fn add_engine_of(&mut self, index: usize, data_centre: &str, release: &str) {
         let name = format!("e-{index}");
         let target = Target::start(free_address(), &name, true, &self.copies);
         let target = target.expect("the address is free");
-        self.register(&target, "engines", data_centre, "ready");
+        self.put_entry(
+            &target,
+            target.address,
+            "engines",
+            data_centre,
+            "ready",
+            release,
+        );
         self.engines.push(target);
     }
 
@@ -130,9 +149,21 @@
         service: &str,
         data_centre: &str,
         state: &str,
+    ) {
+        self.put_entry(target, address, service, data_centre, state, RELEASE);
+    }
+
+    fn put_entry(
+        &self,
+        target: &Target,
+        address: SocketAddr,
+        service: &str,
+        data_centre: &str,
+        state: &str,
+        release: &str,
     ) {
         let entry = json!({
-            "Service": service, "Address": address, "Zone": data_centre, "Version": "v1",
+            "Service": service, "Address": address, "Zone": data_centre, "Version": release,
             "Slots": 8, "State": state, "ColdRemainingMs": 0, "Sequence": 1, "born": 1,
         });
         self.store
