fix(gateway): continue a stream only at engines of the release that began it

Callers got one stream from two software versions of a back end, whose events don't fit together.

Cause: an engine was any engine.

Change: a query of the placement names the release that a target must run. Copies are placed at the release of the run, new runs at that of the client's first event, and whoever attaches a stream to an engine checks it once more against the current list, as an engine may have restarted under its name. Unknown releases match nothing. Before the first event a stream may still begin anywhere.

--- a/crates/dispatch/src/listing.rs
+++ b/crates/dispatch/src/listing.rs
@@ -40,6 +40,13 @@
     pub release: Box<str>,
 }
 
+impl Target {
+    /// Returns whether it is known to run a release; streams go on only within one.
+    pub fn runs_release(&self, release: &str) -> bool {
+        !release.is_empty() && *self.release == *release
+    }
+}
+
 /// The known targets, with pending removals and notices that some are leaving.
 #[derive(Debug, Default)]
 pub struct Listing {
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -99,6 +99,8 @@
     pub max_pending_prefill: u32,
     /// Targets that must not be chosen.
     pub excluded: &'a [key::Target],
+    /// Release that the target must run, as that of a stream that goes on; `None` if any will do.
+    pub release: Option<&'a str>,
     /// Data centre of this VM.
     pub data_centre: &'a str,
     /// Whether the load in other data centres is known with delay or not at all.
@@ -120,6 +122,7 @@
             engine: None,
             max_pending_prefill: u32::MAX,
             excluded: &[],
+            release: None,
             data_centre: "",
             is_remote_stale: false,
             queued_ahead: 0,
@@ -225,6 +228,11 @@
         let usable: Vec<_> = targets
             .iter()
             .filter(|target| !target.is_leaving && !query.excluded.contains(&target.key))
+            .filter(|target| {
+                query
+                    .release
+                    .is_none_or(|release| target.runs_release(release))
+            })
             .collect();
         let local = self.local_load();
         let is_advance_copy = query.engine.is_some() && query.load.runs == 0 && !query.is_urgent;
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -365,3 +365,39 @@
     assert!((0..20).all(|_| chosen(10) == targets[1].key));
     assert!((0..200).any(|_| chosen(60_000) == targets[0].key));
 }
+
+/// An idle engine of another release must not attract a stream that goes on, or its copy.
+#[test]
+fn a_stream_is_placed_only_at_engines_that_are_known_to_run_its_release() {
+    let mut targets = targets(4, 1);
+    targets[1].release = "v2".into();
+    targets[2].release = "".into();
+    targets[3].is_leaving = true;
+    let mut placement = Placement::new(1);
+    for _ in 0..8 {
+        placement.start_run(targets[0].key, new_run());
+    }
+    let chosen = |placement: &mut Placement, release, load| {
+        let query = Query {
+            release: Some(release),
+            ..query(load)
+        };
+        let choice = placement.choose(at(0), &targets, &query);
+        choice.map(|choice| choice.target.key)
+    };
+    let copy = Load {
+        copy_memory: 3_700,
+        ..Load::default()
+    };
+    for load in [new_run(), copy] {
+        assert_eq!(
+            chosen(&mut placement, "v2", load),
+            Some(targets[1].key),
+            "{load:?}"
+        );
+        assert_eq!(chosen(&mut placement, "v3", load), None, "{load:?}");
+        assert_eq!(chosen(&mut placement, "", load), None, "{load:?}");
+    }
+    let busy = chosen(&mut placement, "v1", new_run());
+    assert!(busy.is_none_or(|target| target == targets[0].key));
+}
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -90,6 +90,15 @@
     }
 }
 
+/// The engines at which a run may be placed.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Permitted<'a> {
+    /// Engines that were tried before.
+    pub excluded: &'a [key::Target],
+    /// Release of the events that the client already has; `None` if it has none.
+    pub release: Option<&'a str>,
+}
+
 /// Sends the request to an engine and returns its response, usually a stream.
 ///
 /// # Errors
@@ -101,7 +110,11 @@
     let mut attempts = 0;
     let mut last_refusal: Option<Refusal> = None;
     while attempts < MAX_ATTEMPTS {
-        let (target, reservation) = match wait_for_capacity(exchange, &plan, &excluded).await {
+        let permitted = Permitted {
+            excluded: &excluded,
+            ..Permitted::default()
+        };
+        let (target, reservation) = match wait_for_capacity(exchange, &plan, permitted).await {
             Ok(reserved) => reserved,
             // An earlier engine's refusal is more informative than the lack of capacity elsewhere.
             Err(refusal) => {
@@ -184,14 +197,14 @@
 async fn wait_for_capacity(
     exchange: &Exchange,
     plan: &Plan,
-    excluded: &[key::Target],
+    permitted: Permitted<'_>,
 ) -> Result<(Target, Reservation), Refusal> {
     let shared = &exchange.shared;
     let service = exchange.service;
     let priority = exchange.route.priority;
     let now = shared.now();
     let ahead = shared.dispatcher.ahead_of_arrival(service, priority, now);
-    if let Some(reserved) = reserve(exchange, plan, excluded, ahead, now) {
+    if let Some(reserved) = reserve(exchange, plan, permitted, ahead, now) {
         return Ok(reserved);
     }
     let prefill_budget = exchange.route.latency_objective.mul_f64(PREFILL_SHARE);
@@ -209,7 +222,7 @@
         let now = shared.now();
         shared.refresh_peers();
         if let Some(ahead) = entry.ahead(now)
-            && let Some(reserved) = reserve(exchange, plan, excluded, ahead, now)
+            && let Some(reserved) = reserve(exchange, plan, permitted, ahead, now)
         {
             return Ok(reserved);
         }
@@ -225,12 +238,13 @@
 pub fn reserve(
     exchange: &Exchange,
     plan: &Plan,
-    excluded: &[key::Target],
+    permitted: Permitted<'_>,
     ahead: usize,
     now: Instant,
 ) -> Option<(Target, Reservation)> {
     reserve_with(exchange, plan.run_load(), plan, now, |query| {
-        query.excluded = excluded;
+        query.excluded = permitted.excluded;
+        query.release = permitted.release;
         query.queued_ahead = ahead;
         query.max_pending_prefill = max_pending_prefill(exchange, plan, now);
     })
@@ -244,6 +258,8 @@
 }
 
 /// Reserves capacity for a copy of a run, if the run is long enough to be copied.
+///
+/// The copy is placed at an engine of the same release, as no other one can continue the run.
 pub fn reserve_copy(
     exchange: &Exchange,
     plan: &Plan,
@@ -261,6 +277,7 @@
         exchange.shared.now(),
         |query| {
             query.excluded = excluded;
+            query.release = Some(&run_target.release);
             query.is_run_local = is_run_local;
         },
     )
@@ -276,6 +293,7 @@
     let now = exchange.shared.now();
     reserve_with(exchange, plan.copy_load(), plan, now, |query| {
         query.excluded = excluded;
+        query.release = Some(&run_target.release);
         query.run_data_centre = Some(&run_target.data_centre);
         query.is_urgent = true;
     })
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -11,7 +11,7 @@
             answer::BodyError,
             evacuation::Evacuation,
             exchange::Exchange,
-            generation::{Item, Plan, is_event_stream, reserve, reserve_copy},
+            generation::{Item, Permitted, Plan, is_event_stream, reserve, reserve_copy},
         },
         metrics::Outcome,
         targets::{
@@ -110,6 +110,8 @@
     /// `None` once the stream has ended.
     upstream: Option<Upstream>,
     splitter: Splitter,
+    /// Release of the engine that made the client's first event.
+    release: Option<Box<str>>,
     last_event_id: Option<u64>,
     events: u64,
     migrations: u32,
@@ -166,6 +168,7 @@
                 _connection: connection,
             }),
             splitter: Splitter::default(),
+            release: None,
             last_event_id: None,
             events: 0,
             migrations: 0,
@@ -295,6 +298,8 @@
         self.last_delivery = now;
         if self.first_event_at.is_none() {
             self.first_event_at = Some(now);
+            self.release
+                .get_or_insert_with(|| self.source.target.release.clone());
             self.source.reservation.finish_prefill();
             let route = &self.exchange.route.name;
             self.exchange
@@ -404,7 +409,11 @@
             return false;
         }
         let now = shared.now();
-        let reserved = reserve(&exchange, &self.plan, &[failed_target], 0, now);
+        let permitted = Permitted {
+            excluded: &[failed_target],
+            release: self.release.as_deref(),
+        };
+        let reserved = reserve(&exchange, &self.plan, permitted, 0, now);
         let Some(reserved) = reserved else {
             return false;
         };
@@ -426,6 +435,19 @@
     /// Sends the request to another engine and, if that accepts it, continues with its stream.
     async fn attach(&mut self, source: Source, fields: &GatewayFields<'_>) -> bool {
         let exchange = &self.exchange;
+        // It may have restarted as another release since it was chosen to hold a copy.
+        let current = exchange.shared.directory.get(source.target.key);
+        let current = current.as_ref().unwrap_or(&source.target);
+        if let Some(release) = &self.release
+            && !current.runs_release(release)
+        {
+            log::info!(
+                target: "moved", request:% = exchange.head.attempt_id, instance:% = current.instance,
+                release:% = current.release, events = self.events;
+                "stream not continued at another release"
+            );
+            return false;
+        }
         let request = exchange.request(&source.target, fields);
         let result = exchange
             .shared
