test(gateway): streams that clients resume while two releases serve

Fails on the current code: a client that resumes its stream with `Resumes` gets an engine of any release, be it at the VM that began the stream, at another one, after that VM was killed, or when no engine of the release is left. A stream of unknown origin is resumed while only one release serves; that passes and is to stay so.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -19,8 +19,8 @@
     },
     support::{
         site::{
-            API_KEY, HOST, RESUMABLE_PATH, SAFE_PATH, STREAM_PATH, Site, UNSAFE_PATH, event_stream,
-            is_ready, read_to_end, send,
+            API_KEY, HOST, PendingResponse, RESUMABLE_PATH, SAFE_PATH, STREAM_PATH, Site,
+            UNSAFE_PATH, event_stream, is_ready, read_to_end, send,
         },
         wait_until,
     },
@@ -625,6 +625,130 @@
     assert_eq!(read_to_end(stream).body, Some(event_stream(20)));
 }
 
+/// Engines of two releases, two of each.
+const MIXED_RELEASES: [&str; 4] = ["v1", "v2", "v1", "v2"];
+
+/// Begins a resumable stream at a gateway and leaves after its first event.
+fn begin_stream(site: &Site, gateway: usize, attempt: &str) {
+    let headers = [("x-attempt-id", attempt), ("x-token-usage", "1000,40")];
+    let mut stream = site.send(gateway, &Method::POST, RESUMABLE_PATH, &headers);
+    assert!(stream.read_part().starts_with("id: 0\n"));
+}
+
+/// Resumes a stream at a gateway after its first event.
+fn resume_stream(site: &Site, gateway: usize, resumed: &str, attempt: &str) -> PendingResponse {
+    let headers = [
+        ("x-attempt-id", attempt),
+        ("x-token-usage", "1000,40"),
+        ("last-event-id", "0"),
+        ("resumes", resumed),
+    ];
+    site.send(gateway, &Method::POST, RESUMABLE_PATH, &headers)
+}
+
+/// Returns the release of the engine that runs an attempt, at a site of [`MIXED_RELEASES`].
+fn release_of(site: &Site, attempt: &str) -> &'static str {
+    let instance = &site.engine_of(attempt).instance;
+    let index = site
+        .engines
+        .iter()
+        .position(|engine| engine.instance == *instance);
+    MIXED_RELEASES[index.expect("the engine is one of the site's")]
+}
+
+/// Resumes six streams, since one alone meets the right release by chance.
+fn resume_streams(site: &Site, gateway: usize, prefix: &str) {
+    for stream in 0..6 {
+        let (begun, resumed) = (format!("{prefix}-{stream}"), format!("r{prefix}-{stream}"));
+        let response = read_to_end(resume_stream(site, gateway, &begun, &resumed));
+        assert_eq!(response.status, StatusCode::OK, "{resumed}");
+        assert!(event_stream(20).ends_with(&response.body.expect("the stream is complete")));
+        assert_eq!(
+            release_of(site, &resumed),
+            release_of(site, &begun),
+            "{resumed}"
+        );
+    }
+}
+
+/// A client whose connection broke comes back at any VM, which doesn't know the stream.
+#[test]
+fn a_client_resumes_its_stream_at_the_release_that_began_it() {
+    let mut site = Site::start_releases(&MIXED_RELEASES, 1, 2);
+    site.wait_for_peers();
+    for stream in 0..6 {
+        begin_stream(&site, 0, &format!("a-{stream}"));
+        begin_stream(&site, 1, &format!("b-{stream}"));
+    }
+    resume_streams(&site, 0, "a");
+    resume_streams(&site, 0, "b");
+    // After its restart, the VM remembers nothing, and the other one is asked.
+    site.restart(0);
+    site.wait_for_peers();
+    resume_streams(&site, 0, "b");
+}
+
+/// The VM that knew where the streams began is gone, which is why the clients come back.
+#[test]
+fn a_client_resumes_the_stream_of_a_vm_that_was_killed() {
+    let mut site = Site::start_releases(&MIXED_RELEASES, 1, 3);
+    site.wait_for_peers();
+    for stream in 0..6 {
+        begin_stream(&site, 0, &format!("a-{stream}"));
+    }
+    wait_until("another VM knows the streams", || {
+        site.metric(1, "origins") == 6
+    });
+    site.gateways[0].process.kill();
+    resume_streams(&site, 1, "a");
+}
+
+/// Nobody remembers where the stream began, so none of the releases is safe.
+#[test]
+fn a_stream_of_unknown_origin_is_not_resumed_while_two_releases_serve() {
+    let mut site = Site::start_releases(&MIXED_RELEASES, 1, 1);
+    begin_stream(&site, 0, "a-1");
+    site.restart(0);
+    wait_until("the gateway is ready", || is_ready(&site.gateways[0]));
+    site.wait_for_targets(5, 0);
+    let response = resume_stream(&site, 0, "a-1", "a-2");
+    assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(read_to_end(response).headers.contains_key("retry-after"));
+    let received = site.engines.iter().flat_map(Target::received);
+    assert_eq!(
+        received
+            .filter(|request| &*request.attempt == "a-2")
+            .count(),
+        0
+    );
+}
+
+#[test]
+fn a_stream_of_unknown_origin_is_resumed_while_one_release_serves() {
+    let mut site = Site::start(2, 1, 1);
+    begin_stream(&site, 0, "a-1");
+    site.restart(0);
+    wait_until("the gateway is ready", || is_ready(&site.gateways[0]));
+    site.wait_for_targets(3, 0);
+    let response = read_to_end(resume_stream(&site, 0, "a-1", "a-2"));
+    assert!(event_stream(20).ends_with(&response.body.expect("the stream is complete")));
+}
+
+/// The request can't be served now and must not wait for it; it has not run.
+#[test]
+fn a_stream_whose_release_has_left_is_refused_at_once() {
+    let site = Site::start_releases(&["v1", "v2"], 1, 1);
+    begin_stream(&site, 0, "a-1");
+    let engine = site.engine_of("a-1");
+    site.store.remove(&format!("servers/{}", engine.instance));
+    site.wait_for_targets(2, 0);
+    let asked = Instant::now();
+    let response = resume_stream(&site, 0, "a-1", "a-2");
+    assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(asked.elapsed() < Duration::from_millis(500));
+    assert!(read_to_end(response).headers.contains_key("retry-after"));
+}
+
 /// One engine runs the request and drops the connection, and the other one refuses the retry. The
 /// refusal of the second must not be reported as the result of both: 503 means that nothing ran.
 #[test]
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -75,6 +75,15 @@
     _driver: smol::Task<()>,
 }
 
+impl PendingResponse {
+    /// Reads the next part of the body.
+    pub fn read_part(&mut self) -> String {
+        let frame = smol::block_on(self.body.frame()).expect("the body goes on");
+        let data = frame.expect("the body is not broken").into_data();
+        String::from_utf8_lossy(&data.expect("the body has no trailers")).into_owned()
+    }
+}
+
 impl Site {
     /// Starts a site that has only the fake store.
     pub fn new() -> Self {
@@ -294,6 +303,27 @@
         });
     }
 
+    /// Waits until each gateway knows of all the others.
+    pub fn wait_for_peers(&self) {
+        let count = self.gateways.len();
+        wait_until("the gateways know each other", || {
+            (0..count).all(|index| self.metric(index, "vms") == count)
+        });
+    }
+
+    /// Returns the value of a gateway's gauge without attributes; 0 if there is none.
+    pub fn metric(&self, index: usize, name: &str) -> usize {
+        let address = self.gateways[index].metrics;
+        let response = send(address, &Method::GET, "/metrics", &[]).map(read_to_end);
+        let text = response.ok().and_then(|response| response.body);
+        let prefix = format!("mastictrail_gateway_{name} ");
+        let text = text.unwrap_or_default();
+        let value = text.lines().find_map(|line| line.strip_prefix(&prefix));
+        value
+            .and_then(|value| value.parse().ok())
+            .unwrap_or_default()
+    }
+
     /// Returns the number of run copies that engines hold.
     pub fn copy_count(&self) -> usize {
         self.copies.lock().expect("the lock is not poisoned").len()
