fix(gateway): resume a client's stream only at the release that began it

Callers got one stream from two software versions of a back end over two tries: the first broke off, the second with `Resumes` and `Last-Event-Id` went to any engine.

Change: the VM that forwards a resumable stream's first event tells the release to three others, two of its data centre and one elsewhere, by rendezvous hashing of the attempt. The VM that a client comes back to looks it up, or asks three of each data centre, and restricts the request to that release. If nobody knows it and more than one release was ever seen, or if no engine runs it, the answer is 503 at once, not run, with Retry-After.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod length;
 pub mod listing;
 pub mod load;
+pub mod origin;
 pub mod peers;
 pub mod placement;
 pub mod report;
@@ -18,6 +19,6 @@
 
 pub use {
     budget::Budget, configuration::Configuration, frame::Splitter, length::Lengths,
-    listing::Listing, load::Load, peers::Peers, placement::Placement, request::Generation,
-    waiting::Queues,
+    listing::Listing, load::Load, origin::Origins, peers::Peers, placement::Placement,
+    request::Generation, waiting::Queues,
 };
--- a/crates/dispatch/src/listing.rs
+++ b/crates/dispatch/src/listing.rs
@@ -6,7 +6,11 @@
 
 use {
     base::{Instant, key},
-    std::{collections::HashMap, net::SocketAddr, time::Duration},
+    std::{
+        collections::{HashMap, HashSet},
+        net::SocketAddr,
+        time::Duration,
+    },
 };
 
 /// Time for which removals are delayed after the store has become available again.
@@ -59,6 +63,8 @@
     /// Time from which removals take effect at once.
     immediate_removal_from: Instant,
     has_synced: bool,
+    /// Releases of each service's targets, also of those that are gone.
+    seen_releases: HashMap<key::Service, HashSet<Box<str>>>,
 }
 
 impl Listing {
@@ -69,6 +75,10 @@
         if before.is_some_and(|before| *before == target) {
             return false;
         }
+        let releases = self.seen_releases.entry(target.service).or_default();
+        if !releases.contains(&target.release) {
+            releases.insert(target.release.clone());
+        }
         if before.is_some_and(|before| before.started_ms < target.started_ms) {
             self.leaving_notices.remove(&target.key);
         }
@@ -166,6 +176,12 @@
         self.has_synced
     }
 
+    /// Returns whether targets of a service were ever seen to run more than one release.
+    pub fn has_mixed_releases(&self, service: key::Service) -> bool {
+        let releases = self.seen_releases.get(&service);
+        releases.is_some_and(|releases| releases.len() > 1)
+    }
+
     /// Returns all known targets, with `is_leaving` set by the store or by a notice.
     pub fn targets(&self) -> impl Iterator<Item = Target> {
         self.targets.values().map(|target| Target {
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -32,6 +32,11 @@
 /// A VM that is cut off must notice it well within the time in which a new configuration has to be
 /// in force. Two VMs alone report less often than this, so both of them watch it.
 const ISOLATION_TIMEOUT: Duration = Duration::from_millis(800);
+/// Number of VMs of the data centre that are told where a stream began; one elsewhere is as well.
+const LOCAL_ORIGIN_HOLDERS: usize = 2;
+/// Number of VMs of each data centre that are asked where a stream began: one more than are told,
+/// as the VMs that are live may have changed since.
+const ORIGIN_CANDIDATES: usize = LOCAL_ORIGIN_HOLDERS + 1;
 /// Key of the rendezvous hash that chooses the VMs that watch the store.
 const WATCH_KEY: u64 = 1;
 
@@ -201,6 +206,47 @@
         })
     }
 
+    /// Returns the peers that a VM tells where a stream began.
+    ///
+    /// One of them is in another data centre, for clients that come back there.
+    pub fn origin_holders(
+        &self,
+        attempt: key::Request,
+        data_centre: u64,
+        now: Instant,
+    ) -> Vec<Ipv4Addr> {
+        let ranked = self.ranked(attempt, now);
+        let is_local = |peer: &&(Ipv4Addr, u64)| peer.1 == data_centre;
+        let local = ranked.iter().filter(is_local).take(LOCAL_ORIGIN_HOLDERS);
+        let remote = ranked.iter().find(|peer| !is_local(peer));
+        local.chain(remote).map(|(address, _)| *address).collect()
+    }
+
+    /// Returns the peers that may know where a stream began, wherever that was.
+    pub fn origin_candidates(&self, attempt: key::Request, now: Instant) -> Vec<Ipv4Addr> {
+        let mut counts: HashMap<u64, usize> = HashMap::new();
+        let mut ranked = self.ranked(attempt, now);
+        ranked.retain(|(_, data_centre)| {
+            let count = counts.entry(*data_centre).or_default();
+            *count += 1;
+            *count <= ORIGIN_CANDIDATES
+        });
+        ranked.into_iter().map(|(address, _)| address).collect()
+    }
+
+    /// Returns the live peers and their data centres, by descending weight for a stream.
+    fn ranked(&self, attempt: key::Request, now: Instant) -> Vec<(Ipv4Addr, u64)> {
+        let mut ranked: Vec<_> = self
+            .live(now)
+            .map(|(address, report)| (address, report.data_centre))
+            .collect();
+        ranked.sort_by_cached_key(|(address, _)| {
+            let id = u64::from(u32::from(*address));
+            std::cmp::Reverse((rendezvous::weight(attempt.raw(), id), id))
+        });
+        ranked
+    }
+
     /// Returns the highest revision among the target lists of the live peers.
     pub fn newest_targets_revision(&self, now: Instant) -> u64 {
         self.live(now)
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -259,6 +259,20 @@
     pub removal_delay_ms: u32,
 }
 
+/// Which release of the engines' software began a stream that clients may resume.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct Origin {
+    /// Raw key of the attempt that brought the first event.
+    #[prost(fixed64, tag = "1")]
+    pub attempt: u64,
+    /// Milliseconds for which clients may resume the stream.
+    #[prost(uint32, tag = "2")]
+    pub lifetime_ms: u32,
+    /// The release; an origin without one is not valid.
+    #[prost(string, tag = "3")]
+    pub release: String,
+}
+
 /// Content of one datagram; exactly one field is present.
 #[derive(Clone, Eq, PartialEq, prost::Message)]
 pub struct Datagram {
@@ -271,4 +285,7 @@
     /// Load of the sender's data centre.
     #[prost(message, optional, tag = "3")]
     pub summary: Option<Summary>,
+    /// Origin of a stream that the sender has begun or resumed.
+    #[prost(message, optional, tag = "4")]
+    pub origin: Option<Origin>,
 }
--- a/crates/dispatch/tests/listing.rs
+++ b/crates/dispatch/tests/listing.rs
@@ -53,6 +53,24 @@
     assert_eq!(names(&listing), [Box::from("a")]);
 }
 
+/// A stream of an engine that has left may still be resumed.
+#[test]
+fn a_service_has_mixed_releases_even_after_the_targets_of_one_have_left() {
+    let service = key::Service::of("s");
+    let mut listing = Listing::default();
+    assert!(!listing.has_mixed_releases(service));
+    listing.put(target("a", false, 1));
+    listing.put(target("b", false, 1));
+    assert!(!listing.has_mixed_releases(service));
+    listing.put(Target {
+        release: "v2".into(),
+        ..target("a", false, 2)
+    });
+    listing.remove(key::Target::of("b"), Duration::ZERO, at(1));
+    assert!(listing.has_mixed_releases(service));
+    assert!(!listing.has_mixed_releases(key::Service::of("other")));
+}
+
 /// Longest time for which a target that has left may get requests.
 const DRAIN_BOUND_MS: u64 = 2_000;
 /// Interval of the calls of [`Listing::expire`].
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -1,8 +1,10 @@
 //! Splitting of event streams, estimates of output lengths, and the retry budget.
 
 use {
-    base::Instant,
-    mastictrail_dispatch::{Budget, Generation, Lengths, Splitter, budget::Policy, frame::Defect},
+    base::{Instant, key},
+    mastictrail_dispatch::{
+        Budget, Generation, Lengths, Origins, Splitter, budget::Policy, frame::Defect,
+    },
     std::time::Duration,
 };
 
@@ -112,3 +114,17 @@
         assert!(within(&retries) as f64 <= bound, "from {start} ms");
     }
 }
+
+#[test]
+fn the_origin_of_a_stream_stays_what_it_was_until_it_expires() {
+    let (first, second) = (key::Request::of("a-1"), key::Request::of("a-2"));
+    let mut origins = Origins::default();
+    origins.record(first, "v1", Duration::from_secs(5), at(0));
+    assert_eq!(origins.release(first, at(4_999)), Some("v1"));
+    assert_eq!(origins.release(second, at(0)), None);
+    origins.record(first, "v2", Duration::from_secs(5), at(3_000));
+    assert_eq!(origins.release(first, at(7_999)), Some("v1"));
+    assert_eq!(origins.release(first, at(8_000)), None);
+    origins.record(second, "v2", Duration::from_secs(5), at(9_000));
+    assert_eq!(origins.len(), 1, "expired streams are forgotten");
+}
--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -318,3 +318,36 @@
         "an empty update is not sent"
     );
 }
+
+/// Whatever VM a client comes back to, those that it asks include one that was told.
+#[test]
+fn a_vm_that_is_asked_for_an_origin_was_told_it() {
+    let address = |vm: u8| Ipv4Addr::new(10, 0, 0, vm);
+    let data_centre = |vm: u8| u64::from(vm % 3);
+    // Peers of a VM, without those that are down.
+    let peers_of = |own: u8, down: u8| {
+        let mut peers = Peers::default();
+        for vm in (1..=18).filter(|vm| *vm != own && *vm != down) {
+            let report = Report {
+                data_centre: data_centre(vm),
+                ..report(vm, 1)
+            };
+            peers.receive_report(report, address(own), at(0));
+        }
+        peers
+    };
+    for stream in 0..200 {
+        let attempt = key::Request::of(&format!("a-{stream}"));
+        let holders = peers_of(1, 0).origin_holders(attempt, data_centre(1), at(1));
+        let is_local = |holder: &&Ipv4Addr| data_centre(holder.octets()[3]) == data_centre(1);
+        assert_eq!(holders.len(), 3);
+        assert_eq!(holders.iter().filter(is_local).count(), 2);
+        for asker in 2..=18 {
+            let candidates = peers_of(asker, 1).origin_candidates(attempt, at(1));
+            assert!(candidates.len() <= 9, "{candidates:?}");
+            let knows = |vm: &Ipv4Addr| holders.contains(vm);
+            let is_found = knows(&address(asker)) || candidates.iter().any(knows);
+            assert!(is_found, "stream {stream} at VM {asker}");
+        }
+    }
+}
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -7,3 +7,4 @@
 pub mod listener;
 pub mod plain;
 pub mod relay;
+pub mod resumption;
--- a/crates/gateway/src/clients/exchange.rs
+++ b/crates/gateway/src/clients/exchange.rs
@@ -7,12 +7,15 @@
             answer::{self, Body},
             generation, plain,
         },
-        control::drain::Guard,
+        control::{drain::Guard, origins},
         metrics::Outcome,
     },
     base::{Instant, Reason, Refusal, Verdict, key},
     bytes::Bytes,
-    dispatch::{configuration::Route, listing::Target},
+    dispatch::{
+        configuration::{RetryPolicy, Route},
+        listing::Target,
+    },
     entry::runtime::with_timeout,
     http_body_util::{BodyExt, Full, LengthLimitError, Limited},
     hyper::{HeaderMap, Method, Request, Response, Uri, Version, body::Incoming, header::HOST},
@@ -23,7 +26,7 @@
     rand::Rng,
     std::{
         sync::{
-            Arc,
+            Arc, OnceLock,
             atomic::{AtomicBool, AtomicU32, Ordering},
         },
         time::Duration,
@@ -59,6 +62,8 @@
     headers: HeaderMap,
     body: Bytes,
     is_sent: AtomicBool,
+    /// Release that began the stream; set once the client has an event of it.
+    release: OnceLock<Box<str>>,
     /// Number of targets that ran the request or may have run it.
     runs: AtomicU32,
     _guard: Guard,
@@ -85,6 +90,30 @@
         request
     }
 
+    /// Returns the release that the client's stream is restricted to, if it is.
+    pub fn release(&self) -> Option<&str> {
+        self.release.get().map(|release| &**release)
+    }
+
+    /// Restricts the stream to a release, unless it is restricted already.
+    pub fn set_release(&self, release: Box<str>) {
+        self.release.get_or_init(|| release);
+    }
+
+    /// Records which release made the stream's first event in this response.
+    ///
+    /// If the client may resume the stream, other VMs are told.
+    pub fn record_release(&self, release: &str) {
+        let release = self.release.get_or_init(|| release.into());
+        let head = &self.head;
+        let attempt = head.resumes.as_ref().unwrap_or(&head.attempt_id);
+        if self.route.retry_policy == RetryPolicy::Resumable && !attempt.is_empty() {
+            let wait = head.deadline.unwrap_or(self.route.timeout);
+            let lifetime = (self.arrived + wait).since(self.shared.now());
+            origins::publish(&self.shared, key::Request::of(attempt), release, lifetime);
+        }
+    }
+
     /// Records that a target may receive the request from now on.
     pub fn mark_sent(&self) {
         self.is_sent.store(true, Ordering::Relaxed);
@@ -208,6 +237,7 @@
         headers: parts.headers,
         body,
         is_sent: AtomicBool::new(false),
+        release: OnceLock::new(),
         runs: AtomicU32::new(0),
         published,
         _guard: guard,
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -6,6 +6,7 @@
             answer::{self, Body, BodyError},
             exchange::Exchange,
             relay::{Relay, Source},
+            resumption,
         },
         control::reports,
         metrics::Outcome,
@@ -90,15 +91,6 @@
     }
 }
 
-/// The engines at which a run may be placed.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Permitted<'a> {
-    /// Engines that were tried before.
-    pub excluded: &'a [key::Target],
-    /// Release of the events that the client already has; `None` if it has none.
-    pub release: Option<&'a str>,
-}
-
 /// Sends the request to an engine and returns its response, usually a stream.
 ///
 /// # Errors
@@ -106,15 +98,12 @@
 pub async fn serve(exchange: &Arc<Exchange>) -> Result<Response<Body>, Refusal> {
     let plan = plan(exchange);
     refuse_if_outlasting_drain(exchange, &plan)?;
+    resumption::restrict(exchange).await?;
     let mut excluded = Vec::new();
     let mut attempts = 0;
     let mut last_refusal: Option<Refusal> = None;
     while attempts < MAX_ATTEMPTS {
-        let permitted = Permitted {
-            excluded: &excluded,
-            ..Permitted::default()
-        };
-        let (target, reservation) = match wait_for_capacity(exchange, &plan, permitted).await {
+        let (target, reservation) = match wait_for_capacity(exchange, &plan, &excluded).await {
             Ok(reserved) => reserved,
             // An earlier engine's refusal is more informative than the lack of capacity elsewhere.
             Err(refusal) => {
@@ -197,14 +186,14 @@
 async fn wait_for_capacity(
     exchange: &Exchange,
     plan: &Plan,
-    permitted: Permitted<'_>,
+    excluded: &[key::Target],
 ) -> Result<(Target, Reservation), Refusal> {
     let shared = &exchange.shared;
     let service = exchange.service;
     let priority = exchange.route.priority;
     let now = shared.now();
     let ahead = shared.dispatcher.ahead_of_arrival(service, priority, now);
-    if let Some(reserved) = reserve(exchange, plan, permitted, ahead, now) {
+    if let Some(reserved) = reserve(exchange, plan, excluded, ahead, now) {
         return Ok(reserved);
     }
     let prefill_budget = exchange.route.latency_objective.mul_f64(PREFILL_SHARE);
@@ -222,7 +211,7 @@
         let now = shared.now();
         shared.refresh_peers();
         if let Some(ahead) = entry.ahead(now)
-            && let Some(reserved) = reserve(exchange, plan, permitted, ahead, now)
+            && let Some(reserved) = reserve(exchange, plan, excluded, ahead, now)
         {
             return Ok(reserved);
         }
@@ -238,13 +227,13 @@
 pub fn reserve(
     exchange: &Exchange,
     plan: &Plan,
-    permitted: Permitted<'_>,
+    excluded: &[key::Target],
     ahead: usize,
     now: Instant,
 ) -> Option<(Target, Reservation)> {
     reserve_with(exchange, plan.run_load(), plan, now, |query| {
-        query.excluded = permitted.excluded;
-        query.release = permitted.release;
+        query.excluded = excluded;
+        query.release = exchange.release();
         query.queued_ahead = ahead;
         query.max_pending_prefill = max_pending_prefill(exchange, plan, now);
     })
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -11,7 +11,7 @@
             answer::BodyError,
             evacuation::Evacuation,
             exchange::Exchange,
-            generation::{Item, Permitted, Plan, is_event_stream, reserve, reserve_copy},
+            generation::{Item, Plan, is_event_stream, reserve, reserve_copy},
         },
         metrics::Outcome,
         targets::{
@@ -110,8 +110,6 @@
     /// `None` once the stream has ended.
     upstream: Option<Upstream>,
     splitter: Splitter,
-    /// Release of the engine that made the client's first event.
-    release: Option<Box<str>>,
     last_event_id: Option<u64>,
     events: u64,
     migrations: u32,
@@ -156,6 +154,10 @@
         connection: Connection,
     ) -> Self {
         let now = exchange.shared.now();
+        let last_event_id = exchange
+            .head
+            .last_event
+            .filter(|_| exchange.route.retry_policy == RetryPolicy::Resumable);
         Self {
             last_received: now,
             last_probe: now,
@@ -168,8 +170,7 @@
                 _connection: connection,
             }),
             splitter: Splitter::default(),
-            release: None,
-            last_event_id: None,
+            last_event_id,
             events: 0,
             migrations: 0,
             first_event_at: None,
@@ -298,8 +299,7 @@
         self.last_delivery = now;
         if self.first_event_at.is_none() {
             self.first_event_at = Some(now);
-            self.release
-                .get_or_insert_with(|| self.source.target.release.clone());
+            self.exchange.record_release(&self.source.target.release);
             self.source.reservation.finish_prefill();
             let route = &self.exchange.route.name;
             self.exchange
@@ -409,11 +409,7 @@
             return false;
         }
         let now = shared.now();
-        let permitted = Permitted {
-            excluded: &[failed_target],
-            release: self.release.as_deref(),
-        };
-        let reserved = reserve(&exchange, &self.plan, permitted, 0, now);
+        let reserved = reserve(&exchange, &self.plan, &[failed_target], 0, now);
         let Some(reserved) = reserved else {
             return false;
         };
@@ -438,7 +434,7 @@
         // It may have restarted as another release since it was chosen to hold a copy.
         let current = exchange.shared.directory.get(source.target.key);
         let current = current.as_ref().unwrap_or(&source.target);
-        if let Some(release) = &self.release
+        if let Some(release) = exchange.release()
             && !current.runs_release(release)
         {
             log::info!(
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -8,4 +8,5 @@
 pub mod drain;
 pub mod fleet;
 pub mod inquiry;
+pub mod origins;
 pub mod reports;
--- a/crates/gateway/src/control/admin.rs
+++ b/crates/gateway/src/control/admin.rs
@@ -1,7 +1,10 @@
 //! HTTP endpoints for the load balancer, peers and operators.
 
 use {
-    crate::{Shared, control::configuration},
+    crate::{
+        Shared,
+        control::{configuration, origins},
+    },
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
@@ -64,6 +67,11 @@
             Some(published) => (StatusCode::OK, published.bytes.clone()),
             None => (StatusCode::NOT_FOUND, Bytes::new()),
         },
+        (&Method::GET, path) if path.starts_with(origins::PATH) => origins::answer(shared, path)
+            .map_or_else(
+                || (StatusCode::NOT_FOUND, Bytes::new()),
+                |origin| (StatusCode::OK, origin),
+            ),
         (&Method::GET, METRICS_PATH) => match shared.metrics.encode(shared) {
             Ok(text) => (StatusCode::OK, text.into()),
             Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into()),
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -1,11 +1,14 @@
 //! Exchanges state with the other VMs in UDP datagrams, on change and as a heartbeat.
 
 use {
-    crate::{Shared, control::discovery},
+    crate::{
+        Shared,
+        control::{discovery, origins},
+    },
     base::key,
     dispatch::{
         Load,
-        report::{Changes, Datagram, QueuedRequest, Report, Summary, TargetLoad},
+        report::{Changes, Datagram, Origin, QueuedRequest, Report, Summary, TargetLoad},
     },
     entry::runtime::with_timeout,
     prost::Message,
@@ -86,6 +89,9 @@
                     if let Some(changes) = datagram.changes {
                         discovery::apply_changes(&shared, &changes);
                     }
+                    if let Some(origin) = datagram.origin {
+                        origins::receive(&shared, &origin);
+                    }
                     if let Some(summary) = datagram.summary {
                         let now = shared.now();
                         shared.fleet.peers().receive_summary(summary, now);
@@ -200,6 +206,15 @@
     broadcast(shared, &datagram, addresses).await;
 }
 
+/// Sends the origin of a stream to the given peers.
+pub async fn send_origin(shared: &Shared, origin: Origin, holders: Vec<Ipv4Addr>) {
+    let datagram = Datagram {
+        origin: Some(origin),
+        ..Datagram::default()
+    };
+    broadcast(shared, &datagram, holders.into_iter().collect()).await;
+}
+
 async fn send_once(shared: &Shared, round: u64, is_for_all_peers: bool) {
     let now = shared.now();
     let mut addresses = {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -20,7 +20,7 @@
     smol::{Async, Timer, net::TcpListener},
     std::{
         net::{SocketAddr, SocketAddrV4, UdpSocket},
-        sync::Arc,
+        sync::{Arc, Mutex},
         time::Duration,
     },
 };
@@ -154,6 +154,7 @@
             incarnation,
             key::DataCentre::of(&settings.vm.data_centre).raw(),
         ),
+        origins: Mutex::default(),
         drain: Arc::new(Drain::default()),
         metrics: Metrics::new(&settings.vm.name)?,
         settings: ArcSwap::from_pointee(settings),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -51,6 +51,7 @@
     version: Gauge<u64>,
     ready: Gauge<u64>,
     vms: Gauge<u64>,
+    origins: Gauge<u64>,
     targets: Gauge<u64>,
     log_dropped: Gauge<u64>,
     log_queue: OnceLock<logs::Queue>,
@@ -123,6 +124,10 @@
                 "mastictrail.gateway.vms",
                 "VMs that were heard lately, with this one",
             ),
+            origins: gauge(
+                "mastictrail.gateway.origins",
+                "Resumable streams of which the VM knows where they began",
+            ),
             targets: gauge(
                 "mastictrail.gateway.targets",
                 "Known targets, by whether they leave",
@@ -179,6 +184,7 @@
         self.ready.record(shared.is_ready().into(), &[]);
         self.vms
             .record(shared.fleet.live_vms(shared.now()) as u64, &[]);
+        self.origins.record(shared.origins().len() as u64, &[]);
         for (is_leaving, count) in shared.directory.counts() {
             let is_leaving = KeyValue::new("leaving", is_leaving);
             self.targets.record(count, &[is_leaving]);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -9,8 +9,9 @@
     arc_swap::ArcSwap,
     base::{Clock, Instant},
     config::Gateway,
+    dispatch::Origins,
     entry::runtime::Runtime,
-    std::sync::Arc,
+    std::sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
 /// The components of a process; none refers to another, except that the client holds the runtime.
@@ -30,6 +31,8 @@
     pub dispatcher: Dispatcher,
     /// State of the other VMs.
     pub fleet: Fleet,
+    /// Where the streams began that clients may resume.
+    pub origins: Mutex<Origins>,
     /// Requests in flight and the state of the drain.
     pub drain: Arc<Drain>,
     /// HTTP client for targets, the store and peers.
@@ -44,6 +47,11 @@
         self.clock.now()
     }
 
+    /// Locks the origins of streams.
+    pub fn origins(&self) -> MutexGuard<'_, Origins> {
+        self.origins.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Passes the peers' state to the dispatcher if it has changed since the last call.
     pub fn refresh_peers(&self) {
         if !self.fleet.take_changed() {
--- a/crates/gateway/src/targets/directory.rs
+++ b/crates/gateway/src/targets/directory.rs
@@ -77,6 +77,12 @@
         counts
     }
 
+    /// Returns whether targets of a service were ever seen to run more than one release.
+    pub fn has_mixed_releases(&self, service: key::Service) -> bool {
+        let listing = self.listing.lock().unwrap_or_else(PoisonError::into_inner);
+        listing.has_mixed_releases(service)
+    }
+
     /// Returns whether a full list was ever read from the store.
     pub fn has_list(&self) -> bool {
         self.has_list.load(Ordering::Acquire)
