test(soak): answers of every framing, broken-off answers, two releases, clients that resume

The soak could not show either incident: its engines sent chunks only and ran one release. Now targets mark the end of their answers in three ways and break them off in three, each replacement of an engine runs the other release, events name their release, and clients resume broken streams at any gateway. The proxy cuts by a reset: a close would look like the proper end of an answer without a length, which no cut link produces.

--- a/crates/fakes/src/proxy/tcp.rs
+++ b/crates/fakes/src/proxy/tcp.rs
@@ -9,6 +9,7 @@
         io::{AsyncReadExt as _, AsyncWriteExt as _},
         net::{TcpListener, TcpStream},
     },
+    socket2::SockRef,
     std::{
         io,
         net::{Shutdown, SocketAddr},
@@ -68,7 +69,11 @@
     client.set_nodelay(true)?;
     let connection = Connection::new(link, client.clone()).await?;
     let relaying = connection.relay(&client, upstream);
-    future::or(relaying, connection.wait_for_cut()).await?;
+    if let Err(error) = future::or(relaying, connection.wait_for_cut()).await {
+        // Closed instead of reset, a response without a length would look complete.
+        SockRef::from(&client).set_linger(Some(Duration::ZERO))?;
+        return Err(error);
+    }
     client.shutdown(Shutdown::Both)
 }
 
--- a/crates/fakes/src/site/target.rs
+++ b/crates/fakes/src/site/target.rs
@@ -55,6 +55,8 @@
     pub event_interval: Duration,
     /// Number of events in a stream.
     pub events: u64,
+    /// Text at the end of each event's data.
+    pub mark: Box<str>,
     /// Breaks off the stream after the event with this id, or half-way the response of a service.
     pub break_after: Option<u64>,
     /// How a response is broken off.
@@ -81,6 +83,7 @@
             delay: Duration::from_millis(5),
             event_interval: Duration::from_millis(10),
             events: 20,
+            mark: Box::default(),
             break_after: None,
             break_kind: Break::default(),
             framing: Framing::default(),
@@ -388,7 +391,7 @@
     let framing = behaviour.framing;
     let answered = behaviour.answers_for.clone();
     let answered = answered.unwrap_or_else(|| attempt.clone());
-    let events = (first_id..behaviour.events).map(event);
+    let events = (first_id..behaviour.events).map(|id| event(id, &behaviour.mark));
     let length = events.map(|event| event.len()).sum();
     smol::spawn(async move {
         lock(&state).active_streams += 1;
@@ -409,8 +412,8 @@
 }
 
 /// Returns the event with an id.
-fn event(id: u64) -> String {
-    format!("id: {id}\ndata: token {id}\n\n")
+fn event(id: u64, mark: &str) -> String {
+    format!("id: {id}\ndata: token {id}{mark}\n\n")
 }
 
 /// Sends the events of a stream; fails if the client closes the connection.
@@ -436,7 +439,9 @@
             sender.closed().await;
             return sender.send(Err(http::aborted())).await;
         }
-        sender.send(Ok(Bytes::from(event(id)))).await?;
+        sender
+            .send(Ok(Bytes::from(event(id, &behaviour.mark))))
+            .await?;
         Timer::after(behaviour.event_interval).await;
     }
     Ok(())
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -12,7 +12,7 @@
         site::{
             Target,
             store::Mode,
-            target::{Behaviour, ReceivedRequest},
+            target::{Behaviour, Break, Framing, ReceivedRequest},
         },
     },
     hyper::{Method, StatusCode},
@@ -50,9 +50,13 @@
 const CLIENTS: usize = 6;
 /// Events of every complete stream.
 const EVENTS: u64 = 40;
+/// Releases of the engines; each event names that of its engine.
+const RELEASES: [&str; 2] = ["v1", "v2"];
+const FRAMINGS: [Framing; 3] = [Framing::Chunks, Framing::Length, Framing::Close];
 
 /// A proxied address, behind which one target at a time runs; each replacement has a new name.
 struct Endpoint {
+    index: usize,
     name: String,
     service: &'static str,
     target: Mutex<Target>,
@@ -60,6 +64,49 @@
     generation: AtomicU64,
 }
 
+impl Endpoint {
+    fn generation(&self) -> usize {
+        self.generation.load(Ordering::Relaxed) as usize
+    }
+
+    /// Returns the release of the current target; a replacement runs another one.
+    fn release(&self) -> &'static str {
+        RELEASES[(self.index + self.generation()) % RELEASES.len()]
+    }
+
+    /// Returns the behaviour of the current target without faults.
+    fn behaviour(&self) -> Behaviour {
+        Behaviour {
+            events: EVENTS,
+            mark: format!(" {}", self.release()).into(),
+            framing: FRAMINGS[(self.index + self.generation()) % FRAMINGS.len()],
+            ..Behaviour::default()
+        }
+    }
+
+    /// Makes a target break off its responses for a time.
+    fn break_responses(&self, duration: Duration, random: &mut SmallRng) {
+        // A service's response without a length ends like one whose connection is closed.
+        let kinds = if self.service == "ledger" {
+            &[Break::Reset][..]
+        } else {
+            &[Break::Close, Break::Reset, Break::End]
+        };
+        let break_kind = *kinds.choose(random).expect("the list is not empty");
+        let set = |behaviour| {
+            let target = self.target.lock().expect("the lock is not poisoned");
+            target.set_behaviour(behaviour);
+        };
+        set(Behaviour {
+            break_after: Some(random.random_range(0..EVENTS - 1)),
+            break_kind,
+            ..self.behaviour()
+        });
+        thread::sleep(duration);
+        set(self.behaviour());
+    }
+}
+
 /// A running site with the clients and faults of one seed.
 struct Soak {
     site: Mutex<Site>,
@@ -102,7 +149,7 @@
             } else {
                 ("s", "ledger")
             };
-            soak.add_endpoint(&format!("{kind}-{index}"), service);
+            soak.add_endpoint(index, &format!("{kind}-{index}"), service);
         }
         let store = free_address();
         let mut site = soak.site.lock().expect("the lock is not poisoned");
@@ -119,7 +166,7 @@
         soak
     }
 
-    fn add_endpoint(&mut self, name: &str, service: &'static str) {
+    fn add_endpoint(&mut self, index: usize, name: &str, service: &'static str) {
         let proxied = free_address();
         let site = self.site.lock().expect("the lock is not poisoned");
         let target = Target::start(
@@ -132,6 +179,7 @@
         drop(site);
         self.proxy_command(&format!("tcp {name} {proxied} {}", target.address));
         let endpoint = Endpoint {
+            index,
             name: name.to_owned(),
             service,
             target: Mutex::new(target),
@@ -148,11 +196,9 @@
         let site = self.site.lock().expect("the lock is not poisoned");
         let target = endpoint.target.lock().expect("the lock is not poisoned");
         target.advertise(endpoint.proxied);
-        target.set_behaviour(Behaviour {
-            events: EVENTS,
-            ..Behaviour::default()
-        });
-        site.register_at(&target, endpoint.proxied, endpoint.service, "dc-1", state);
+        target.set_behaviour(endpoint.behaviour());
+        let (address, release) = (endpoint.proxied, endpoint.release());
+        site.put_entry(&target, address, endpoint.service, "dc-1", state, release);
     }
 
     /// Sends a command to the fault proxy.
@@ -216,7 +262,8 @@
         let duration = Duration::from_millis(random.random_range(100..1_500));
         let endpoint = self.endpoints.choose(random).expect("there are targets");
         let vm = random.random_range(0..GATEWAYS);
-        match random.random_range(0..12) {
+        match random.random_range(0..15) {
+            12.. => endpoint.break_responses(duration, random),
             0 => self.replace(endpoint, true),
             1 => self.replace(endpoint, false),
             2 => self
@@ -326,7 +373,10 @@
                 ("x-deadline-ms", "8000"),
             ];
             if let Ok(response) = send(address, method, path, &headers) {
-                let response = read_to_end(response);
+                let mut response = read_to_end(response);
+                if path == RESUMABLE_PATH && response.body.is_none() {
+                    self.resume(&attempt, &mut response, &mut random);
+                }
                 self.responses
                     .lock()
                     .expect("the lock is not poisoned")
@@ -336,6 +386,33 @@
         }
     }
 
+    /// Resumes a truncated stream at any gateway and appends what it sends.
+    fn resume(&self, resumed: &str, response: &mut Response, random: &mut SmallRng) {
+        let events = response.received.matches("id: ").count();
+        if events == 0 {
+            return;
+        }
+        let address = *self
+            .client_addresses
+            .choose(random)
+            .expect("there are gateways");
+        let headers = [
+            ("x-attempt-id", &*format!("{resumed}-r")),
+            ("x-token-usage", "1000,500"),
+            ("x-deadline-ms", "8000"),
+            ("last-event-id", &*(events - 1).to_string()),
+            ("resumes", resumed),
+        ];
+        let Ok(rest) = send(address, &Method::POST, RESUMABLE_PATH, &headers).map(read_to_end)
+        else {
+            return;
+        };
+        if rest.status == StatusCode::OK {
+            response.received.push_str(&rest.received);
+            response.body = rest.body.map(|_| response.received.clone());
+        }
+    }
+
     /// Waits until every gateway serves streams, non-idempotent and idempotent requests.
     fn wait_for_service(&self) {
         for address in &self.client_addresses {
@@ -374,7 +451,7 @@
     /// completely.
     ///
     /// A request of a route without retries runs at most once, and 503 means that it did not run.
-    /// Events arrive in order without gaps, a truncated stream does not look complete, and a plain
+    /// Events arrive in order without gaps and from one release, a truncated stream does not look complete, and a plain
     /// response belongs to its request.
     fn check_guarantees(&self, seed: u64) -> usize {
         let mut runs: HashMap<Box<str>, usize> = HashMap::new();
@@ -414,13 +491,25 @@
                 continue;
             }
             if [STREAM_PATH, RESUMABLE_PATH].contains(path) {
+                let is_of = |release: &&str| response.received.contains(&format!(" {release}\n"));
+                let releases = RELEASES.iter().filter(|release| is_of(release)).count();
+                assert!(
+                    releases <= 1,
+                    "events of two releases: {context}: {}",
+                    response.received
+                );
+                let unmarked = RELEASES
+                    .iter()
+                    .fold(response.received.clone(), |text, release| {
+                        text.replace(&format!(" {release}\n"), "\n")
+                    });
                 assert!(
-                    complete.starts_with(&response.received),
+                    complete.starts_with(&unmarked),
                     "wrong events: {context}: {}",
                     response.received
                 );
                 assert!(
-                    response.body.as_ref().is_none_or(|body| *body == complete),
+                    response.body.is_none() || unmarked == complete,
                     "truncated stream that looks complete: {context}"
                 );
             } else if let Some(body) = &response.body {
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -162,7 +162,8 @@
         self.put_entry(target, address, service, data_centre, state, RELEASE);
     }
 
-    fn put_entry(
+    /// Writes a target's entry to the store.
+    pub fn put_entry(
         &self,
         target: &Target,
         address: SocketAddr,
