--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -5,7 +5,7 @@
     mastictrail_dispatch::{
         Load, Peers,
         peers::{Offer, Update, WatchRole},
-        report::{QueuedRequest, Report, Summary, TargetLoad},
+        report::{Datagram, Origin, QueuedRequest, Report, Summary, TargetLoad},
         waiting::Waiter,
     },
     prost::Message,
@@ -351,3 +351,26 @@
         }
     }
 }
+
+/// A datagram that is longer than the receiver's buffer arrives without its end.
+#[test]
+fn no_beginning_of_a_message_passes_for_the_whole() {
+    let report = Datagram {
+        report: Some(report(2, 5)),
+        ..Datagram::default()
+    };
+    let bytes = report.encode_to_vec();
+    for length in 1..bytes.len() {
+        Datagram::decode(&bytes[..length]).expect_err("the datagram is cut");
+    }
+    let origin = Origin {
+        attempt: 1,
+        lifetime_ms: 2,
+        release: "v1.2".into(),
+    };
+    let bytes = origin.encode_to_vec();
+    for length in 0..bytes.len() {
+        let part = Origin::decode(&bytes[..length]);
+        assert!(part.is_err() || part.is_ok_and(|part| part.release.is_empty()));
+    }
+}
--- a/crates/gateway/src/clients/resumption.rs
+++ b/crates/gateway/src/clients/resumption.rs
@@ -7,10 +7,10 @@
     std::time::Duration,
 };
 
-/// Retry delay sent when the origin of a stream is not known: a cut-off peer may know it.
+/// Retry delay sent when the origin of a stream is not known: a peer that is cut off may know it.
 const ORIGIN_RETRY_AFTER: Duration = Duration::from_millis(300);
-/// Retry delay sent when no engine of the release serves: an engine that restarts needs longer than
-/// clients can wait, so this is for one that is listed again.
+/// Retry delay sent when no engine of the release serves: one may be listed again whose entry had
+/// only expired.
 const RELEASE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Restricts a request that resumes a stream to the release that began the stream.
