fix(gateway): resume a client's stream only at the service that began it

A client that resumes a stream on a route that is split between services, or that a new version has moved to another one, was sent to a service drawn anew, whose events have nothing to do with those that it has.

The origin of a stream now holds the service beside the release. A resumed request goes to that service while the route leads there, and is refused with 503, not run, otherwise.

--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -1,7 +1,7 @@
 //! Messages between the VMs, each of which fits in one datagram.
 
 use {
-    crate::{Load, waiting::Waiter},
+    crate::{Load, origin, waiting::Waiter},
     base::{Instant, key},
     std::time::Duration,
 };
@@ -259,7 +259,7 @@
     pub removal_delay_ms: u32,
 }
 
-/// Which release of the engines' software began a stream that clients may resume.
+/// Where a stream began that clients may resume.
 #[derive(Clone, Eq, PartialEq, prost::Message)]
 pub struct Origin {
     /// Raw key of the attempt that brought the first event.
@@ -268,11 +268,34 @@
     /// Milliseconds for which clients may resume the stream.
     #[prost(uint32, tag = "2")]
     pub lifetime_ms: u32,
-    /// The release; an origin without one is not valid.
-    #[prost(string, tag = "3")]
+    /// Raw key of the service.
+    #[prost(fixed64, tag = "3")]
+    pub service: u64,
+    /// Release of the engine's software; an origin without one is not valid.
+    #[prost(string, tag = "4")]
     pub release: String,
 }
 
+impl Origin {
+    /// Encodes the origin of a stream that clients may resume within `lifetime`.
+    pub fn new(attempt: key::Request, origin: &origin::Origin, lifetime: Duration) -> Self {
+        Self {
+            attempt: attempt.raw(),
+            lifetime_ms: u32::try_from(lifetime.as_millis()).unwrap_or(u32::MAX),
+            service: origin.service.raw(),
+            release: origin.release.to_string(),
+        }
+    }
+
+    /// Decodes the origin; `None` if it is not valid.
+    pub fn origin(&self) -> Option<origin::Origin> {
+        (!self.release.is_empty()).then(|| origin::Origin {
+            service: key::Service::from_raw(self.service),
+            release: self.release.as_str().into(),
+        })
+    }
+}
+
 /// Content of one datagram; exactly one field is present.
 #[derive(Clone, Eq, PartialEq, prost::Message)]
 pub struct Datagram {
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -4,6 +4,7 @@
     base::{Instant, key},
     mastictrail_dispatch::{
         Budget, Generation, Lengths, Origins, Splitter, budget::Policy, frame::Defect,
+        origin::Origin,
     },
     std::time::Duration,
 };
@@ -118,13 +119,18 @@
 #[test]
 fn the_origin_of_a_stream_stays_what_it_was_until_it_expires() {
     let (first, second) = (key::Request::of("a-1"), key::Request::of("a-2"));
+    let origin = |release: &str| Origin {
+        service: key::Service::of("s"),
+        release: release.into(),
+    };
+    let lifetime = Duration::from_secs(5);
     let mut origins = Origins::default();
-    origins.record(first, "v1", Duration::from_secs(5), at(0));
-    assert_eq!(origins.release(first, at(4_999)), Some("v1"));
-    assert_eq!(origins.release(second, at(0)), None);
-    origins.record(first, "v2", Duration::from_secs(5), at(3_000));
-    assert_eq!(origins.release(first, at(7_999)), Some("v1"));
-    assert_eq!(origins.release(first, at(8_000)), None);
-    origins.record(second, "v2", Duration::from_secs(5), at(9_000));
+    origins.record(first, origin("v1"), lifetime, at(0));
+    assert_eq!(origins.get(first, at(4_999)), Some(&origin("v1")));
+    assert_eq!(origins.get(second, at(0)), None);
+    origins.record(first, origin("v2"), lifetime, at(3_000));
+    assert_eq!(origins.get(first, at(7_999)), Some(&origin("v1")));
+    assert_eq!(origins.get(first, at(8_000)), None);
+    origins.record(second, origin("v2"), lifetime, at(9_000));
     assert_eq!(origins.len(), 1, "expired streams are forgotten");
 }
--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -3,7 +3,7 @@
 use {
     base::{Instant, key},
     mastictrail_dispatch::{
-        Load, Peers,
+        Load, Peers, origin,
         peers::{Offer, Update, WatchRole},
         report::{Datagram, Origin, QueuedRequest, Report, Summary, TargetLoad},
         waiting::Waiter,
@@ -363,14 +363,15 @@
     for length in 1..bytes.len() {
         Datagram::decode(&bytes[..length]).expect_err("the datagram is cut");
     }
-    let origin = Origin {
-        attempt: 1,
-        lifetime_ms: 2,
+    let origin = origin::Origin {
+        service: key::Service::of("s"),
         release: "v1.2".into(),
     };
-    let bytes = origin.encode_to_vec();
+    let message = Origin::new(key::Request::of("a"), &origin, Duration::from_secs(9));
+    assert_eq!(message.origin(), Some(origin));
+    let bytes = message.encode_to_vec();
     for length in 0..bytes.len() {
         let part = Origin::decode(&bytes[..length]);
-        assert!(part.is_err() || part.is_ok_and(|part| part.release.is_empty()));
+        assert!(part.is_err() || part.is_ok_and(|part| part.origin().is_none()));
     }
 }
--- a/crates/gateway/src/clients/exchange.rs
+++ b/crates/gateway/src/clients/exchange.rs
@@ -5,7 +5,7 @@
         Shared,
         clients::{
             answer::{self, Body},
-            generation, plain,
+            generation, plain, resumption,
         },
         control::{drain::Guard, origins},
         metrics::Outcome,
@@ -15,6 +15,7 @@
     dispatch::{
         configuration::{RetryPolicy, Route},
         listing::Target,
+        origin::Origin,
     },
     entry::runtime::with_timeout,
     http_body_util::{BodyExt, Full, LengthLimitError, Limited},
@@ -62,8 +63,8 @@
     headers: HeaderMap,
     body: Bytes,
     is_sent: AtomicBool,
-    /// Release that began the stream; set once the client has an event of it.
-    release: OnceLock<Box<str>>,
+    /// Where the stream began; set once the client has an event of it.
+    origin: OnceLock<Origin>,
     /// Number of targets that ran the request or may have run it.
     runs: AtomicU32,
     _guard: Guard,
@@ -90,27 +91,25 @@
         request
     }
 
-    /// Returns the release that the client's stream is restricted to, if it is.
-    pub fn release(&self) -> Option<&str> {
-        self.release.get().map(|release| &**release)
-    }
-
-    /// Restricts the stream to a release, unless it is restricted already.
-    pub fn set_release(&self, release: Box<str>) {
-        self.release.get_or_init(|| release);
+    /// Returns where the client's stream began, if it has begun and that is known.
+    pub fn origin(&self) -> Option<&Origin> {
+        self.origin.get()
     }
 
     /// Records which release made the stream's first event in this response.
     ///
     /// If the client may resume the stream, other VMs are told.
     pub fn record_release(&self, release: &str) {
-        let release = self.release.get_or_init(|| release.into());
+        let origin = self.origin.get_or_init(|| Origin {
+            service: self.service,
+            release: release.into(),
+        });
         let head = &self.head;
         let attempt = head.resumes.as_ref().unwrap_or(&head.attempt_id);
         if self.route.retry_policy == RetryPolicy::Resumable && !attempt.is_empty() {
             let wait = head.deadline.unwrap_or(self.route.timeout);
             let lifetime = (self.arrived + wait).since(self.shared.now());
-            origins::publish(&self.shared, key::Request::of(attempt), release, lifetime);
+            origins::publish(&self.shared, key::Request::of(attempt), origin, lifetime);
         }
     }
 
@@ -201,7 +200,11 @@
         ));
     }
     let customer = customer.map(|customer| customer.name.clone());
-    let service = route.pick_service(rand::rng().random_range(0.0..1.0));
+    let origin = resumption::find_origin(shared, &route, &head).await;
+    let continued = origin.as_ref().map(|origin| origin.service);
+    let continued =
+        continued.filter(|service| route.shares.iter().any(|share| share.service == *service));
+    let service = continued.or_else(|| route.pick_service(rand::rng().random_range(0.0..1.0)));
     let service = service.ok_or_else(|| {
         Refusal::not_run(Reason::NoTarget, "the route names no service")
             .retry_after(STARTUP_RETRY_AFTER)
@@ -237,7 +240,7 @@
         headers: parts.headers,
         body,
         is_sent: AtomicBool::new(false),
-        release: OnceLock::new(),
+        origin: origin.map_or_else(OnceLock::new, OnceLock::from),
         runs: AtomicU32::new(0),
         published,
         _guard: guard,
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -98,7 +98,7 @@
 pub async fn serve(exchange: &Arc<Exchange>) -> Result<Response<Body>, Refusal> {
     let plan = plan(exchange);
     refuse_if_outlasting_drain(exchange, &plan)?;
-    resumption::restrict(exchange).await?;
+    resumption::check(exchange)?;
     let mut excluded = Vec::new();
     let mut attempts = 0;
     let mut last_refusal: Option<Refusal> = None;
@@ -233,7 +233,7 @@
 ) -> Option<(Target, Reservation)> {
     reserve_with(exchange, plan.run_load(), plan, now, |query| {
         query.excluded = excluded;
-        query.release = exchange.release();
+        query.release = exchange.origin().map(|origin| &*origin.release);
         query.queued_ahead = ahead;
         query.max_pending_prefill = max_pending_prefill(exchange, plan, now);
     })
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -434,8 +434,8 @@
         // It may have restarted as another release since it was chosen to hold a copy.
         let current = exchange.shared.directory.get(source.target.key);
         let current = current.as_ref().unwrap_or(&source.target);
-        if let Some(release) = exchange.release()
-            && !current.runs_release(release)
+        if let Some(origin) = exchange.origin()
+            && !current.runs_release(&origin.release)
         {
             log::info!(
                 target: "moved", request:% = exchange.head.attempt_id, instance:% = current.instance,
--- a/crates/gateway/src/clients/resumption.rs
+++ b/crates/gateway/src/clients/resumption.rs
@@ -1,9 +1,14 @@
 //! Finds out at which engines a stream can go on that a client resumes.
 
 use {
-    crate::{clients::exchange::Exchange, control::origins},
+    crate::{Shared, clients::exchange::Exchange, control::origins},
     base::{Reason, Refusal, key},
-    dispatch::configuration::RetryPolicy,
+    dispatch::{
+        configuration::{RetryPolicy, Route},
+        listing::Target,
+        origin::Origin,
+    },
+    platform::request::Head,
     std::time::Duration,
 };
 
@@ -13,34 +18,45 @@
 /// only expired.
 const RELEASE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Restricts a request that resumes a stream to the release that began the stream.
+/// Returns whether a request resumes a stream that may go on at another engine.
+fn is_resumption(route: &Route, head: &Head) -> bool {
+    let is_resumed = head.resumes.is_some() || head.last_event.is_some();
+    is_resumed && route.retry_policy == RetryPolicy::Resumable
+}
+
+/// Returns where the stream began that a request resumes; `None` if that is not known.
+pub async fn find_origin(shared: &Shared, route: &Route, head: &Head) -> Option<Origin> {
+    let attempt = head.resumes.as_ref().filter(|_| is_resumption(route, head));
+    origins::find(shared, key::Request::of(attempt?)).await
+}
+
+/// Checks that engines which began a stream can continue it.
 ///
 /// # Errors
-/// Returns a refusal if the release is not known but may matter, or if no engine runs it.
-pub async fn restrict(exchange: &Exchange) -> Result<(), Refusal> {
-    let head = &exchange.head;
-    let is_resumed = head.resumes.is_some() || head.last_event.is_some();
-    if !is_resumed || exchange.route.retry_policy != RetryPolicy::Resumable {
+/// Returns a refusal if the origin is not known but may matter, if the route no longer leads to the
+/// service, or if no engine runs the release.
+pub fn check(exchange: &Exchange) -> Result<(), Refusal> {
+    if !is_resumption(&exchange.route, &exchange.head) {
         return Ok(());
     }
-    let shared = &exchange.shared;
-    let release = match &head.resumes {
-        Some(attempt) => origins::find(shared, key::Request::of(attempt)).await,
-        None => None,
-    };
-    let Some(release) = release else {
-        if !shared.directory.has_mixed_releases(exchange.service) {
+    let directory = &exchange.shared.directory;
+    let Some(origin) = exchange.origin() else {
+        let is_uniform =
+            exchange.route.shares.len() <= 1 && !directory.has_mixed_releases(exchange.service);
+        if is_uniform {
             return Ok(());
         }
-        let message = "it is not known which release began the stream";
+        let message = "it is not known where the stream began";
         return Err(Refusal::not_run(Reason::NoTarget, message).retry_after(ORIGIN_RETRY_AFTER));
     };
-    let targets = shared.directory.targets_of(exchange.service);
-    let mut active = targets.iter().filter(|target| !target.is_leaving);
-    if !active.any(|target| target.runs_release(&release)) {
-        let message = format!("no engine of release {release}, which began the stream");
+    let targets = directory.targets_of(exchange.service);
+    let can_continue = |target: &Target| !target.is_leaving && target.runs_release(&origin.release);
+    if origin.service != exchange.service || !targets.iter().any(can_continue) {
+        let message = format!(
+            "no engine of release {}, which began the stream",
+            origin.release
+        );
         return Err(Refusal::not_run(Reason::NoTarget, message).retry_after(RELEASE_RETRY_AFTER));
     }
-    exchange.set_release(release);
     Ok(())
 }
--- a/crates/gateway/src/control/origins.rs
+++ b/crates/gateway/src/control/origins.rs
@@ -4,7 +4,7 @@
     crate::{Shared, control::reports},
     base::key,
     bytes::Bytes,
-    dispatch::report::Origin,
+    dispatch::{origin::Origin, report},
     futures_util::{StreamExt, stream::FuturesUnordered},
     hyper::Method,
     prost::Message,
@@ -20,42 +20,43 @@
 /// Response timeout; peers respond within a few milliseconds.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Remembers which release began a stream, here and at the VMs that will be asked for it.
+/// Remembers where a stream began, here and at the VMs that will be asked for it.
 ///
 /// Clients may resume it within `lifetime`.
-pub fn publish(shared: &Arc<Shared>, attempt: key::Request, release: &str, lifetime: Duration) {
+pub fn publish(shared: &Arc<Shared>, attempt: key::Request, origin: &Origin, lifetime: Duration) {
     let now = shared.now();
-    shared.origins().record(attempt, release, lifetime, now);
+    shared
+        .origins()
+        .record(attempt, origin.clone(), lifetime, now);
     let data_centre = shared.fleet.data_centre();
     let holders = shared
         .fleet
         .peers()
         .origin_holders(attempt, data_centre, now);
-    let origin = Origin {
-        attempt: attempt.raw(),
-        lifetime_ms: u32::try_from(lifetime.as_millis()).unwrap_or(u32::MAX),
-        release: release.into(),
-    };
+    let message = report::Origin::new(attempt, origin, lifetime);
     let sender = Arc::clone(shared);
-    let send = async move { reports::send_origin(&sender, origin, holders).await };
+    let send = async move { reports::send_origin(&sender, message, holders).await };
     shared.runtime.spawn(send).detach();
 }
 
 /// Records the origin of a stream that a peer has begun.
-pub fn receive(shared: &Shared, origin: &Origin) {
-    let attempt = key::Request::from_raw(origin.attempt);
-    let lifetime = Duration::from_millis(origin.lifetime_ms.into());
+pub fn receive(shared: &Shared, message: &report::Origin) {
+    let Some(origin) = message.origin() else {
+        log::warn!(target: "origin", reason = "no release"; "dropped the origin of a stream");
+        return;
+    };
+    let attempt = key::Request::from_raw(message.attempt);
+    let lifetime = Duration::from_millis(message.lifetime_ms.into());
     let now = shared.now();
-    shared
-        .origins()
-        .record(attempt, &origin.release, lifetime, now);
+    shared.origins().record(attempt, origin, lifetime, now);
 }
 
-/// Returns the release that began a stream; `None` if no VM that responds knows it.
-pub async fn find(shared: &Shared, attempt: key::Request) -> Option<Box<str>> {
+/// Returns where a stream began; `None` if no VM that responds knows it.
+pub async fn find(shared: &Shared, attempt: key::Request) -> Option<Origin> {
     let now = shared.now();
-    if let Some(release) = shared.origins().release(attempt, now) {
-        return Some(release.into());
+    let known = shared.origins().get(attempt, now).cloned();
+    if known.is_some() {
+        return known;
     }
     let candidates = shared.fleet.peers().origin_candidates(attempt, now);
     let mut answers: FuturesUnordered<_> = candidates
@@ -70,7 +71,7 @@
     None
 }
 
-async fn ask(shared: &Shared, peer: Ipv4Addr, attempt: key::Request) -> Option<Box<str>> {
+async fn ask(shared: &Shared, peer: Ipv4Addr, attempt: key::Request) -> Option<Origin> {
     let port = shared.settings.load().listen.control.port();
     let path = format!("{PATH}{}", attempt.raw());
     let address = SocketAddr::from((peer, port));
@@ -84,24 +85,18 @@
     if !status.is_success() {
         return None;
     }
-    let origin = Origin::decode(body)
+    let message = report::Origin::decode(body)
         .inspect_err(|error| log::warn!(target: "origin", peer:% = peer, error:% = error; "failed to parse where a stream began"))
         .ok()?;
-    (!origin.release.is_empty()).then(|| origin.release.into())
+    message.origin()
 }
 
-/// Returns the response to a peer's question; `None` if the path is another one or the stream is
-/// not known.
+/// Returns the response to a peer's question; `None` if the stream is not known.
 pub fn answer(shared: &Shared, path: &str) -> Option<Bytes> {
     let attempt = path.strip_prefix(PATH)?.parse().ok()?;
-    let release = shared
-        .origins()
-        .release(key::Request::from_raw(attempt), shared.now())?
-        .to_owned();
-    let origin = Origin {
-        attempt,
-        lifetime_ms: 0,
-        release,
-    };
-    Some(origin.encode_to_vec().into())
+    let attempt = key::Request::from_raw(attempt);
+    let origins = shared.origins();
+    let origin = origins.get(attempt, shared.now())?;
+    let message = report::Origin::new(attempt, origin, Duration::ZERO);
+    Some(message.encode_to_vec().into())
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -12,6 +12,7 @@
         target::{Behaviour, Break, Framing},
     },
     hyper::{Method, StatusCode},
+    serde_json::json,
     std::{
         io::{Read, Write},
         net::TcpStream,
@@ -703,6 +704,54 @@
     resume_streams(&site, 1, "a");
 }
 
+/// The route is split between two services, or leads to another one when the client comes back.
+#[test]
+fn a_client_resumes_its_stream_at_the_service_that_began_it() {
+    let mut site = Site::start(2, 1, 1);
+    for index in 2..4 {
+        site.add_engine(index, "dc-1");
+        let engine = &site.engines[index];
+        site.register(engine, "others", "dc-1", "ready");
+    }
+    let others = |document: &mut serde_json::Value| {
+        let mut service = document["Services"][0].clone();
+        service["Name"] = "others".into();
+        document["Services"].as_array_mut().unwrap().push(service);
+    };
+    site.publish(2, |document| {
+        others(document);
+        let split = |service, weight| json!({"Service": service, "Weight": weight});
+        document["Routes"][1]["TrafficSplit"] = json!([split("engines", 50), split("others", 50)]);
+    });
+    site.wait_for_targets(5, 0);
+    wait_until("the version is in force", || {
+        site.metric(0, "configuration_version") == 2
+    });
+    let is_other = |attempt: &str| {
+        let instance = &site.engine_of(attempt).instance;
+        ["e-2", "e-3"].contains(&&**instance)
+    };
+    for stream in 0..12 {
+        let (begun, resumed) = (format!("a-{stream}"), format!("r-{stream}"));
+        begin_stream(&site, 0, &begun);
+        let response = read_to_end(resume_stream(&site, 0, &begun, &resumed));
+        assert!(response.body.is_some());
+        assert_eq!(is_other(&begun), is_other(&resumed), "{resumed}");
+    }
+    site.publish(3, |document| {
+        others(document);
+        document["Routes"][1]["Service"] = "others".into();
+    });
+    wait_until("the version is in force", || {
+        site.metric(0, "configuration_version") == 3
+    });
+    for stream in 0..12 {
+        let (begun, resumed) = (format!("a-{stream}"), format!("s-{stream}"));
+        let status = resume_stream(&site, 0, &begun, &resumed).status;
+        assert_eq!(status == StatusCode::OK, is_other(&begun), "{resumed}");
+    }
+}
+
 /// Nobody remembers where the stream began, so none of the releases is safe.
 #[test]
 fn a_stream_of_unknown_origin_is_not_resumed_while_two_releases_serve() {
