test(gateway): drafts whose engine is silent for a moment

Drafts were cut while their engine was at work on them. A stream is taken for lost once it is silent for 85 ms and the engine doesn't accept a connection within 55 ms, as one whose queue of new connections is full. The stand-in can now stall like that: no events, and a full queue.

--- a/crates/fakes/src/site/target.rs
+++ b/crates/fakes/src/site/target.rs
@@ -12,7 +12,11 @@
     },
     serde::Deserialize,
     serde_json::json,
-    smol::{Task, Timer, channel, net::TcpListener},
+    smol::{
+        Task, Timer, channel,
+        net::{TcpListener, TcpStream},
+    },
+    socket2::SockRef,
     std::{
         collections::HashSet,
         io,
@@ -22,6 +26,9 @@
     },
 };
 
+/// Number of new connections that wait to be accepted.
+const LISTEN_BACKLOG: i32 = 128;
+
 /// How a target marks the end of a response body.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Framing {
@@ -168,6 +175,10 @@
     server: Option<Task<io::Result<()>>>,
     /// Address that the target listens on.
     listen: SocketAddr,
+    /// `None` after a crash.
+    listener: Option<TcpListener>,
+    /// Until when the target neither sends events nor accepts connections.
+    stalled_until: Option<Instant>,
 }
 
 /// A running target.
@@ -216,6 +227,8 @@
             copies: Arc::clone(copies),
             server: None,
             listen: address,
+            listener: None,
+            stalled_until: None,
         }));
         accept(&state, listener);
         Ok(Self {
@@ -247,6 +260,50 @@
         crash_and_recover(&self.state, recovery);
     }
 
+    /// Stalls the target: it sends no events, and the queue of new connections is full.
+    ///
+    /// # Errors
+    /// Returns an error if the size of the queue can't be set.
+    pub fn stall(&self, duration: Duration) -> io::Result<()> {
+        let until = Instant::now() + duration;
+        let listener = {
+            let mut state = lock(&self.state);
+            state.server.take();
+            state.stalled_until = Some(until);
+            state.listener.clone()
+        };
+        let Some(listener) = listener else {
+            return Ok(());
+        };
+        let socket = SockRef::from(&listener);
+        socket.listen(0)?;
+        let address = listener.local_addr()?;
+        let pending = [TcpStream::connect(address), TcpStream::connect(address)];
+        let state = Arc::downgrade(&self.state);
+        smol::spawn(async move {
+            let mut pending = pending.map(Box::pin);
+            for connection in &mut pending {
+                // The second one stays in the queue of the kernel and connects only afterwards.
+                drop(smol::future::poll_once(connection).await);
+            }
+            Timer::at(until).await;
+            drop(pending);
+            let socket = SockRef::from(&listener);
+            if let Err(error) = socket.listen(LISTEN_BACKLOG) {
+                log::warn!(target: "fake", error:% = error; "failed to accept connections again");
+            }
+            let Some(state) = state.upgrade() else {
+                return;
+            };
+            let has_crashed = lock(&state).listener.is_none();
+            if !has_crashed {
+                accept(&state, listener);
+            }
+        })
+        .detach();
+        Ok(())
+    }
+
     /// Returns when the target crashed on a prompt.
     pub fn bad_crashes(&self) -> Vec<Instant> {
         lock(&self.state).bad_crashes.clone()
@@ -290,13 +347,16 @@
 impl Drop for Target {
     fn drop(&mut self) {
         // The server refers to the state, which would keep it running.
-        lock(&self.state).server.take();
+        let mut state = lock(&self.state);
+        state.server.take();
+        state.listener.take();
     }
 }
 
 /// Accepts connections until the target crashes.
 fn accept(state: &Arc<Mutex<State>>, listener: TcpListener) {
     let handler_state = Arc::clone(state);
+    lock(state).listener = Some(listener.clone());
     let server = http::serve(listener, move |request| {
         handle(Arc::clone(&handler_state), request)
     });
@@ -306,6 +366,7 @@
 fn crash(state: &Mutex<State>) {
     let mut state = lock(state);
     state.server.take();
+    state.listener.take();
     state.crashes.push(Instant::now());
 }
 
@@ -547,6 +608,10 @@
         crash_and_recover(state, behaviour.recovery);
     }
     for id in first_id..behaviour.events {
+        let stalled_until = lock(state).stalled_until;
+        if let Some(until) = stalled_until {
+            Timer::at(until).await;
+        }
         let has_crashed = lock(state).crashes.len() != crash_count;
         if has_crashed || behaviour.break_after.is_some_and(|last_id| id > last_id) {
             if behaviour.break_kind != Break::Reset {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -268,6 +268,77 @@
     assert_eq!(site.engines.iter().map(Target::run_count).sum::<usize>(), 1);
 }
 
+/// Opens a draft that has a copy and returns it with the engine that runs it and the other one.
+fn open_copied_draft(site: &Site) -> (PendingResponse, &Target, &Target) {
+    site.set_engine_behaviour(&slow_stream());
+    let stream = site.open_stream("a-1", 600);
+    std::thread::sleep(Duration::from_millis(200));
+    let source = site.engine_of("a-1");
+    let mut engines = site.engines.iter();
+    let other = engines.find(|engine| engine.address != source.address);
+    (stream, source, other.expect("there is another engine"))
+}
+
+/// Returns how often an engine was asked to go on with the draft.
+fn takeovers(engine: &Target) -> usize {
+    let received = engine.received();
+    let takeovers = received
+        .iter()
+        .filter(|request| request.headers.contains_key("kv-from"));
+    takeovers.count()
+}
+
+/// A stream that was only silent is cut because no other engine takes it.
+#[test]
+fn a_draft_whose_engine_stalls_is_not_cut_when_no_other_engine_takes_it() {
+    let site = Site::start(2, 1, 1);
+    let (stream, source, other) = open_copied_draft(&site);
+    other.set_behaviour(Behaviour {
+        refuses: true,
+        ..slow_stream()
+    });
+    source.stall(Duration::from_millis(600)).unwrap();
+    let received = read_to_end(stream);
+    assert!(takeovers(other) >= 1, "the other engine was asked");
+    assert_eq!(
+        received.body,
+        Some(event_stream(60)),
+        "{}",
+        received.received
+    );
+    assert_eq!(other.run_count(), 0);
+}
+
+/// A stream without a copy is cut because its engine is silent and its queue of connections full.
+#[test]
+fn a_draft_without_a_copy_is_not_cut_when_its_engine_stalls() {
+    let site = Site::start(1, 1, 1);
+    site.set_engine_behaviour(&slow_stream());
+    let mut stream = site.open_stream("a-1", 600);
+    stream.read_part();
+    site.engines[0].stall(Duration::from_millis(600)).unwrap();
+    let rest = read_to_end(stream);
+    assert!(
+        rest.body
+            .is_some_and(|body| event_stream(60).ends_with(&body))
+    );
+}
+
+/// The stream of an engine that is silent goes on elsewhere, and every event comes once.
+#[test]
+fn a_draft_whose_engine_stalls_goes_on_at_the_engine_with_its_copy() {
+    let site = Site::start(2, 1, 1);
+    let (stream, source, other) = open_copied_draft(&site);
+    source.stall(Duration::from_secs(2)).unwrap();
+    let received = read_to_end(stream);
+    assert_eq!(received.body, Some(event_stream(60)));
+    assert!(received.longest_pause < Duration::from_secs(1));
+    assert_eq!(other.run_count(), 1);
+    wait_until("the engine that stalled ends its run", || {
+        source.active_streams() == 0
+    });
+}
+
 /// The stream starts while there is no second engine to hold a copy. Its run is copied once the
 /// engine is listed as draining, so the crash of the engine after that must not break the stream.
 #[test]
