test(gateway): an engine that refuses to go on with a draft at first

The engine with the copy of a draft sheds load as the draft's own engine ends, and has room 0.5 s later.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -324,6 +324,28 @@
     );
 }
 
+/// The engine with the copy sheds load as the draft's own engine crashes, and is asked only once.
+#[test]
+fn a_draft_goes_on_from_its_copy_once_the_engine_that_refused_it_has_room() {
+    let site = Site::start(2, 1, 1);
+    let (stream, source, other) = open_copied_draft(&site);
+    other.set_behaviour(Behaviour {
+        refuses: true,
+        ..slow_stream()
+    });
+    source.crash();
+    std::thread::sleep(Duration::from_millis(500));
+    other.set_behaviour(slow_stream());
+    let received = read_to_end(stream);
+    assert_eq!(
+        received.body,
+        Some(event_stream(60)),
+        "{}",
+        received.received
+    );
+    assert_eq!(other.run_count(), 1);
+}
+
 /// The stream of an engine that is silent goes on elsewhere, and every event comes once.
 #[test]
 fn a_draft_whose_engine_stalls_goes_on_at_the_engine_with_its_copy() {
