fix(gateway): read a silent engine's stream on until another engine takes it

Callers saw drafts cut in the middle with most of their time left, while the engine was at work on them. A stream silent for 85 ms whose engine doesn't accept a connection within 55 ms was taken for lost; when the engine with the copy refused it, or there was no copy, the relay dropped the connection on which the answer was still coming. Class: a suspicion acted on as if it were a fact.

A suspected engine's connection now stays open until another engine has taken the stream, which may take 2 s at most; else the stream is read on, and others are asked again each second while the silence lasts. A connection that is really dead ends by the kernel's timeouts as before. A copy is given up only once the engine that holds it has taken the run, and a restart counts as a run before it is sent, unless the engine says that it did not run it. `moved` names the length of the silence.

--- a/crates/dispatch/src/frame.rs
+++ b/crates/dispatch/src/frame.rs
@@ -106,6 +106,11 @@
         }
     }
 
+    /// Returns the number of bytes after the last complete event.
+    pub fn rest_len(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Removes and returns the bytes after the last complete event.
     pub fn take_rest(&mut self) -> Bytes {
         self.searched = 0;
--- a/crates/gateway/src/clients/exchange.rs
+++ b/crates/gateway/src/clients/exchange.rs
@@ -140,6 +140,11 @@
         self.runs.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Takes back [`Self::record_run`] for a target that states that it did not run the request.
+    pub fn retract_run(&self) {
+        self.runs.fetch_sub(1, Ordering::Relaxed);
+    }
+
     /// Checks that the request may be sent to an engine, for the first time or again.
     ///
     /// # Errors
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -20,7 +20,7 @@
             notice,
         },
     },
-    base::{Instant, key},
+    base::{Instant, Verdict, key},
     bytes::{Bytes, BytesMut},
     dispatch::{Splitter, configuration::RetryPolicy, listing::Target},
     entry::runtime::with_timeout,
@@ -30,7 +30,7 @@
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
-/// Maximum time without an event before the engine is considered lost.
+/// Maximum time without an event before the engine is suspected.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time without an event before the engine is probed by opening a connection.
 ///
@@ -40,6 +40,10 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(55);
 /// Minimum interval between two probes.
 const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(400);
+/// Maximum time in which another engine must take a stream whose engine is only suspected.
+const TAKEOVER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Interval between two attempts to continue a suspected engine's stream elsewhere.
+const SUSPICION_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after its first event in which an engine that is lost may have been lost to the request.
 const SUSPECT_PERIOD: Duration = Duration::from_millis(100);
 /// Time after its first event after which an engine has survived the request.
@@ -138,6 +142,8 @@
     paused_at: u64,
     last_received: Instant,
     last_probe: Instant,
+    /// When another engine was last asked to continue the stream of a suspected one.
+    last_suspicion: Option<Instant>,
     evacuation: Evacuation,
     outcome: Option<(Outcome, Box<str>)>,
 }
@@ -149,14 +155,27 @@
     _connection: Connection,
 }
 
+/// Result of asking another engine to continue a stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Takeover {
+    /// The engine's stream replaces the one before.
+    Taken,
+    /// The engine did not run the request.
+    NotRun,
+    /// The engine may have run the request, but its stream is lost.
+    MayHaveRun,
+}
+
 /// Result of reading from the engine.
 enum Read {
     Bytes(Bytes),
     End,
     /// The engine broke off its answer.
     Closed(Box<str>),
-    /// The engine no longer responds, or the time is over.
+    /// The answer can't be read on, or the time is over.
     Lost(Box<str>),
+    /// The engine is silent, but its connection is open.
+    Suspected(Box<str>),
 }
 
 impl Relay {
@@ -177,6 +196,7 @@
         Self {
             last_received: now,
             last_probe: now,
+            last_suspicion: None,
             evacuation: Evacuation::default(),
             exchange,
             plan,
@@ -230,6 +250,10 @@
                 }
                 Read::End => return self.finish(),
                 Read::Closed(_) | Read::Lost(_) if self.exchange.remaining().is_zero() => continue,
+                Read::Suspected(reason) => {
+                    self.replace_suspect(&reason).await;
+                    continue;
+                }
                 Read::Closed(reason) => {
                     if self.is_beginning() {
                         self.exchange.record_loss(&self.source.target);
@@ -262,8 +286,12 @@
                 None => {}
             }
             let now = shared.now();
+            let is_due = |last: Instant| now.since(last) >= SUSPICION_INTERVAL;
+            if !self.last_suspicion.is_none_or(is_due) {
+                continue;
+            }
             if now.since(self.last_received) >= SILENCE_TIMEOUT {
-                return Read::Lost("no event in time".into());
+                return Read::Suspected("no event in time".into());
             }
             if self.first_event_at.is_none() || now.since(self.last_probe) < MIN_PROBE_INTERVAL {
                 continue;
@@ -276,7 +304,7 @@
                     return classify(read);
                 }
                 Err(true) => {}
-                Err(false) => return Read::Lost("silent and not reachable".into()),
+                Err(false) => return Read::Suspected("silent and not reachable".into()),
             }
         }
     }
@@ -388,32 +416,68 @@
         }
     }
 
-    /// Resumes at the engine with the copy or, if the route permits it, restarts at another engine.
-    ///
-    /// Returns whether the stream continues.
+    /// Continues a stream that has ended at another engine; returns whether one takes it.
     async fn migrate(&mut self, reason: &str) -> bool {
         let exchange = Arc::clone(&self.exchange);
-        let shared = &exchange.shared;
-        let failed_target = self.source.target.clone();
-        shared
-            .dispatcher
-            .record_failure(failed_target.key, shared.now());
+        let failed_target = self.record_suspicion(reason);
         self.incomplete_bytes = self.splitter.take_rest().len();
+        if !self.is_proven {
+            exchange.wait_after_loss().await;
+        }
+        let mut evacuation = std::mem::take(&mut self.evacuation);
+        evacuation
+            .finish(&exchange, &failed_target, &mut self.source.copy)
+            .await;
+        self.continue_elsewhere(failed_target.key).await
+    }
+
+    /// Continues the stream of a silent engine at another one; without any, it is read on.
+    ///
+    /// An engine that accepts no connection may only be busy, and go on with its answer.
+    async fn replace_suspect(&mut self, reason: &str) {
+        let shared = Arc::clone(&self.exchange.shared);
+        let suspect = self.record_suspicion(reason);
+        let takeover = self.continue_elsewhere(suspect.key);
+        let is_taken = with_timeout(TAKEOVER_TIMEOUT, takeover).await;
+        if is_taken.unwrap_or_default() {
+            let evacuation = std::mem::take(&mut self.evacuation);
+            evacuation.release(&self.exchange, None, false);
+            return;
+        }
+        self.last_suspicion = Some(shared.now());
+        log::info!(
+            target: "moved", request:% = self.exchange.head.attempt_id, instance:% = suspect.instance,
+            events = self.events, in_time = is_taken.is_some();
+            "no engine takes the stream; reading on from the silent one"
+        );
+    }
+
+    /// Records that the current engine has failed or is suspected, and returns it.
+    fn record_suspicion(&self, reason: &str) -> Target {
+        let exchange = &self.exchange;
+        let now = exchange.shared.now();
+        let target = self.source.target.clone();
+        exchange.shared.dispatcher.record_failure(target.key, now);
         log::info!(
-            target: "moved", request:% = exchange.head.attempt_id, instance:% = failed_target.instance,
-            release:% = failed_target.release, events = self.events, backup = self.source.backup().map_or("", |backup| &*backup.instance),
-            reason:% = reason, framing:% = self.framing, incomplete_bytes = self.incomplete_bytes,
+            target: "moved", request:% = exchange.head.attempt_id, instance:% = target.instance,
+            release:% = target.release, events = self.events, backup = self.source.backup().map_or("", |backup| &*backup.instance),
+            reason:% = reason, framing:% = self.framing, incomplete_bytes = self.splitter.rest_len(),
+            silent_ms = now.since(self.last_received).as_millis() as u64,
             parts = exchange.shared_parts(), customer = exchange.customer.as_deref().unwrap_or_default(),
-            answered_ms = shared.now().since(self.attached_at).as_millis() as u64;
+            answered_ms = now.since(self.attached_at).as_millis() as u64;
             "engine lost while streaming"
         );
-        self.migrations += 1;
-        if self.migrations > MAX_MIGRATIONS {
+        target
+    }
+
+    /// Resumes at the engine with the copy or, if the route permits it, restarts at another engine.
+    ///
+    /// Returns whether an engine takes the stream; the current connection is open until then.
+    async fn continue_elsewhere(&mut self, failed_target: key::Target) -> bool {
+        let exchange = Arc::clone(&self.exchange);
+        if self.migrations >= MAX_MIGRATIONS {
             return false;
         }
-        if !self.is_proven {
-            exchange.wait_after_loss().await;
-        }
         if !self.is_proven
             && let Err(refusal) = exchange.check_quarantine()
         {
@@ -423,43 +487,40 @@
             );
             return false;
         }
-        let mut evacuation = std::mem::take(&mut self.evacuation);
-        evacuation
-            .finish(&exchange, &failed_target, &mut self.source.copy)
-            .await;
-        if let Some(copy) = self.source.copy.take()
-            && self.resume_from_copy(copy, failed_target.key).await
-        {
-            return true;
-        }
-        exchange.route.retry_policy == RetryPolicy::Resumable
-            && self.restart(failed_target.key).await
+        let is_taken = if self.source.copy.is_some() && self.resume_from_copy(failed_target).await {
+            true
+        } else {
+            exchange.route.retry_policy == RetryPolicy::Resumable
+                && self.restart(failed_target).await
+        };
+        self.migrations += u32::from(is_taken);
+        is_taken
     }
 
-    async fn resume_from_copy(&mut self, copy: Copy, failed_target: key::Target) -> bool {
+    /// Sends the request to the engine that stores the copy; the copy is kept until that takes it.
+    async fn resume_from_copy(&mut self, failed_target: key::Target) -> bool {
         let exchange = Arc::clone(&self.exchange);
         let shared = &exchange.shared;
+        let Some(copy) = &self.source.copy else {
+            return false;
+        };
+        let (target, origin, handle) = (copy.target.clone(), copy.origin, copy.handle.clone());
         let reservation =
             shared
                 .dispatcher
-                .reserve_at(copy.target.key, self.plan.run_load(), shared.now());
+                .reserve_at(target.key, self.plan.run_load(), shared.now());
         reservation.finish_prefill();
         reservation.set_tokens(self.plan.generation.prompt_tokens, self.tokens());
-        drop(copy.reservation);
-        let next = reserve_copy(
-            &exchange,
-            &self.plan,
-            &copy.target,
-            &[failed_target, copy.target.key],
-        );
+        let excluded = [failed_target, target.key];
+        let next = reserve_copy(&exchange, &self.plan, &target, &excluded);
         let fields = GatewayFields {
             backup: next.as_ref().map(|(target, _)| target.address),
-            continue_from: Some((copy.origin, &copy.handle)),
+            continue_from: Some((origin, &handle)),
             last_event: self.last_event_id,
             ..GatewayFields::default()
         };
-        let source = Source::new((copy.target, reservation), next, &exchange.head.attempt_id);
-        self.attach(source, &fields).await
+        let source = Source::new((target, reservation), next, &exchange.head.attempt_id);
+        self.attach(source, &fields).await == Takeover::Taken
     }
 
     async fn restart(&mut self, failed_target: key::Target) -> bool {
@@ -481,15 +542,17 @@
             ..GatewayFields::default()
         };
         let source = Source::new(reserved, None, &exchange.head.attempt_id);
-        let is_taken = self.attach(source, &fields).await;
-        if is_taken {
-            exchange.record_run();
+        // The engine may run it even if its answer is no longer waited for.
+        exchange.record_run();
+        let takeover = self.attach(source, &fields).await;
+        if takeover == Takeover::NotRun {
+            exchange.retract_run();
         }
-        is_taken
+        takeover == Takeover::Taken
     }
 
     /// Sends the request to another engine and, if that accepts it, continues with its stream.
-    async fn attach(&mut self, source: Source, fields: &GatewayFields<'_>) -> bool {
+    async fn attach(&mut self, source: Source, fields: &GatewayFields<'_>) -> Takeover {
         let exchange = &self.exchange;
         // It may have restarted as another release since it was chosen to hold a copy.
         let current = exchange.shared.directory.get(source.target.key);
@@ -502,7 +565,7 @@
                 release:% = current.release, events = self.events;
                 "stream not continued at another release"
             );
-            return false;
+            return Takeover::NotRun;
         }
         let request = exchange.request(&source.target, fields);
         let sent = exchange.shared.now();
@@ -518,47 +581,52 @@
         if result.as_ref().is_err_and(|failure| failure.is_closed) {
             exchange.record_loss(&source.target);
         }
-        let (is_taken, detail) = match &result {
+        let (takeover, detail) = match &result {
             Ok(answer) => {
                 let (status, headers) = (answer.response.status(), answer.response.headers());
-                if is_for_attempt(headers, &exchange.head.attempt_id) {
-                    let is_taken = status.is_success()
-                        && !is_not_executed(status, headers)
-                        && is_event_stream(headers);
-                    (is_taken, status.to_string())
+                if !is_for_attempt(headers, &exchange.head.attempt_id) {
+                    let detail = "the answer belongs to another request".to_owned();
+                    (Takeover::MayHaveRun, detail)
+                } else if is_not_executed(status, headers) {
+                    (Takeover::NotRun, status.to_string())
+                } else if status.is_success() && is_event_stream(headers) {
+                    (Takeover::Taken, status.to_string())
                 } else {
-                    (false, "the answer belongs to another request".to_owned())
+                    (Takeover::MayHaveRun, status.to_string())
                 }
             }
-            Err(failure) => (false, failure.to_string()),
+            Err(failure) if failure.verdict == Verdict::NotRun => {
+                (Takeover::NotRun, failure.to_string())
+            }
+            Err(failure) => (Takeover::MayHaveRun, failure.to_string()),
         };
+        let is_taken = takeover == Takeover::Taken;
         log::info!(
             target: "moved", request:% = exchange.head.attempt_id, instance:% = source.target.instance,
             release:% = source.target.release, events = self.events, is_taken, detail;
             "stream migration attempted"
         );
         exchange.shared.metrics.record_migration(is_taken);
-        match result {
-            Ok(Answer {
-                response,
-                framing,
-                connection,
-            }) if is_taken => {
-                self.framing = framing;
-                self.splitter = Splitter::default();
-                self.upstream = Some(Upstream {
-                    body: response.into_body(),
-                    _connection: connection,
-                });
-                self.source = source;
-                self.last_received = self.exchange.shared.now();
-                self.attached_at = self.last_received;
-                self.begun_at = None;
-                self.has_survived = false;
-                true
-            }
-            _ => false,
+        if let Ok(Answer {
+            response,
+            framing,
+            connection,
+        }) = result
+            && is_taken
+        {
+            self.framing = framing;
+            self.splitter = Splitter::default();
+            self.upstream = Some(Upstream {
+                body: response.into_body(),
+                _connection: connection,
+            });
+            self.source = source;
+            self.last_received = self.exchange.shared.now();
+            self.attached_at = self.last_received;
+            self.begun_at = None;
+            self.has_survived = false;
         }
+        takeover
     }
 }
 
