fix(gateway): ask the engine with a copy again when it refuses at first

Callers saw drafts cut 0.1 ms after the engine that holds the copy had refused to go on with the run, with most of their time left: one refusal (shedding, a full queue) was final. Class: a temporary refusal acted on as if it were a fact.

A stream that has ended is offered again, after 100 ms and then twice as long each time, until an engine takes it, nothing is left that could, or its client would leave: two seconds or four latency objectives after the last event. The engine's own pause or limit is kept, and each further request draws on the retry budget. A copy is given up if its engine has restarted, runs another release, no longer listens or may have run the request.

--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -15,7 +15,7 @@
         },
         metrics::Outcome,
         targets::{
-            client::{Answer, Connection, Framing, is_closed, is_event_stream},
+            client::{Answer, Connection, Failure, Framing, is_closed, is_event_stream},
             dispatcher::Reservation,
             notice,
         },
@@ -25,8 +25,12 @@
     dispatch::{Splitter, configuration::RetryPolicy, listing::Target},
     entry::runtime::with_timeout,
     http_body_util::BodyExt,
-    hyper::body::{Frame, Incoming},
+    hyper::{
+        StatusCode,
+        body::{Frame, Incoming},
+    },
     platform::request::{GatewayFields, is_for_attempt, is_not_executed},
+    smol::Timer,
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -48,6 +52,14 @@
 const SUSPECT_PERIOD: Duration = Duration::from_millis(100);
 /// Time after its first event after which an engine has survived the request.
 const SURVIVAL_DELAY: Duration = Duration::from_millis(250);
+/// Delay before another engine is asked again to continue a stream; it doubles each time.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Upper bound of the delay.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
+/// Minimum time without an event after which clients leave.
+const MIN_CLIENT_PATIENCE: Duration = Duration::from_secs(2);
+/// Time without an event after which clients leave, in latency objectives.
+const CLIENT_PATIENCE: u32 = 4;
 /// Maximum number of migrations of one stream.
 const MAX_MIGRATIONS: u32 = 8;
 
@@ -142,6 +154,8 @@
     paused_at: u64,
     last_received: Instant,
     last_probe: Instant,
+    /// Whether the engine with the copy was asked to continue the stream.
+    has_asked: bool,
     /// When another engine was last asked to continue the stream of a suspected one.
     last_suspicion: Option<Instant>,
     evacuation: Evacuation,
@@ -160,10 +174,39 @@
 enum Takeover {
     /// The engine's stream replaces the one before.
     Taken,
-    /// The engine did not run the request.
-    NotRun,
+    /// The engine did not run the request and may take it later.
+    Refused,
+    /// The engine did not run the request and never will.
+    Impossible,
     /// The engine may have run the request, but its stream is lost.
-    MayHaveRun,
+    Lost,
+}
+
+impl Takeover {
+    /// Classifies an answer.
+    fn of(answer: &Answer, attempt_id: &str) -> Self {
+        let (status, headers) = (answer.response.status(), answer.response.headers());
+        if !is_for_attempt(headers, attempt_id) {
+            Self::Lost
+        } else if status == StatusCode::MISDIRECTED_REQUEST {
+            Self::Impossible
+        } else if is_not_executed(status, headers) {
+            Self::Refused
+        } else if status.is_success() && is_event_stream(headers) {
+            Self::Taken
+        } else {
+            Self::Lost
+        }
+    }
+
+    /// Classifies a failure.
+    fn of_failure(failure: &Failure) -> Self {
+        match failure.verdict {
+            Verdict::NotRun if failure.is_refused => Self::Impossible,
+            Verdict::NotRun => Self::Refused,
+            _ => Self::Lost,
+        }
+    }
 }
 
 /// Result of reading from the engine.
@@ -196,6 +239,7 @@
         Self {
             last_received: now,
             last_probe: now,
+            has_asked: false,
             last_suspicion: None,
             evacuation: Evacuation::default(),
             exchange,
@@ -428,7 +472,55 @@
         evacuation
             .finish(&exchange, &failed_target, &mut self.source.copy)
             .await;
-        self.continue_elsewhere(failed_target.key).await
+        let wait = MIN_CLIENT_PATIENCE.max(exchange.route.latency_objective * CLIENT_PATIENCE);
+        let give_up = (self.last_delivery + wait).min(exchange.deadline);
+        let mut delay = MIN_RETRY_DELAY;
+        while self.can_continue() {
+            if self.continue_elsewhere(failed_target.key).await {
+                return true;
+            }
+            let now = exchange.shared.now();
+            let pause = delay.max(self.copy_delay(now));
+            if now + pause >= give_up {
+                break;
+            }
+            Timer::after(pause).await;
+            delay = (delay * 2).min(MAX_RETRY_DELAY);
+        }
+        false
+    }
+
+    /// Returns whether another engine may still take the stream.
+    fn can_continue(&self) -> bool {
+        let is_resumable = self.exchange.route.retry_policy == RetryPolicy::Resumable;
+        self.migrations < MAX_MIGRATIONS
+            && (self.source.copy.is_some() || is_resumable && self.exchange.may_run_again())
+            && self.is_admitted()
+    }
+
+    /// Returns whether the request is not one that engines are lost to.
+    fn is_admitted(&self) -> bool {
+        if self.is_proven {
+            return true;
+        }
+        let exchange = &self.exchange;
+        let admission = exchange.check_quarantine();
+        if let Err(refusal) = &admission {
+            log::info!(
+                target: "moved", request:% = exchange.head.attempt_id, reason:% = refusal.reason;
+                "stream not continued: {}", refusal.message
+            );
+        }
+        admission.is_ok()
+    }
+
+    /// Returns the time for which the engine with the copy wants no request from this VM.
+    fn copy_delay(&self, now: Instant) -> Duration {
+        let copy = self.source.copy.as_ref();
+        let target = copy.map(|copy| std::slice::from_ref(&copy.target));
+        let dispatcher = &self.exchange.shared.dispatcher;
+        let delay = target.and_then(|target| dispatcher.limit_delay(target, now));
+        delay.unwrap_or_default()
     }
 
     /// Continues the stream of a silent engine at another one; without any, it is read on.
@@ -437,7 +529,7 @@
     async fn replace_suspect(&mut self, reason: &str) {
         let shared = Arc::clone(&self.exchange.shared);
         let suspect = self.record_suspicion(reason);
-        let takeover = self.continue_elsewhere(suspect.key);
+        let takeover = async { self.can_continue() && self.continue_elsewhere(suspect.key).await };
         let is_taken = with_timeout(TAKEOVER_TIMEOUT, takeover).await;
         if is_taken.unwrap_or_default() {
             let evacuation = std::mem::take(&mut self.evacuation);
@@ -474,25 +566,9 @@
     ///
     /// Returns whether an engine takes the stream; the current connection is open until then.
     async fn continue_elsewhere(&mut self, failed_target: key::Target) -> bool {
-        let exchange = Arc::clone(&self.exchange);
-        if self.migrations >= MAX_MIGRATIONS {
-            return false;
-        }
-        if !self.is_proven
-            && let Err(refusal) = exchange.check_quarantine()
-        {
-            log::info!(
-                target: "moved", request:% = exchange.head.attempt_id, reason:% = refusal.reason;
-                "stream not continued: {}", refusal.message
-            );
-            return false;
-        }
-        let is_taken = if self.source.copy.is_some() && self.resume_from_copy(failed_target).await {
-            true
-        } else {
-            exchange.route.retry_policy == RetryPolicy::Resumable
-                && self.restart(failed_target).await
-        };
+        let is_taken = self.resume_from_copy(failed_target).await
+            || self.exchange.route.retry_policy == RetryPolicy::Resumable
+                && self.restart(failed_target).await;
         self.migrations += u32::from(is_taken);
         is_taken
     }
@@ -501,14 +577,20 @@
     async fn resume_from_copy(&mut self, failed_target: key::Target) -> bool {
         let exchange = Arc::clone(&self.exchange);
         let shared = &exchange.shared;
+        let now = shared.now();
         let Some(copy) = &self.source.copy else {
             return false;
         };
+        let is_repeated = std::mem::replace(&mut self.has_asked, true);
+        if !self.copy_delay(now).is_zero()
+            || is_repeated && !shared.dispatcher.take_retry(exchange.service, now)
+        {
+            return false;
+        }
         let (target, origin, handle) = (copy.target.clone(), copy.origin, copy.handle.clone());
-        let reservation =
-            shared
-                .dispatcher
-                .reserve_at(target.key, self.plan.run_load(), shared.now());
+        let reservation = shared
+            .dispatcher
+            .reserve_at(target.key, self.plan.run_load(), now);
         reservation.finish_prefill();
         reservation.set_tokens(self.plan.generation.prompt_tokens, self.tokens());
         let excluded = [failed_target, target.key];
@@ -520,7 +602,11 @@
             ..GatewayFields::default()
         };
         let source = Source::new((target, reservation), next, &exchange.head.attempt_id);
-        self.attach(source, &fields).await == Takeover::Taken
+        let takeover = self.attach(source, &fields).await;
+        if matches!(takeover, Takeover::Impossible | Takeover::Lost) {
+            self.source.copy = None;
+        }
+        takeover == Takeover::Taken
     }
 
     async fn restart(&mut self, failed_target: key::Target) -> bool {
@@ -545,7 +631,7 @@
         // The engine may run it even if its answer is no longer waited for.
         exchange.record_run();
         let takeover = self.attach(source, &fields).await;
-        if takeover == Takeover::NotRun {
+        if matches!(takeover, Takeover::Refused | Takeover::Impossible) {
             exchange.retract_run();
         }
         takeover == Takeover::Taken
@@ -565,7 +651,7 @@
                 release:% = current.release, events = self.events;
                 "stream not continued at another release"
             );
-            return Takeover::NotRun;
+            return Takeover::Impossible;
         }
         let request = exchange.request(&source.target, fields);
         let sent = exchange.shared.now();
@@ -581,29 +667,18 @@
         if result.as_ref().is_err_and(|failure| failure.is_closed) {
             exchange.record_loss(&source.target);
         }
+        let attempt_id = &exchange.head.attempt_id;
         let (takeover, detail) = match &result {
-            Ok(answer) => {
-                let (status, headers) = (answer.response.status(), answer.response.headers());
-                if !is_for_attempt(headers, &exchange.head.attempt_id) {
-                    let detail = "the answer belongs to another request".to_owned();
-                    (Takeover::MayHaveRun, detail)
-                } else if is_not_executed(status, headers) {
-                    (Takeover::NotRun, status.to_string())
-                } else if status.is_success() && is_event_stream(headers) {
-                    (Takeover::Taken, status.to_string())
-                } else {
-                    (Takeover::MayHaveRun, status.to_string())
-                }
-            }
-            Err(failure) if failure.verdict == Verdict::NotRun => {
-                (Takeover::NotRun, failure.to_string())
-            }
-            Err(failure) => (Takeover::MayHaveRun, failure.to_string()),
+            Ok(answer) => (
+                Takeover::of(answer, attempt_id),
+                answer.response.status().to_string(),
+            ),
+            Err(failure) => (Takeover::of_failure(failure), failure.to_string()),
         };
         let is_taken = takeover == Takeover::Taken;
         log::info!(
             target: "moved", request:% = exchange.head.attempt_id, instance:% = source.target.instance,
-            release:% = source.target.release, events = self.events, is_taken, detail;
+            release:% = source.target.release, events = self.events, is_taken, takeover:?, detail;
             "stream migration attempted"
         );
         exchange.shared.metrics.record_migration(is_taken);
@@ -621,6 +696,7 @@
                 _connection: connection,
             });
             self.source = source;
+            self.has_asked = false;
             self.last_received = self.exchange.shared.now();
             self.attached_at = self.last_received;
             self.begun_at = None;
--- a/crates/gateway/src/targets/client.rs
+++ b/crates/gateway/src/targets/client.rs
@@ -51,6 +51,8 @@
     pub message: Box<str>,
     /// Whether the other side ended the connection, as a process that crashes does.
     pub is_closed: bool,
+    /// Whether nothing listens at the address.
+    pub is_refused: bool,
 }
 
 impl Failure {
@@ -60,6 +62,7 @@
             verdict: Verdict::NotRun,
             message: message.into(),
             is_closed: false,
+            is_refused: false,
         }
     }
 
@@ -69,6 +72,7 @@
             verdict: Verdict::MayHaveRun,
             message: message.into(),
             is_closed: false,
+            is_refused: false,
         }
     }
 }
@@ -150,7 +154,12 @@
     ) -> Result<Answer, Failure> {
         let stream = match with_timeout(self.connect_timeout, TcpStream::connect(address)).await {
             Some(Ok(stream)) => stream,
-            Some(Err(error)) => return Err(Failure::not_run(format!("no connection: {error}"))),
+            Some(Err(error)) => {
+                return Err(Failure {
+                    is_refused: error.kind() == io::ErrorKind::ConnectionRefused,
+                    ..Failure::not_run(format!("no connection: {error}"))
+                });
+            }
             None => return Err(Failure::not_run("the connection timed out")),
         };
         set_socket_options(&stream);
