--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -33,6 +33,9 @@
 /// Interval between two requests of a client.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(120);
 
+/// Interval between two failures of a storm, each of which takes two engines.
+const KILL_INTERVAL: Duration = Duration::from_millis(500);
+
 /// A request that a client sent.
 struct Exchange {
     at: Instant,
@@ -88,6 +91,19 @@
     name: &str,
     duration: Duration,
     prompt: impl Fn(usize) -> String + Sync,
+) -> Vec<Exchange> {
+    load_paced(site, name, duration, prompt, || {
+        thread::sleep(REQUEST_INTERVAL.mul_f64(rand::random_range(0.5..1.5)));
+    })
+}
+
+/// Like [`load`]; each client calls `pause` between two requests.
+fn load_paced(
+    site: &Site,
+    name: &str,
+    duration: Duration,
+    prompt: impl Fn(usize) -> String + Sync,
+    pause: impl Fn() + Sync,
 ) -> Vec<Exchange> {
     let addresses: Vec<_> = site
         .gateways
@@ -108,7 +124,7 @@
                         let prompt = format!("{}:100,f{number:x}:10", prompt(number));
                         let address = addresses[number % addresses.len()];
                         exchanges.push(exchange(address, path, &attempt, &prompt));
-                        thread::sleep(REQUEST_INTERVAL.mul_f64(rand::random_range(0.5..1.5)));
+                        pause();
                     }
                     exchanges
                 })
@@ -233,6 +249,44 @@
     }
 }
 
+/// Clients begin requests at the moments at which engines are killed, so that most losses have
+/// suspects and few requests survive.
+#[test]
+fn no_part_is_refused_in_a_storm_of_failures() {
+    let site = start();
+    let prompt = |number: usize| format!("aa:100,cc{}:50,dd{}", number % 4, number % 9);
+    let begun = Instant::now();
+    let wait_for_kill = || {
+        let elapsed = begun.elapsed().as_secs_f64() / KILL_INTERVAL.as_secs_f64();
+        let next = begun + KILL_INTERVAL.mul_f64(elapsed.floor() + 1.0);
+        thread::sleep(next.saturating_duration_since(Instant::now()));
+    };
+    let sound = thread::scope(|scope| {
+        let sound = scope.spawn(|| {
+            load_paced(
+                &site,
+                "sound",
+                Duration::from_secs(9),
+                prompt,
+                wait_for_kill,
+            )
+        });
+        for kill in 0..17 {
+            wait_for_kill();
+            thread::sleep(Duration::from_millis(30));
+            site.engines[2 * kill % ENGINES].crash_and_recover();
+            site.engines[(2 * kill + 1) % ENGINES].crash_and_recover();
+        }
+        sound.join().unwrap()
+    });
+    let refused = sound.iter().filter(|exchange| exchange.is_quarantined);
+    let (refused, count) = (refused.count(), sound.len());
+    assert_eq!(refused, 0, "of {count} requests");
+    for gateway in 0..GATEWAYS {
+        assert_eq!(site.metric(gateway, "quarantined"), 0);
+    }
+}
+
 /// The engines are repaired, for instance by another release of their software.
 #[test]
 fn requests_with_a_quarantined_part_are_served_again_once_engines_survive_it() {
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -3,13 +3,16 @@
 use {
     rustix::process::{Pid, Signal, kill_process},
     std::{
+        fs::File,
         net::{Ipv4Addr, SocketAddr},
+        path::Path,
         process::{Child, Command, ExitStatus, Stdio},
         sync::atomic::{AtomicU16, Ordering},
     },
 };
 
 static NEXT_PORT: AtomicU16 = AtomicU16::new(20_000);
+static NEXT_LOG: AtomicU16 = AtomicU16::new(0);
 
 /// Returns an unused loopback address.
 ///
@@ -27,12 +30,16 @@
 }
 
 impl Process {
+    /// Starts a program, whose output goes to a new file of the directory `TEST_LOGS`, if that is set.
     pub fn start(program: &str, arguments: &[String]) -> Self {
+        let output = std::env::var_os("TEST_LOGS").map_or_else(Stdio::null, |directory| {
+            let number = NEXT_LOG.fetch_add(1, Ordering::Relaxed);
+            let name = format!("{}-{number}.log", std::process::id());
+            let path = Path::new(&directory).join(name);
+            File::create(path).expect("the log is created").into()
+        });
         let mut command = Command::new(program);
-        command
-            .args(arguments)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null());
+        command.args(arguments).stdin(Stdio::null()).stdout(output);
         Self {
             child: command.spawn().expect("the program starts"),
         }
