--- a/crates/fakes/src/site/target.rs
+++ b/crates/fakes/src/site/target.rs
@@ -13,12 +13,13 @@
     serde::Deserialize,
     serde_json::json,
     smol::{
-        Task, Timer, channel,
+        Task, Timer, channel, future,
         net::{TcpListener, TcpStream},
     },
     socket2::SockRef,
     std::{
         collections::HashSet,
+        convert::Infallible,
         io,
         net::SocketAddr,
         sync::{Arc, Mutex},
@@ -86,7 +87,9 @@
     pub notices: Vec<(&'static str, String)>,
     /// Shared part of a prompt on which an engine crashes as it begins to answer.
     pub crashes_on: Option<Box<str>>,
-    /// Time after which an engine that crashed on a prompt accepts connections again.
+    /// Path and body of a request on which the target crashes as it begins to run it.
+    pub crashes_on_request: Option<(Box<str>, Box<str>)>,
+    /// Time after which a target that crashed on a request accepts connections again.
     pub recovery: Duration,
 }
 
@@ -108,6 +111,7 @@
             leaves: false,
             notices: Vec::new(),
             crashes_on: None,
+            crashes_on_request: None,
             recovery: Duration::from_secs(1),
         }
     }
@@ -152,6 +156,18 @@
     parts.any(|id| id.is_some_and(|id| id.trim() == part))
 }
 
+/// The part of a target that ends with a crash.
+#[derive(Debug)]
+struct Server {
+    listener: TcpListener,
+    /// Accepts connections; `None` while the target stalls.
+    acceptor: Option<Task<io::Result<()>>>,
+    /// Closed at the end of `_lifetime`.
+    end: channel::Receiver<Infallible>,
+    /// Its end breaks off the requests whose responses have not begun.
+    _lifetime: channel::Sender<Infallible>,
+}
+
 #[derive(Debug)]
 struct State {
     instance: Box<str>,
@@ -166,17 +182,15 @@
     copied_to: Vec<SocketAddr>,
     /// When the target crashed.
     crashes: Vec<Instant>,
-    /// When it crashed on a prompt.
+    /// When it crashed on a request.
     bad_crashes: Vec<Instant>,
     /// Whether it crashed for good.
     is_gone: bool,
     copies: Copies,
-    /// Accepts connections; `None` after a crash.
-    server: Option<Task<io::Result<()>>>,
+    /// `None` after a crash.
+    server: Option<Server>,
     /// Address that the target listens on.
     listen: SocketAddr,
-    /// `None` after a crash.
-    listener: Option<TcpListener>,
     /// Until when the target neither sends events nor accepts connections.
     stalled_until: Option<Instant>,
 }
@@ -227,7 +241,6 @@
             copies: Arc::clone(copies),
             server: None,
             listen: address,
-            listener: None,
             stalled_until: None,
         }));
         accept(&state, listener);
@@ -248,7 +261,7 @@
         lock(&self.state).behaviour = behaviour;
     }
 
-    /// Crashes the target: streams are aborted and no new connection is accepted.
+    /// Crashes the target: what it runs is broken off and no new connection is accepted.
     pub fn crash(&self) {
         lock(&self.state).is_gone = true;
         crash(&self.state);
@@ -268,15 +281,14 @@
         let until = Instant::now() + duration;
         let listener = {
             let mut state = lock(&self.state);
-            state.server.take();
             state.stalled_until = Some(until);
-            state.listener.clone()
-        };
-        let Some(listener) = listener else {
-            return Ok(());
+            let Some(server) = &mut state.server else {
+                return Ok(());
+            };
+            server.acceptor = None;
+            server.listener.clone()
         };
-        let socket = SockRef::from(&listener);
-        socket.listen(0)?;
+        SockRef::from(&listener).listen(0)?;
         let address = listener.local_addr()?;
         let pending = [TcpStream::connect(address), TcpStream::connect(address)];
         let state = Arc::downgrade(&self.state);
@@ -284,27 +296,25 @@
             let mut pending = pending.map(Box::pin);
             for connection in &mut pending {
                 // The second one stays in the queue of the kernel and connects only afterwards.
-                drop(smol::future::poll_once(connection).await);
+                drop(future::poll_once(connection).await);
             }
             Timer::at(until).await;
             drop(pending);
-            let socket = SockRef::from(&listener);
-            if let Err(error) = socket.listen(LISTEN_BACKLOG) {
+            if let Err(error) = SockRef::from(&listener).listen(LISTEN_BACKLOG) {
                 log::warn!(target: "fake", error:% = error; "failed to accept connections again");
             }
-            let Some(state) = state.upgrade() else {
-                return;
-            };
-            let has_crashed = lock(&state).listener.is_none();
-            if !has_crashed {
-                accept(&state, listener);
+            if let Some(state) = state.upgrade()
+                && let Some(server) = &mut lock(&state).server
+                && server.acceptor.is_none()
+            {
+                server.acceptor = Some(spawn_acceptor(&state, listener, server.end.clone()));
             }
         })
         .detach();
         Ok(())
     }
 
-    /// Returns when the target crashed on a prompt.
+    /// Returns when the target crashed on a request.
     pub fn bad_crashes(&self) -> Vec<Instant> {
         lock(&self.state).bad_crashes.clone()
     }
@@ -347,32 +357,54 @@
 impl Drop for Target {
     fn drop(&mut self) {
         // The server refers to the state, which would keep it running.
-        let mut state = lock(&self.state);
-        state.server.take();
-        state.listener.take();
+        lock(&self.state).server.take();
     }
 }
 
 /// Accepts connections until the target crashes.
 fn accept(state: &Arc<Mutex<State>>, listener: TcpListener) {
-    let handler_state = Arc::clone(state);
-    lock(state).listener = Some(listener.clone());
-    let server = http::serve(listener, move |request| {
-        handle(Arc::clone(&handler_state), request)
+    let (lifetime, end) = channel::bounded::<Infallible>(1);
+    let acceptor = spawn_acceptor(state, listener.clone(), end.clone());
+    lock(state).server = Some(Server {
+        listener,
+        acceptor: Some(acceptor),
+        end,
+        _lifetime: lifetime,
     });
-    lock(state).server = Some(smol::spawn(server));
 }
 
-fn crash(state: &Mutex<State>) {
+/// Accepts connections whose requests are broken off at the `end` of the server.
+fn spawn_acceptor(
+    state: &Arc<Mutex<State>>,
+    listener: TcpListener,
+    end: channel::Receiver<Infallible>,
+) -> Task<io::Result<()>> {
+    let state = Arc::clone(state);
+    smol::spawn(http::serve(listener, move |request| {
+        let (state, end) = (Arc::clone(&state), end.clone());
+        let crashed = async move {
+            let _ = end.recv().await;
+            Err(http::aborted())
+        };
+        future::or(crashed, handle(state, request))
+    }))
+}
+
+/// Crashes the target; returns whether it was running.
+fn crash(state: &Mutex<State>) -> bool {
     let mut state = lock(state);
-    state.server.take();
-    state.listener.take();
-    state.crashes.push(Instant::now());
+    let was_running = state.server.take().is_some();
+    if was_running {
+        state.crashes.push(Instant::now());
+    }
+    was_running
 }
 
-/// Crashes the target and restarts it after `recovery`.
-fn crash_and_recover(state: &Arc<Mutex<State>>, recovery: Duration) {
-    crash(state);
+/// Crashes the target and restarts it after `recovery`; returns whether it was running.
+fn crash_and_recover(state: &Arc<Mutex<State>>, recovery: Duration) -> bool {
+    if !crash(state) {
+        return false;
+    }
     let state = Arc::downgrade(state);
     smol::spawn(async move {
         loop {
@@ -394,6 +426,15 @@
         }
     })
     .detach();
+    true
+}
+
+/// Crashes the target on a request.
+fn crash_on_request(state: &Arc<Mutex<State>>, recovery: Duration) {
+    let now = Instant::now();
+    if crash_and_recover(state, recovery) {
+        lock(state).bad_crashes.push(now);
+    }
 }
 
 async fn handle(state: Arc<Mutex<State>>, request: Request) -> HandlerResult {
@@ -460,6 +501,10 @@
         return Ok(stream(Arc::clone(state), behaviour, &attempt, &request));
     }
     Timer::after(behaviour.delay).await;
+    if is_crashing(&behaviour, &request) {
+        crash_on_request(state, behaviour.recovery);
+        return Err(http::aborted());
+    }
     if behaviour.drops_response {
         return Err(http::aborted());
     }
@@ -484,6 +529,19 @@
     Ok(response)
 }
 
+/// Returns whether a target with this behaviour crashes as it begins to run a request.
+fn is_crashing(behaviour: &Behaviour, request: &Request) -> bool {
+    let has_part = |part: &str| has_shared_part(request.header("x-prefix-hash"), part);
+    let is_request = |(path, body): &(Box<str>, Box<str>)| {
+        *path == request.path && *body.as_bytes() == *request.body
+    };
+    behaviour.crashes_on.as_deref().is_some_and(has_part)
+        || behaviour
+            .crashes_on_request
+            .as_ref()
+            .is_some_and(is_request)
+}
+
 /// Returns the error that ends a body that is broken off; `None` if its framing is completed.
 fn break_error(kind: Break) -> Option<io::Error> {
     match kind {
@@ -567,9 +625,7 @@
     let answered = answered.unwrap_or_else(|| attempt.clone());
     let events = (first_id..behaviour.events).map(|id| event(id, &behaviour.mark));
     let length = events.map(|event| event.len()).sum();
-    let crashing_part = behaviour.crashes_on.as_deref();
-    let crashes =
-        crashing_part.is_some_and(|part| has_shared_part(request.header("x-prefix-hash"), part));
+    let crashes = is_crashing(&behaviour, request);
     smol::spawn(async move {
         lock(&state).active_streams += 1;
         let is_cancelled = send_events(&state, &behaviour, first_id, crashes, &sender)
@@ -604,8 +660,7 @@
     let crash_count = lock(state).crashes.len();
     Timer::after(behaviour.delay).await;
     if crashes && lock(state).crashes.len() == crash_count {
-        lock(state).bad_crashes.push(Instant::now());
-        crash_and_recover(state, behaviour.recovery);
+        crash_on_request(state, behaviour.recovery);
     }
     for id in first_id..behaviour.events {
         let stalled_until = lock(state).stalled_until;
