test(drain): requests that a draining VM takes late and cuts

Cause: what a VM takes while it drains is decided once, at arrival, for generations only and by an estimate that knows nothing of slow engines. Idle connections stay open until the exit, and the exit cuts what is in progress without an answer.

--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -73,8 +73,8 @@
     pub status: StatusCode,
     body: Incoming,
     headers: HeaderMap,
-    /// Drives the connection, which is closed when this is dropped.
-    _driver: smol::Task<()>,
+    /// Drives a connection of its own, which is closed when this is dropped.
+    driver: Option<smol::Task<()>>,
 }
 
 impl PendingResponse {
@@ -377,12 +377,43 @@
     path: &str,
     headers: &[(&str, &str)],
 ) -> Result<PendingResponse, Box<dyn std::error::Error>> {
-    smol::block_on(async {
-        let stream = smol::net::TcpStream::connect(address).await?;
-        let (mut sender, connection) = http1::handshake(FuturesIo::new(stream)).await?;
-        let driver = smol::spawn(async move {
-            let _ = connection.await;
-        });
+    let mut connection = Connection::open(address)?;
+    let mut response = connection.send(method, path, headers)?;
+    response.driver = Some(connection.driver);
+    Ok(response)
+}
+
+/// A client's connection, which is used for one request after the other.
+pub struct Connection {
+    sender: http1::SendRequest<Full<bytes::Bytes>>,
+    driver: smol::Task<()>,
+}
+
+impl Connection {
+    /// Opens a connection to a gateway.
+    pub fn open(address: SocketAddr) -> Result<Self, Box<dyn std::error::Error>> {
+        smol::block_on(async {
+            let stream = smol::net::TcpStream::connect(address).await?;
+            let (sender, connection) = http1::handshake(FuturesIo::new(stream)).await?;
+            let driver = smol::spawn(async move {
+                let _ = connection.await;
+            });
+            Ok(Self { sender, driver })
+        })
+    }
+
+    /// Returns whether the gateway has closed the connection.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Sends a request and returns the response with its body unread.
+    pub fn send(
+        &mut self,
+        method: &Method,
+        path: &str,
+        headers: &[(&str, &str)],
+    ) -> Result<PendingResponse, Box<dyn std::error::Error>> {
         let mut request = Request::builder()
             .method(method)
             .uri(path)
@@ -394,15 +425,15 @@
             request = request.header(*name, *value);
         }
         let request = request.body(Full::new(bytes::Bytes::from_static(b"the body")))?;
-        let response = sender.send_request(request).await?;
+        let response = smol::block_on(self.sender.send_request(request))?;
         let (parts, body) = response.into_parts();
         Ok(PendingResponse {
             status: parts.status,
             headers: parts.headers,
             body,
-            _driver: driver,
+            driver: None,
         })
-    })
+    }
 }
 
 /// Reads the body of a response to its end.
