fix(drain): take only what ends before the VM stops, before each send

What clients saw: requests that were sent to a VM long after SIGTERM were taken and given up: plain ones and streams cut in the middle, others without any answer.

Cause: the check looked at generations only, once, at arrival, and at an estimate that supposed engines of normal speed. A request that waited for room or was sent again wasn't looked at again. Idle connections stayed open until the exit, so clients went on using them; connections that came after the decision to exit were reset, and what was read just before the exit was passed on. The exit cut what had not been answered.

Change: one check for all routes, before each time a request would be sent to a target; never for what a target may have run, which goes on. A request whose deadline lies within the drain is certain to end and is taken. Others are taken in the first part of the drain only, while the load balancer may send a refused client here again, and only if 1.25 times the longest of the route's last 32 durations fits, and the objective with the expected tokens. After the first part, connections are closed that have been silent for 250 ms and on which no request has begun; hyper would close one with half a head in its buffer. The process ends when no connection is left, which also covers responses that are still being written, and refuses what comes from then on. At the end of the drain what is unanswered gets 503 if it was not sent and 502 if it may have run. Each send and each refusal during a drain has a line `drain`.

Why it works: after the first part nothing rests on an estimate, and in it the estimate is the worst of what the VM itself has measured lately on that route.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,8 @@
 
 pub mod budget;
 pub mod configuration;
+pub mod drain;
+pub mod duration;
 pub mod frame;
 pub mod length;
 pub mod limit;
@@ -20,7 +22,8 @@
 pub mod waiting;
 
 pub use {
-    budget::Budget, configuration::Configuration, frame::Splitter, length::Lengths, limit::Limits,
-    listing::Listing, load::Load, origin::Origins, peers::Peers, placement::Placement,
-    quarantine::Quarantine, request::Generation, waiting::Queues,
+    budget::Budget, configuration::Configuration, drain::Drain, duration::Durations,
+    frame::Splitter, length::Lengths, limit::Limits, listing::Listing, load::Load, origin::Origins,
+    peers::Peers, placement::Placement, quarantine::Quarantine, request::Generation,
+    waiting::Queues,
 };
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -1,5 +1,6 @@
 //! Client side: connections, requests and responses.
 
+pub mod activity;
 pub mod answer;
 pub mod buffer;
 pub mod evacuation;
--- a/crates/gateway/src/clients/exchange.rs
+++ b/crates/gateway/src/clients/exchange.rs
@@ -52,6 +52,9 @@
 /// off are safe elsewhere.
 const REPEAT_DELAY: Duration = Duration::from_millis(150);
 
+/// Factor by which a request may take longer than planned and than any lately on its route.
+const DURATION_MARGIN: f64 = 1.25;
+
 /// A routed request.
 #[derive(Debug)]
 pub struct Exchange {
@@ -130,8 +133,57 @@
         }
     }
 
+    /// Returns whether this VM stops before the request would end if it is sent to a target now.
+    ///
+    /// `planned` is the least time that it is expected to take. What a target may have run already
+    /// can't be left to another VM, and goes on.
+    pub fn outlasts_drain(&self, planned: Duration) -> bool {
+        let Some(drain) = self.shared.drain.current() else {
+            return false;
+        };
+        let has_run = self.runs.load(Ordering::Relaxed) > 0;
+        !has_run && !drain.admits(self.shared.now(), self.deadline, self.estimate(planned))
+    }
+
+    /// Checks that the request would end before this VM stops, before it is sent to a target.
+    ///
+    /// # Errors
+    /// Returns a refusal that sends the client to another VM if it wouldn't.
+    pub fn check_drain(&self, planned: Duration) -> Result<(), Refusal> {
+        if !self.outlasts_drain(planned) {
+            return Ok(());
+        }
+        let now = self.shared.now();
+        let drain_end = self.shared.drain.current().map(|drain| drain.end);
+        log::info!(
+            target: "drain", request:% = self.head.attempt_id, route:% = self.route.name, is_sent = false,
+            drain_ms = drain_end.map_or(0, |end| end.since(now).as_millis() as u64),
+            remaining_ms = self.remaining().as_millis() as u64,
+            estimate_ms = self.estimate(planned).as_millis() as u64;
+            "request left to another VM"
+        );
+        let message = "this VM stops before the answer would end";
+        Err(Refusal::not_run(Reason::NotReady, message).retry_after(Duration::ZERO))
+    }
+
+    /// Returns how long the request is expected to take.
+    fn estimate(&self, planned: Duration) -> Duration {
+        let longest = self.shared.dispatcher.longest_duration(&self.route.name);
+        longest
+            .map_or(planned, |longest| longest.max(planned))
+            .mul_f64(DURATION_MARGIN)
+    }
+
     /// Records that a target may receive the request from now on.
     pub fn mark_sent(&self) {
+        if let Some(drain) = self.shared.drain.current() {
+            log::info!(
+                target: "drain", request:% = self.head.attempt_id, route:% = self.route.name, is_sent = true,
+                drain_ms = drain.end.since(self.shared.now()).as_millis() as u64,
+                remaining_ms = self.remaining().as_millis() as u64;
+                "request sent while this VM stops"
+            );
+        }
         self.is_sent.store(true, Ordering::Relaxed);
     }
 
@@ -216,13 +268,17 @@
 
     /// Records the request's outcome in the metrics.
     pub fn record_outcome(&self, outcome: Outcome, reason: &str) {
-        let now = self.shared.now();
-        self.shared.metrics.record_request(
-            &self.route.name,
-            outcome,
-            reason,
-            now.since(self.arrived),
-        );
+        let route = &self.route.name;
+        let duration = self.shared.now().since(self.arrived);
+        let dispatcher = &self.shared.dispatcher;
+        match outcome {
+            Outcome::Served => dispatcher.record_duration(route, duration),
+            Outcome::Failed | Outcome::Left => dispatcher.record_failed_duration(route, duration),
+            Outcome::Refused => {}
+        }
+        self.shared
+            .metrics
+            .record_request(route, outcome, reason, duration);
     }
 }
 
@@ -231,7 +287,11 @@
     let is_draining = shared.drain.is_draining();
     let knows_chunks = request.version() >= Version::HTTP_11;
     let attempt_id: Box<str> = platform::request::attempt_id(request.headers()).into();
-    let mut response = match accept(&shared, request).await {
+    let accepted = smol::future::or(accept(&shared, request), async {
+        shared.drain.wait_for_end().await;
+        Err(stop_refusal())
+    });
+    let mut response = match accepted.await {
         Ok(exchange) => respond(Arc::new(exchange)).await,
         Err(refusal) => {
             log::info!(
@@ -354,6 +414,14 @@
             plain::serve(&exchange).await
         }
     };
+    let response = smol::future::or(response, async {
+        exchange.shared.drain.wait_for_end().await;
+        Err(if exchange.is_sent.load(Ordering::Relaxed) {
+            Refusal::may_have_run(Reason::NotReady, "this VM has stopped")
+        } else {
+            stop_refusal()
+        })
+    });
     let result = with_timeout(exchange.remaining(), response).await;
     let refusal = match result.unwrap_or_else(|| Err(timeout_refusal(&exchange))) {
         Ok(response) => return response,
@@ -376,6 +444,11 @@
     answer::refusal(&refusal)
 }
 
+/// The refusal of a request that was not sent to a target when the drain ended.
+fn stop_refusal() -> Refusal {
+    Refusal::not_run(Reason::NotReady, "this VM has stopped").retry_after(Duration::ZERO)
+}
+
 fn timeout_refusal(exchange: &Exchange) -> Refusal {
     if exchange.is_sent.load(Ordering::Relaxed) {
         Refusal::may_have_run(Reason::Deadline, "the time is over")
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -64,6 +64,8 @@
     pub generation: Generation,
     /// Estimated output length in tokens.
     pub estimated_tokens: u32,
+    /// Estimated duration at engines that are as fast as they should be.
+    pub duration: Duration,
 }
 
 impl Plan {
@@ -99,14 +101,17 @@
 /// The refusal's verdict states whether the request may have run.
 pub async fn serve(exchange: &Arc<Exchange>) -> Result<Response<Body>, Refusal> {
     let plan = plan(exchange);
-    refuse_if_outlasting_drain(exchange, &plan)?;
+    exchange.check_drain(plan.duration)?;
     resumption::check(exchange)?;
     exchange.check_quarantine()?;
     let mut excluded = Vec::new();
     let mut attempts = 0;
     let mut last_refusal: Option<Refusal> = None;
     while attempts < MAX_ATTEMPTS {
-        let (target, reservation) = match wait_for_capacity(exchange, &plan, &excluded).await {
+        let reserved = wait_for_capacity(exchange, &plan, &excluded).await;
+        // Meanwhile this VM may have begun to stop.
+        exchange.check_drain(plan.duration)?;
+        let (target, reservation) = match reserved {
             Ok(reserved) => reserved,
             // An earlier engine's refusal is more informative than the lack of capacity elsewhere.
             Err(refusal) => {
@@ -157,33 +162,22 @@
     }))
 }
 
-/// Refuses a request whose response would outlast the drain, so that the client tries another VM.
-fn refuse_if_outlasting_drain(exchange: &Exchange, plan: &Plan) -> Result<(), Refusal> {
-    let shared = &exchange.shared;
-    if !shared.drain.is_draining() {
-        return Ok(());
-    }
-    let duration = exchange.route.latency_objective + TOKEN_INTERVAL * plan.estimated_tokens;
-    if duration < shared.drain.remaining(shared.now()) {
-        return Ok(());
-    }
-    let refusal = Refusal::not_run(
-        Reason::NotReady,
-        "this VM stops before the answer would end",
-    );
-    Err(refusal.retry_after(Duration::ZERO))
-}
-
 fn plan(exchange: &Exchange) -> Plan {
+    let dispatcher = &exchange.shared.dispatcher;
+    let route = &exchange.route;
     let generation = exchange.head.generation.unwrap_or_default();
     let service = exchange.published.configuration.service(exchange.service);
+    let estimated_tokens = dispatcher.estimate_tokens(&route.name, &generation);
+    // Before any output of the route is known, only the permitted length is certain.
+    let expected_tokens = match dispatcher.longest_duration(&route.name) {
+        Some(_) => estimated_tokens,
+        None => estimated_tokens.max(generation.max_tokens),
+    };
     Plan {
         engine: service.and_then(|service| service.engine),
-        estimated_tokens: exchange
-            .shared
-            .dispatcher
-            .estimate_tokens(&exchange.route.name, &generation),
         generation,
+        estimated_tokens,
+        duration: route.latency_objective + TOKEN_INTERVAL * expected_tokens,
     }
 }
 
@@ -230,7 +224,7 @@
         {
             return Ok(reserved);
         }
-        if now >= wait_deadline {
+        if now >= wait_deadline || exchange.outlasts_drain(plan.duration) {
             let delay = shared.dispatcher.retry_delay(service);
             return Err(Refusal::not_run(Reason::NoTarget, "no engine had room").retry_after(delay));
         }
--- a/crates/gateway/src/clients/listener.rs
+++ b/crates/gateway/src/clients/listener.rs
@@ -1,7 +1,13 @@
 //! Accepts client connections and serves HTTP/1 on them.
 
 use {
-    crate::{Shared, clients::exchange},
+    crate::{
+        Shared,
+        clients::{
+            activity::{Activity, Observed},
+            exchange,
+        },
+    },
     hyper::{server::conn::http1, service::service_fn},
     smol::{
         Timer,
@@ -15,6 +21,13 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Time that an idle connection stays open beyond the idle timeout promised to clients.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Time for which a connection must have been silent before a stopping VM closes it.
+///
+/// A client that sends one request after the other is told by a response that it ends; a request
+/// that crosses the close would be lost.
+const LINGER_TIME: Duration = Duration::from_millis(250);
+/// Interval between checks of a connection that is to be closed.
+const LINGER_POLL_INTERVAL: Duration = Duration::from_millis(25);
 /// Minimum read buffer size that `hyper` permits, in bytes.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 << 10;
 
@@ -47,10 +60,22 @@
         .map(|published| *published.configuration.limits());
     let limits = limits.unwrap_or_default();
     let drain = Arc::clone(&shared.drain);
+    let _guard = drain.connect();
+    let activity = Arc::new(Activity::new(Arc::clone(&shared.clock)));
+    let stream = Observed {
+        stream,
+        activity: Arc::clone(&activity),
+    };
+    let service_activity = Arc::clone(&activity);
     let service = service_fn(move |request| {
         let shared = Arc::clone(&shared);
-        // Boxed, so that an idle connection doesn't hold the memory of a request.
-        async move { Ok::<_, Infallible>(Box::pin(exchange::serve(shared, request)).await) }
+        let activity = Arc::clone(&service_activity);
+        async move {
+            // Boxed, so that an idle connection doesn't hold the memory of a request.
+            let response = Box::pin(exchange::serve(shared, request)).await;
+            activity.record_response();
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
@@ -61,6 +86,9 @@
     let mut connection = pin!(connection);
     let result = smol::future::or(async { Some(connection.as_mut().await) }, async {
         drain.wait_for_close().await;
+        while !activity.is_quiet(LINGER_TIME) {
+            Timer::after(LINGER_POLL_INTERVAL).await;
+        }
         None
     });
     let result = if let Some(result) = result.await {
--- a/crates/gateway/src/clients/plain.rs
+++ b/crates/gateway/src/clients/plain.rs
@@ -60,6 +60,7 @@
         match attempt {
             Attempt::Answered(parts, body) => {
                 self.runs += 1;
+                exchange.record_run();
                 let is_error = parts.status.is_server_error();
                 self.answer = Some((parts, body));
                 !is_error || !is_idempotent || self.runs >= exchange.route.max_attempts
@@ -74,6 +75,7 @@
             }
             Attempt::Lost(message) => {
                 self.runs += 1;
+                exchange.record_run();
                 self.failure = Some(Failure::may_have_run(message));
                 !is_idempotent || self.runs >= exchange.route.max_attempts
             }
@@ -100,7 +102,11 @@
 /// The refusal's verdict states whether the request may have run.
 pub async fn serve(exchange: &Exchange) -> Result<Response<Body>, Refusal> {
     let mut attempts = Attempts::default();
-    while let Some((target, reservation)) = attempts.reserve_next(exchange) {
+    loop {
+        exchange.check_drain(exchange.route.latency_objective)?;
+        let Some((target, reservation)) = attempts.reserve_next(exchange) else {
+            break;
+        };
         if send_hedged(exchange, &mut attempts, target, reservation).await {
             break;
         }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -18,7 +18,7 @@
         targets::{client::Client, directory::Directory, dispatcher::Dispatcher},
     },
     arc_swap::ArcSwap,
-    base::{clock, key},
+    base::{Instant, clock, key},
     config::Gateway,
     dispatch::budget::Policy,
     entry::{Error, logs, runtime::Runtime},
@@ -31,16 +31,16 @@
     },
 };
 
-/// Minimum duration of a drain, during which new connections are still accepted.
+/// Duration of a drain's first part, in which new connections are still expected.
 ///
 /// The load balancer removes a VM after two failed health checks, which it makes once a second; the
 /// rest is a margin. Half of the grace period is the upper bound.
 const MIN_DRAIN_TIME: Duration = Duration::from_millis(3_200);
-/// Time between the last response and the end of the process, for buffered bytes to be sent.
+/// Time between the end of the drain and of the process, for responses to be sent.
 const FLUSH_DELAY: Duration = Duration::from_millis(100);
 /// Part of the grace period that is left after the drain to close connections and exit.
 const GRACE_RESERVE: Duration = Duration::from_millis(400);
-/// Interval between checks of the requests in flight.
+/// Interval between checks of what is in progress.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
 /// A running gateway.
@@ -106,25 +106,35 @@
         self.shared.settings.store(Arc::new(settings));
     }
 
-    /// Drains the process: reports unready immediately, then waits for the requests in flight.
+    /// Drains the process: reports unready immediately, then waits for what is in progress.
     pub async fn stop(&self) {
         let shared = &self.shared;
+        let drain = &shared.drain;
         let started = shared.now();
         let grace = shared.settings.load().promises.grace;
-        let deadline = started + grace.saturating_sub(GRACE_RESERVE);
-        shared.drain.start(deadline);
-        log::info!(target: "stop", in_flight = shared.drain.in_flight(); "draining");
-        let earliest = started + MIN_DRAIN_TIME.min(grace / 2);
-        loop {
-            let now = shared.now();
-            if now >= deadline || now >= earliest && shared.drain.in_flight() == 0 {
-                break;
-            }
+        let end = started + grace.saturating_sub(GRACE_RESERVE);
+        let first_part = MIN_DRAIN_TIME.min(grace / 2);
+        drain.start(dispatch::Drain {
+            first_part_end: started + first_part,
+            end,
+        });
+        log::info!(target: "stop", in_flight = drain.in_flight(), connections = drain.connections(); "draining");
+        Timer::after(first_part).await;
+        drain.close_connections();
+        self.wait_until(end, || drain.connections() == 0).await;
+        drain.refuse_all(shared.now());
+        // A request may have been taken just before.
+        self.wait_until(end, || drain.in_flight() == 0).await;
+        drain.end();
+        Timer::after(FLUSH_DELAY).await;
+        log::info!(target: "stop", in_flight = drain.in_flight(), connections = drain.connections(); "stopped");
+    }
+
+    /// Waits for a condition until `deadline` at the latest.
+    async fn wait_until(&self, deadline: Instant, condition: impl Fn() -> bool) {
+        while !condition() && self.shared.now() < deadline {
             Timer::after(DRAIN_POLL_INTERVAL).await;
         }
-        shared.drain.close_connections();
-        Timer::after(FLUSH_DELAY).await;
-        log::info!(target: "stop", in_flight = shared.drain.in_flight(); "stopped");
     }
 }
 
--- a/crates/gateway/src/targets/dispatcher.rs
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -4,7 +4,7 @@
     base::{Clock, Instant, key},
     derive_more::Debug,
     dispatch::{
-        Budget, Generation, Lengths, Limits, Load, Peers, Placement,
+        Budget, Durations, Generation, Lengths, Limits, Load, Peers, Placement,
         budget::Policy,
         listing::Target,
         placement::{Basis, Query, RunId},
@@ -32,6 +32,7 @@
 struct State {
     placement: Placement,
     lengths: Lengths,
+    durations: Durations,
     budgets: HashMap<key::Service, Budget>,
     queues: Queues,
     limits: Limits,
@@ -81,6 +82,7 @@
             state: Arc::new(Mutex::new(State {
                 placement: Placement::new(seed),
                 lengths: Lengths::default(),
+                durations: Durations::default(),
                 budgets: HashMap::new(),
                 queues: Queues::default(),
                 limits: Limits::new(seed),
@@ -327,6 +329,21 @@
         self.lock().lengths.record(route, tokens);
     }
 
+    /// Records how long a request took that was served.
+    pub fn record_duration(&self, route: &str, duration: Duration) {
+        self.lock().durations.record(route, duration);
+    }
+
+    /// Records after which time a request failed.
+    pub fn record_failed_duration(&self, route: &str, duration: Duration) {
+        self.lock().durations.record_failure(route, duration);
+    }
+
+    /// Returns how long a route's requests have taken lately at most; `None` if none has ended.
+    pub fn longest_duration(&self, route: &str) -> Option<Duration> {
+        self.lock().durations.longest(route)
+    }
+
     /// Counts a client request towards the retry budget of its service.
     pub fn record_request(&self, service: key::Service, now: Instant) {
         let budgets = &mut self.lock().budgets;
