feat(gateway): log the fingerprint of a request

`sent` and `moved` now name the fingerprint, a hash of method, host, path, customer and body; bodies are not logged.

--- a/crates/base/src/key.rs
+++ b/crates/base/src/key.rs
@@ -6,7 +6,7 @@
 use {
     derive_more::{Debug, Display},
     serde::{Deserialize, Serialize},
-    xxhash_rust::xxh3::xxh3_64,
+    xxhash_rust::xxh3::{Xxh3, xxh3_64},
 };
 
 macro_rules! keys {
@@ -56,4 +56,18 @@
     Request;
     /// A part of a prompt that several requests may share.
     Part;
+    /// What a request consists of, so that one that comes again word for word has the same.
+    Fingerprint;
+}
+
+impl Fingerprint {
+    /// Returns the key of a request with these fields.
+    pub fn of_fields(fields: &[&[u8]]) -> Self {
+        let mut hasher = Xxh3::new();
+        for field in fields {
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field);
+        }
+        Self(hasher.digest())
+    }
 }
--- a/crates/gateway/src/clients/exchange.rs
+++ b/crates/gateway/src/clients/exchange.rs
@@ -70,6 +70,8 @@
     pub customer: Option<Box<str>>,
     /// Metadata from the request's headers.
     pub head: Head,
+    /// What the request consists of: method, path, customer and body.
+    pub fingerprint: key::Fingerprint,
     /// Arrival time.
     pub arrived: Instant,
     /// Time at which the request is abandoned.
@@ -374,9 +376,16 @@
             "the body did not come in time",
         ))
     })?;
-    let uri = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    let uri = uri.parse();
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let uri = path.parse();
     let uri = uri.map_err(|_error| Refusal::not_run(Reason::BadRequest, "the path is no path"))?;
+    let fingerprint = key::Fingerprint::of_fields(&[
+        parts.method.as_str().as_bytes(),
+        host.as_bytes(),
+        path.as_bytes(),
+        customer.as_deref().unwrap_or_default().as_bytes(),
+        &body,
+    ]);
     shared.dispatcher.record_request(service, arrived);
     Ok(Exchange {
         shared: Arc::clone(shared),
@@ -384,6 +393,7 @@
         service,
         customer,
         head,
+        fingerprint,
         arrived,
         deadline: arrived + timeout,
         method: parts.method,
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -436,7 +436,7 @@
         prefill = basis.load.pending_prefill, told = occupancy,
         limit = parse_limit(headers).unwrap_or_default(), waited_ms = waited.as_millis() as u64,
         candidates = basis.candidates, cost_ms = basis.cost as u64,
-        vms = exchange.shared.dispatcher.live_vms(), parts = exchange.shared_parts(),
+        vms = exchange.shared.dispatcher.live_vms(), parts = exchange.shared_parts(), fingerprint:% = exchange.fingerprint,
         customer = exchange.customer.as_deref().unwrap_or_default(),
         elapsed_ms = exchange.shared.now().since(exchange.arrived).as_millis() as u64;
         "generation sent to an engine"
--- a/crates/gateway/src/clients/plain.rs
+++ b/crates/gateway/src/clients/plain.rs
@@ -285,7 +285,7 @@
     };
     log::info!(
         target: "sent", request:% = exchange.head.attempt_id, route:% = exchange.route.name,
-        instance:% = target.instance, outcome, detail, limit,
+        instance:% = target.instance, outcome, detail, limit, fingerprint:% = exchange.fingerprint,
         elapsed_ms = now.since(exchange.arrived).as_millis() as u64;
         "request sent to a target"
     );
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -555,7 +555,7 @@
             release:% = target.release, events = self.events, backup = self.source.backup().map_or("", |backup| &*backup.instance),
             reason:% = reason, framing:% = self.framing, incomplete_bytes = self.splitter.rest_len(),
             silent_ms = now.since(self.last_received).as_millis() as u64,
-            parts = exchange.shared_parts(), customer = exchange.customer.as_deref().unwrap_or_default(),
+            parts = exchange.shared_parts(), fingerprint:% = exchange.fingerprint, customer = exchange.customer.as_deref().unwrap_or_default(),
             answered_ms = now.since(self.attached_at).as_millis() as u64;
             "engine lost while streaming"
         );
