--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -1,19 +1,20 @@
-//! Finds parts of prompts on which engines crash, and holds back the requests that contain them.
+//! Finds what requests carry along that crashes their targets, and holds back such requests.
 //!
-//! An engine may crash whenever it begins to answer a prompt that contains a certain part. If such
-//! requests are sent on, they take down one engine after the other, and with each of them all that
-//! it runs.
+//! A target may crash whenever it begins to run a certain request, whoever repeats that, or, an
+//! engine, to answer a prompt that contains a certain part. If such requests are sent on, they take
+//! down one target after the other, and with each of them all that it runs.
 //!
-//! A *loss* is an engine that broke off streams which it had not begun or had only just begun to
-//! answer; their parts are suspects. Each VM tells the others about its losses, and which suspects
-//! its engines have survived. A part is quarantined if it explains several losses that are apart in
-//! time and engines rarely survive it. A part that was only present is cleared: either engines
-//! survive it, or another part explains all its losses, or it may have its losses by chance because
-//! engines are lost as often without it. A quarantine ends with a trial, one request of the whole
-//! deployment; it is prolonged if the engine is lost again.
+//! A *loss* is a target that broke off requests which it had not begun or had only just begun to
+//! answer; their features are suspects: the parts of the prompt, and the request itself. Each VM
+//! tells the others about its losses, and which suspects its targets have survived. A feature is
+//! quarantined if it explains several losses that are apart in time and targets rarely survive it. A
+//! feature that was only present is cleared: either targets survive it, or another feature explains
+//! all its losses, or it may have its losses by chance because requests without it are lost as
+//! often. A quarantine ends with a trial, one request of the whole deployment; it is prolonged if the
+//! target is lost again.
 
 use {
-    crate::report::{Evidence, Loss, Quarantined, Survival},
+    crate::report::{Evidence, Loss, Quarantined, Survival, Survived},
     base::{Instant, key, rendezvous},
     derive_more::Display,
     std::{
@@ -22,19 +23,25 @@
     },
 };
 
-/// Losses, apart in time, that a part must explain to be quarantined.
-const MIN_LOSSES: usize = 4;
-/// The same for a part that engines used to survive.
+/// Losses, apart in time, that a part of prompts must explain to be quarantined.
+const MIN_PART_LOSSES: usize = 4;
+/// Losses that a request must explain to be quarantined.
+///
+/// Other requests share its parts, but nothing else shares its fingerprint.
+const MIN_REQUEST_LOSSES: usize = 3;
+/// Number of times, apart from each other, at which these must have happened.
+const MIN_REQUEST_EPISODES: usize = 2;
+/// Losses, apart in time, that a feature must explain that targets used to survive.
 const MIN_LOSSES_OF_SURVIVED: usize = 6;
-/// Maximum probability that a part has its losses by chance.
+/// Maximum probability that a feature has its losses by chance.
 const MAX_CHANCE: f64 = 1e-3;
-/// Requests without the part that engines must have survived, as nothing else tells it from them.
+/// Requests without the feature that targets must have survived, as nothing else tells it from them.
 const MIN_OTHER_SURVIVALS: f64 = 3.0;
-/// Assumed number of requests that a lost engine was about to answer.
+/// Assumed number of requests that a lost target was about to answer.
 const REQUESTS_PER_LOSS: f64 = 1.0;
 /// Maximum number of VMs whose survivals are counted.
 const MAX_VMS: usize = 1_024;
-/// Losses at shorter intervals count once, as one failure may take several engines.
+/// Losses at shorter intervals count once, as one failure may take several targets.
 const EPISODE_INTERVAL: Duration = Duration::from_millis(250);
 /// Reports of a target within this time are about the same loss.
 const MERGE_INTERVAL: Duration = Duration::from_millis(500);
@@ -42,19 +49,21 @@
 const SETTLE_DELAY: Duration = Duration::from_millis(100);
 /// Time for which a loss counts.
 const LOSS_LIFETIME: Duration = Duration::from_secs(60);
-/// Maximum number of losses that are remembered.
-const MAX_LOSSES: usize = 64;
+/// Maximum number of losses that are remembered, as many as a bit set holds.
+const MAX_LOSSES: usize = u64::BITS as usize;
 /// Maximum number of suspects of a loss.
 const MAX_SUSPECTS: usize = 64;
-/// Maximum number of parts in each half of the memory of survivals.
+/// Maximum number of features in each half of a service's memory of survivals.
 const MAX_SURVIVED: usize = 4_096;
+/// Maximum number of services whose survivals are counted.
+const MAX_SERVICES: usize = 16;
 /// Time after which a half of the memory of survivals is replaced.
 const SURVIVAL_PERIOD: Duration = Duration::from_secs(60);
 /// Survivals reported by this many VMs are enough; the other VMs needn't report theirs.
 const ENOUGH_REPORTERS: usize = 8;
-/// Survivals of a quarantined part, of requests sent before, after which it is released.
+/// Survivals of a quarantined feature, of requests sent before, after which it is released.
 const RELEASING_SURVIVALS: u32 = 2;
-/// Share of the duration for which a part is first quarantined that engines used to survive.
+/// Share of the duration for which a feature is first quarantined that targets used to survive.
 const SURVIVED_DURATION_SHARE: f64 = 1.0 / 3.0;
 /// Time for which a trial holds back further ones.
 const TRIAL_DURATION: Duration = Duration::from_secs(10);
@@ -64,7 +73,7 @@
 const TRIAL_SPREAD: Duration = Duration::from_secs(3);
 /// Time after its end for which a quarantine is remembered, to prolong the next one.
 const VERDICT_LIFETIME: Duration = Duration::from_secs(600);
-/// Maximum number of quarantined and released parts that are remembered.
+/// Maximum number of quarantined and released features that are remembered.
 const MAX_VERDICTS: usize = 256;
 /// Time for which a loss and a release are repeated to the other VMs.
 const REPEAT_PERIOD: Duration = Duration::from_secs(5);
@@ -73,20 +82,53 @@
 /// Maximum number of survivals and of verdicts in a message.
 const MAX_SENT_PARTS: usize = 32;
 
-/// A part of the prompts of one service.
+/// What a feature identifies.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Kind {
+    /// A part of prompts, which different requests share.
+    #[display("part")]
+    Part,
+    /// A request, which is repeated word for word.
+    #[display("request")]
+    Request,
+}
+
+/// Something that requests of one service carry along and that may crash their targets.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
-#[display("{id}")]
-pub struct Part {
-    /// Service that the prompts are for.
+#[display("{kind} {id:016x}")]
+pub struct Feature {
+    /// Service that the requests are for.
     pub service: key::Service,
-    /// The part.
-    pub id: key::Part,
+    /// What the feature identifies.
+    pub kind: Kind,
+    /// Raw key of the part, or of the request's fingerprint.
+    pub id: u64,
+}
+
+impl Feature {
+    /// Returns the feature of prompts that contain a part.
+    pub fn part(service: key::Service, part: key::Part) -> Self {
+        Self {
+            service,
+            kind: Kind::Part,
+            id: part.raw(),
+        }
+    }
+
+    /// Returns the feature of a request that is repeated.
+    pub fn request(service: key::Service, fingerprint: key::Fingerprint) -> Self {
+        Self {
+            service,
+            kind: Kind::Request,
+            id: fingerprint.raw(),
+        }
+    }
 }
 
 /// Durations of a quarantine.
 #[derive(Clone, Copy, Debug)]
 pub struct Policy {
-    /// Duration of a part's first quarantine; each further one takes twice as long.
+    /// Duration of a feature's first quarantine; each further one takes twice as long.
     pub duration: Duration,
     /// Upper bound of the duration.
     pub max_duration: Duration,
@@ -95,14 +137,14 @@
 /// Decision about a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Admission {
-    /// No part of its prompt is quarantined.
+    /// None of its features is quarantined.
     Admitted,
-    /// The quarantine of a part is over, and this request shows whether engines survive it.
-    Trial(Part),
-    /// A part is quarantined.
+    /// The quarantine of a feature is over, and this request shows whether targets survive it.
+    Trial(Feature),
+    /// A feature is quarantined.
     Refused {
-        /// The quarantined part.
-        part: Part,
+        /// The quarantined feature.
+        feature: Feature,
         /// Time until the next trial.
         retry_after: Duration,
     },
@@ -111,10 +153,10 @@
 /// A change of the quarantine.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Change {
-    /// A part is quarantined, or its quarantine prolonged.
+    /// A feature is quarantined, or its quarantine prolonged.
     Quarantined {
-        /// The part.
-        part: Part,
+        /// The feature.
+        feature: Feature,
         /// Number of known losses of which it is a suspect.
         losses: usize,
         /// Number of times that it was quarantined.
@@ -122,27 +164,32 @@
         /// Time until the next trial.
         duration: Duration,
     },
-    /// A part is no longer quarantined.
+    /// A feature is no longer quarantined.
     Released {
-        /// The part.
-        part: Part,
+        /// The feature.
+        feature: Feature,
     },
 }
 
-/// An engine that was lost, and the parts that it may have been lost to.
+/// A target that was lost, and the features that it may have been lost to.
 #[derive(Debug)]
 struct Case {
     target: key::Target,
     at: Instant,
     /// Suspects of all VMs, with their position in the prompt.
-    suspects: Vec<(Part, usize)>,
+    suspects: Vec<(Feature, usize)>,
     /// Prompts of this VM's requests, to be repeated to the others.
-    own: Vec<Vec<Part>>,
+    own: Vec<Vec<Feature>>,
 }
 
 impl Case {
-    fn has(&self, part: Part) -> bool {
-        self.suspects.iter().any(|(suspect, _)| *suspect == part)
+    fn is_of(&self, service: key::Service) -> bool {
+        let first = self.suspects.first();
+        first.is_some_and(|(feature, _)| feature.service == service)
+    }
+
+    fn has(&self, feature: Feature) -> bool {
+        self.suspects.iter().any(|(suspect, _)| *suspect == feature)
     }
 
     /// Returns whether the other VMs have had time to report their suspects.
@@ -151,6 +198,37 @@
     }
 }
 
+/// What speaks against a feature.
+#[derive(Debug, Default)]
+struct Suspect {
+    /// Bit set of the cases that it may explain.
+    cases: u64,
+    /// When those happened that the other VMs had time to report on.
+    settled: Vec<Instant>,
+    /// Position in the prompt.
+    position: usize,
+}
+
+impl Suspect {
+    fn losses(&self) -> usize {
+        self.cases.count_ones() as usize
+    }
+
+    /// Returns whether the losses are enough; `is_ambiguous` if another request explains them, too.
+    fn is_sufficient(&self, kind: Kind, was_survived: bool, is_ambiguous: bool) -> bool {
+        let episodes = count_episodes(&self.settled);
+        match kind {
+            _ if was_survived => episodes >= MIN_LOSSES_OF_SURVIVED,
+            Kind::Part => episodes >= MIN_PART_LOSSES,
+            // One that is repeated after each loss meets the cause of it at the next target.
+            Kind::Request => {
+                let min_losses = MIN_REQUEST_LOSSES + usize::from(is_ambiguous);
+                self.settled.len() >= min_losses && episodes >= MIN_REQUEST_EPISODES
+            }
+        }
+    }
+}
+
 /// Survivals of a suspect, by the VM that reported them.
 #[derive(Debug, Default)]
 struct Tally {
@@ -181,7 +259,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Verdict {
-    /// Number of times that the part was quarantined.
+    /// Number of times that the feature was quarantined.
     level: u32,
     /// End of the quarantine, or when it was released.
     until: Instant,
@@ -196,29 +274,29 @@
     }
 }
 
-/// Requests that engines have survived lately, and their parts.
+/// Requests of one service that targets have survived lately, and their features.
 ///
 /// Two halves that replace each other bound the memory.
 #[derive(Debug, Default)]
 struct Survivals {
-    current: HashMap<Part, u32>,
-    previous: HashMap<Part, u32>,
+    current: HashMap<Feature, u32>,
+    previous: HashMap<Feature, u32>,
     /// Number of requests in each half.
     totals: [u32; 2],
     started: Instant,
 }
 
 impl Survivals {
-    /// Records a request with the given parts.
-    fn record(&mut self, parts: impl Iterator<Item = Part>, now: Instant) {
+    /// Records a request with the given features.
+    fn record(&mut self, features: &[Feature], now: Instant) {
         if self.current.len() >= MAX_SURVIVED || now.since(self.started) > SURVIVAL_PERIOD {
             self.previous = std::mem::take(&mut self.current);
             self.totals = [0, self.totals[0]];
             self.started = now;
         }
         self.totals[0] += 1;
-        for part in parts {
-            *self.current.entry(part).or_default() += 1;
+        for feature in features {
+            *self.current.entry(*feature).or_default() += 1;
         }
     }
 
@@ -226,24 +304,28 @@
         self.totals[0] + self.totals[1]
     }
 
-    fn count(&self, part: Part) -> u32 {
+    fn count(&self, feature: Feature) -> u32 {
         let halves = [&self.current, &self.previous];
-        halves.iter().filter_map(|half| half.get(&part)).sum()
+        halves.iter().filter_map(|half| half.get(&feature)).sum()
+    }
+
+    fn is_expired(&self, now: Instant) -> bool {
+        now.since(self.started) > 2 * SURVIVAL_PERIOD
     }
 }
 
-/// The evidence that this VM and its peers have, and the parts that are quarantined.
+/// The evidence that this VM and its peers have, and the features that are quarantined.
 #[derive(Debug)]
 pub struct Quarantine {
     policy: Policy,
     /// Random number that identifies this process.
     vm: u64,
     cases: VecDeque<Case>,
-    tallies: HashMap<Part, Tally>,
-    survivals: Survivals,
-    /// Number of requests that engines of the other VMs survived, and when they said so.
-    survivals_elsewhere: HashMap<u64, (u32, Instant)>,
-    verdicts: HashMap<Part, Verdict>,
+    tallies: HashMap<Feature, Tally>,
+    survivals: HashMap<key::Service, Survivals>,
+    /// Number of requests that targets of the other VMs survived, and when they said so.
+    survivals_elsewhere: HashMap<(key::Service, u64), (u32, Instant)>,
+    verdicts: HashMap<Feature, Verdict>,
     /// When the evidence that has changed is to be evaluated.
     evaluation_due: Option<Instant>,
     changes: Vec<Change>,
@@ -259,7 +341,7 @@
             vm,
             cases: VecDeque::new(),
             tallies: HashMap::new(),
-            survivals: Survivals::default(),
+            survivals: HashMap::new(),
             survivals_elsewhere: HashMap::new(),
             verdicts: HashMap::new(),
             evaluation_due: None,
@@ -268,30 +350,29 @@
         }
     }
 
-    /// Decides about a request whose prompt has the given shared parts.
-    pub fn admit(&mut self, service: key::Service, parts: &[key::Part], now: Instant) -> Admission {
+    /// Decides about a request with the given features.
+    pub fn admit(&mut self, features: &[Feature], now: Instant) -> Admission {
         self.poll(now);
         let mut trial = None;
-        for &id in parts {
-            let part = Part { service, id };
-            let verdict = self.verdicts.get(&part);
+        for &feature in features {
+            let verdict = self.verdicts.get(&feature);
             let Some(verdict) = verdict.filter(|verdict| verdict.is_in_force()) else {
                 continue;
             };
-            let opens = verdict.until + self.trial_delay(part);
+            let opens = verdict.until + self.trial_delay(feature);
             if now < opens {
                 return Admission::Refused {
-                    part,
+                    feature,
                     retry_after: opens.since(now),
                 };
             }
-            trial = Some(part);
+            trial = Some(feature);
         }
-        let Some(part) = trial else {
+        let Some(feature) = trial else {
             return Admission::Admitted;
         };
-        for &id in parts {
-            if let Some(verdict) = self.verdicts.get_mut(&Part { service, id })
+        for feature in features {
+            if let Some(verdict) = self.verdicts.get_mut(feature)
                 && verdict.is_in_force()
             {
                 verdict.until = now + TRIAL_DURATION;
@@ -299,50 +380,52 @@
             }
         }
         self.has_news = true;
-        Admission::Trial(part)
+        Admission::Trial(feature)
     }
 
-    /// Records that an engine of this VM broke off a request before or shortly after its beginning.
-    pub fn record_loss(
-        &mut self,
-        target: key::Target,
-        service: key::Service,
-        parts: &[key::Part],
-        now: Instant,
-    ) {
-        let parts = parts.iter().map(|&id| Part { service, id });
-        let parts: Vec<_> = parts.take(MAX_SUSPECTS).collect();
-        if parts.is_empty() {
+    /// Returns the number of recent losses of which a feature is a suspect.
+    pub fn losses(&self, feature: Feature) -> usize {
+        self.cases.iter().filter(|case| case.has(feature)).count()
+    }
+
+    /// Records that a target of this VM broke off a request before or shortly after its beginning.
+    pub fn record_loss(&mut self, target: key::Target, features: &[Feature], now: Instant) {
+        let features: Vec<_> = features.iter().copied().take(MAX_SUSPECTS).collect();
+        if features.is_empty() {
             return;
         }
-        for &part in &parts {
+        for &feature in &features {
             if self
                 .verdicts
-                .get(&part)
+                .get(&feature)
                 .is_some_and(|verdict| verdict.is_own_trial && verdict.is_in_force())
             {
-                self.quarantine(part, now);
+                self.quarantine(feature, now);
             }
         }
-        let case = self.suspect(target, &parts, now, now);
+        let case = self.suspect(target, &features, now, now);
         if case.own.len() < MAX_SENT_LOSSES {
-            case.own.push(parts);
+            case.own.push(features);
         }
         self.has_news = true;
     }
 
-    /// Records that an engine of this VM has begun to answer a request and was not lost.
-    pub fn record_survival(&mut self, service: key::Service, parts: &[key::Part], now: Instant) {
-        let scoped = parts.iter().map(|&id| Part { service, id });
-        self.survivals.record(scoped.clone(), now);
-        for part in scoped {
-            if let Some(verdict) = self.verdicts.get_mut(&part)
+    /// Records that a target of this VM has begun to answer a request and was not lost.
+    pub fn record_survival(&mut self, features: &[Feature], now: Instant) {
+        if let Some(service) = features.first().map(|feature| feature.service)
+            && (self.survivals.len() < MAX_SERVICES || self.survivals.contains_key(&service))
+        {
+            let survivals = self.survivals.entry(service).or_default();
+            survivals.record(features, now);
+        }
+        for &feature in features {
+            if let Some(verdict) = self.verdicts.get_mut(&feature)
                 && std::mem::take(&mut verdict.is_own_trial)
                 && verdict.is_in_force()
             {
-                self.release(part, now);
+                self.release(feature, now);
             }
-            if let Some(tally) = self.tallies.get_mut(&part) {
+            if let Some(tally) = self.tallies.get_mut(&feature) {
                 let count = tally.recent.get(&self.vm).copied().unwrap_or_default() + 1;
                 Tally::add(&mut tally.recent, self.vm, count);
                 self.schedule(now);
@@ -356,10 +439,13 @@
         if evidence.vm == self.vm {
             return;
         }
-        let is_known = self.survivals_elsewhere.contains_key(&evidence.vm);
-        if is_known || self.survivals_elsewhere.len() < MAX_VMS {
-            self.survivals_elsewhere
-                .insert(evidence.vm, (evidence.survived, now));
+        for survived in evidence.survived.iter().take(MAX_SERVICES) {
+            let key = (survived.service(), evidence.vm);
+            let is_known = self.survivals_elsewhere.contains_key(&key);
+            if is_known || self.survivals_elsewhere.len() < MAX_VMS {
+                self.survivals_elsewhere
+                    .insert(key, (survived.requests, now));
+            }
         }
         for loss in &evidence.losses {
             let age = Duration::from_millis(loss.age_ms.into());
@@ -367,16 +453,11 @@
                 now.as_micros()
                     .saturating_sub(u64::try_from(age.as_micros()).unwrap_or(u64::MAX)),
             );
-            let service = key::Service::from_raw(loss.service);
-            let parts = loss.parts.iter().map(|&id| Part {
-                service,
-                id: key::Part::from_raw(id),
-            });
-            let parts: Vec<_> = parts.take(MAX_SUSPECTS).collect();
-            self.suspect(key::Target::from_raw(loss.target), &parts, at, now);
+            let features: Vec<_> = loss.features().take(MAX_SUSPECTS).collect();
+            self.suspect(key::Target::from_raw(loss.target), &features, at, now);
         }
         for survival in &evidence.survivals {
-            if let Some(tally) = self.tallies.get_mut(&survival.part()) {
+            if let Some(tally) = self.tallies.get_mut(&survival.feature()) {
                 Tally::add(&mut tally.recent, evidence.vm, survival.recent);
                 Tally::add(&mut tally.earlier, evidence.vm, survival.earlier);
                 self.schedule(now);
@@ -401,17 +482,17 @@
         let recent = own.filter(|case| now.since(case.at) < REPEAT_PERIOD);
         let losses = recent.flat_map(|case| {
             let prompts = case.own.iter();
-            prompts.map(|parts| Loss::new(case.target, parts, now.since(case.at)))
+            prompts.map(|features| Loss::new(case.target, features, now.since(case.at)))
         });
-        let survivals = self.tallies.iter().filter_map(|(part, tally)| {
+        let survivals = self.tallies.iter().filter_map(|(feature, tally)| {
             let own = |counts: &BTreeMap<u64, u32>| counts.get(&self.vm).copied();
             let (recent, earlier) = (own(&tally.recent), own(&tally.earlier));
             if recent.is_none() && earlier.is_none() {
                 return None;
             }
-            let is_close = self.losses_of(*part) + 1 >= MIN_LOSSES;
+            let is_close = self.losses(*feature) + 1 >= min_losses(feature.kind);
             let survival = Survival::new(
-                *part,
+                *feature,
                 recent.unwrap_or_default(),
                 earlier.unwrap_or_default(),
             );
@@ -420,13 +501,17 @@
         let verdicts = self.verdicts.iter().filter(|(_, verdict)| {
             verdict.is_in_force() || now.since(verdict.until) < REPEAT_PERIOD
         });
-        let quarantined = verdicts.map(|(part, verdict)| {
+        let quarantined = verdicts.map(|(feature, verdict)| {
             let remaining = verdict.until.since(now);
-            Quarantined::new(*part, verdict.level, remaining, verdict.is_released)
+            Quarantined::new(*feature, verdict.level, remaining, verdict.is_released)
         });
+        let survived = self
+            .survivals
+            .iter()
+            .map(|(service, survivals)| Survived::new(*service, survivals.total()));
         let evidence = Evidence {
             vm: self.vm,
-            survived: self.survivals.total(),
+            survived: survived.collect(),
             losses: losses.take(MAX_SENT_LOSSES).collect(),
             survivals: survivals.take(MAX_SENT_PARTS).collect(),
             quarantined: quarantined.take(MAX_SENT_PARTS).collect(),
@@ -459,38 +544,40 @@
         std::mem::take(&mut self.changes)
     }
 
-    /// Returns the number of quarantined parts.
+    /// Returns the number of quarantined features.
     pub fn len(&self) -> usize {
         let verdicts = self.verdicts.values();
         verdicts.filter(|verdict| verdict.is_in_force()).count()
     }
 
-    /// Returns whether no part is quarantined.
+    /// Returns whether no feature is quarantined.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
 
-    /// Returns the number of parts that are remembered for any reason.
-    pub fn remembered_parts(&self) -> usize {
+    /// Returns the number of features that are remembered for any reason.
+    pub fn remembered_features(&self) -> usize {
         let suspects = self.cases.iter().map(|case| case.suspects.len());
+        let survivals = self.survivals.values();
+        let survivals =
+            survivals.map(|survivals| survivals.current.len() + survivals.previous.len());
         suspects.sum::<usize>()
             + self.tallies.len()
-            + self.survivals.current.len()
-            + self.survivals.previous.len()
+            + survivals.sum::<usize>()
             + self.verdicts.len()
     }
 
     /// Returns how long after the end of a quarantine this VM may start the trial.
-    fn trial_delay(&self, part: Part) -> Duration {
+    fn trial_delay(&self, feature: Feature) -> Duration {
         let spread = TRIAL_SPREAD.as_millis() as u64;
-        Duration::from_millis(rendezvous::weight(part.id.raw(), self.vm) % spread)
+        Duration::from_millis(rendezvous::weight(feature.id, self.vm) % spread)
     }
 
     /// Adds suspects to the loss of a target.
     fn suspect(
         &mut self,
         target: key::Target,
-        parts: &[Part],
+        features: &[Feature],
         at: Instant,
         now: Instant,
     ) -> &mut Case {
@@ -511,20 +598,21 @@
             });
             self.cases.len() - 1
         });
-        for (position, &part) in parts.iter().enumerate() {
+        for (position, &feature) in features.iter().enumerate() {
             let was_released = self
                 .verdicts
-                .get(&part)
+                .get(&feature)
                 .is_some_and(|verdict| verdict.is_released && at <= verdict.until);
             let case = &mut self.cases[index];
-            if was_released || case.has(part) || case.suspects.len() >= MAX_SUSPECTS {
+            if was_released || case.has(feature) || case.suspects.len() >= MAX_SUSPECTS {
                 continue;
             }
-            case.suspects.push((part, position));
-            let earlier = self.survivals.count(part);
+            case.suspects.push((feature, position));
+            let earlier = self.survivals.get(&feature.service);
+            let earlier = earlier.map_or(0, |survivals| survivals.count(feature));
             let vm = self.vm;
-            let is_new = !self.tallies.contains_key(&part);
-            let tally = self.tallies.entry(part).or_default();
+            let is_new = !self.tallies.contains_key(&feature);
+            let tally = self.tallies.entry(feature).or_default();
             if is_new {
                 Tally::add(&mut tally.earlier, vm, earlier);
             }
@@ -541,116 +629,128 @@
         self.evaluation_due.get_or_insert(due);
     }
 
-    /// Quarantines the parts that explain the losses, and releases those that don't.
+    /// Quarantines the features that explain the losses, and releases those that don't.
     ///
-    /// The part that explains most losses comes first; its losses then count for no other part.
+    /// The feature that explains most losses comes first; its losses then count for no other feature.
     fn evaluate(&mut self, now: Instant) {
         let mut open: Vec<usize> = (0..self.cases.len()).collect();
         let mut explaining = HashSet::new();
-        while let Some(part) = self.best_explanation(&open, now) {
-            open.retain(|&case| !self.cases[case].has(part));
-            explaining.insert(part);
+        while let Some(feature) = self.best_explanation(&open, now) {
+            open.retain(|&case| !self.cases[case].has(feature));
+            explaining.insert(feature);
         }
-        for &part in &explaining {
-            let is_in_force = self.verdicts.get(&part).is_some_and(Verdict::is_in_force);
+        for &feature in &explaining {
+            let is_in_force = self
+                .verdicts
+                .get(&feature)
+                .is_some_and(Verdict::is_in_force);
             if !is_in_force {
-                self.quarantine(part, now);
+                self.quarantine(feature, now);
             }
         }
         let in_force = self.verdicts.iter();
         let in_force = in_force.filter(|(_, verdict)| verdict.is_in_force());
-        let in_force: Vec<_> = in_force.map(|(part, _)| *part).collect();
-        for part in in_force {
-            let losses = self.losses_of(part);
-            let survivals = self.recent_survivals(part);
-            let is_innocent = losses > 0 && !explaining.contains(&part);
+        let in_force: Vec<_> = in_force.map(|(feature, _)| *feature).collect();
+        for feature in in_force {
+            let losses = self.losses(feature);
+            let survivals = self.recent_survivals(feature);
+            let is_innocent = losses > 0 && !explaining.contains(&feature);
             let is_survived = survivals >= RELEASING_SURVIVALS && !exceeds(losses, survivals);
             if is_innocent || is_survived {
-                self.release(part, now);
+                self.release(feature, now);
             }
         }
     }
 
-    /// Returns the part that explains most of the given losses; `None` if none explains enough.
-    fn best_explanation(&self, open: &[usize], now: Instant) -> Option<Part> {
-        #[derive(Default)]
-        struct Suspect {
-            losses: usize,
-            settled: Vec<Instant>,
-            position: usize,
-        }
-        let mut suspects: HashMap<Part, Suspect> = HashMap::new();
+    /// Returns the feature that explains most of the given losses; `None` if none explains enough.
+    fn best_explanation(&self, open: &[usize], now: Instant) -> Option<Feature> {
+        let mut suspects: HashMap<Feature, Suspect> = HashMap::new();
         for &index in open {
             let case = &self.cases[index];
-            for &(part, position) in &case.suspects {
-                let suspect = suspects.entry(part).or_default();
-                suspect.losses += 1;
+            for &(feature, position) in &case.suspects {
+                let suspect = suspects.entry(feature).or_default();
+                suspect.cases |= 1 << index;
                 suspect.position = suspect.position.max(position);
                 if case.is_settled(now) {
                     suspect.settled.push(case.at);
                 }
             }
         }
-        let eligible = suspects.into_iter().filter_map(|(part, suspect)| {
-            let is_in_force = self.verdicts.get(&part).is_some_and(Verdict::is_in_force);
-            let survivals = self.recent_survivals(part);
-            let was_survived = self.tallies.get(&part).is_some_and(Tally::was_survived);
-            let min_losses = if was_survived {
-                MIN_LOSSES_OF_SURVIVED
-            } else {
-                MIN_LOSSES
-            };
-            let episodes = count_episodes(suspect.settled);
-            let chance = self.chance(part, suspect.losses, open.len() - suspect.losses);
-            let is_guilty = episodes >= min_losses
-                && chance.is_some_and(|chance| chance <= MAX_CHANCE)
-                && exceeds(suspect.losses, survivals);
-            // Of equals, the later part of a prompt is the more specific one.
+        let eligible = suspects.iter().filter_map(|(&feature, suspect)| {
+            let is_in_force = self
+                .verdicts
+                .get(&feature)
+                .is_some_and(Verdict::is_in_force);
+            let survivals = self.recent_survivals(feature);
+            let was_survived = self.tallies.get(&feature).is_some_and(Tally::was_survived);
+            let losses = suspect.losses();
+            let is_alike = |other: &Suspect| suspect.cases & !other.cases == 0;
+            let is_ambiguous = feature.kind == Kind::Request
+                && suspects.iter().any(|(&other_feature, other)| {
+                    other_feature != feature
+                        && other_feature.kind == Kind::Request
+                        && is_alike(other)
+                        && self.recent_survivals(other_feature) <= survivals
+                });
+            let is_guilty = suspect.is_sufficient(feature.kind, was_survived, is_ambiguous)
+                && self.chance(feature, losses, open) <= MAX_CHANCE
+                && exceeds(losses, survivals);
+            // Of equals, the later part of a prompt is the more specific one, and the request most.
             let rank = (
-                suspect.losses,
+                losses,
                 u32::MAX - survivals,
                 !was_survived,
                 is_in_force,
                 suspect.position,
-                part,
+                feature,
             );
-            (is_in_force || is_guilty).then_some((rank, part))
+            (is_in_force || is_guilty).then_some((rank, feature))
         });
-        eligible.max().map(|(_, part)| part)
+        eligible.max().map(|(_, feature)| feature)
     }
 
-    /// Returns the probability that requests with a part lost their engines `losses` times by chance.
+    /// Returns the probability that requests with a feature were lost `losses` times by chance.
     ///
-    /// It is estimated from the requests without the part, whose losses are given; `None` if engines
-    /// have survived too few of them.
-    fn chance(&self, part: Part, losses: usize, other_losses: usize) -> Option<f64> {
-        let own = f64::from(self.survivals.total());
-        let own_with_part = f64::from(self.survivals.count(part));
-        let share = if own > 0.0 {
-            1.0 - own_with_part / own
+    /// It is estimated from the requests without the feature; 1 if targets have survived too few of
+    /// them.
+    fn chance(&self, feature: Feature, losses: usize, open: &[usize]) -> f64 {
+        let own = self.survivals.get(&feature.service);
+        let (total, with_feature) = own.map_or((0, 0), |survivals| {
+            (survivals.total(), survivals.count(feature))
+        });
+        let share = if total > 0 {
+            1.0 - f64::from(with_feature) / f64::from(total)
         } else {
             1.0
         };
-        let elsewhere = self.survivals_elsewhere.values();
-        let total = elsewhere.fold(own, |sum, (count, _)| sum + f64::from(*count));
+        let elsewhere = self.survivals_elsewhere.iter();
+        let elsewhere = elsewhere.filter(|((service, _), _)| *service == feature.service);
+        let total = elsewhere.fold(f64::from(total), |sum, (_, (count, _))| {
+            sum + f64::from(*count)
+        });
         let survivals = total * share;
-        let lost = REQUESTS_PER_LOSS * other_losses as f64;
+        if survivals < MIN_OTHER_SURVIVALS {
+            return 1.0;
+        }
+        let open = open.iter().map(|&index| &self.cases[index]);
+        let other_losses = open.filter(|case| case.is_of(feature.service) && !case.has(feature));
+        let lost = REQUESTS_PER_LOSS * other_losses.count() as f64;
         let probability = (lost + 1.0) / (lost + survivals + 2.0);
-        (survivals >= MIN_OTHER_SURVIVALS).then(|| probability.powf(losses as f64))
+        probability.powf(losses as f64)
     }
 
-    fn losses_of(&self, part: Part) -> usize {
-        self.cases.iter().filter(|case| case.has(part)).count()
+    fn recent_survivals(&self, feature: Feature) -> u32 {
+        self.tallies.get(&feature).map_or(0, Tally::recent)
     }
 
-    fn recent_survivals(&self, part: Part) -> u32 {
-        self.tallies.get(&part).map_or(0, Tally::recent)
-    }
-
-    /// Quarantines a part for longer than the last time.
-    fn quarantine(&mut self, part: Part, now: Instant) {
-        let level = self.verdicts.get(&part).map_or(0, |verdict| verdict.level) + 1;
-        let was_survived = self.tallies.get(&part).is_some_and(Tally::was_survived);
+    /// Quarantines a feature for longer than the last time.
+    fn quarantine(&mut self, feature: Feature, now: Instant) {
+        let level = self
+            .verdicts
+            .get(&feature)
+            .map_or(0, |verdict| verdict.level)
+            + 1;
+        let was_survived = self.tallies.get(&feature).is_some_and(Tally::was_survived);
         let duration = if was_survived {
             self.policy.duration.mul_f64(SURVIVED_DURATION_SHARE)
         } else {
@@ -661,7 +761,7 @@
             .saturating_mul(factor)
             .min(self.policy.max_duration);
         self.set_verdict(
-            part,
+            feature,
             Verdict {
                 level,
                 until: now + duration,
@@ -670,39 +770,39 @@
             },
         );
         self.changes.push(Change::Quarantined {
-            part,
-            losses: self.losses_of(part),
+            feature,
+            losses: self.losses(feature),
             level,
             duration,
         });
         self.has_news = true;
     }
 
-    /// Ends a quarantine; the losses so far no longer count against the part.
-    fn release(&mut self, part: Part, now: Instant) {
-        if let Some(verdict) = self.verdicts.get_mut(&part) {
+    /// Ends a quarantine; the losses so far no longer count against the feature.
+    fn release(&mut self, feature: Feature, now: Instant) {
+        if let Some(verdict) = self.verdicts.get_mut(&feature) {
             verdict.is_released = true;
             verdict.is_own_trial = false;
             verdict.until = now;
         }
-        self.forget_losses(part);
-        self.changes.push(Change::Released { part });
+        self.forget_losses(feature);
+        self.changes.push(Change::Released { feature });
         self.has_news = true;
     }
 
-    fn forget_losses(&mut self, part: Part) {
+    fn forget_losses(&mut self, feature: Feature) {
         for case in &mut self.cases {
-            case.suspects.retain(|(suspect, _)| *suspect != part);
+            case.suspects.retain(|(suspect, _)| *suspect != feature);
         }
-        self.tallies.remove(&part);
+        self.tallies.remove(&feature);
     }
 
     /// Takes over the verdict of another VM if it is newer.
     fn adopt(&mut self, quarantined: &Quarantined, now: Instant) {
-        let part = quarantined.part();
+        let feature = quarantined.feature();
         let remaining = Duration::from_millis(quarantined.remaining_ms.into());
         let until = now + remaining.min(self.policy.max_duration);
-        let known = self.verdicts.get_mut(&part);
+        let known = self.verdicts.get_mut(&feature);
         if let Some(known) = known
             && (known.level, known.is_released) >= (quarantined.level, quarantined.is_released)
         {
@@ -714,9 +814,12 @@
             }
             return;
         }
-        let was_in_force = self.verdicts.get(&part).is_some_and(Verdict::is_in_force);
+        let was_in_force = self
+            .verdicts
+            .get(&feature)
+            .is_some_and(Verdict::is_in_force);
         self.set_verdict(
-            part,
+            feature,
             Verdict {
                 level: quarantined.level,
                 until,
@@ -725,52 +828,63 @@
             },
         );
         if quarantined.is_released {
-            self.forget_losses(part);
+            self.forget_losses(feature);
         }
         if !quarantined.is_released {
             self.changes.push(Change::Quarantined {
-                part,
-                losses: self.losses_of(part),
+                feature,
+                losses: self.losses(feature),
                 level: quarantined.level,
                 duration: remaining,
             });
         } else if was_in_force {
-            self.changes.push(Change::Released { part });
+            self.changes.push(Change::Released { feature });
         }
     }
 
-    fn set_verdict(&mut self, part: Part, verdict: Verdict) {
-        if self.verdicts.len() >= MAX_VERDICTS && !self.verdicts.contains_key(&part) {
+    fn set_verdict(&mut self, feature: Feature, verdict: Verdict) {
+        if self.verdicts.len() >= MAX_VERDICTS && !self.verdicts.contains_key(&feature) {
             let oldest = self
                 .verdicts
                 .iter()
                 .min_by_key(|(_, verdict)| verdict.until);
-            if let Some(oldest) = oldest.map(|(part, _)| *part) {
+            if let Some(oldest) = oldest.map(|(feature, _)| *feature) {
                 self.verdicts.remove(&oldest);
             }
         }
-        self.verdicts.insert(part, verdict);
+        self.verdicts.insert(feature, verdict);
     }
 
     fn expire(&mut self, now: Instant) {
         self.cases.retain(|case| now.since(case.at) < LOSS_LIFETIME);
         let suspects = self.cases.iter().flat_map(|case| &case.suspects);
-        let suspects: HashSet<_> = suspects.map(|(part, _)| *part).collect();
-        self.tallies.retain(|part, _| suspects.contains(part));
+        let suspects: HashSet<_> = suspects.map(|(feature, _)| *feature).collect();
+        self.tallies.retain(|feature, _| suspects.contains(feature));
         self.survivals_elsewhere
             .retain(|_, (_, received)| now.since(*received) < SURVIVAL_PERIOD);
+        self.survivals
+            .retain(|_, survivals| !survivals.is_expired(now));
         self.verdicts
             .retain(|_, verdict| now.since(verdict.until) < VERDICT_LIFETIME);
     }
 }
 
-/// Returns whether losses outweigh survivals: most requests with the part lost their engine.
+/// Returns the least number of losses that a feature must explain to be quarantined.
+fn min_losses(kind: Kind) -> usize {
+    match kind {
+        Kind::Part => MIN_PART_LOSSES,
+        Kind::Request => MIN_REQUEST_LOSSES,
+    }
+}
+
+/// Returns whether losses outweigh survivals: most requests with the feature lost their target.
 fn exceeds(losses: usize, survivals: u32) -> bool {
     losses > 2 * survivals as usize
 }
 
 /// Returns the number of times that are at least [`EPISODE_INTERVAL`] apart.
-fn count_episodes(mut times: Vec<Instant>) -> usize {
+fn count_episodes(times: &[Instant]) -> usize {
+    let mut times = times.to_vec();
     times.sort_unstable();
     let mut last: Option<Instant> = None;
     let mut count = 0;
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -1,7 +1,11 @@
 //! Messages between the VMs, each of which fits in one datagram.
 
 use {
-    crate::{Load, origin, quarantine, waiting::Waiter},
+    crate::{
+        Load, origin,
+        quarantine::{Feature, Kind},
+        waiting::Waiter,
+    },
     base::{Instant, key},
     std::time::Duration,
 };
@@ -296,10 +300,10 @@
     }
 }
 
-/// An engine that broke off a request before or shortly after it began to answer.
+/// A target that broke off a request before or shortly after it began to answer.
 #[derive(Clone, Eq, PartialEq, prost::Message)]
 pub struct Loss {
-    /// Raw key of the engine.
+    /// Raw key of the target.
     #[prost(fixed64, tag = "1")]
     pub target: u64,
     /// Raw key of the service.
@@ -311,116 +315,173 @@
     /// Milliseconds since the loss.
     #[prost(uint32, tag = "4")]
     pub age_ms: u32,
+    /// Raw key of the request's fingerprint.
+    #[prost(fixed64, optional, tag = "5")]
+    pub fingerprint: Option<u64>,
 }
 
 impl Loss {
-    /// Encodes the loss of a request with these parts, all of one service.
-    pub fn new(target: key::Target, parts: &[quarantine::Part], age: Duration) -> Self {
+    /// Encodes the loss of a request with these features, all of one service.
+    pub fn new(target: key::Target, features: &[Feature], age: Duration) -> Self {
+        let ids = |kind| {
+            let of_kind = features.iter().filter(move |feature| feature.kind == kind);
+            of_kind.map(|feature| feature.id)
+        };
         Self {
             target: target.raw(),
-            service: parts.first().map_or(0, |part| part.service.raw()),
-            parts: parts.iter().map(|part| part.id.raw()).collect(),
+            service: features.first().map_or(0, |feature| feature.service.raw()),
+            parts: ids(Kind::Part).collect(),
             age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            fingerprint: ids(Kind::Request).next(),
         }
     }
+
+    /// Decodes the features of the request.
+    pub fn features(&self) -> impl Iterator<Item = Feature> + '_ {
+        let service = key::Service::from_raw(self.service);
+        let parts = self.parts.iter().map(move |&id| (Kind::Part, id));
+        let request = self.fingerprint.iter().map(move |&id| (Kind::Request, id));
+        let features = parts.chain(request);
+        features.map(move |(kind, id)| Feature { service, kind, id })
+    }
 }
 
-/// How often engines of a VM survived the beginning of an answer to a prompt with a suspect part.
+/// How often targets of a VM survived the beginning of an answer to requests with a suspect feature.
 #[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
 pub struct Survival {
     /// Raw key of the service.
     #[prost(fixed64, tag = "1")]
     pub service: u64,
-    /// Raw key of the part.
+    /// Raw key of the part or of the request's fingerprint.
     #[prost(fixed64, tag = "2")]
-    pub part: u64,
-    /// Survivals since the part became a suspect.
+    pub id: u64,
+    /// Survivals since the feature became a suspect.
     #[prost(uint32, tag = "3")]
     pub recent: u32,
     /// Survivals before that.
     #[prost(uint32, tag = "4")]
     pub earlier: u32,
+    /// Whether the feature is a request rather than a part.
+    #[prost(bool, tag = "5")]
+    pub is_request: bool,
 }
 
 impl Survival {
-    /// Encodes the survivals of a part.
-    pub fn new(part: quarantine::Part, recent: u32, earlier: u32) -> Self {
+    /// Encodes the survivals of a feature.
+    pub fn new(feature: Feature, recent: u32, earlier: u32) -> Self {
         Self {
-            service: part.service.raw(),
-            part: part.id.raw(),
+            service: feature.service.raw(),
+            id: feature.id,
             recent,
             earlier,
+            is_request: feature.kind == Kind::Request,
         }
     }
 
-    /// Decodes the part.
-    pub fn part(&self) -> quarantine::Part {
-        quarantine::Part {
-            service: key::Service::from_raw(self.service),
-            id: key::Part::from_raw(self.part),
-        }
+    /// Decodes the feature.
+    pub fn feature(&self) -> Feature {
+        decode_feature(self.service, self.id, self.is_request)
     }
 }
 
-/// A part of prompts that is quarantined, or was.
+/// A feature that is quarantined, or was.
 #[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
 pub struct Quarantined {
     /// Raw key of the service.
     #[prost(fixed64, tag = "1")]
     pub service: u64,
-    /// Raw key of the part.
+    /// Raw key of the part or of the request's fingerprint.
     #[prost(fixed64, tag = "2")]
-    pub part: u64,
-    /// Number of times that the part was quarantined.
+    pub id: u64,
+    /// Number of times that the feature was quarantined.
     #[prost(uint32, tag = "3")]
     pub level: u32,
     /// Milliseconds until the next trial.
     #[prost(uint32, tag = "4")]
     pub remaining_ms: u32,
-    /// Whether the part has been released since.
+    /// Whether the feature has been released since.
     #[prost(bool, tag = "5")]
     pub is_released: bool,
+    /// Whether the feature is a request rather than a part.
+    #[prost(bool, tag = "6")]
+    pub is_request: bool,
 }
 
 impl Quarantined {
-    /// Encodes the state of a part.
-    pub fn new(part: quarantine::Part, level: u32, remaining: Duration, is_released: bool) -> Self {
+    /// Encodes the state of a feature.
+    pub fn new(feature: Feature, level: u32, remaining: Duration, is_released: bool) -> Self {
         Self {
-            service: part.service.raw(),
-            part: part.id.raw(),
+            service: feature.service.raw(),
+            id: feature.id,
             level,
             remaining_ms: u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX),
             is_released,
+            is_request: feature.kind == Kind::Request,
         }
     }
 
-    /// Decodes the part.
-    pub fn part(&self) -> quarantine::Part {
-        quarantine::Part {
-            service: key::Service::from_raw(self.service),
-            id: key::Part::from_raw(self.part),
+    /// Decodes the feature.
+    pub fn feature(&self) -> Feature {
+        decode_feature(self.service, self.id, self.is_request)
+    }
+}
+
+fn decode_feature(service: u64, id: u64, is_request: bool) -> Feature {
+    Feature {
+        service: key::Service::from_raw(service),
+        kind: if is_request {
+            Kind::Request
+        } else {
+            Kind::Part
+        },
+        id,
+    }
+}
+
+/// Number of requests that the targets of a service have survived lately.
+#[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
+pub struct Survived {
+    /// Raw key of the service.
+    #[prost(fixed64, tag = "1")]
+    pub service: u64,
+    /// Number of the sender's requests.
+    #[prost(uint32, tag = "2")]
+    pub requests: u32,
+}
+
+impl Survived {
+    /// Encodes the number of requests of a service.
+    pub fn new(service: key::Service, requests: u32) -> Self {
+        Self {
+            service: service.raw(),
+            requests,
         }
     }
+
+    /// Decodes the service.
+    pub fn service(&self) -> key::Service {
+        key::Service::from_raw(self.service)
+    }
 }
 
-/// What a VM knows of parts of prompts on which engines crash.
+/// What a VM knows of features of requests that crash their targets.
 #[derive(Clone, Eq, PartialEq, prost::Message)]
 pub struct Evidence {
     /// Random number that the sender's process draws at its start.
     #[prost(fixed64, tag = "1")]
     pub vm: u64,
-    /// Number of the sender's requests that engines have survived lately.
-    #[prost(uint32, tag = "5")]
-    pub survived: u32,
     /// Recent losses of the sender's requests.
     #[prost(message, repeated, tag = "2")]
     pub losses: Vec<Loss>,
-    /// Survivals of suspect parts that the sender has seen itself.
+    /// Survivals of suspect features that the sender has seen itself.
     #[prost(message, repeated, tag = "3")]
     pub survivals: Vec<Survival>,
-    /// Parts that are quarantined, or were until recently.
+    /// Features that are quarantined, or were until recently.
     #[prost(message, repeated, tag = "4")]
     pub quarantined: Vec<Quarantined>,
+    /// What targets have survived lately, one entry for each service.
+    #[prost(message, repeated, tag = "6")]
+    pub survived: Vec<Survived>,
 }
 
 /// The limit of one target in a message.
@@ -469,7 +530,7 @@
     /// Origin of a stream that the sender has begun or resumed.
     #[prost(message, optional, tag = "4")]
     pub origin: Option<Origin>,
-    /// What the sender knows of parts of prompts on which engines crash.
+    /// What the sender knows of requests that crash their targets.
     #[prost(message, optional, tag = "5")]
     pub evidence: Option<Evidence>,
     /// Limits that targets have named.
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -4,7 +4,7 @@
     base::{Instant, key},
     mastictrail_dispatch::{
         Quarantine,
-        quarantine::{Admission, Change, Part, Policy},
+        quarantine::{Admission, Change, Feature, Policy},
         report::{Datagram, Evidence},
     },
     prost::Message,
@@ -36,15 +36,12 @@
     key::Service::of("engines")
 }
 
-fn parts(names: &[&str]) -> Vec<key::Part> {
-    names.iter().map(|name| key::Part::of(name)).collect()
+fn parts(names: &[&str]) -> Vec<Feature> {
+    names.iter().map(|name| part(name)).collect()
 }
 
-fn part(name: &str) -> Part {
-    Part {
-        service: service(),
-        id: key::Part::of(name),
-    }
+fn part(name: &str) -> Feature {
+    Feature::part(service(), key::Part::of(name))
 }
 
 impl World {
@@ -102,16 +99,16 @@
         self.next_target += 1;
         let target = key::Target::from_raw(self.next_target);
         for (vm, names) in requests {
-            self.vms[*vm].record_loss(target, service(), &parts(names), self.now);
+            self.vms[*vm].record_loss(target, &parts(names), self.now);
         }
     }
 
     fn survive(&mut self, vm: usize, names: &[&str]) {
-        self.vms[vm].record_survival(service(), &parts(names), self.now);
+        self.vms[vm].record_survival(&parts(names), self.now);
     }
 
     fn admit(&mut self, vm: usize, names: &[&str]) -> Admission {
-        self.vms[vm].admit(service(), &parts(names), self.now)
+        self.vms[vm].admit(&parts(names), self.now)
     }
 
     /// Asserts that all VMs refuse prompts with the bad part.
@@ -119,7 +116,7 @@
     fn assert_refused(&mut self, name: &str) {
         for vm in 0..self.vms.len() {
             let admission = self.admit(vm, &[name]);
-            let is_refused = matches!(admission, Admission::Refused { part: refused, .. } if refused == part(name));
+            let is_refused = matches!(admission, Admission::Refused { feature: refused, .. } if refused == part(name));
             assert!(is_refused, "vm {vm}: {admission:?}");
         }
     }
@@ -428,8 +425,8 @@
 fn a_part_is_quarantined_at_its_service_only() {
     let mut world = World::new(2);
     world.quarantine();
-    let other = key::Service::of("others");
-    let admission = world.vms[0].admit(other, &parts(&[BAD]), world.now);
+    let other = Feature::part(key::Service::of("others"), key::Part::of(BAD));
+    let admission = world.vms[0].admit(&[other], world.now);
     assert_eq!(admission, Admission::Admitted);
 }
 
@@ -439,19 +436,228 @@
     let mut world = World::new(2);
     let mut most = 0;
     for number in 0_u64..1_000_000 {
-        let name = [key::Part::from_raw(number)];
-        world.vms[0].record_survival(service(), &name, world.now);
+        let part = |id| Feature::part(service(), key::Part::from_raw(id));
+        world.vms[0].record_survival(&[part(number)], world.now);
         if number % 20_000 == 0 {
             let target = key::Target::from_raw(number);
-            let prompt: Vec<_> = (0..64).map(|id| key::Part::from_raw(number + id)).collect();
-            world.vms[1].record_loss(target, service(), &prompt, world.now);
+            let prompt: Vec<_> = (0..64).map(|id| part(number + id)).collect();
+            world.vms[1].record_loss(target, &prompt, world.now);
             world.advance(STEP);
         }
         if number % 1_000 == 0 {
-            most = most.max(world.vms[0].remembered_parts());
-            most = most.max(world.vms[1].remembered_parts());
+            most = most.max(world.vms[0].remembered_features());
+            most = most.max(world.vms[1].remembered_features());
         }
     }
     assert!(most < 20_000, "{most} parts");
     world.quarantine();
 }
+
+fn request(name: &str) -> Feature {
+    Feature::request(service(), key::Fingerprint::of_fields(&[name.as_bytes()]))
+}
+
+impl World {
+    /// A target is lost while it runs these requests of these VMs.
+    fn lose_target(&mut self, requests: &[(usize, &str)]) {
+        self.next_target += 1;
+        let target = key::Target::from_raw(self.next_target);
+        for (vm, name) in requests {
+            self.vms[*vm].record_loss(target, &[request(name)], self.now);
+        }
+    }
+
+    fn answer(&mut self, vm: usize, name: &str) {
+        self.vms[vm].record_survival(&[request(name)], self.now);
+    }
+
+    fn is_request_refused(&mut self, vm: usize, name: &str) -> bool {
+        let admission = self.vms[vm].admit(&[request(name)], self.now);
+        matches!(admission, Admission::Refused { .. })
+    }
+
+    /// Returns how many VMs refuse a request.
+    fn refusing(&mut self, name: &str) -> usize {
+        let vms = 0..self.vms.len();
+        vms.filter(|vm| self.is_request_refused(*vm, name)).count()
+    }
+
+    /// Targets answer requests that nobody repeats, and some that are repeated word for word.
+    fn answer_others(&mut self) {
+        for vm in 0..self.vms.len() {
+            for number in 0..20 {
+                self.answer(vm, &format!("other {vm} {number}"));
+                self.answer(vm, "repeated");
+            }
+        }
+    }
+}
+
+/// Each VM sees one loss at most.
+#[test]
+fn a_request_that_crashed_three_targets_is_refused_at_all_vms() {
+    let mut world = World::new(8);
+    world.answer_others();
+    for vm in 0..2 {
+        world.lose_target(&[(vm, BAD)]);
+        world.advance(Duration::from_millis(400));
+    }
+    assert_eq!(world.refusing(BAD), 0);
+    world.lose_target(&[(2, BAD)]);
+    world.advance(Duration::from_millis(200));
+    assert_eq!(world.refusing(BAD), 8);
+    assert_eq!(world.refusing("repeated"), 0);
+}
+
+/// A VM repeats a request, and so does its client; the third target is lost soon after the first.
+#[test]
+fn losses_in_quick_succession_suffice_if_they_are_two_failures() {
+    let mut world = World::new(4);
+    world.answer_others();
+    for vm in 0..2 {
+        world.lose_target(&[(vm, BAD)]);
+        world.advance(Duration::from_millis(130));
+    }
+    world.lose_target(&[(2, BAD)]);
+    world.advance(Duration::from_millis(200));
+    assert_eq!(world.refusing(BAD), 4);
+}
+
+/// A data centre fails with all targets to which a request was hedged and repeated.
+#[test]
+fn one_failure_of_several_targets_convicts_no_request() {
+    let mut world = World::new(4);
+    world.answer_others();
+    for vm in 0..4 {
+        world.lose_target(&[(vm, "sound")]);
+        world.advance(STEP);
+    }
+    world.advance(Duration::from_secs(1));
+    assert_eq!(world.refusing("sound"), 0);
+}
+
+/// Clients repeat a sound request word for word, and targets are killed under it again and again.
+#[test]
+fn a_repeated_request_that_targets_answer_is_not_refused() {
+    let mut world = World::new(6);
+    for loss in 0..30 {
+        world.answer_others();
+        world.lose_target(&[(loss % 6, "repeated"), (1, "other")]);
+        world.advance(Duration::from_millis(500));
+        assert_eq!(world.refusing("repeated"), 0);
+    }
+}
+
+/// A bystander that is repeated at once meets the request that crashes targets three times.
+#[test]
+fn a_bystander_of_the_same_losses_is_not_refused_before_they_differ() {
+    let mut world = World::new(4);
+    world.answer_others();
+    for vm in 0..3 {
+        world.lose_target(&[(vm, BAD), (3, "bystander")]);
+        world.advance(Duration::from_millis(400));
+    }
+    assert_eq!(world.refusing("bystander"), 0);
+    world.lose_target(&[(0, BAD)]);
+    world.advance(Duration::from_millis(200));
+    assert_eq!(world.refusing(BAD), 4);
+    assert_eq!(world.refusing("bystander"), 0);
+    world.answer(3, "bystander");
+    world.advance(Duration::from_millis(200));
+    assert_eq!(world.refusing("bystander"), 0);
+}
+
+/// Connections fail so often that most requests are lost at times.
+#[test]
+fn a_request_is_not_refused_where_others_are_lost_as_often() {
+    let mut world = World::new(4);
+    for number in 0..20 {
+        world.lose_target(&[(number % 4, &format!("other {number}"))]);
+        world.answer(number % 4, &format!("another {number}"));
+        world.advance(Duration::from_millis(100));
+    }
+    for vm in 0..3 {
+        world.lose_target(&[(vm, "unlucky")]);
+        world.advance(Duration::from_millis(400));
+    }
+    assert_eq!(world.refusing("unlucky"), 0);
+}
+
+/// What one service survives says nothing of another one.
+#[test]
+fn survivals_count_for_their_service_only() {
+    let mut world = World::new(2);
+    let elsewhere = Feature::request(
+        key::Service::of("others"),
+        key::Fingerprint::of_fields(&[b"other"]),
+    );
+    for _ in 0..500 {
+        world.vms[0].record_survival(&[elsewhere], world.now);
+    }
+    for loss in 0..3 {
+        world.lose_target(&[(loss % 2, "unlucky")]);
+        world.advance(Duration::from_millis(400));
+    }
+    assert_eq!(world.refusing("unlucky"), 0);
+}
+
+/// A VM that starts late, and one that loses messages, learn it from the heartbeats.
+#[test]
+fn a_request_is_refused_by_late_vms_and_despite_lost_messages() {
+    let mut world = World::new(6);
+    world.message_loss = 0.4;
+    world.answer_others();
+    for vm in 0..3 {
+        world.lose_target(&[(vm, BAD)]);
+        world.advance(Duration::from_millis(400));
+    }
+    world.vms.push(Quarantine::new(POLICY, 99));
+    world.advance(Duration::from_secs(3));
+    assert_eq!(world.refusing(BAD), 7);
+}
+
+/// The service is repaired: one request of the whole deployment shows it.
+#[test]
+fn the_quarantine_of_a_request_ends_with_a_trial() {
+    let mut world = World::new(4);
+    world.answer_others();
+    for vm in 0..3 {
+        world.lose_target(&[(vm, BAD)]);
+        world.advance(Duration::from_millis(400));
+    }
+    world.advance(POLICY.duration + Duration::from_secs(3));
+    let mut trials = Vec::new();
+    for vm in 0..4 {
+        let admission = world.vms[vm].admit(&[request(BAD)], world.now);
+        trials.extend(matches!(admission, Admission::Trial(_)).then_some(vm));
+        world.advance(STEP * 2);
+    }
+    assert_eq!(trials.len(), 1, "{trials:?}");
+    world.answer(trials[0], BAD);
+    world.advance(Duration::from_millis(200));
+    assert_eq!(world.refusing(BAD), 0);
+}
+
+/// Clients choose the bodies, so they must not fill the memory.
+#[test]
+fn a_million_requests_take_bounded_memory() {
+    let mut world = World::new(2);
+    let mut most = 0;
+    let of = |service: u64, number: u64| {
+        Feature::request(
+            key::Service::from_raw(service),
+            key::Fingerprint::from_raw(number),
+        )
+    };
+    for number in 0_u64..1_000_000 {
+        world.vms[0].record_survival(&[of(number % 3, number)], world.now);
+        if number % 1_000 == 0 {
+            let target = key::Target::from_raw(number);
+            world.vms[1].record_loss(target, &[of(0, number)], world.now);
+            world.advance(STEP);
+            most = most.max(world.vms[0].remembered_features());
+            most = most.max(world.vms[1].remembered_features());
+        }
+    }
+    assert!(most < 3 * 9_000, "{most} features");
+}
--- a/crates/gateway/src/clients/exchange.rs
+++ b/crates/gateway/src/clients/exchange.rs
@@ -16,7 +16,7 @@
         configuration::{RetryPolicy, Route},
         listing::Target,
         origin::Origin,
-        quarantine::Admission,
+        quarantine::{Admission, Feature, Kind},
     },
     entry::runtime::with_timeout,
     http_body_util::{BodyExt, Full, LengthLimitError, Limited},
@@ -41,14 +41,14 @@
 /// Retry delay sent when a request times out before it was sent to a target.
 const TIMEOUT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Maximum number of engines that may be lost as they begin to answer one request.
+/// Maximum number of targets that may be lost as they begin to answer one request.
 ///
 /// The second one may be lost to another request; a third is not risked.
 const MAX_LOSSES: u32 = 2;
 
-/// Delay before a request is sent again whose engine was lost as it began to answer.
+/// Delay before a request is sent again whose target was lost as it began to answer.
 ///
-/// By then the other VMs have reported what they lost with that engine, and the runs that it broke
+/// By then the other VMs have reported what they lost with that target, and the runs that it broke
 /// off are safe elsewhere.
 const REPEAT_DELAY: Duration = Duration::from_millis(150);
 
@@ -72,6 +72,8 @@
     pub head: Head,
     /// What the request consists of: method, path, customer and body.
     pub fingerprint: key::Fingerprint,
+    /// What may crash its targets: the shared parts of its prompt, and the request itself.
+    features: Box<[Feature]>,
     /// Arrival time.
     pub arrived: Instant,
     /// Time at which the request is abandoned.
@@ -85,9 +87,9 @@
     origin: OnceLock<Origin>,
     /// Number of targets that ran the request or may have run it.
     runs: AtomicU32,
-    /// Number of engines that were lost before or shortly after they began to answer.
+    /// Number of targets that were lost before or shortly after they began to answer.
     losses: AtomicU32,
-    /// Whether the request shows if engines survive a part that was quarantined.
+    /// Whether the request shows if targets survive a feature that was quarantined.
     is_trial: AtomicBool,
     _guard: Guard,
 }
@@ -199,67 +201,76 @@
         self.runs.fetch_sub(1, Ordering::Relaxed);
     }
 
-    /// Checks that the request may be sent to an engine, for the first time or again.
+    /// Checks that the request may be sent to a target, for the first time or again.
     ///
     /// # Errors
-    /// Returns a refusal if engines crash on a part of its prompt, or were lost to this request.
+    /// Returns a refusal if targets crash on one of its features, or were lost to this request.
     pub fn check_quarantine(&self) -> Result<(), Refusal> {
-        let parts = &self.head.shared_parts;
         let losses = self.losses.load(Ordering::Relaxed);
         let is_trial = self.is_trial.load(Ordering::Relaxed);
         if losses >= MAX_LOSSES || is_trial && losses > 0 {
-            let message = "engines were lost as they began to answer the request";
+            let message = "targets were lost as they began to answer the request";
             return Err(Refusal::may_have_run(Reason::Quarantined, message));
         }
-        if parts.is_empty() || is_trial {
+        if is_trial {
             return Ok(());
         }
-        match quarantine::admit(&self.shared, self.service, parts) {
+        match quarantine::admit(&self.shared, &self.features) {
             Admission::Admitted => Ok(()),
-            Admission::Trial(part) => {
+            Admission::Trial(feature) => {
                 self.is_trial.store(true, Ordering::Relaxed);
                 log::info!(
-                    target: "quarantine", request:% = self.head.attempt_id, part:% = part;
-                    "sending a request as a trial of a quarantined part"
+                    target: "quarantine", request:% = self.head.attempt_id, feature:% = feature;
+                    "sending a request as a trial of a quarantined feature"
                 );
                 Ok(())
             }
-            Admission::Refused { part, retry_after } => {
-                let message = format!("engines crash on the part {part} of the prompt");
+            Admission::Refused {
+                feature,
+                retry_after,
+            } => {
+                let message = match feature.kind {
+                    Kind::Part => format!("engines crash on the {feature} of the prompt"),
+                    Kind::Request => "targets crash on this request".to_owned(),
+                };
                 let refusal = Refusal::not_run(Reason::Quarantined, message);
                 Err(refusal.retry_after(retry_after))
             }
         }
     }
 
-    /// Records that an engine broke off the request before or shortly after it began to answer.
+    /// Returns whether a target of any VM was lost lately as it began to answer the same request.
+    pub fn is_suspect(&self) -> bool {
+        let feature = Feature::request(self.service, self.fingerprint);
+        self.is_trial.load(Ordering::Relaxed) || quarantine::losses(&self.shared, feature) > 0
+    }
+
+    /// Records that a target broke off the request before or shortly after it began to answer.
     ///
-    /// An engine that leaves by plan breaks off whatever it still runs.
+    /// A target that leaves by plan breaks off whatever it still runs.
     pub fn record_loss(&self, target: &Target) {
         if !self.shared.directory.is_active(target.key) {
             return;
         }
         self.losses.fetch_add(1, Ordering::Relaxed);
-        quarantine::record_loss(
-            &self.shared,
-            target.key,
-            self.service,
-            &self.head.shared_parts,
-        );
+        quarantine::record_loss(&self.shared, target.key, &self.features);
     }
 
     /// Waits for evidence from other VMs before the request is sent again after a loss.
+    ///
+    /// A plain request whose first known loss this is mostly ran beside the cause, and has little
+    /// time; it is sent again at once.
     pub async fn wait_after_loss(&self) {
-        if !self.head.shared_parts.is_empty() && self.losses.load(Ordering::Relaxed) > 0 {
+        let losses = self.losses.load(Ordering::Relaxed);
+        let feature = Feature::request(self.service, self.fingerprint);
+        if losses > 0 && (self.route.is_stream || quarantine::losses(&self.shared, feature) > 1) {
             Timer::after(REPEAT_DELAY).await;
         }
     }
 
-    /// Records that an engine has begun to answer and was not lost.
+    /// Records that a target has begun to answer and was not lost.
     pub fn record_survival(&self) {
-        if !self.head.shared_parts.is_empty() {
-            quarantine::record_survival(&self.shared, self.service, &self.head.shared_parts);
-        }
+        quarantine::record_survival(&self.shared, &self.features);
     }
 
     /// Returns whether the route permits another run.
@@ -392,6 +403,7 @@
         route,
         service,
         customer,
+        features: features(service, &head, fingerprint),
         head,
         fingerprint,
         arrived,
@@ -410,6 +422,14 @@
     })
 }
 
+/// Returns the features of a request, the most specific one last.
+fn features(service: key::Service, head: &Head, fingerprint: key::Fingerprint) -> Box<[Feature]> {
+    let parts = head.shared_parts.iter();
+    let parts = parts.map(|&part| Feature::part(service, part));
+    let request = Feature::request(service, fingerprint);
+    parts.chain([request]).collect()
+}
+
 async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Refusal> {
     match Limited::new(body, max_bytes).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
@@ -426,7 +446,7 @@
         if exchange.route.is_stream {
             generation::serve(&exchange).await
         } else {
-            plain::serve(&exchange).await
+            Box::pin(plain::serve(&exchange)).await
         }
     };
     let response = smol::future::or(response, async {
--- a/crates/gateway/src/clients/plain.rs
+++ b/crates/gateway/src/clients/plain.rs
@@ -51,6 +51,8 @@
     runs: u32,
     answer: Option<(Parts, Bytes)>,
     failure: Option<Failure>,
+    /// Why no further attempt may follow.
+    refusal: Option<Refusal>,
 }
 
 impl Attempts {
@@ -107,19 +109,28 @@
         let Some((target, reservation)) = attempts.reserve_next(exchange) else {
             break;
         };
+        if let Err(refusal) = exchange.check_quarantine() {
+            attempts.refusal = Some(refusal);
+            break;
+        }
         if send_hedged(exchange, &mut attempts, target, reservation).await {
             break;
         }
+        exchange.wait_after_loss().await;
     }
     if let Some((parts, body)) = attempts.answer {
         return Ok(deliver(exchange, &parts, body));
     }
     Err(match attempts.failure {
-        Some(failure) if failure.verdict == Verdict::NotRun => {
-            Refusal::not_run(Reason::TargetRefused, failure.message).retry_after(BUSY_RETRY_AFTER)
+        Some(failure) if failure.verdict != Verdict::NotRun => {
+            Refusal::may_have_run(Reason::TargetLost, failure.message)
         }
-        Some(failure) => Refusal::may_have_run(Reason::TargetLost, failure.message),
-        None => no_target(exchange),
+        failure => match (attempts.refusal, failure) {
+            (Some(refusal), _) => refusal,
+            (None, Some(failure)) => Refusal::not_run(Reason::TargetRefused, failure.message)
+                .retry_after(BUSY_RETRY_AFTER),
+            (None, None) => no_target(exchange),
+        },
     })
 }
 
@@ -146,7 +157,8 @@
     reservation: Reservation,
 ) -> bool {
     let can_hedge = exchange.route.retry_policy == RetryPolicy::Idempotent
-        && attempts.runs + 1 < exchange.route.max_attempts;
+        && attempts.runs + 1 < exchange.route.max_attempts
+        && !exchange.is_suspect();
     let mut first = pin!(send(exchange, target, reservation));
     if !can_hedge {
         let attempt = first.await;
@@ -156,7 +168,13 @@
     if let Some(attempt) = with_timeout(delay, first.as_mut()).await {
         return count_attempt(exchange, attempts, attempt);
     }
-    let Some((target, reservation)) = attempts.reserve_next(exchange) else {
+    // Another VM may have lost a target to the same request meanwhile.
+    let hedge = if exchange.is_suspect() {
+        None
+    } else {
+        attempts.reserve_next(exchange)
+    };
+    let Some((target, reservation)) = hedge else {
         let attempt = first.await;
         return count_attempt(exchange, attempts, attempt);
     };
@@ -229,7 +247,12 @@
         }) if verdict.is_repeatable() => {
             return Attempt::Unreachable(message);
         }
-        Err(failure) => return Attempt::Lost(failure.message),
+        Err(failure) => {
+            if failure.is_closed {
+                exchange.record_loss(target);
+            }
+            return Attempt::Lost(failure.message);
+        }
     };
     let (parts, body) = answer.response.into_parts();
     notice::apply(&exchange.shared, target, parts.status, &parts.headers, sent);
@@ -242,7 +265,10 @@
     let body = exchange.shared.buffers.collect(body).await;
     drop(answer.connection);
     match body {
-        Ok(body) => Attempt::Answered(parts, body),
+        Ok(body) => {
+            exchange.record_survival();
+            Attempt::Answered(parts, body)
+        }
         Err(error) => Attempt::Lost(format!("a broken answer: {error}").into()),
     }
 }
--- a/crates/gateway/src/control/quarantine.rs
+++ b/crates/gateway/src/control/quarantine.rs
@@ -1,10 +1,10 @@
-//! Exchanges evidence of prompts on which engines crash, and logs what follows from it.
+//! Exchanges evidence of requests that crash their targets, and logs what follows from it.
 
 use {
     crate::{Shared, control::reports},
     base::key,
     dispatch::{
-        quarantine::{Admission, Change},
+        quarantine::{Admission, Change, Feature},
         report::Evidence,
     },
     entry::runtime::with_timeout,
@@ -43,12 +43,12 @@
         }
     }
 
-    /// Returns the number of quarantined parts.
+    /// Returns the number of quarantined features.
     pub fn len(&self) -> usize {
         self.lock().len()
     }
 
-    /// Returns whether no part is quarantined.
+    /// Returns whether nothing is quarantined.
     pub fn is_empty(&self) -> bool {
         self.lock().is_empty()
     }
@@ -68,10 +68,10 @@
     }
 }
 
-/// Decides about a request whose prompt has the given shared parts.
-pub fn admit(shared: &Shared, service: key::Service, parts: &[key::Part]) -> Admission {
+/// Decides about a request with the given features.
+pub fn admit(shared: &Shared, features: &[Feature]) -> Admission {
     let mut state = shared.quarantine.lock();
-    let admission = state.admit(service, parts, shared.now());
+    let admission = state.admit(features, shared.now());
     log_changes(&mut state);
     drop(state);
     if matches!(admission, Admission::Trial(_)) {
@@ -80,24 +80,24 @@
     admission
 }
 
-/// Records that an engine broke off a request before or shortly after it began to answer.
-pub fn record_loss(
-    shared: &Shared,
-    target: key::Target,
-    service: key::Service,
-    parts: &[key::Part],
-) {
+/// Returns the number of recent losses of which a feature is a suspect, at any VM.
+pub fn losses(shared: &Shared, feature: Feature) -> usize {
+    shared.quarantine.lock().losses(feature)
+}
+
+/// Records that a target broke off a request before or shortly after it began to answer.
+pub fn record_loss(shared: &Shared, target: key::Target, features: &[Feature]) {
     let mut state = shared.quarantine.lock();
-    state.record_loss(target, service, parts, shared.now());
+    state.record_loss(target, features, shared.now());
     log_changes(&mut state);
     drop(state);
     shared.quarantine.notify();
 }
 
-/// Records that an engine has begun to answer a request and was not lost.
-pub fn record_survival(shared: &Shared, service: key::Service, parts: &[key::Part]) {
+/// Records that a target has begun to answer a request and was not lost.
+pub fn record_survival(shared: &Shared, features: &[Feature]) {
     let mut state = shared.quarantine.lock();
-    state.record_survival(service, parts, shared.now());
+    state.record_survival(features, shared.now());
     let is_waiting = state.next_poll(shared.now()).is_some();
     log_changes(&mut state);
     drop(state);
@@ -139,18 +139,18 @@
     for change in state.take_changes() {
         match change {
             Change::Quarantined {
-                part,
+                feature,
                 losses,
                 level,
                 duration,
             } => log::warn!(
-                target: "quarantine", part:% = part, service:% = part.service, losses, level,
+                target: "quarantine", feature:% = feature, service:% = feature.service, losses, level,
                 duration_ms = duration.as_millis() as u64;
-                "engines crash on a part of prompts; refusing requests that contain it"
+                "targets crash on a feature of requests; refusing requests that have it"
             ),
-            Change::Released { part } => log::info!(
-                target: "quarantine", part:% = part, service:% = part.service;
-                "requests with the part are sent again"
+            Change::Released { feature } => log::info!(
+                target: "quarantine", feature:% = feature, service:% = feature.service;
+                "requests with the feature are sent again"
             ),
         }
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -136,7 +136,7 @@
             ),
             quarantined: gauge(
                 "mastictrail.gateway.quarantined",
-                "Parts of prompts that are refused because engines crash on them",
+                "Requests and parts of prompts that are refused because targets crash on them",
             ),
             targets: gauge(
                 "mastictrail.gateway.targets",
