fix(dispatch): count the requests that are lost without a suspect, not their targets

A part's losses were compared with the targets that were lost without it. So several other requests at one target counted once, and those that went down together with a request of the part not at all, while survivals are counted by requests. Now each lost request without the feature counts.

A request's fingerprint is the same for all of a customer's generations that have one body, and such a one was convicted by three losses. It now takes four if a part was in all of them as well, and then the part is refused.

--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -37,8 +37,6 @@
 const MAX_CHANCE: f64 = 1e-3;
 /// Requests without the feature that targets must have survived, as nothing else tells it from them.
 const MIN_OTHER_SURVIVALS: f64 = 3.0;
-/// Assumed number of requests that a lost target was about to answer.
-const REQUESTS_PER_LOSS: f64 = 1.0;
 /// Maximum number of VMs whose survivals are counted.
 const MAX_VMS: usize = 1_024;
 /// Losses at shorter intervals count once, as one failure may take several targets.
@@ -51,6 +49,8 @@
 const LOSS_LIFETIME: Duration = Duration::from_secs(60);
 /// Maximum number of losses that are remembered, as many as a bit set holds.
 const MAX_LOSSES: usize = u64::BITS as usize;
+/// Maximum number of requests of a loss that are remembered.
+const MAX_REQUESTS: usize = 32;
 /// Maximum number of suspects of a loss.
 const MAX_SUSPECTS: usize = 64;
 /// Maximum number of features in each half of a service's memory of survivals.
@@ -178,14 +178,39 @@
     at: Instant,
     /// Suspects of all VMs, with their position in the prompt.
     suspects: Vec<(Feature, usize)>,
-    /// Prompts of this VM's requests, to be repeated to the others.
-    own: Vec<Vec<Feature>>,
+    /// Requests of all VMs that were lost with the target.
+    requests: Vec<Request>,
+}
+
+/// A request that was lost with its target.
+#[derive(Debug)]
+struct Request {
+    features: Box<[Feature]>,
+    /// Whether it is one of this VM's, to be repeated to the others.
+    is_own: bool,
 }
 
 impl Case {
-    fn is_of(&self, service: key::Service) -> bool {
-        let first = self.suspects.first();
-        first.is_some_and(|(feature, _)| feature.service == service)
+    /// Adds a request unless it is known.
+    fn add(&mut self, features: &[Feature], is_own: bool) {
+        let mut known = self.requests.iter_mut();
+        if let Some(known) = known.find(|request| *request.features == *features) {
+            known.is_own |= is_own;
+        } else if self.requests.len() < MAX_REQUESTS {
+            self.requests.push(Request {
+                features: features.into(),
+                is_own,
+            });
+        }
+    }
+
+    /// Returns the number of requests for a service that don't have a feature.
+    fn lost_without(&self, feature: Feature) -> usize {
+        let others = self.requests.iter().filter(|request| {
+            let mut features = request.features.iter();
+            features.all(|other| other.service == feature.service && *other != feature)
+        });
+        others.count()
     }
 
     fn has(&self, feature: Feature) -> bool {
@@ -214,7 +239,7 @@
         self.cases.count_ones() as usize
     }
 
-    /// Returns whether the losses are enough; `is_ambiguous` if another request explains them, too.
+    /// Returns whether the losses are enough; `is_ambiguous` if another feature explains them, too.
     fn is_sufficient(&self, kind: Kind, was_survived: bool, is_ambiguous: bool) -> bool {
         let episodes = count_episodes(&self.settled);
         match kind {
@@ -403,10 +428,8 @@
                 self.quarantine(feature, now);
             }
         }
-        let case = self.suspect(target, &features, now, now);
-        if case.own.len() < MAX_SENT_LOSSES {
-            case.own.push(features);
-        }
+        self.suspect(target, &features, now, now)
+            .add(&features, true);
         self.has_news = true;
     }
 
@@ -454,7 +477,9 @@
                     .saturating_sub(u64::try_from(age.as_micros()).unwrap_or(u64::MAX)),
             );
             let features: Vec<_> = loss.features().take(MAX_SUSPECTS).collect();
-            self.suspect(key::Target::from_raw(loss.target), &features, at, now);
+            let target = key::Target::from_raw(loss.target);
+            self.suspect(target, &features, at, now)
+                .add(&features, false);
         }
         for survival in &evidence.survivals {
             if let Some(tally) = self.tallies.get_mut(&survival.feature()) {
@@ -481,8 +506,8 @@
         let own = self.cases.iter().rev();
         let recent = own.filter(|case| now.since(case.at) < REPEAT_PERIOD);
         let losses = recent.flat_map(|case| {
-            let prompts = case.own.iter();
-            prompts.map(|features| Loss::new(case.target, features, now.since(case.at)))
+            let own = case.requests.iter().filter(|request| request.is_own);
+            own.map(|request| Loss::new(case.target, &request.features, now.since(case.at)))
         });
         let survivals = self.tallies.iter().filter_map(|(feature, tally)| {
             let own = |counts: &BTreeMap<u64, u32>| counts.get(&self.vm).copied();
@@ -557,7 +582,13 @@
 
     /// Returns the number of features that are remembered for any reason.
     pub fn remembered_features(&self) -> usize {
-        let suspects = self.cases.iter().map(|case| case.suspects.len());
+        let suspects = self.cases.iter().map(|case| {
+            let requests = case.requests.iter();
+            case.suspects.len()
+                + requests
+                    .map(|request| request.features.len())
+                    .sum::<usize>()
+        });
         let survivals = self.survivals.values();
         let survivals =
             survivals.map(|survivals| survivals.current.len() + survivals.previous.len());
@@ -594,7 +625,7 @@
                 target,
                 at,
                 suspects: Vec::new(),
-                own: Vec::new(),
+                requests: Vec::new(),
             });
             self.cases.len() - 1
         });
@@ -688,19 +719,19 @@
             let is_ambiguous = feature.kind == Kind::Request
                 && suspects.iter().any(|(&other_feature, other)| {
                     other_feature != feature
-                        && other_feature.kind == Kind::Request
                         && is_alike(other)
                         && self.recent_survivals(other_feature) <= survivals
                 });
             let is_guilty = suspect.is_sufficient(feature.kind, was_survived, is_ambiguous)
                 && self.chance(feature, losses, open) <= MAX_CHANCE
                 && exceeds(losses, survivals);
-            // Of equals, the later part of a prompt is the more specific one, and the request most.
+            // Of equals, a part is in the request, and a later part is the more specific one.
             let rank = (
                 losses,
                 u32::MAX - survivals,
                 !was_survived,
                 is_in_force,
+                feature.kind == Kind::Part,
                 suspect.position,
                 feature,
             );
@@ -733,8 +764,7 @@
             return 1.0;
         }
         let open = open.iter().map(|&index| &self.cases[index]);
-        let other_losses = open.filter(|case| case.is_of(feature.service) && !case.has(feature));
-        let lost = REQUESTS_PER_LOSS * other_losses.count() as f64;
+        let lost = open.map(|case| case.lost_without(feature)).sum::<usize>() as f64;
         let probability = (lost + 1.0) / (lost + survivals + 2.0);
         probability.powf(losses as f64)
     }
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -661,3 +661,20 @@
     }
     assert!(most < 3 * 9_000, "{most} features");
 }
+
+/// All requests of a customer have one body, so that they look like one that is repeated.
+#[test]
+fn a_bad_part_is_refused_rather_than_the_requests_that_contain_it() {
+    let mut world = World::new(4);
+    world.serve_others();
+    let with = |name| [part("shared"), part(name), request("same body")];
+    for vm in 0..4 {
+        world.next_target += 1;
+        let target = key::Target::from_raw(world.next_target);
+        world.vms[vm].record_loss(target, &with(BAD), world.now);
+        world.advance(Duration::from_millis(400));
+        let admission = world.vms[0].admit(&with("sound"), world.now);
+        assert_eq!(admission, Admission::Admitted);
+    }
+    world.assert_refused(BAD);
+}
