test(gateway): blame, bystanders, end and late VMs of requests that crash targets

Cause: the quarantine of whole requests must not refuse sound ones that are repeated word for word, must end, and must reach VMs that have seen no crash.

Change: tests for these in tests/crashing_requests.rs, and in tests/crashes.rs one for a part of prompts of which each of eight VMs sees at most three losses.

--- a/tests/crashes.rs
+++ b/tests/crashes.rs
@@ -185,6 +185,32 @@
     assert!(share >= 0.95, "{share} of the sound requests were served");
 }
 
+/// Each VM loses fewer engines to the part than it takes to know it.
+#[test]
+fn the_fleet_knows_a_part_of_which_each_vm_sees_too_little() {
+    let site = Site::start(ENGINES, 1, 8);
+    site.wait_for_peers();
+    site.set_engine_behaviour(&engine());
+    let sound_prompt = |number: usize| format!("aa:100,cc{}", number % 4);
+    thread::scope(|scope| {
+        scope.spawn(|| load(&site, "sound", Duration::from_secs(16), sound_prompt));
+        thread::sleep(Duration::from_secs(2));
+        for number in 0..24 {
+            let gateway = &site.gateways[number % site.gateways.len()];
+            let prompt = format!("aa:100,{BAD_PART}:30,b{number:x}:10");
+            // A draft is sent to one engine only.
+            let attempt = format!("bad-{number}");
+            exchange(gateway.clients, STREAM_PATH, &attempt, &prompt);
+            thread::sleep(Duration::from_millis(500));
+        }
+    });
+    let crashes = crashes(&site);
+    let known = crashes[(KNOWN_CRASHES - 1).min(crashes.len() - 1)];
+    let late = bad_requests_after(&site, known + STABLE_WINDOW);
+    println!("{} engines crashed, {late} late requests", crashes.len());
+    assert!(late <= MAX_LATE_REQUESTS, "{late} requests reached engines");
+}
+
 /// Sends requests with the bad part, beside sound ones, until all gateways refuse them.
 fn quarantine(site: &Site) {
     let mut number = 0;
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -6,7 +6,10 @@
 mod support;
 
 use {
-    fakes::site::{Target, target::Behaviour},
+    fakes::site::{
+        Target,
+        target::{Behaviour, ReceivedRequest},
+    },
     hyper::{Method, StatusCode},
     std::{
         net::SocketAddr,
@@ -14,8 +17,13 @@
         thread,
         time::{Duration, Instant},
     },
-    support::site::{
-        RESUMABLE_PATH, SAFE_PATH, Site, UNSAFE_PATH, event_stream, read_to_end, send_body,
+    support::{
+        process::free_address,
+        site::{
+            RESUMABLE_PATH, SAFE_PATH, Site, UNSAFE_PATH, event_stream, is_ready, read_to_end,
+            send_body,
+        },
+        wait_until,
     },
 };
 
@@ -31,6 +39,12 @@
 const GATEWAYS: usize = 3;
 /// Interval between two requests of a client.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(120);
+/// Time after which a client repeats a request that was not served.
+const REPEAT_DELAY: Duration = Duration::from_millis(20);
+/// Number of clients that send requests without pause.
+const BUSY_CLIENTS: usize = 6;
+/// Time that a target takes for an answer or until it crashes.
+const DELAY: Duration = Duration::from_millis(60);
 
 /// A request that a client sent.
 struct Exchange {
@@ -53,7 +67,7 @@
 /// Targets that crash on the bad body at this path.
 fn crashing(path: &str) -> Behaviour {
     Behaviour {
-        delay: Duration::from_millis(60),
+        delay: DELAY,
         crashes_on_request: Some((path.into(), BAD_BODY.into())),
         recovery: Duration::from_secs(2),
         ..Behaviour::default()
@@ -146,6 +160,46 @@
     })
 }
 
+/// Sends reads without pause, and each word for word until it is served, to all gateways in turn.
+///
+/// `body` returns the body of a client's next one.
+fn insist(
+    site: &Site,
+    duration: Duration,
+    body: impl Fn(usize, usize) -> String + Sync,
+) -> Vec<Exchange> {
+    let end = Instant::now() + duration;
+    let body = &body;
+    thread::scope(|scope| {
+        let clients: Vec<_> = (0..BUSY_CLIENTS)
+            .map(|client| {
+                scope.spawn(move || {
+                    let mut exchanges: Vec<Exchange> = Vec::new();
+                    let mut served = 0;
+                    while Instant::now() < end {
+                        let number = exchanges.len();
+                        let gateway = &site.gateways[(client + number) % site.gateways.len()];
+                        let attempt = format!("busy-{client}-{number}");
+                        let body = body(client, served);
+                        let exchange = exchange(gateway.clients, SAFE_PATH, &attempt, &body);
+                        if exchange.is_served {
+                            served += 1;
+                        } else {
+                            thread::sleep(REPEAT_DELAY);
+                        }
+                        exchanges.push(exchange);
+                    }
+                    exchanges
+                })
+            })
+            .collect();
+        let clients = clients.into_iter();
+        clients
+            .flat_map(|client| client.join().expect("the client does not panic"))
+            .collect()
+    })
+}
+
 /// Returns when the targets crashed on a request, in order.
 fn crashes(site: &Site) -> Vec<Instant> {
     let mut crashes: Vec<_> = targets(site).flat_map(Target::bad_crashes).collect();
@@ -250,3 +304,216 @@
     });
     assert_few_late(site);
 }
+
+/// Repeats sound reads word for word while their targets fail for other reasons.
+fn assert_none_blamed(disturb: impl FnOnce(&Site)) {
+    let site = start(SAFE_PATH, GATEWAYS, "");
+    set_behaviour(
+        &site,
+        &Behaviour {
+            delay: DELAY,
+            ..Behaviour::default()
+        },
+    );
+    let body = |_client, served| format!("look up again {}", served % 3);
+    let reads = thread::scope(|scope| {
+        let reads = scope.spawn(|| insist(&site, Duration::from_secs(10), body));
+        disturb(&site);
+        reads.join().unwrap()
+    });
+    let failed = reads.iter().filter(|exchange| !exchange.is_served).count();
+    println!("{} reads, {failed} failed", reads.len());
+    let refused = reads.iter().filter(|exchange| exchange.is_quarantined);
+    assert_eq!(refused.count(), 0);
+    for gateway in 0..GATEWAYS {
+        assert_eq!(site.metric(gateway, "quarantined"), 0);
+    }
+}
+
+/// Services are killed or fail by themselves, one by one, with what they run.
+#[test]
+fn no_read_is_refused_because_services_are_killed() {
+    assert_none_blamed(|site| {
+        for kill in 0..12 {
+            thread::sleep(Duration::from_millis(700));
+            site.services[kill % TARGETS].crash_and_recover();
+        }
+    });
+}
+
+/// Services leave by plan at short notice and break off what they still run; others replace them.
+#[test]
+fn no_read_is_refused_because_services_leave() {
+    assert_none_blamed(|site| {
+        let mut successors: Vec<Target> = Vec::new();
+        for number in 0..12_usize {
+            let name = format!("successor-{number}");
+            let successor = Target::start(free_address(), &name, false, &site.copies);
+            let successor = successor.expect("the address is free");
+            successor.set_behaviour(Behaviour {
+                delay: DELAY,
+                ..Behaviour::default()
+            });
+            site.register(&successor, "ledger", "dc-1", "ready");
+            thread::sleep(Duration::from_millis(500));
+            let leaving = match number.checked_sub(TARGETS) {
+                Some(index) => &successors[index],
+                None => &site.services[number],
+            };
+            site.register(leaving, "ledger", "dc-1", "draining");
+            // Some VMs have read it by then, and no running request has ended.
+            thread::sleep(DELAY / 2);
+            leaving.crash();
+            thread::sleep(Duration::from_millis(200));
+            site.store.remove(&format!("servers/{}", leaving.instance));
+            successors.push(successor);
+        }
+    });
+}
+
+/// Services run reads but their answers are lost: one service's at a time, then those of all.
+#[test]
+fn no_read_is_refused_because_its_answers_are_lost() {
+    assert_none_blamed(|site| {
+        let behaviour = |drops_response| Behaviour {
+            delay: DELAY,
+            drops_response,
+            ..Behaviour::default()
+        };
+        let lose = |services: &[Target]| {
+            for service in services {
+                service.set_behaviour(behaviour(true));
+            }
+            thread::sleep(Duration::from_millis(400));
+            for service in services {
+                service.set_behaviour(behaviour(false));
+            }
+            thread::sleep(Duration::from_millis(600));
+        };
+        for number in 0..6 {
+            lose(&site.services[number % TARGETS..=number % TARGETS]);
+        }
+        for _ in 0..3 {
+            lose(&site.services);
+        }
+    });
+}
+
+/// Returns how many other requests the crashes on the bad one broke off.
+fn broken_off(site: &Site) -> usize {
+    let count = |target: &Target| {
+        let crashes = target.bad_crashes();
+        let is_broken_off = |request: &ReceivedRequest| {
+            let is_running = |crash: &Instant| (request.at..request.at + DELAY).contains(crash);
+            request.body != BAD_BODY && crashes.iter().any(is_running)
+        };
+        let received = target.received().into_iter();
+        received.filter(is_broken_off).count()
+    };
+    targets(site).map(count).sum()
+}
+
+/// Each crash breaks off sound reads that are repeated at once, so that they meet the bad one again.
+#[test]
+fn reads_beside_one_that_crashes_services_are_served_once_it_is_known() {
+    let site = start(SAFE_PATH, GATEWAYS, "");
+    let site = &site;
+    let sound = thread::scope(|scope| {
+        let body = |client, served| format!("look up {client} {served}");
+        let sound = scope.spawn(move || insist(site, Duration::from_secs(14), body));
+        thread::sleep(Duration::from_secs(2));
+        let duration = Duration::from_secs(12);
+        load(site, "bad", SAFE_PATH, duration, |_| BAD_BODY.to_owned());
+        sound.join().unwrap()
+    });
+    let broken_off = broken_off(site);
+    println!("{broken_off} sound reads were broken off");
+    assert!(broken_off >= KNOWN_CRASHES, "{broken_off} were broken off");
+    assert_few_late(site);
+    let settled = known_at(site) + 2 * STABLE_WINDOW;
+    let share = served_share(&sound, settled);
+    assert!(share >= 0.95, "{share} of the sound requests were served");
+    let mut late = sound.iter().filter(|exchange| exchange.at > settled);
+    assert!(!late.any(|exchange| exchange.is_quarantined));
+}
+
+/// Sends the bad request to a gateway.
+fn send_bad(site: &Site, gateway: usize, number: usize) -> Exchange {
+    let address = site.gateways[gateway].clients;
+    exchange(address, SAFE_PATH, &format!("bad-{number}"), BAD_BODY)
+}
+
+/// Sends the bad request, beside sound ones, until all gateways refuse it and all targets are back.
+fn quarantine(site: &Site) {
+    let mut number = 0;
+    wait_until("the bad request is refused", || {
+        number += 1;
+        let gateway = number % site.gateways.len();
+        let address = site.gateways[gateway].clients;
+        thread::scope(|scope| {
+            scope.spawn(|| {
+                let (attempt, body) = (format!("sound-{number}"), format!("look up {number}"));
+                exchange(address, SAFE_PATH, &attempt, &body);
+            });
+            send_bad(site, gateway, number);
+        });
+        (0..site.gateways.len()).all(|gateway| site.metric(gateway, "quarantined") == 1)
+    });
+    let is_back = |target: &Target| std::net::TcpStream::connect(target.address).is_ok();
+    wait_until("all targets are back", || targets(site).all(is_back));
+}
+
+/// The services are repaired, for instance by another release of their software.
+#[test]
+fn a_quarantined_request_is_served_again_once_services_survive_it() {
+    let site = start(SAFE_PATH, GATEWAYS, "[quarantine]\nduration = 3s\n");
+    quarantine(&site);
+    set_behaviour(&site, &Behaviour::default());
+    let crash_count = crashes(&site).len();
+    for gateway in 0..GATEWAYS {
+        let mut number = 100 * gateway;
+        wait_until("the request is served again", || {
+            number += 1;
+            send_bad(&site, gateway, number).is_served
+        });
+    }
+    assert_eq!(crashes(&site).len(), crash_count);
+}
+
+/// A trial is one request of the whole deployment and neither hedged nor sent again.
+#[test]
+fn a_trial_of_a_request_that_still_crashes_services_takes_one() {
+    let site = start(SAFE_PATH, GATEWAYS, "[quarantine]\nduration = 3s\n");
+    quarantine(&site);
+    let begun = Instant::now();
+    let mut number = 0;
+    // The first trial begins within six seconds, the next one at least six after it.
+    while begun.elapsed() < Duration::from_secs(8) {
+        number += 1;
+        send_bad(&site, number % GATEWAYS, number);
+        thread::sleep(Duration::from_millis(20));
+    }
+    let crashes = crashes(&site);
+    let trials: Vec<_> = crashes.iter().filter(|crash| **crash > begun).collect();
+    assert!((1..=2).contains(&trials.len()), "{} trials", trials.len());
+    let is_apart = |pair: &[&Instant]| *pair[1] - *pair[0] > STABLE_WINDOW;
+    assert!(trials.windows(2).all(is_apart), "a trial took two services");
+}
+
+/// A VM that starts while a request is quarantined has seen none of the crashes.
+#[test]
+fn a_gateway_that_starts_late_refuses_the_request() {
+    let mut site = start(SAFE_PATH, GATEWAYS, "");
+    quarantine(&site);
+    site.restart(0);
+    let restarted = Instant::now();
+    wait_until("the gateway is ready", || is_ready(&site.gateways[0]));
+    wait_until("the gateway knows the request", || {
+        site.metric(0, "quarantined") == 1
+    });
+    assert!(restarted.elapsed() < STABLE_WINDOW);
+    for number in 0..5 {
+        assert!(send_bad(&site, 0, number).is_refused_for_good());
+    }
+    assert_eq!(bad_requests_after(&site, restarted), 0);
+}
