fix(resumption): check the origin again after the wait for room

Cause: whether a stream of unknown origin may be resumed was decided once, at arrival. A request that then waited for room could go to an engine of another release that was listed meanwhile, and the client would get events of two releases.

Change: the check is made again when an engine has room, beside that of the quarantine.

--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -119,8 +119,9 @@
                 break;
             }
         };
-        // Meanwhile an engine may have been lost to this request or to one like it.
-        if let Err(refusal) = exchange.check_quarantine() {
+        // Meanwhile another release may have come, or an engine been lost to such a request.
+        let checked = resumption::check(exchange).and_then(|()| exchange.check_quarantine());
+        if let Err(refusal) = checked {
             last_refusal.get_or_insert(refusal);
             break;
         }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -19,6 +19,7 @@
         time::{Duration, Instant},
     },
     support::{
+        process::free_address,
         site::{
             API_KEY, HOST, PendingResponse, RESUMABLE_PATH, SAFE_PATH, STREAM_PATH, Site,
             UNSAFE_PATH, event_stream, is_ready, read_to_end, send,
@@ -783,6 +784,42 @@
     assert!(event_stream(20).ends_with(&response.body.expect("the stream is complete")));
 }
 
+/// The only release was the right one as the request came, but not the only one any more as an engine
+/// had room.
+#[test]
+fn a_stream_of_unknown_origin_is_not_resumed_at_a_release_that_came_while_it_waited() {
+    let mut site = Site::start(1, 1, 1);
+    begin_stream(&site, 0, "a-1");
+    site.publish(2, |document| {
+        document["Routes"][1]["TargetLatencyMs"] = 6_000.into();
+    });
+    site.restart(0);
+    wait_until("the gateway is ready", || is_ready(&site.gateways[0]));
+    site.wait_for_targets(2, 0);
+    site.set_engine_behaviour(&Behaviour {
+        event_interval: Duration::from_millis(40),
+        ..slow_stream()
+    });
+    let fill = |index: usize| {
+        let attempt = format!("fill-{index}");
+        let headers = [("x-attempt-id", &*attempt), ("x-token-usage", "100,40")];
+        site.send(0, &Method::POST, STREAM_PATH, &headers)
+    };
+    let _filling: Vec<_> = (0..8).map(fill).collect();
+    let status = std::thread::scope(|scope| {
+        let waiting = scope.spawn(|| resume_stream(&site, 0, "a-1", "a-2").status);
+        std::thread::sleep(Duration::from_millis(200));
+        assert!(!waiting.is_finished(), "the engine is full");
+        let added = Target::start(free_address(), "e-1", true, &site.copies);
+        let added = added.expect("the address is free");
+        site.put_entry(&added, added.address, "engines", "dc-1", "ready", "v2");
+        let status = waiting.join().expect("the client doesn't panic");
+        assert_eq!(added.run_count(), 0);
+        status
+    });
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+}
+
 /// The request can't be served now and must not wait for it; it has not run.
 #[test]
 fn a_stream_whose_release_has_left_is_refused_at_once() {
