test(soak): planned work in series, over kept connections

Clients keep connections and send several requests over each, also while its VM drains. A third injector, and all three for even seeds, does planned work only: SIGTERM with more signals during the drain and a start once the process has exited, SIGHUP with changed settings, versions with other idle and route timeouts, targets that leave with 2 s of notice. 2 or 3 gateways, by the seed.

Checked: a request that a gateway has read, as a target got it or a response began, is not cut unless a fault came within 2 s; a kept connection stays open for the shortest idle timeout in force, unless its VM is stopped; a process exits with success within 7.5 s of SIGTERM (grace of 4 to 6 s).

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -1,5 +1,8 @@
-//! A randomized soak test of gateways as real processes under external faults. It checks the
-//! delivery guarantees against what clients and targets observed.
+//! A randomized soak test of gateways as real processes under external faults and planned work. It
+//! checks the delivery guarantees against what clients and targets observed.
+//!
+//! Seeds that are even see planned work only: signals, changed settings and configurations, targets
+//! that leave with notice. There, no request that a gateway has read may be cut.
 //!
 //! `SOAK_SEEDS=1-50 SOAK_SECONDS=6 cargo test -p mastictrail-cli --test soak` runs other seeds;
 //! seeds that have failed are kept in [`REGRESSIONS`].
@@ -16,10 +19,12 @@
             target::{Behaviour, Break, Copies, Framing, ReceivedRequest},
         },
     },
-    hyper::{Method, StatusCode},
+    http_body_util::{BodyExt as _, Full},
+    hyper::{Method, Request, StatusCode, client::conn::http1, header::CONNECTION},
     rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom},
+    smol_hyper::rt::FuturesIo,
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         io::{BufRead as _, BufReader, Write as _},
         net::{SocketAddr, TcpStream},
         sync::{
@@ -30,10 +35,10 @@
         time::{Duration, Instant},
     },
     support::{
-        process::free_address,
+        process::{Process, free_address},
         site::{
-            RESUMABLE_PATH, Response, SAFE_PATH, STREAM_PATH, Site, UNSAFE_PATH, event_stream,
-            read_to_end, send, start_gateway,
+            API_KEY, HOST, RESUMABLE_PATH, Response, SAFE_PATH, STREAM_PATH, Site, UNSAFE_PATH,
+            event_stream, is_ready, read_to_end, send, start_gateway,
         },
         wait_until,
     },
@@ -47,7 +52,8 @@
 const DEFAULT_SECONDS: u64 = 4;
 const ENGINES: usize = 4;
 const SERVICES: usize = 2;
-const GATEWAYS: usize = 2;
+/// Number of gateways by the seed.
+const GATEWAYS: [usize; 5] = [3, 2, 3, 2, 3];
 const CLIENTS: usize = 6;
 /// Events of every complete stream.
 const EVENTS: u64 = 40;
@@ -55,6 +61,33 @@
 const RELEASES: [&str; 2] = ["v1", "v2"];
 const FRAMINGS: [Framing; 3] = [Framing::Chunks, Framing::Length, Framing::Close];
 
+/// Idle timeouts of the published versions.
+const IDLE_TIMEOUTS: [Duration; 3] = [
+    Duration::from_secs(1),
+    Duration::from_secs(2),
+    Duration::from_secs(15),
+];
+/// Idle timeout of the first version.
+const FIRST_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time after which a version is in force at all VMs.
+const PUBLISH_WINDOW: Duration = Duration::from_secs(12);
+/// Route timeouts of the published versions.
+const ROUTE_TIMEOUTS: [Duration; 3] = [
+    MIN_ROUTE_TIMEOUT,
+    Duration::from_secs(8),
+    Duration::from_secs(20),
+];
+/// A request that takes as long may be given up.
+const MIN_ROUTE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Grace periods of the settings, in seconds.
+const GRACES: [u64; 3] = [4, 5, 6];
+/// Time after SIGTERM within which a process must have exited: the longest grace period and a margin.
+const MAX_STOP: Duration = Duration::from_millis(7_500);
+/// Time before a target leaves at which the store says so.
+const NOTICE: Duration = Duration::from_secs(2);
+/// Time around a fault in which a request may be cut.
+const FAULT_MARGIN: Duration = Duration::from_secs(2);
+
 /// Part of a prompt on which every engine crashes.
 const BAD_PART: &str = "bad0";
 /// Number of crashes after which requests with such a part may reach few engines.
@@ -133,6 +166,91 @@
     }
 }
 
+/// A connection that is kept for several requests.
+struct Connection {
+    sender: http1::SendRequest<Full<bytes::Bytes>>,
+    /// End of its last response.
+    last: Option<Instant>,
+    _driver: smol::Task<()>,
+}
+
+impl Connection {
+    /// Opens a connection to a gateway.
+    fn open(address: SocketAddr) -> Option<Self> {
+        smol::block_on(async {
+            let stream = smol::net::TcpStream::connect(address).await.ok()?;
+            let (sender, connection) = http1::handshake(FuturesIo::new(stream)).await.ok()?;
+            let driver = smol::spawn(async move {
+                let _ = connection.await;
+            });
+            Some(Self {
+                sender,
+                last: None,
+                _driver: driver,
+            })
+        })
+    }
+
+    /// Returns whether the gateway has closed the connection.
+    fn is_closed(&mut self) -> bool {
+        smol::block_on(self.sender.ready()).is_err()
+    }
+
+    /// Sends a request and reads its response, or returns `None` if there is none.
+    fn send(&mut self, method: &Method, path: &str, headers: &[(&str, &str)]) -> Option<Response> {
+        let request = Request::builder().method(method).uri(path);
+        let request = headers.iter().fold(request, |request, (name, value)| {
+            request.header(*name, *value)
+        });
+        let request = request
+            .header("host", HOST)
+            .header("authorization", format!("Token {API_KEY}"))
+            .body(Full::new(bytes::Bytes::from_static(b"the body")))
+            .expect("the request is valid");
+        smol::block_on(async {
+            let response = self.sender.send_request(request).await.ok()?;
+            let (head, mut body) = response.into_parts();
+            let mut received = Vec::new();
+            let mut is_complete = true;
+            while let Some(frame) = body.frame().await {
+                match frame.map(hyper::body::Frame::into_data) {
+                    Ok(Ok(data)) => received.extend_from_slice(&data),
+                    Ok(Err(_)) => {}
+                    Err(_) => {
+                        is_complete = false;
+                        break;
+                    }
+                }
+            }
+            let received = String::from_utf8_lossy(&received).into_owned();
+            self.last = Some(Instant::now());
+            Some(Response {
+                status: head.status,
+                headers: head.headers,
+                body: is_complete.then(|| received.clone()),
+                received,
+                longest_pause: Duration::ZERO,
+            })
+        })
+    }
+}
+
+/// A request that got no complete response, or a kept connection that was closed.
+#[derive(Debug)]
+struct Cut {
+    attempt: String,
+    path: &'static str,
+    vm: usize,
+    begun: Instant,
+    ended: Instant,
+    /// Whether the request was sent on this connection.
+    is_sent: bool,
+    /// Status of the response that was cut.
+    status: Option<StatusCode>,
+    /// When the connection's last response ended, if it had one.
+    idle_since: Option<Instant>,
+}
+
 /// A running site with the clients and faults of one seed.
 struct Soak {
     site: Mutex<Site>,
@@ -149,6 +267,22 @@
     sends_bad_prompts: AtomicBool,
     /// When a VM was killed, stopped or frozen, or went on after that.
     vm_faults: Mutex<Vec<Instant>>,
+    /// Held while a VM is killed, stopped, frozen or reloaded.
+    vm_locks: Vec<Mutex<()>>,
+    /// The settings with which the VMs began.
+    settings: Vec<String>,
+    /// Faults that are not planned work: begin and end.
+    unplanned: Mutex<Vec<(Instant, Instant)>>,
+    /// Planned stops: VM, begin, and end of the process.
+    stops: Mutex<Vec<(usize, Instant, Instant)>>,
+    /// Idle timeouts and when they were published.
+    idle_timeouts: Mutex<Vec<(Instant, Duration)>>,
+    cuts: Mutex<Vec<Cut>>,
+    /// Processes that did not exit as they should.
+    bad_exits: Mutex<Vec<String>>,
+    reloads: AtomicU64,
+    /// Number of requests sent on connections that were used before.
+    kept: AtomicU64,
     /// Instances that named a limit, and for which time.
     limits: Mutex<Vec<(Box<str>, Instant, Instant)>>,
     floods: AtomicU64,
@@ -157,7 +291,7 @@
 }
 
 impl Soak {
-    fn start() -> Self {
+    fn start(gateways: usize) -> Self {
         let control = free_address();
         smol::spawn(async move {
             let listener = smol::net::TcpListener::bind(control).await?;
@@ -176,6 +310,15 @@
             is_finished: AtomicBool::new(false),
             sends_bad_prompts: AtomicBool::new(false),
             vm_faults: Mutex::default(),
+            vm_locks: (0..gateways).map(|_| Mutex::default()).collect(),
+            settings: Vec::new(),
+            unplanned: Mutex::default(),
+            stops: Mutex::default(),
+            idle_timeouts: Mutex::new(vec![(Instant::now(), FIRST_IDLE_TIMEOUT)]),
+            cuts: Mutex::default(),
+            bad_exits: Mutex::default(),
+            reloads: AtomicU64::new(0),
+            kept: AtomicU64::new(0),
             limits: Mutex::default(),
             floods: AtomicU64::new(0),
             responses: Mutex::default(),
@@ -192,7 +335,11 @@
         let mut site = soak.site.lock().expect("the lock is not poisoned");
         site.publish(1, |_| {});
         soak.proxy_command(&format!("tcp store {store} {}", site.store.address));
-        site.start_gateways(GATEWAYS, store);
+        site.start_gateways(gateways, store);
+        let settings = site.gateways.iter().map(|gateway| {
+            std::fs::read_to_string(&gateway.settings).expect("the settings are there")
+        });
+        soak.settings = settings.collect();
         soak.client_addresses = site
             .gateways
             .iter()
@@ -248,12 +395,12 @@
         assert!(reply.starts_with("ok"), "{command}: {reply}");
     }
 
-    /// Crashes a target and starts another one in its place; if `is_announced`, its entry in
-    /// the store is marked as draining first.
-    fn replace(&self, endpoint: &Endpoint, is_announced: bool) {
-        if is_announced {
+    /// Crashes a target and starts another one in its place; its entry in the store is marked as
+    /// draining for the time `notice` before.
+    fn replace(&self, endpoint: &Endpoint, notice: Option<Duration>) {
+        if let Some(notice) = notice {
             self.register(endpoint, "draining");
-            thread::sleep(Duration::from_millis(400));
+            thread::sleep(notice);
         }
         let instance = endpoint
             .target
@@ -295,11 +442,19 @@
         self.register(endpoint, "ready");
     }
 
-    /// Injects one random fault; one that lasts, such as a blocked link, ends after a random time.
+    /// Injects one random fault and records it as unplanned.
     fn inject(&self, random: &mut SmallRng) {
+        let begun = Instant::now();
+        self.inject_fault(random);
+        let mut unplanned = self.unplanned.lock().expect("the lock is not poisoned");
+        unplanned.push((begun, Instant::now()));
+    }
+
+    /// Injects one random fault; one that lasts, such as a blocked link, ends after a random time.
+    fn inject_fault(&self, random: &mut SmallRng) {
         let duration = Duration::from_millis(random.random_range(100..1_500));
         let endpoint = self.endpoints.choose(random).expect("there are targets");
-        let vm = random.random_range(0..GATEWAYS);
+        let vm = random.random_range(0..self.vm_locks.len());
         let is_service = endpoint.service == "ledger";
         match random.random_range(0..19) {
             18 => self.flood(endpoint.service, duration, random),
@@ -310,15 +465,21 @@
                 self.sends_bad_prompts.store(false, Ordering::Relaxed);
             }
             12.. => endpoint.break_responses(duration, random),
-            0 => self.replace(endpoint, true),
-            1 => self.replace(endpoint, false),
+            0 => self.replace(endpoint, Some(Duration::from_millis(400))),
+            1 => self.replace(endpoint, None),
             2 => {
+                let Ok(_lock) = self.vm_locks[vm].try_lock() else {
+                    return;
+                };
                 self.record_vm_fault();
                 let mut site = self.site.lock().expect("the lock is not poisoned");
                 site.restart(vm);
             }
             3 => self.shut_down_and_restart(vm, duration),
             4 => {
+                let Ok(_lock) = self.vm_locks[vm].try_lock() else {
+                    return;
+                };
                 self.set_frozen(vm, true);
                 thread::sleep(duration);
                 self.set_frozen(vm, false);
@@ -347,13 +508,7 @@
                 .expect("the lock is not poisoned")
                 .store
                 .compact(),
-            7 => {
-                let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
-                self.site
-                    .lock()
-                    .expect("the lock is not poisoned")
-                    .publish(version, |_| {});
-            }
+            7 => self.publish(random),
             8 => self.proxy_command(&format!("cut {}", endpoint.name)),
             fault => {
                 let name = if random.random_bool(0.2) {
@@ -373,6 +528,133 @@
         }
     }
 
+    /// Does planned work at random: signals and changes come in series and overlap.
+    fn do_planned_work(&self, random: &mut SmallRng) {
+        let vm = random.random_range(0..self.vm_locks.len());
+        match random.random_range(0..8) {
+            0..3 => self.stop_and_restart(vm, random),
+            3 => {
+                let endpoint = self.endpoints.choose(random).expect("there are targets");
+                self.replace(endpoint, Some(NOTICE));
+            }
+            4 | 5 => {
+                for _ in 0..random.random_range(1..5) {
+                    self.reload(vm, random);
+                    thread::sleep(Duration::from_millis(random.random_range(0..120)));
+                }
+            }
+            _ => {
+                for _ in 0..random.random_range(1..5) {
+                    self.publish(random);
+                    thread::sleep(Duration::from_millis(random.random_range(0..120)));
+                }
+            }
+        }
+    }
+
+    /// Publishes a version with other timeouts.
+    fn publish(&self, random: &mut SmallRng) {
+        let mut choose =
+            |timeouts: &[Duration]| *timeouts.choose(random).expect("the list is not empty");
+        let idle_timeout = choose(&IDLE_TIMEOUTS);
+        let timeouts: Vec<_> = (0..4).map(|_| choose(&ROUTE_TIMEOUTS)).collect();
+        let site = self.site.lock().expect("the lock is not poisoned");
+        let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
+        let mut published = self.idle_timeouts.lock().expect("the lock is not poisoned");
+        published.push((Instant::now(), idle_timeout));
+        site.publish(version, |document| {
+            document["Limits"]["IdleTimeoutMs"] = (idle_timeout.as_millis() as u64).into();
+            for (index, timeout) in timeouts.iter().enumerate() {
+                document["Routes"][index]["TimeoutMs"] = (timeout.as_millis() as u64).into();
+            }
+        });
+    }
+
+    /// Writes other settings for a gateway, or a file with a fault; the next start finds a valid one.
+    fn write_settings(&self, vm: usize, random: &mut SmallRng) {
+        let grace = GRACES.choose(random).expect("the list is not empty");
+        let extra = random.random_range(10..40);
+        let text = self.settings[vm]
+            .replace("grace = 6s", &format!("grace = {grace}s"))
+            .replace("retry_extra = 20", &format!("retry_extra = {extra}"));
+        let site = self.site.lock().expect("the lock is not poisoned");
+        let path = &site.gateways[vm].settings;
+        let new_path = path.with_extension("new");
+        std::fs::write(&new_path, text).expect("the settings are written");
+        std::fs::rename(&new_path, path).expect("the settings are replaced");
+    }
+
+    /// Changes the settings of a gateway and sends it SIGHUP, unless it is starting or ending.
+    fn reload(&self, vm: usize, random: &mut SmallRng) {
+        let Ok(_lock) = self.vm_locks[vm].try_lock() else {
+            return;
+        };
+        if self.is_vm_ready(vm) {
+            self.write_settings(vm, random);
+            let site = self.site.lock().expect("the lock is not poisoned");
+            site.gateways[vm].process.hang_up();
+            self.reloads.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn is_vm_ready(&self, vm: usize) -> bool {
+        is_ready(&self.site.lock().expect("the lock is not poisoned").gateways[vm])
+    }
+
+    /// Stops a gateway by SIGTERM, and starts it again when it has exited.
+    ///
+    /// Further signals may come while it drains.
+    fn stop_and_restart(&self, vm: usize, random: &mut SmallRng) {
+        let Ok(_lock) = self.vm_locks[vm].try_lock() else {
+            return;
+        };
+        if !self.is_vm_ready(vm) {
+            return;
+        }
+        self.record_vm_fault();
+        let begun = Instant::now();
+        self.with_process(vm, |process| process.terminate());
+        let mut status = None;
+        while status.is_none() && begun.elapsed() < MAX_STOP {
+            let is_signalled = random.random_bool(0.02);
+            if is_signalled {
+                self.write_settings(vm, random);
+            }
+            status = self.with_process(vm, |process| {
+                let status = process.exit_status();
+                if status.is_none() && is_signalled {
+                    if random.random() {
+                        process.hang_up();
+                    } else {
+                        process.terminate();
+                    }
+                }
+                status
+            });
+            thread::sleep(Duration::from_millis(20));
+        }
+        if !status.is_some_and(|status| status.success()) {
+            let mut exits = self.bad_exits.lock().expect("the lock is not poisoned");
+            exits.push(format!(
+                "gateway {vm}: {status:?} after {:?}",
+                begun.elapsed()
+            ));
+        }
+        let mut stops = self.stops.lock().expect("the lock is not poisoned");
+        stops.push((vm, begun, Instant::now()));
+        drop(stops);
+        self.record_vm_fault();
+        let mut site = self.site.lock().expect("the lock is not poisoned");
+        site.restart(vm);
+        drop(site);
+        wait_until("the gateway is ready again", || self.is_vm_ready(vm));
+    }
+
+    fn with_process<T>(&self, vm: usize, act: impl FnOnce(&mut Process) -> T) -> T {
+        let mut site = self.site.lock().expect("the lock is not poisoned");
+        act(&mut site.gateways[vm].process)
+    }
+
     fn record_vm_fault(&self) {
         let mut faults = self.vm_faults.lock().expect("the lock is not poisoned");
         faults.push(Instant::now());
@@ -419,6 +701,71 @@
         !faults.iter().any(|at| (from..=to).contains(at))
     }
 
+    /// Asserts that planned work cuts nothing: a request that a gateway has read gets a complete
+    /// response, a kept connection stays open for the idle timeout, and processes exit in time.
+    fn check_planned_work(&self, seed: u64) {
+        let unplanned = self.unplanned.lock().expect("the lock is not poisoned");
+        let is_planned = |from: Instant, to: Instant| {
+            !unplanned
+                .iter()
+                .any(|(begun, ended)| *begun < to + FAULT_MARGIN && from < *ended + FAULT_MARGIN)
+        };
+        let stops = self.stops.lock().expect("the lock is not poisoned");
+        let is_stopping = |vm: usize, from: Instant, to: Instant| {
+            let mut stops = stops.iter();
+            stops.any(|(stopped, begun, ended)| *stopped == vm && *begun < to && from < *ended)
+        };
+        let idle_timeouts = self.idle_timeouts.lock().expect("the lock is not poisoned");
+        let shortest_idle_timeout = |from: Instant, to: Instant| {
+            let published = idle_timeouts.iter().enumerate();
+            let in_force = published.filter(|(index, (at, _))| {
+                let next = idle_timeouts.get(index + 1);
+                *at <= to && next.is_none_or(|(next, _)| *next + PUBLISH_WINDOW > from)
+            });
+            let timeouts = in_force.map(|(_, (_, timeout))| *timeout);
+            timeouts.min().expect("a version is in force")
+        };
+        let received: HashSet<_> = self
+            .received_requests()
+            .into_iter()
+            .map(|request| request.attempt)
+            .collect();
+        let cuts = self.cuts.lock().expect("the lock is not poisoned");
+        let mut failures = Vec::new();
+        for cut in cuts.iter() {
+            let took = cut.ended - cut.begun;
+            if !is_planned(cut.begun, cut.ended) || took >= MIN_ROUTE_TIMEOUT {
+                continue;
+            }
+            let was_read =
+                cut.is_sent && (cut.status.is_some() || received.contains(&*cut.attempt));
+            let is_early = cut.idle_since.is_some_and(|since| {
+                cut.begun - since < shortest_idle_timeout(since, cut.begun)
+                    && is_planned(since, cut.begun)
+                    && !is_stopping(cut.vm, since, cut.ended)
+            });
+            if was_read || is_early {
+                let stop = stops
+                    .iter()
+                    .rev()
+                    .find(|(vm, begun, _)| *vm == cut.vm && *begun < cut.ended);
+                let since_stop =
+                    stop.map(|(_, begun, ended)| (cut.begun - *begun, *ended - *begun));
+                failures.push(format!(
+                    "{} {} at gateway {} {:?} after {took:?}, idle {:?}, sent after SIGTERM, which took {since_stop:?}",
+                    cut.attempt, cut.path, cut.vm, cut.status, cut.idle_since.map(|since| cut.begun - since)
+                ));
+            }
+        }
+        let exits = self.bad_exits.lock().expect("the lock is not poisoned");
+        failures.extend(exits.iter().cloned());
+        assert!(
+            failures.is_empty(),
+            "seed {seed}: {} cut by planned work: {failures:#?}",
+            failures.len()
+        );
+    }
+
     /// Asserts what holds for all VMs together: prompts on which engines crash, limits of targets,
     /// and the memory that floods take.
     fn check_fleet(&self, seed: u64) {
@@ -477,6 +824,9 @@
 
     /// Requests a graceful shutdown, kills the gateway after `duration` and starts it again.
     fn shut_down_and_restart(&self, vm: usize, duration: Duration) {
+        let Ok(_lock) = self.vm_locks[vm].try_lock() else {
+            return;
+        };
         self.record_vm_fault();
         self.site.lock().expect("the lock is not poisoned").gateways[vm]
             .process
@@ -503,6 +853,7 @@
     fn run_client(&self, number: usize, seed: u64) {
         let mut random = SmallRng::seed_from_u64(seed ^ (number as u64) << 32);
         let mut count = 0;
+        let mut connections: Vec<_> = self.client_addresses.iter().map(|_| None).collect();
         while !self.is_finished.load(Ordering::Relaxed) {
             count += 1;
             let attempt = format!("c{number}-{count}");
@@ -514,10 +865,10 @@
             ]
             .choose(&mut random)
             .expect("the list is not empty");
-            let address = *self
-                .client_addresses
-                .choose(&mut random)
-                .expect("there are gateways");
+            let vm = random.random_range(0..self.client_addresses.len());
+            if random.random_bool(0.1) {
+                connections[vm] = None;
+            }
             let is_bad = self.sends_bad_prompts.load(Ordering::Relaxed) && random.random_bool(0.3);
             let own_part = if is_bad { BAD_PART } else { "cc" };
             let shared = random.random_range(0..4);
@@ -528,8 +879,10 @@
                 ("x-deadline-ms", "8000"),
                 ("x-prefix-hash", &*prompt),
             ];
-            if let Ok(response) = send(address, method, path, &headers) {
-                let mut response = read_to_end(response);
+            let connection = &mut connections[vm];
+            if let Some(mut response) =
+                self.exchange(connection, vm, (&attempt, method, path), &headers)
+            {
                 if path == RESUMABLE_PATH && response.body.is_none() {
                     self.resume(&attempt, &mut response, &mut random);
                 }
@@ -538,8 +891,69 @@
                     .expect("the lock is not poisoned")
                     .push((attempt, path, response));
             }
-            thread::sleep(Duration::from_millis(random.random_range(1..60)));
+            let pause = if random.random_bool(0.05) {
+                random.random_range(60..1_500)
+            } else {
+                random.random_range(1..60)
+            };
+            thread::sleep(Duration::from_millis(pause));
+        }
+    }
+
+    /// Sends a request on a kept connection, or on a new one if that is closed, and returns its
+    /// response.
+    fn exchange(
+        &self,
+        kept: &mut Option<Connection>,
+        vm: usize,
+        (attempt, method, path): (&str, &Method, &'static str),
+        headers: &[(&str, &str)],
+    ) -> Option<Response> {
+        let cut = |begun, is_sent, status, idle_since| Cut {
+            attempt: attempt.to_owned(),
+            path,
+            vm,
+            begun,
+            ended: Instant::now(),
+            is_sent,
+            status,
+            idle_since,
+        };
+        let record = |cut| {
+            let mut cuts = self.cuts.lock().expect("the lock is not poisoned");
+            cuts.push(cut);
+        };
+        if let Some(connection) = kept
+            && connection.is_closed()
+        {
+            record(cut(Instant::now(), false, None, connection.last));
+            *kept = None;
+        }
+        if kept.is_none() {
+            *kept = Connection::open(self.client_addresses[vm]);
+        }
+        let connection = kept.as_mut()?;
+        let idle_since = connection.last;
+        if idle_since.is_some() {
+            self.kept.fetch_add(1, Ordering::Relaxed);
+        }
+        let begun = Instant::now();
+        let response = connection.send(method, path, headers);
+        let status = response.as_ref().map(|response| response.status);
+        let is_complete = response
+            .as_ref()
+            .is_some_and(|response| response.body.is_some());
+        if !is_complete {
+            record(cut(begun, true, status, idle_since));
+        }
+        let is_last = response.as_ref().is_none_or(|response| {
+            let connection = response.headers.get(CONNECTION);
+            connection.is_some_and(|value| value == "close")
+        });
+        if !is_complete || is_last {
+            *kept = None;
         }
+        response
     }
 
     /// Resumes a truncated stream at any gateway and appends what it sends.
@@ -688,20 +1102,26 @@
 
 /// Runs clients and fault injection for one seed, then checks the guarantees.
 fn run_seed(seed: u64, seconds: u64) {
-    let soak = Soak::start();
+    let is_planned = seed.is_multiple_of(2);
+    let gateways = GATEWAYS[seed as usize % GATEWAYS.len()];
+    let soak = Soak::start(gateways);
     let end = Instant::now() + Duration::from_secs(seconds);
     thread::scope(|scope| {
         for number in 0..CLIENTS {
             let soak = &soak;
             scope.spawn(move || soak.run_client(number, seed));
         }
-        let injectors: Vec<_> = (0..2)
+        let injectors: Vec<_> = (0..3)
             .map(|injector| {
                 let soak = &soak;
                 scope.spawn(move || {
                     let mut random = SmallRng::seed_from_u64(seed * 1_000 + injector);
                     while Instant::now() < end {
-                        soak.inject(&mut random);
+                        if is_planned || injector == 2 {
+                            soak.do_planned_work(&mut random);
+                        } else {
+                            soak.inject(&mut random);
+                        }
                         thread::sleep(Duration::from_millis(random.random_range(50..400)));
                     }
                 })
@@ -716,14 +1136,22 @@
     soak.wait_for_service();
     let served = soak.check_guarantees(seed);
     soak.check_fleet(seed);
+    soak.check_planned_work(seed);
     assert!(served > 0, "seed {seed}: no request was served");
+    let count = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
     println!(
-        "seed {seed}: {served} of {} served, {} floods",
+        "seed {seed}: {served} of {} served, {} on kept connections, {} unread or cut; {gateways} gateways, {} \
+         stops, {} reloads, version {}, {} floods",
         soak.responses
             .lock()
             .expect("the lock is not poisoned")
             .len(),
-        soak.floods.load(Ordering::Relaxed)
+        count(&soak.kept),
+        soak.cuts.lock().expect("the lock is not poisoned").len(),
+        soak.stops.lock().expect("the lock is not poisoned").len(),
+        count(&soak.reloads),
+        count(&soak.version),
+        count(&soak.floods),
     );
 }
 
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -80,6 +80,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Sends SIGHUP, which makes it read its settings again.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Returns the exit status, or `None` while the process runs.
     pub fn exit_status(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().expect("the child can be waited for")
