test(gateway): whole requests that crash one target after the other

Cause: a request may crash every target that runs it and comes again word for word at any VM. The quarantine knows parts of prompts only, so plain services and generations without such a part lose target after target.

Change: the fake target crashes on a path and body, and a crash now breaks off at once all requests of a plain service that wait for their answer; until now they were answered after the crash. A target that is down can't crash again. Sites have up to 8 gateways: their IPs come from blocks of 32 in place of 64, so test processes whose ids differ by the highest bit draw from different ports.

--- a/crates/fakes/src/site/target.rs
+++ b/crates/fakes/src/site/target.rs
@@ -12,9 +12,10 @@
     },
     serde::Deserialize,
     serde_json::json,
-    smol::{Task, Timer, channel, net::TcpListener},
+    smol::{Task, Timer, channel, future, net::TcpListener},
     std::{
         collections::HashSet,
+        convert::Infallible,
         io,
         net::SocketAddr,
         sync::{Arc, Mutex},
@@ -79,7 +80,9 @@
     pub notices: Vec<(&'static str, String)>,
     /// Shared part of a prompt on which an engine crashes as it begins to answer.
     pub crashes_on: Option<Box<str>>,
-    /// Time after which an engine that crashed on a prompt accepts connections again.
+    /// Path and body of a request on which the target crashes as it begins to run it.
+    pub crashes_on_request: Option<(Box<str>, Box<str>)>,
+    /// Time after which a target that crashed on a request accepts connections again.
     pub recovery: Duration,
 }
 
@@ -101,6 +104,7 @@
             leaves: false,
             notices: Vec::new(),
             crashes_on: None,
+            crashes_on_request: None,
             recovery: Duration::from_secs(1),
         }
     }
@@ -145,6 +149,15 @@
     parts.any(|id| id.is_some_and(|id| id.trim() == part))
 }
 
+/// The part of a target that ends with a crash.
+#[derive(Debug)]
+struct Server {
+    /// Accepts connections.
+    _listener: Task<io::Result<()>>,
+    /// Its end breaks off the requests whose responses have not begun.
+    _lifetime: channel::Sender<Infallible>,
+}
+
 #[derive(Debug)]
 struct State {
     instance: Box<str>,
@@ -159,13 +172,13 @@
     copied_to: Vec<SocketAddr>,
     /// When the target crashed.
     crashes: Vec<Instant>,
-    /// When it crashed on a prompt.
+    /// When it crashed on a request.
     bad_crashes: Vec<Instant>,
     /// Whether it crashed for good.
     is_gone: bool,
     copies: Copies,
-    /// Accepts connections; `None` after a crash.
-    server: Option<Task<io::Result<()>>>,
+    /// `None` after a crash.
+    server: Option<Server>,
     /// Address that the target listens on.
     listen: SocketAddr,
 }
@@ -235,7 +248,7 @@
         lock(&self.state).behaviour = behaviour;
     }
 
-    /// Crashes the target: streams are aborted and no new connection is accepted.
+    /// Crashes the target: what it runs is broken off and no new connection is accepted.
     pub fn crash(&self) {
         lock(&self.state).is_gone = true;
         crash(&self.state);
@@ -247,7 +260,7 @@
         crash_and_recover(&self.state, recovery);
     }
 
-    /// Returns when the target crashed on a prompt.
+    /// Returns when the target crashed on a request.
     pub fn bad_crashes(&self) -> Vec<Instant> {
         lock(&self.state).bad_crashes.clone()
     }
@@ -297,21 +310,36 @@
 /// Accepts connections until the target crashes.
 fn accept(state: &Arc<Mutex<State>>, listener: TcpListener) {
     let handler_state = Arc::clone(state);
+    let (lifetime, end) = channel::bounded::<Infallible>(1);
     let server = http::serve(listener, move |request| {
-        handle(Arc::clone(&handler_state), request)
+        let (state, end) = (Arc::clone(&handler_state), end.clone());
+        let crashed = async move {
+            let _ = end.recv().await;
+            Err(http::aborted())
+        };
+        future::or(crashed, handle(state, request))
+    });
+    lock(state).server = Some(Server {
+        _listener: smol::spawn(server),
+        _lifetime: lifetime,
     });
-    lock(state).server = Some(smol::spawn(server));
 }
 
-fn crash(state: &Mutex<State>) {
+/// Crashes the target; returns whether it was running.
+fn crash(state: &Mutex<State>) -> bool {
     let mut state = lock(state);
-    state.server.take();
-    state.crashes.push(Instant::now());
+    let was_running = state.server.take().is_some();
+    if was_running {
+        state.crashes.push(Instant::now());
+    }
+    was_running
 }
 
-/// Crashes the target and restarts it after `recovery`.
-fn crash_and_recover(state: &Arc<Mutex<State>>, recovery: Duration) {
-    crash(state);
+/// Crashes the target and restarts it after `recovery`; returns whether it was running.
+fn crash_and_recover(state: &Arc<Mutex<State>>, recovery: Duration) -> bool {
+    if !crash(state) {
+        return false;
+    }
     let state = Arc::downgrade(state);
     smol::spawn(async move {
         loop {
@@ -333,6 +361,15 @@
         }
     })
     .detach();
+    true
+}
+
+/// Crashes the target on a request.
+fn crash_on_request(state: &Arc<Mutex<State>>, recovery: Duration) {
+    let now = Instant::now();
+    if crash_and_recover(state, recovery) {
+        lock(state).bad_crashes.push(now);
+    }
 }
 
 async fn handle(state: Arc<Mutex<State>>, request: Request) -> HandlerResult {
@@ -399,6 +436,10 @@
         return Ok(stream(Arc::clone(state), behaviour, &attempt, &request));
     }
     Timer::after(behaviour.delay).await;
+    if is_crashing(&behaviour, &request) {
+        crash_on_request(state, behaviour.recovery);
+        return Err(http::aborted());
+    }
     if behaviour.drops_response {
         return Err(http::aborted());
     }
@@ -423,6 +464,19 @@
     Ok(response)
 }
 
+/// Returns whether a target with this behaviour crashes as it begins to run a request.
+fn is_crashing(behaviour: &Behaviour, request: &Request) -> bool {
+    let has_part = |part: &str| has_shared_part(request.header("x-prefix-hash"), part);
+    let is_request = |(path, body): &(Box<str>, Box<str>)| {
+        *path == request.path && *body.as_bytes() == *request.body
+    };
+    behaviour.crashes_on.as_deref().is_some_and(has_part)
+        || behaviour
+            .crashes_on_request
+            .as_ref()
+            .is_some_and(is_request)
+}
+
 /// Returns the error that ends a body that is broken off; `None` if its framing is completed.
 fn break_error(kind: Break) -> Option<io::Error> {
     match kind {
@@ -506,9 +560,7 @@
     let answered = answered.unwrap_or_else(|| attempt.clone());
     let events = (first_id..behaviour.events).map(|id| event(id, &behaviour.mark));
     let length = events.map(|event| event.len()).sum();
-    let crashing_part = behaviour.crashes_on.as_deref();
-    let crashes =
-        crashing_part.is_some_and(|part| has_shared_part(request.header("x-prefix-hash"), part));
+    let crashes = is_crashing(&behaviour, request);
     smol::spawn(async move {
         lock(&state).active_streams += 1;
         let is_cancelled = send_events(&state, &behaviour, first_id, crashes, &sender)
@@ -543,8 +595,7 @@
     let crash_count = lock(state).crashes.len();
     Timer::after(behaviour.delay).await;
     if crashes && lock(state).crashes.len() == crash_count {
-        lock(state).bad_crashes.push(Instant::now());
-        crash_and_recover(state, behaviour.recovery);
+        crash_on_request(state, behaviour.recovery);
     }
     for id in first_id..behaviour.events {
         let has_crashed = lock(state).crashes.len() != crash_count;
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -11,17 +11,26 @@
     },
 };
 
-static NEXT_PORT: AtomicU16 = AtomicU16::new(20_000);
+/// First port of the test processes.
+const FIRST_PORT: u16 = 20_000;
+/// Number of ports that one test process may draw.
+const PORTS: u16 = 20_000;
+
+static DRAWN_PORTS: AtomicU16 = AtomicU16::new(0);
 static NEXT_LOG: AtomicU16 = AtomicU16::new(0);
 
 /// Returns an unused loopback address.
 ///
 /// Its IP is derived from the process id, so that test processes that run in parallel never share
-/// an address.
+/// an address. Those whose ids differ by their highest bit draw from different ports, because a
+/// site has the IPs of several ids.
 pub fn free_address() -> SocketAddr {
     let [_, high, middle, low] = std::process::id().to_be_bytes();
     let address = Ipv4Addr::new(127, 64 + high, middle, low);
-    SocketAddr::from((address, NEXT_PORT.fetch_add(1, Ordering::Relaxed)))
+    let port = DRAWN_PORTS.fetch_add(1, Ordering::Relaxed);
+    assert!(port < PORTS, "the test process has no port left");
+    let range = u16::from(high / 32);
+    SocketAddr::from((address, FIRST_PORT + range * PORTS + port))
 }
 
 /// A child process, killed on drop.
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -348,12 +348,20 @@
     }
 }
 
+/// Maximum number of gateways of a site.
+const MAX_GATEWAYS: u8 = 8;
+
 /// Returns the loopback address of a VM, derived from the process id so that it is not shared with
-/// another test process.
+/// another test process that draws from the same ports.
 fn vm_address(index: usize) -> Ipv4Addr {
+    let index = u8::try_from(index).unwrap_or(u8::MAX);
+    assert!(
+        index < MAX_GATEWAYS,
+        "a site has up to {MAX_GATEWAYS} gateways"
+    );
     let [_, high, middle, low] = std::process::id().to_be_bytes();
-    let base = [64, 128, 192][index];
-    Ipv4Addr::new(127, base + high % 64, middle, low)
+    let block = u8::MAX / MAX_GATEWAYS + 1;
+    Ipv4Addr::new(127, index * block + high % block, middle, low)
 }
 
 /// Starts the gateway process of a settings file.
@@ -376,6 +384,17 @@
     method: &Method,
     path: &str,
     headers: &[(&str, &str)],
+) -> Result<PendingResponse, Box<dyn std::error::Error>> {
+    send_body(address, method, path, headers, "the body")
+}
+
+/// Sends a request with a body like [`send`].
+pub fn send_body(
+    address: SocketAddr,
+    method: &Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
 ) -> Result<PendingResponse, Box<dyn std::error::Error>> {
     smol::block_on(async {
         let stream = smol::net::TcpStream::connect(address).await?;
@@ -393,7 +412,7 @@
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
-        let request = request.body(Full::new(bytes::Bytes::from_static(b"the body")))?;
+        let request = request.body(Full::new(bytes::Bytes::copy_from_slice(body.as_bytes())))?;
         let response = sender.send_request(request).await?;
         let (parts, body) = response.into_parts();
         Ok(PendingResponse {
