test(gateway): what a takeover that is answered late does to a stream

A review of how a suspected engine's stream is continued elsewhere. The stand-in can now begin a run and send the head of its answer late.

--- a/crates/fakes/src/site/target.rs
+++ b/crates/fakes/src/site/target.rs
@@ -59,6 +59,8 @@
 pub struct Behaviour {
     /// Delay of the response of a plain service, or of the first event of an engine.
     pub delay: Duration,
+    /// Time after which an engine that has begun to run a request sends the head of its answer.
+    pub head_delay: Duration,
     /// Delay between two events.
     pub event_interval: Duration,
     /// Number of events in a stream.
@@ -97,6 +99,7 @@
     fn default() -> Self {
         Self {
             delay: Duration::from_millis(5),
+            head_delay: Duration::ZERO,
             event_interval: Duration::from_millis(10),
             events: 20,
             mark: Box::default(),
@@ -498,7 +501,10 @@
         return Err(http::aborted());
     }
     if is_engine {
-        return Ok(stream(Arc::clone(state), behaviour, &attempt, &request));
+        let head_delay = behaviour.head_delay;
+        let response = stream(Arc::clone(state), behaviour, &attempt, &request);
+        Timer::after(head_delay).await;
+        return Ok(response);
     }
     Timer::after(behaviour.delay).await;
     if is_crashing(&behaviour, &request) {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -361,6 +361,154 @@
     });
 }
 
+/// Returns the behaviour of an engine that runs a request at once, but answers it late.
+fn late_head(head_delay: Duration) -> Behaviour {
+    Behaviour {
+        head_delay,
+        ..slow_stream()
+    }
+}
+
+/// A draft runs at two engines at once: its own goes on after a short stall, while the one with the
+/// copy has begun to run it and has yet to answer.
+#[test]
+fn a_draft_whose_engine_goes_on_does_not_run_at_a_second_one_as_well() {
+    let site = Site::start(2, 1, 1);
+    let (stream, source, other) = open_copied_draft(&site);
+    other.set_behaviour(late_head(Duration::from_secs(1)));
+    source.stall(Duration::from_millis(300)).unwrap();
+    wait_until("the engine with the copy runs the draft", || {
+        takeovers(other) > 0
+    });
+    std::thread::sleep(Duration::from_millis(450));
+    let active = (source.active_streams(), other.active_streams());
+    let received = read_to_end(stream);
+    assert_eq!(received.body, Some(event_stream(60)));
+    assert_ne!(active, (1, 1), "both engines run the draft");
+}
+
+/// Events of an engine that stalled for a moment wait until the engine with the copy has answered,
+/// as the stream isn't read meanwhile.
+#[test]
+fn a_draft_whose_engine_goes_on_is_not_held_by_the_one_with_its_copy() {
+    let site = Site::start(2, 1, 1);
+    let (stream, source, other) = open_copied_draft(&site);
+    other.set_behaviour(late_head(Duration::from_secs(10)));
+    source.stall(Duration::from_millis(300)).unwrap();
+    let received = read_to_end(stream);
+    assert_eq!(received.body, Some(event_stream(60)));
+    assert!(
+        received.longest_pause < Duration::from_secs(1),
+        "{:?}",
+        received.longest_pause
+    );
+}
+
+/// A client whose draft can't go on is held to its deadline by an engine that takes connections and
+/// never answers.
+#[test]
+fn a_draft_whose_copy_is_at_a_mute_engine_ends_before_its_client_would_leave() {
+    let site = Site::start(2, 1, 1);
+    let (stream, source, other) = open_copied_draft(&site);
+    other.set_behaviour(late_head(Duration::from_secs(60)));
+    source.crash();
+    let crashed = Instant::now();
+    let received = read_to_end(stream);
+    assert_eq!(received.body, None);
+    let waited = crashed.elapsed();
+    // Four latency objectives, and a second for the processes.
+    assert!(waited < Duration::from_secs(7), "{waited:?}");
+}
+
+/// A stream whose copy is at a mute engine stays open beyond its deadline, which is not checked
+/// while that engine is asked.
+#[test]
+fn a_draft_whose_copy_is_at_a_mute_engine_ends_at_its_deadline() {
+    let site = Site::start(2, 1, 1);
+    site.set_engine_behaviour(&slow_stream());
+    let headers = [
+        ("x-attempt-id", "a-1"),
+        ("x-token-usage", "1000,600"),
+        ("x-deadline-ms", "3000"),
+    ];
+    let opened = Instant::now();
+    let stream = site.send(0, &Method::POST, STREAM_PATH, &headers);
+    std::thread::sleep(Duration::from_millis(200));
+    let source = site.engine_of("a-1");
+    let others = site.engines.iter();
+    for other in others.filter(|engine| engine.address != source.address) {
+        other.set_behaviour(late_head(Duration::from_secs(10)));
+    }
+    source.crash();
+    let received = read_to_end(stream);
+    assert_eq!(received.body, None);
+    let lasted = opened.elapsed();
+    assert!(lasted < Duration::from_millis(3_500), "{lasted:?}");
+}
+
+/// Opens a resumable stream that has a copy; returns it with its engine and the one with the copy.
+fn open_copied_resumable(site: &Site) -> (PendingResponse, &Target, &Target) {
+    site.set_engine_behaviour(&slow_stream());
+    let headers = [("x-attempt-id", "a-1"), ("x-token-usage", "1000,600")];
+    let stream = site.send(0, &Method::POST, RESUMABLE_PATH, &headers);
+    std::thread::sleep(Duration::from_millis(200));
+    let source = site.engine_of("a-1");
+    let request = source.received().remove(0);
+    let backup = request.headers["x-kv-backup"].to_str().unwrap().to_owned();
+    let mut engines = site.engines.iter();
+    let holder = engines.find(|engine| engine.address.to_string() == backup);
+    (stream, source, holder.expect("an engine holds the copy"))
+}
+
+/// A stream that could begin again at a third engine waits for a mute one to its deadline.
+#[test]
+fn a_resumable_stream_whose_copy_is_at_a_mute_engine_goes_on_at_another() {
+    let site = Site::start(3, 1, 1);
+    let (stream, source, holder) = open_copied_resumable(&site);
+    holder.set_behaviour(late_head(Duration::from_secs(60)));
+    source.crash();
+    let received = read_to_end(stream);
+    assert_eq!(
+        received.body,
+        Some(event_stream(60)),
+        "{}",
+        received.received
+    );
+}
+
+/// A copy that no engine goes on from keeps its memory after the stream has begun again elsewhere.
+#[test]
+fn the_copy_of_a_stream_that_begins_again_elsewhere_is_freed() {
+    let site = Site::start(3, 1, 1);
+    let (stream, source, holder) = open_copied_resumable(&site);
+    holder.set_behaviour(Behaviour {
+        refuses: true,
+        ..slow_stream()
+    });
+    assert_eq!(site.copy_count(), 1);
+    source.crash();
+    assert_eq!(read_to_end(stream).body, Some(event_stream(60)));
+    wait_until("the copy is freed", || site.copy_count() == 0);
+}
+
+/// The run at the engine with the copy, whose answer is lost, isn't counted, so that a third engine
+/// is sent a request of which its route permits two runs, while its own engine only stalls.
+#[test]
+fn a_stream_that_was_only_suspected_runs_at_no_more_targets_than_its_route_permits() {
+    let site = Site::start(3, 1, 1);
+    let (stream, source, holder) = open_copied_resumable(&site);
+    holder.set_behaviour(Behaviour {
+        drops_response: true,
+        ..slow_stream()
+    });
+    source.stall(Duration::from_millis(300)).unwrap();
+    let received = read_to_end(stream);
+    assert_eq!(received.body, Some(event_stream(60)));
+    let runs = site.engines.iter().map(Target::run_count);
+    let runs = runs.collect::<Vec<_>>();
+    assert!(runs.iter().sum::<usize>() <= 2, "{runs:?}");
+}
+
 /// The stream starts while there is no second engine to hold a copy. Its run is copied once the
 /// engine is listed as draining, so the crash of the engine after that must not break the stream.
 #[test]
