fix(gateway): read a silent engine while another is asked, and bound each ask

The silent engine is now read while another is asked, and wins with its first byte; the other has 0.3 s. Each ask ends when the client would leave, and for a stream that could begin again after 1 s. A lost ask counts as a run if the first engine may still be at work, and its engine isn't tried again. A copy that isn't used is freed. Placement hears of a failure only once it is one.

--- a/crates/gateway/src/clients/evacuation.rs
+++ b/crates/gateway/src/clients/evacuation.rs
@@ -161,6 +161,7 @@
                     reservation,
                     origin,
                     handle,
+                    was_asked: false,
                 };
                 free_copy(Arc::clone(&shared), copy).await;
             }
@@ -196,6 +197,7 @@
                 reservation,
                 origin: source.address,
                 handle,
+                was_asked: false,
             });
         } else if let Some(copy) = copy {
             copy.handle = handle;
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -45,7 +45,9 @@
 /// Minimum interval between two probes.
 const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(400);
 /// Maximum time in which another engine must take a stream whose engine is only suspected.
-const TAKEOVER_TIMEOUT: Duration = Duration::from_secs(2);
+const TAKEOVER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum time in which the engine with the copy must take a stream that could begin again.
+const COPY_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval between two attempts to continue a suspected engine's stream elsewhere.
 const SUSPICION_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after its first event in which an engine that is lost may have been lost to the request.
@@ -74,6 +76,8 @@
     pub origin: SocketAddr,
     /// Handle of the copy at the origin.
     pub handle: Box<str>,
+    /// Whether its engine was asked to continue the stream.
+    pub was_asked: bool,
 }
 
 /// The engine that produces a stream, and the copy of the run, if any.
@@ -98,6 +102,7 @@
             handle: attempt_id.into(),
             target,
             reservation,
+            was_asked: false,
         });
         Self {
             target,
@@ -154,8 +159,10 @@
     paused_at: u64,
     last_received: Instant,
     last_probe: Instant,
-    /// Whether the engine with the copy was asked to continue the stream.
-    has_asked: bool,
+    /// Whether the current engine is silent, but may go on.
+    is_suspected: bool,
+    /// Engines that were asked in vain to continue the stream.
+    failed_targets: Vec<key::Target>,
     /// When another engine was last asked to continue the stream of a suspected one.
     last_suspicion: Option<Instant>,
     evacuation: Evacuation,
@@ -239,7 +246,8 @@
         Self {
             last_received: now,
             last_probe: now,
-            has_asked: false,
+            is_suspected: false,
+            failed_targets: Vec::new(),
             last_suspicion: None,
             evacuation: Evacuation::default(),
             exchange,
@@ -280,10 +288,17 @@
                 &self.source.target,
                 &mut self.source.copy,
             );
-            let read = match self.splitter.defect() {
+            let mut read = match self.splitter.defect() {
                 Some(defect) => Read::Lost(defect.to_string().into()),
                 None => self.read().await,
             };
+            if let Read::Suspected(reason) = &read {
+                let reason = reason.clone();
+                let Some(sent) = self.replace_suspect(&reason).await else {
+                    continue;
+                };
+                read = sent;
+            }
             let reason = match self.check_end(read) {
                 Read::Bytes(bytes) => {
                     self.splitter.push(&bytes);
@@ -294,17 +309,13 @@
                 }
                 Read::End => return self.finish(),
                 Read::Closed(_) | Read::Lost(_) if self.exchange.remaining().is_zero() => continue,
-                Read::Suspected(reason) => {
-                    self.replace_suspect(&reason).await;
-                    continue;
-                }
                 Read::Closed(reason) => {
                     if self.is_beginning() {
                         self.exchange.record_loss(&self.source.target);
                     }
                     reason
                 }
-                Read::Lost(reason) => reason,
+                Read::Lost(reason) | Read::Suspected(reason) => reason,
             };
             if !self.migrate(&reason).await {
                 return Some(Err(self.fail(&reason)));
@@ -463,7 +474,13 @@
     /// Continues a stream that has ended at another engine; returns whether one takes it.
     async fn migrate(&mut self, reason: &str) -> bool {
         let exchange = Arc::clone(&self.exchange);
-        let failed_target = self.record_suspicion(reason);
+        let failed_target = self.source.target.clone();
+        let now = exchange.shared.now();
+        exchange
+            .shared
+            .dispatcher
+            .record_failure(failed_target.key, now);
+        self.log_loss(reason);
         self.incomplete_bytes = self.splitter.take_rest().len();
         if !self.is_proven {
             exchange.wait_after_loss().await;
@@ -476,7 +493,9 @@
         let give_up = (self.last_delivery + wait).min(exchange.deadline);
         let mut delay = MIN_RETRY_DELAY;
         while self.can_continue() {
-            if self.continue_elsewhere(failed_target.key).await {
+            let remaining = give_up.since(exchange.shared.now());
+            let takeover = self.continue_elsewhere(failed_target.key);
+            if with_timeout(remaining, takeover).await == Some(true) {
                 return true;
             }
             let now = exchange.shared.now();
@@ -523,33 +542,52 @@
         delay.unwrap_or_default()
     }
 
-    /// Continues the stream of a silent engine at another one; without any, it is read on.
+    /// Continues the stream of a silent engine at another one, unless it is the first to go on.
     ///
-    /// An engine that accepts no connection may only be busy, and go on with its answer.
-    async fn replace_suspect(&mut self, reason: &str) {
+    /// An engine that accepts no connection may only be busy. Its connection is read all the while,
+    /// and the other engine has little time, so that the run is not at both of them for long.
+    /// Returns what the silent engine has sent.
+    async fn replace_suspect(&mut self, reason: &str) -> Option<Read> {
         let shared = Arc::clone(&self.exchange.shared);
-        let suspect = self.record_suspicion(reason);
+        let suspect = self.source.target.clone();
+        self.log_loss(reason);
+        let mut upstream = self.upstream.take()?;
+        self.is_suspected = true;
         let takeover = async { self.can_continue() && self.continue_elsewhere(suspect.key).await };
-        let is_taken = with_timeout(TAKEOVER_TIMEOUT, takeover).await;
-        if is_taken.unwrap_or_default() {
-            let evacuation = std::mem::take(&mut self.evacuation);
-            evacuation.release(&self.exchange, None, false);
-            return;
+        let takeover = async { Err(with_timeout(TAKEOVER_TIMEOUT, takeover).await) };
+        let read = async { Ok(upstream.body.frame().await) };
+        let result = smol::future::or(read, takeover).await;
+        self.is_suspected = false;
+        match result {
+            Ok(read) => {
+                self.upstream = Some(upstream);
+                self.last_received = shared.now();
+                return Some(classify(read));
+            }
+            Err(Some(true)) => {
+                let now = shared.now();
+                shared.dispatcher.record_failure(suspect.key, now);
+                let evacuation = std::mem::take(&mut self.evacuation);
+                evacuation.release(&self.exchange, None, false);
+            }
+            Err(is_taken) => {
+                self.upstream = Some(upstream);
+                self.last_suspicion = Some(shared.now());
+                log::info!(
+                    target: "moved", request:% = self.exchange.head.attempt_id, instance:% = suspect.instance,
+                    events = self.events, in_time = is_taken.is_some();
+                    "no engine takes the stream; reading on from the silent one"
+                );
+            }
         }
-        self.last_suspicion = Some(shared.now());
-        log::info!(
-            target: "moved", request:% = self.exchange.head.attempt_id, instance:% = suspect.instance,
-            events = self.events, in_time = is_taken.is_some();
-            "no engine takes the stream; reading on from the silent one"
-        );
+        None
     }
 
-    /// Records that the current engine has failed or is suspected, and returns it.
-    fn record_suspicion(&self, reason: &str) -> Target {
+    /// Logs that the current engine has failed or is suspected.
+    fn log_loss(&self, reason: &str) {
         let exchange = &self.exchange;
         let now = exchange.shared.now();
-        let target = self.source.target.clone();
-        exchange.shared.dispatcher.record_failure(target.key, now);
+        let target = &self.source.target;
         log::info!(
             target: "moved", request:% = exchange.head.attempt_id, instance:% = target.instance,
             release:% = target.release, events = self.events, backup = self.source.backup().map_or("", |backup| &*backup.instance),
@@ -559,7 +597,6 @@
             answered_ms = now.since(self.attached_at).as_millis() as u64;
             "engine lost while streaming"
         );
-        target
     }
 
     /// Resumes at the engine with the copy or, if the route permits it, restarts at another engine.
@@ -578,13 +615,14 @@
         let exchange = Arc::clone(&self.exchange);
         let shared = &exchange.shared;
         let now = shared.now();
-        let Some(copy) = &self.source.copy else {
+        if !self.copy_delay(now).is_zero() {
+            return false;
+        }
+        let Some(copy) = &mut self.source.copy else {
             return false;
         };
-        let is_repeated = std::mem::replace(&mut self.has_asked, true);
-        if !self.copy_delay(now).is_zero()
-            || is_repeated && !shared.dispatcher.take_retry(exchange.service, now)
-        {
+        let is_repeated = std::mem::replace(&mut copy.was_asked, true);
+        if is_repeated && !shared.dispatcher.take_retry(exchange.service, now) {
             return false;
         }
         let (target, origin, handle) = (copy.target.clone(), copy.origin, copy.handle.clone());
@@ -593,7 +631,8 @@
             .reserve_at(target.key, self.plan.run_load(), now);
         reservation.finish_prefill();
         reservation.set_tokens(self.plan.generation.prompt_tokens, self.tokens());
-        let excluded = [failed_target, target.key];
+        let copy_target = target.key;
+        let excluded = [failed_target, copy_target];
         let next = reserve_copy(&exchange, &self.plan, &target, &excluded);
         let fields = GatewayFields {
             backup: next.as_ref().map(|(target, _)| target.address),
@@ -602,9 +641,19 @@
             ..GatewayFields::default()
         };
         let source = Source::new((target, reservation), next, &exchange.head.attempt_id);
-        let takeover = self.attach(source, &fields).await;
+        let timeout = match exchange.route.retry_policy {
+            RetryPolicy::Resumable => COPY_TIMEOUT,
+            _ => exchange.remaining(),
+        };
+        let takeover = with_timeout(timeout, Box::pin(self.attach(source, &fields))).await;
+        let takeover = takeover.unwrap_or(Takeover::Lost);
+        // It is the same run, unless the engine before goes on with it.
+        if takeover == Takeover::Lost && self.is_suspected {
+            exchange.record_run();
+        }
         if matches!(takeover, Takeover::Impossible | Takeover::Lost) {
             self.source.copy = None;
+            self.failed_targets.push(copy_target);
         }
         takeover == Takeover::Taken
     }
@@ -616,7 +665,8 @@
             return false;
         }
         let now = shared.now();
-        let reserved = reserve(&exchange, &self.plan, &[failed_target], 0, now);
+        let excluded = [&*self.failed_targets, &[failed_target]].concat();
+        let reserved = reserve(&exchange, &self.plan, &excluded, 0, now);
         let Some(reserved) = reserved else {
             return false;
         };
@@ -630,7 +680,7 @@
         let source = Source::new(reserved, None, &exchange.head.attempt_id);
         // The engine may run it even if its answer is no longer waited for.
         exchange.record_run();
-        let takeover = self.attach(source, &fields).await;
+        let takeover = Box::pin(self.attach(source, &fields)).await;
         if matches!(takeover, Takeover::Refused | Takeover::Impossible) {
             exchange.retract_run();
         }
@@ -695,8 +745,11 @@
                 body: response.into_body(),
                 _connection: connection,
             });
-            self.source = source;
-            self.has_asked = false;
+            self.failed_targets.clear();
+            let replaced = std::mem::replace(&mut self.source, source);
+            if fields.continue_from.is_none() {
+                Evacuation::default().release(&self.exchange, replaced.copy, false);
+            }
             self.last_received = self.exchange.shared.now();
             self.attached_at = self.last_received;
             self.begun_at = None;
