fix(drain): let the estimate count until 2.9 s after the stop signal

What is taken by an estimate may be cut at the end of the drain. Clients are asked to accept that only for what they sent within 3 s of the signal, and the first part of a drain lasts 3.2 s. Found in a review, by reading; tests/drains.rs passes.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -36,6 +36,8 @@
 /// The load balancer removes a VM after two failed health checks, which it makes once a second; the
 /// rest is a margin. Half of the grace period is the upper bound.
 const MIN_DRAIN_TIME: Duration = Duration::from_millis(3_200);
+/// Time after the stop signal in which an estimate decides whether a request is taken.
+const ESTIMATE_TIME: Duration = Duration::from_millis(2_900);
 /// Time between the end of the drain and of the process, for responses to be sent.
 const FLUSH_DELAY: Duration = Duration::from_millis(100);
 /// Part of the grace period that is left after the drain to close connections and exit.
@@ -115,7 +117,7 @@
         let end = started + grace.saturating_sub(GRACE_RESERVE);
         let first_part = MIN_DRAIN_TIME.min(grace / 2);
         drain.start(dispatch::Drain {
-            first_part_end: started + first_part,
+            first_part_end: started + first_part.min(ESTIMATE_TIME),
             end,
         });
         log::info!(target: "stop", in_flight = drain.in_flight(), connections = drain.connections(); "draining");
