fix(gateway): spread a new configuration over more time in a large fleet

The fetches are now drawn from 750 ms in fleets of more than 40 VMs; the bound of a configuration is 2 s there.

--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -27,6 +27,10 @@
 const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum random delay before a fetch from a peer, so that VMs don't all ask the same one at once.
 const MAX_PEER_JITTER: Duration = Duration::from_millis(250);
+/// The same in a fleet of more than [`reports::MAX_FULL_MESH_VMS`], where many VMs ask the same one.
+///
+/// What that VM sends fills its link and delays its streams and connections.
+const MAX_LARGE_FLEET_JITTER: Duration = Duration::from_millis(750);
 /// Maximum size of a configuration that is fetched from a peer, in bytes.
 ///
 /// A small VM serves one of this size to several peers within 100 ms. Larger ones are read from the
@@ -91,7 +95,13 @@
         if offer.bytes > MAX_PEER_BYTES {
             return store.configuration().await;
         }
-        let jitter = MAX_PEER_JITTER.mul_f64(rand::rng().random_range(0.0..1.0));
+        let is_large = shared.dispatcher.live_vms() > reports::MAX_FULL_MESH_VMS;
+        let max_jitter = if is_large {
+            MAX_LARGE_FLEET_JITTER
+        } else {
+            MAX_PEER_JITTER
+        };
+        let jitter = max_jitter.mul_f64(rand::rng().random_range(0.0..1.0));
         Timer::after(jitter).await;
         fetch_from_peer(shared).await;
         // Fall back to the store if the peer could not provide the new version.
