test(gateway): large configurations over links of a given rate

Callers got 404 for routes that had been added 3.7 s before. Stand-in links pass bytes between VMs and the store at a given rate, and turn chosen VMs away, reset, fall silent or stop in the middle.

GATEWAY_BUILDS starts gateways of several builds in turn.

--- a/crates/fakes/src/site.rs
+++ b/crates/fakes/src/site.rs
@@ -3,8 +3,9 @@
 //! They run inside the test process; the test configures them and inspects what they received.
 
 pub mod flood;
+pub mod link;
 pub mod partition;
 pub mod store;
 pub mod target;
 
-pub use {flood::Flooder, store::Store, target::Target};
+pub use {flood::Flooder, link::Network, store::Store, target::Target};
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -14,7 +14,7 @@
 /// First port of the test processes.
 const FIRST_PORT: u16 = 20_000;
 /// Number of ports that one test process may draw.
-const PORTS: u16 = 20_000;
+const PORTS: u16 = 9_000;
 
 static DRAWN_PORTS: AtomicU16 = AtomicU16::new(0);
 static NEXT_LOG: AtomicU16 = AtomicU16::new(0);
@@ -29,7 +29,7 @@
     let address = Ipv4Addr::new(127, 64 + high, middle, low);
     let port = DRAWN_PORTS.fetch_add(1, Ordering::Relaxed);
     assert!(port < PORTS, "the test process has no port left");
-    let range = u16::from(high / 32);
+    let range = u16::from(high / super::site::VM_BLOCK);
     SocketAddr::from((address, FIRST_PORT + range * PORTS + port))
 }
 
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -6,7 +6,7 @@
         wait_until,
     },
     fakes::site::{
-        Store, Target,
+        Network, Store, Target,
         partition::Kind,
         target::{Behaviour, Copies},
     },
@@ -17,6 +17,7 @@
     std::{
         net::{IpAddr, Ipv4Addr, SocketAddr},
         path::PathBuf,
+        sync::atomic::{AtomicUsize, Ordering},
         time::Duration,
     },
 };
@@ -44,6 +45,11 @@
     pub copies: Copies,
     /// Sections that are added to the settings of the gateways.
     pub settings: String,
+    /// Data centres of the gateways, in turn.
+    pub data_centres: Vec<&'static str>,
+    /// Links of the gateways to the store and to each other; `None` if nothing limits them.
+    pub network: Option<Network>,
+    proxied_store: Option<SocketAddr>,
     directory: tempfile::TempDir,
 }
 
@@ -99,6 +105,9 @@
             gateways: Vec::new(),
             copies: Copies::default(),
             settings: String::new(),
+            data_centres: vec!["dc-1"],
+            network: None,
+            proxied_store: None,
             directory: tempfile::tempdir().expect("a temporary directory is created"),
         }
     }
@@ -228,19 +237,29 @@
     }
 
     /// Starts gateways that reach the store at the address `store`.
+    ///
+    /// If the site has a network, they reach each other's control address over their links.
     pub fn start_gateways(&mut self, count: usize, store: SocketAddr) {
+        self.proxied_store = Some(store);
         let ports: Vec<u16> = (0..5).map(|_| free_address().port()).collect();
         let ips: Vec<Ipv4Addr> = (0..count).map(vm_address).collect();
         for (index, ip) in ips.iter().enumerate() {
             let address = |port: usize| SocketAddr::from((*ip, ports[port]));
+            let mut control = address(2);
+            if let Some(network) = &self.network {
+                control.set_ip(vm_address(MAX_GATEWAYS / 2 + index).into());
+                let proxy = network.proxy(address(2), control);
+                proxy.expect("the address is free");
+            }
             let seeds: Vec<_> = ips.iter().map(|ip| format!("{ip}:{}", ports[2])).collect();
             let text = format!(
-                "[vm]\nname = vm-{index}\ndata_centre = dc-1\n\n[listen]\nclients = {}\n\
+                "[vm]\nname = vm-{index}\ndata_centre = {}\n\n[listen]\nclients = {}\n\
                  readiness = {}\ncontrol = {}\npeers = {}\nmetrics = {}\n\n[platform]\n\
                  address = {}\n\n[peers]\nseeds = {}\n\n[targets]\nsource = {ip}\n\n[promises]\ngrace = 6s\nretry_extra = 20\n\n{}",
+                self.data_centres[index % self.data_centres.len()],
                 address(0),
                 address(1),
-                address(2),
+                control,
                 address(3),
                 address(4),
                 store,
@@ -260,6 +279,11 @@
         }
     }
 
+    /// Returns the address at which the gateways reach the store.
+    pub fn store_address(&self) -> SocketAddr {
+        self.proxied_store.unwrap_or(self.store.address)
+    }
+
     /// Kills a gateway and starts it again.
     pub fn restart(&mut self, index: usize) {
         self.gateways[index].process.kill();
@@ -387,26 +411,39 @@
     }
 }
 
-/// Maximum number of gateways of a site.
-const MAX_GATEWAYS: u8 = 8;
+/// Maximum number of gateways of a site; half of it if the site has a network.
+pub const MAX_GATEWAYS: usize = 16;
+
+/// Number of test processes that differ by the first byte of their gateways' addresses only.
+pub const VM_BLOCK: u8 = 16;
 
 /// Returns the loopback address of a VM, derived from the process id so that it is not shared with
 /// another test process that draws from the same ports.
-fn vm_address(index: usize) -> Ipv4Addr {
-    let index = u8::try_from(index).unwrap_or(u8::MAX);
+pub fn vm_address(index: usize) -> Ipv4Addr {
     assert!(
         index < MAX_GATEWAYS,
         "a site has up to {MAX_GATEWAYS} gateways"
     );
     let [_, high, middle, low] = std::process::id().to_be_bytes();
-    let block = u8::MAX / MAX_GATEWAYS + 1;
-    Ipv4Addr::new(127, index * block + high % block, middle, low)
+    let first = index as u8 * VM_BLOCK + high % VM_BLOCK;
+    Ipv4Addr::new(127, first, middle, low)
 }
 
 /// Starts the gateway process of a settings file.
+///
+/// `GATEWAY_BUILDS` names programs, separated by commas, that are started in turn: with those of two
+/// builds, both run side by side, and a restart is a roll from one to the other.
 pub fn start_gateway(settings: &std::path::Path) -> Process {
+    static STARTED: AtomicUsize = AtomicUsize::new(0);
     let arguments = ["gateway".to_owned(), settings.display().to_string()];
-    Process::start(env!("CARGO_BIN_EXE_mastictrail"), &arguments)
+    let builds = std::env::var("GATEWAY_BUILDS").unwrap_or_default();
+    let builds: Vec<_> = builds.split(',').filter(|path| !path.is_empty()).collect();
+    let started = STARTED.fetch_add(1, Ordering::Relaxed);
+    let program = builds.get(started % builds.len().max(1));
+    Process::start(
+        program.unwrap_or(&env!("CARGO_BIN_EXE_mastictrail")),
+        &arguments,
+    )
 }
 
 /// Returns whether a gateway reports that it is ready.
