fix(gateway): hand large configurations from VM to VM, deflated

Callers got 404 for routes added 3.7 s before, and old routes were still served.

Cause: all VMs read a version over 32 KiB from the store at the same moment, a transfer had to be complete within a second, and one that was not was dropped and begun anew, here or at the one peer that announced the version. Past some load nothing was ever complete: 286 MB were received for a version of 1.2 MB. Class: transfers bounded by a total time, restarted from nothing, made by all at once.

Now the VMs with the fastest links of each data centre read the store, and the others get the deflated value from those that have it, at most four at a time; the choice of source is a state machine of its own. A transfer may take as long as it makes progress. A watch that would return many versions is replaced by a read of the value; pages of the list of targets that were read are kept.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod refusal;
 pub mod rendezvous;
 pub mod sealed;
+pub mod transfer;
 pub mod verdict;
 
 pub use clock::{Clock, Instant};
--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -93,6 +93,8 @@
     pub threads: u32,
     /// Timeout to connect to a target; a connection normally takes a few milliseconds.
     pub connect_timeout: Duration,
+    /// Rate of the VM's network link in Mbit/s; 0 if it is not known.
+    pub link_mbps: f64,
 }
 
 impl Default for Limits {
@@ -100,6 +102,7 @@
         Self {
             threads: 1,
             connect_timeout: Duration::from_millis(250),
+            link_mbps: 0.0,
         }
     }
 }
@@ -251,6 +254,7 @@
             &mut self.connect_timeout,
             value::duration,
         );
+        reader.update("link_mbps", &mut self.link_mbps, rate);
     }
 }
 
@@ -284,6 +288,14 @@
     address.map(Some).map_err(|_error| "an IPv4 address")
 }
 
+/// Parses the rate of a link; without a value, it is not known.
+fn rate(value: &str) -> Result<f64, &'static str> {
+    if value.is_empty() {
+        return Ok(0.0);
+    }
+    amount(value)
+}
+
 fn amount(value: &str) -> Result<f64, &'static str> {
     let number = value.parse::<f64>().ok();
     number
--- a/crates/config/tests/gateway.rs
+++ b/crates/config/tests/gateway.rs
@@ -6,7 +6,7 @@
 const RENDERED: &str = "[vm]\nname = edge-wlkp-a-1\ndata_centre = wlkp-a\n\n[listen]\n\
     clients = 10.1.0.19:8740\nreadiness = 10.1.0.19:8749\ncontrol = 10.1.0.19:8748\n\
     peers = 10.1.0.19:7200\nmetrics = 10.1.0.19:7201\n\n[platform]\naddress = 10.200.1.7:8742\n\n\
-    [peers]\nseeds = 10.1.0.19:8748,10.2.0.13:8748\n\n[limits]\nthreads = 1\n\n[promises]\n\
+    [peers]\nseeds = 10.1.0.19:8748,10.2.0.13:8748\n\n[limits]\nthreads = 1\nlink_mbps = 10.0\n\n[promises]\n\
     grace = 8s\nretry_ratio = 0.2\nretry_extra = 122\nretry_window = 10s\n";
 
 fn faults(text: &str) -> Vec<String> {
@@ -24,6 +24,19 @@
     assert_eq!(settings.seeds.len(), 2);
     assert_eq!(settings.promises.grace, Duration::from_secs(8));
     assert!((settings.promises.retry_extra - 122.0).abs() < f64::EPSILON);
+    assert!((settings.limits.link_mbps - 10.0).abs() < f64::EPSILON);
+}
+
+/// The platform renders nothing for a field that it doesn't have.
+#[test]
+fn a_link_of_unknown_rate_is_valid() {
+    for text in ["", "link_mbps =", "link_mbps = 0"] {
+        let text = RENDERED.replace("link_mbps = 10.0", text);
+        let settings = gateway::parse("gateway.ini", &text).unwrap();
+        assert!(settings.limits.link_mbps.abs() < f64::EPSILON);
+    }
+    let text = RENDERED.replace("link_mbps = 10.0", "link_mbps = fast");
+    assert_eq!(faults(&text), ["limits link_mbps: `fast` is not permitted"]);
 }
 
 #[test]
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod placement;
 pub mod quarantine;
 pub mod reach;
+pub mod replication;
 pub mod report;
 pub mod request;
 pub mod waiting;
@@ -25,6 +26,6 @@
 pub use {
     budget::Budget, configuration::Configuration, drain::Drain, duration::Durations,
     frame::Splitter, length::Lengths, limit::Limits, listing::Listing, load::Load, origin::Origins,
-    peers::Peers, placement::Placement, quarantine::Quarantine, reach::Reach, request::Generation,
-    waiting::Queues,
+    peers::Peers, placement::Placement, quarantine::Quarantine, reach::Reach,
+    replication::Replication, request::Generation, waiting::Queues,
 };
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -76,7 +76,7 @@
     Standby,
 }
 
-/// A newer configuration that can be fetched from a peer.
+/// A newer configuration that a peer has.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Offer {
     /// Address of the peer.
@@ -85,6 +85,29 @@
     pub version: u64,
     /// Size of the configuration in bytes.
     pub bytes: u64,
+    /// Whether the peer sends it deflated.
+    pub is_deflated: bool,
+    /// Whether the peer is in the receiver's data centre.
+    pub is_local: bool,
+    /// Rate of the peer's link in Mbit/s; 0 if it is not known.
+    pub link_mbps: u32,
+}
+
+/// A VM as a candidate for watching the store.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// Address of the VM.
+    pub address: Ipv4Addr,
+    /// Hash of the name of its data centre.
+    pub data_centre: u64,
+    /// Rate of its link in Mbit/s; 0 if it is not known.
+    pub link_mbps: u32,
+}
+
+impl Candidate {
+    fn id(&self) -> u64 {
+        u64::from(u32::from(self.address))
+    }
 }
 
 /// What a report changed.
@@ -166,11 +189,11 @@
     ///
     /// A VM that receives no reports always watches. Otherwise at least `count` watchers are chosen
     /// among the VMs that reach the store, or among all if none does. They are chosen evenly from
-    /// the data centres, so that one that is cut off has watchers of its own.
+    /// the data centres, so that one that is cut off has watchers of its own, and there from the
+    /// VMs with the fastest links, which pass large values on soon.
     pub fn watch_role(
         &self,
-        own: Ipv4Addr,
-        data_centre: u64,
+        own: Candidate,
         is_store_unreachable: bool,
         count: usize,
         now: Instant,
@@ -185,21 +208,25 @@
         }
         let candidates: Vec<_> = others()
             .filter(|(_, report)| !is_store_reachable_by_peer || !report.is_store_unreachable)
-            .map(|(address, report)| (report.data_centre, u64::from(u32::from(address))))
-            .collect();
-        let own = u64::from(u32::from(own));
-        let data_centres: HashSet<_> = candidates
-            .iter()
-            .map(|(data_centre, _)| *data_centre)
-            .chain([data_centre])
+            .map(|(address, report)| Candidate {
+                address,
+                data_centre: report.data_centre,
+                link_mbps: report.link_mbps,
+            })
+            .chain([own])
             .collect();
+        let ranking = Ranking::new(&candidates);
+        let data_centres: HashSet<_> = candidates.iter().map(|other| other.data_centre).collect();
         let per_data_centre = count.div_ceil(data_centres.len());
-        let local = candidates.iter().filter(|(other, _)| *other == data_centre);
-        if rendezvous::rank(WATCH_KEY, own, local.map(|(_, id)| *id)) >= per_data_centre {
+        let is_local = |other: &Candidate| other.data_centre == own.data_centre;
+        if ranking.rank(own, is_local) >= per_data_centre {
             return None;
         }
-        let rank = rendezvous::rank(WATCH_KEY, own, candidates.iter().map(|(_, id)| *id));
-        Some(if rank == 0 {
+        // A build that reports no link ranks the VMs otherwise, and may leave the first rank to one
+        // that is none of the watchers here.
+        let is_primary = ranking.rank(own, |_| true) == 0
+            || own.link_mbps > 0 && ranking.rank(own, |other| other.link_mbps > 0) == 0;
+        Some(if is_primary {
             WatchRole::Primary
         } else {
             WatchRole::Standby
@@ -406,36 +433,64 @@
         waiters.filter(|waiter| waiter.deadline > now).collect()
     }
 
-    /// Returns a live peer that has the newest configuration, if that is newer than `version`.
-    ///
-    /// A peer in the given data centre is preferred; `seed` selects one of several.
-    pub fn newer_configuration(
-        &self,
-        version: u64,
-        data_centre: u64,
-        seed: u64,
-        now: Instant,
-    ) -> Option<Offer> {
-        let newest = self
-            .live(now)
-            .map(|(_, report)| report.configuration_version)
-            .max();
-        let newest = newest.filter(|newest| *newest > version)?;
-        let holders = self
-            .live(now)
-            .filter(|(_, report)| report.configuration_version == newest && !report.is_stopping);
-        let best = holders.max_by_key(|(address, report)| {
-            let id = u64::from(u32::from(*address));
-            (
-                report.data_centre == data_centre,
-                rendezvous::weight(seed, id),
-            )
-        });
-        best.map(|(peer, report)| Offer {
+    /// Returns the live peers that have a newer configuration than `version`.
+    pub fn newer_configurations(&self, version: u64, data_centre: u64, now: Instant) -> Vec<Offer> {
+        let is_newer =
+            |report: &Report| report.configuration_version > version && !report.is_stopping;
+        let holders = self.live(now).filter(|(_, report)| is_newer(report));
+        let offers = holders.map(|(peer, report)| Offer {
             peer,
-            version: newest,
+            version: report.configuration_version,
             bytes: report.configuration_bytes,
-        })
+            is_deflated: report.configuration_transfer_bytes > 0,
+            is_local: report.data_centre == data_centre,
+            link_mbps: report.link_mbps,
+        });
+        offers.collect()
+    }
+}
+
+/// Factor between the fastest link of a data centre and the slowest one that counts as fast.
+const FAST_LINK_FACTOR: u32 = 2;
+
+/// The order in which VMs are chosen to watch the store: those with the fastest links of their data
+/// centre first, and by rendezvous hashing among these and the others.
+#[derive(Debug)]
+struct Ranking<'a> {
+    candidates: &'a [Candidate],
+    /// Rate of the fastest link of each data centre.
+    fastest: HashMap<u64, u32>,
+}
+
+impl<'a> Ranking<'a> {
+    fn new(candidates: &'a [Candidate]) -> Self {
+        let mut fastest: HashMap<u64, u32> = HashMap::new();
+        for candidate in candidates {
+            let fastest = fastest.entry(candidate.data_centre).or_default();
+            *fastest = candidate.link_mbps.max(*fastest);
+        }
+        Self {
+            candidates,
+            fastest,
+        }
+    }
+
+    /// Returns how many of the candidates that pass a filter come before `own`.
+    fn rank(&self, own: Candidate, filter: impl Fn(&Candidate) -> bool) -> usize {
+        let own = self.key(&own);
+        let others = self.candidates.iter().filter(|other| filter(other));
+        others.filter(|other| self.key(other) > own).count()
+    }
+
+    fn key(&self, candidate: &Candidate) -> (bool, u64, u64) {
+        let fastest = self.fastest.get(&candidate.data_centre).copied();
+        let link = candidate.link_mbps.saturating_mul(FAST_LINK_FACTOR);
+        let id = candidate.id();
+        (
+            link >= fastest.unwrap_or_default(),
+            rendezvous::weight(WATCH_KEY, id),
+            id,
+        )
     }
 }
 
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -118,6 +118,12 @@
     /// Whether the sender reaches no target, so that its failures are its own.
     #[prost(bool, tag = "15")]
     pub is_isolated: bool,
+    /// Size of the configuration in force as peers may request it deflated, in bytes; 0 if they can't.
+    #[prost(uint64, tag = "16")]
+    pub configuration_transfer_bytes: u64,
+    /// Rate of the sender's link in Mbit/s; 0 if it is not known.
+    #[prost(uint32, tag = "17")]
+    pub link_mbps: u32,
 }
 
 /// A request that is queued at a VM; ages replace times, as the VMs' clocks differ.
--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -4,7 +4,8 @@
     base::{Instant, key},
     mastictrail_dispatch::{
         Load, Peers, origin,
-        peers::{Offer, Update, WatchRole},
+        peers::{Candidate, Update, WatchRole},
+        replication::{Replication, Step},
         report::{Datagram, Origin, QueuedRequest, Report, Summary, TargetLoad},
         waiting::Waiter,
     },
@@ -18,6 +19,14 @@
     Instant::default() + Duration::from_millis(milliseconds)
 }
 
+fn candidate(last: u8, data_centre: u64, link_mbps: u32) -> Candidate {
+    Candidate {
+        address: Ipv4Addr::new(10, 0, 0, last),
+        data_centre,
+        link_mbps,
+    }
+}
+
 fn report(last: u8, sequence: u64) -> Report {
     Report {
         address: Ipv4Addr::new(10, 0, 0, last).into(),
@@ -114,7 +123,7 @@
                 }
                 let is_unreachable = unreachable.contains(&own);
                 peers
-                    .watch_role(own_address, 0, is_unreachable, 3, at(1))
+                    .watch_role(candidate(own, 0, 0), is_unreachable, 3, at(1))
                     .is_some()
             })
             .collect()
@@ -153,8 +162,8 @@
     let roles: Vec<_> = (1..=20)
         .filter_map(|own| {
             let data_centre = u64::from(own % 2);
-            let address = Ipv4Addr::new(10, 0, 0, own);
-            let role = two_data_centres(own).watch_role(address, data_centre, false, 3, at(1));
+            let candidate = candidate(own, data_centre, 0);
+            let role = two_data_centres(own).watch_role(candidate, false, 3, at(1));
             role.map(|role| (data_centre, role))
         })
         .collect();
@@ -169,8 +178,8 @@
 #[test]
 fn a_vm_without_reports_from_peers_soon_watches_the_store() {
     let role = |own: u8, now| {
-        let address = Ipv4Addr::new(10, 0, 0, own);
-        two_data_centres(own).watch_role(address, u64::from(own % 2), false, 3, at(now))
+        let candidate = candidate(own, u64::from(own % 2), 0);
+        two_data_centres(own).watch_role(candidate, false, 3, at(now))
     };
     let idle: Vec<u8> = (1..=20).filter(|&own| role(own, 1).is_none()).collect();
     assert!(!idle.is_empty());
@@ -182,14 +191,78 @@
 #[test]
 fn a_newer_configuration_is_fetched_in_the_local_data_centre() {
     let peers = two_data_centres(1);
+    let offers = peers.newer_configurations(6, 1, at(1));
+    assert_eq!(offers.len(), 19);
     for seed in 0..10 {
-        let offer = peers.newer_configuration(6, 1, seed, at(1));
-        let Some(Offer { peer, .. }) = offer else {
-            panic!("peers have a newer configuration");
+        let mut replication = Replication::new(seed);
+        assert!(matches!(
+            replication.step(6, &offers, false, at(1)),
+            Step::Wait(_)
+        ));
+        let step = replication.step(6, &offers, false, at(1_000));
+        let Step::Fetch(peer) = step else {
+            panic!("{step:?}: peers have a newer configuration");
         };
         assert_eq!(peer.octets()[3] % 2, 1);
     }
-    assert_eq!(peers.newer_configuration(7, 1, 0, at(1)), None);
+    assert_eq!(peers.newer_configurations(7, 1, at(1)), []);
+}
+
+/// Returns the watchers of 20 VMs in two data centres, as the VMs that report their links rank them
+/// and as those do whose build doesn't, with their roles.
+fn watchers_by_link(link_mbps: impl Fn(u8) -> u32) -> Vec<(u8, WatchRole)> {
+    let watchers = (1..=20).filter_map(|own: u8| {
+        let mut peers = Peers::default();
+        let is_older = link_mbps(own) == 0;
+        for other in (1..=20).filter(|&other| other != own) {
+            let report = Report {
+                data_centre: u64::from(other % 2),
+                // An older build ignores the field.
+                link_mbps: if is_older { 0 } else { link_mbps(other) },
+                ..report(other, 1)
+            };
+            peers.receive_report(report, Ipv4Addr::new(10, 0, 0, own), at(0));
+        }
+        let candidate = candidate(own, u64::from(own % 2), link_mbps(own));
+        let role = peers.watch_role(candidate, false, 3, at(1));
+        role.map(|role| (own, role))
+    });
+    watchers.collect()
+}
+
+#[test]
+fn the_vms_with_the_fastest_links_watch_and_others_make_up_the_number() {
+    let fast = [3, 4, 8];
+    let watchers = watchers_by_link(|vm| if fast.contains(&vm) { 200 } else { 10 });
+    assert_eq!(watchers.len(), 4, "{watchers:?}");
+    for vm in fast {
+        assert!(watchers.iter().any(|(watcher, _)| *watcher == vm));
+    }
+    let primary = watchers
+        .iter()
+        .filter(|(_, role)| *role == WatchRole::Primary);
+    assert_eq!(primary.count(), 1);
+}
+
+/// VMs whose build reports no link choose other watchers; wherever the new build runs, none of the
+/// data centres may be left without one, nor the deployment without a primary.
+#[test]
+fn each_data_centre_is_watched_while_two_builds_run_side_by_side() {
+    for mask in 0..400_u32 {
+        let is_new = |vm: u8| (mask.wrapping_mul(0x9e37_79b9) >> (vm % 20)) & 1 == 1;
+        let link = |vm: u8| match vm {
+            _ if !is_new(vm) => 0,
+            3 | 4 | 8 => 200,
+            _ => 10,
+        };
+        let watchers = watchers_by_link(link);
+        for data_centre in [0, 1] {
+            let watched = watchers.iter().any(|(vm, _)| vm % 2 == data_centre);
+            assert!(watched, "{mask}: {watchers:?}");
+        }
+        let primary = watchers.iter().any(|(_, role)| *role == WatchRole::Primary);
+        assert!(primary, "{mask}: {watchers:?}");
+    }
 }
 
 #[test]
--- a/crates/gateway/src/clients/exchange.rs
+++ b/crates/gateway/src/clients/exchange.rs
@@ -7,7 +7,7 @@
             answer::{self, Body},
             generation, plain, resumption,
         },
-        control::{drain::Guard, origins, quarantine},
+        control::{current::Snapshot, drain::Guard, origins, quarantine},
         metrics::Outcome,
         targets::path,
     },
@@ -22,10 +22,7 @@
     entry::runtime::with_timeout,
     http_body_util::{BodyExt, Full, LengthLimitError, Limited},
     hyper::{HeaderMap, Method, Request, Response, Uri, Version, body::Incoming, header::HOST},
-    platform::{
-        request::{GatewayFields, Head, forwarded_headers},
-        store::Published,
-    },
+    platform::request::{GatewayFields, Head, forwarded_headers},
     rand::Rng,
     smol::Timer,
     std::{
@@ -63,7 +60,7 @@
     /// State shared by all requests of the process.
     pub shared: Arc<Shared>,
     /// Configuration in force when the request arrived.
-    pub published: Arc<Published>,
+    pub published: Arc<Snapshot>,
     /// Route that matches the request.
     pub route: Arc<Route>,
     /// Service, drawn at random by the route's traffic shares.
--- a/crates/gateway/src/control/admin.rs
+++ b/crates/gateway/src/control/admin.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Shared,
-        control::{configuration, origins},
+        control::{origins, transfer},
     },
     bytes::Bytes,
     http_body_util::Full,
@@ -13,7 +13,11 @@
     },
     smol::net::{TcpListener, TcpStream},
     smol_hyper::rt::{FuturesIo, SmolTimer},
-    std::{convert::Infallible, sync::Arc, time::Duration},
+    std::{
+        convert::Infallible,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
 };
 
 /// Path of the metrics endpoint.
@@ -43,8 +47,17 @@
 }
 
 async fn serve(shared: Arc<Shared>, stream: TcpStream) {
-    let service = service_fn(move |request: Request<Incoming>| {
-        let response = answer(&shared, &request);
+    // Held until the connection ends, when a configuration has been received by the peer.
+    let place = Mutex::new(None);
+    let service = service_fn(|request: Request<Incoming>| {
+        let is_transfer = request.method() == Method::GET && request.uri().path() == transfer::PATH;
+        let response = if is_transfer {
+            let (response, taken) = transfer::answer(&shared, &request);
+            *place.lock().unwrap_or_else(PoisonError::into_inner) = taken;
+            response
+        } else {
+            answer(&shared, &request)
+        };
         async move { Ok::<_, Infallible>(response) }
     });
     let result = http1::Builder::new()
@@ -63,10 +76,6 @@
             (StatusCode::OK, Bytes::new())
         }
         (&Method::GET, platform::READINESS_PATH) => (StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
-        (&Method::GET, configuration::PATH) => match shared.current.load() {
-            Some(published) => (StatusCode::OK, published.bytes.clone()),
-            None => (StatusCode::NOT_FOUND, Bytes::new()),
-        },
         (&Method::GET, path) if path.starts_with(origins::PATH) => origins::answer(shared, path)
             .map_or_else(
                 || (StatusCode::NOT_FOUND, Bytes::new()),
--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -1,158 +1,234 @@
 //! Keeps the configuration up to date from the store or from peers.
+//!
+//! Calls to the store are expensive, and a large value takes each reader's whole link for a time.
+//! So a few VMs watch it, and the others get from peers the versions that their reports announce.
 
 use {
     crate::{
         Shared,
         control::{
             backoff::Backoff,
+            current::Snapshot,
             discovery::{CHECK_INTERVAL, WATCH_TIMEOUT, WATCHERS},
-            reports,
+            encoding::{Encoding, LARGE_BYTES},
+            reports, transfer,
         },
     },
-    bytes::Bytes,
-    dispatch::peers::Offer,
+    dispatch::{Replication, peers::Offer, replication::Step},
     entry::runtime::with_timeout,
-    hyper::Method,
-    platform::store::{Failure, Published, RESPONSE_TIMEOUT, Store, parse_configuration},
-    rand::Rng,
-    smol::Timer,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    platform::store::{Failure, Published, Reading, Store, Versioned, parse_configuration},
+    smol::{Task, Timer},
+    std::{net::Ipv4Addr, sync::Arc, time::Duration},
 };
 
 /// Value of the log field `source` for a configuration read from the store.
 const STORE_SOURCE: &str = "store";
-/// Path at which VMs serve their configuration to peers.
-pub const PATH: &str = "/configuration";
+/// The same for one that a peer sent.
+const PEER_SOURCE: &str = "peer";
 /// Minimum delay between two watches, so that frequent changes are read together.
-const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(500);
-/// Maximum random delay before a fetch from a peer, so that VMs don't all ask the same one at once.
-const MAX_PEER_JITTER: Duration = Duration::from_millis(250);
-/// The same in a fleet of more than [`reports::MAX_FULL_MESH_VMS`], where many VMs ask the same one.
-///
-/// What that VM sends fills its link and delays its streams and connections.
-const MAX_LARGE_FLEET_JITTER: Duration = Duration::from_millis(750);
-/// Maximum size of a configuration that is fetched from a peer, in bytes.
-///
-/// A small VM serves one of this size to several peers within 100 ms. Larger ones are read from the
-/// store.
-const MAX_PEER_BYTES: u64 = 32 << 10;
+const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Keeps the configuration up to date until the process exits.
-pub async fn run(shared: Arc<Shared>, store: Arc<Store>) {
-    let mut revision = None;
+/// Reads the configuration from the store and, on the VMs that do, watches it until the process
+/// exits.
+///
+/// If a response of the store is lost, its connection stays silent, so each watch has a short
+/// timeout.
+pub async fn watch(shared: Arc<Shared>, store: Arc<Store>) {
+    // Revision of the store to watch from, and the version that was in force there.
+    let mut known = None;
     let mut is_unreachable = false;
     let mut backoff = Backoff::default();
     loop {
-        let response = match revision {
+        let version = shared.current.version();
+        let is_watcher = shared.fleet.watch_role(WATCHERS, shared.now()).is_some();
+        if version > 0 && !is_watcher {
+            Timer::after(CHECK_INTERVAL).await;
+            continue;
+        }
+        // The history since an older revision contains all versions that peers have sent meanwhile.
+        let revision = known.filter(|(_, then)| *then == version);
+        let reading = match revision {
             None => store.configuration().await,
-            Some(revision) => watch(&shared, &store, revision).await,
+            Some((revision, _)) => store.watch_configuration(revision, WATCH_TIMEOUT).await,
+        };
+        let result = match reading {
+            Ok(reading) => decode_reading(reading).await,
+            Err(failure) => Err(failure),
         };
-        match response {
+        match result {
             Ok(response) => {
                 backoff.reset();
                 if std::mem::take(&mut is_unreachable) {
                     log::info!(target: "store", of = "configuration"; "the store is reachable again");
                 }
-                if let Some(published) = response.value {
-                    apply(&shared, published, STORE_SOURCE).await;
-                    revision = Some(response.revision);
-                } else if revision.is_some() {
-                    revision = Some(response.revision);
+                let is_known = response.value.is_some() || revision.is_some();
+                if let Some(snapshot) = response.value {
+                    apply(&shared, snapshot, STORE_SOURCE).await;
                 }
+                known = is_known.then(|| (response.revision, shared.current.version()));
                 Timer::after(MIN_WATCH_INTERVAL).await;
             }
-            Err(Failure::Compacted) => revision = None,
+            Err(failure @ (Failure::Compacted | Failure::TooLong)) if revision.is_some() => {
+                log::info!(target: "store", of = "configuration", reason:% = failure; "reading the value instead of its history");
+                known = None;
+            }
             Err(failure) => {
                 if !std::mem::replace(&mut is_unreachable, true) {
                     log::warn!(target: "store", of = "configuration", reason:% = failure; "the store is unreachable");
                 }
-                fetch_from_peer(&shared).await;
                 Timer::after(backoff.next_delay()).await;
             }
         }
     }
 }
 
-/// Waits for a configuration change and reads it.
-///
-/// Calls to the store are expensive, so a few VMs watch it and the others fetch from peers the
-/// versions that their reports announce. If a response of the store is lost, its connection stays
-/// silent, so each watch has a short timeout.
-async fn watch(
-    shared: &Shared,
-    store: &Store,
-    revision: u64,
-) -> Result<platform::store::Versioned<Option<Published>>, Failure> {
+/// Gets newer versions from the peers that announce them until the process exits.
+pub async fn replicate(shared: Arc<Shared>, store: Arc<Store>) {
+    let mut replication = Replication::new(shared.fleet.incarnation());
+    let mut read: Option<Task<()>> = None;
     loop {
-        let is_watcher = shared.fleet.watch_role(WATCHERS, shared.now()).is_some();
-        if is_watcher {
-            return store.watch_configuration(revision, WATCH_TIMEOUT).await;
+        let now = shared.now();
+        let version = shared.current.version();
+        let offers = shared.fleet.newer_configurations(version, now);
+        let is_large_fleet = shared.dispatcher.live_vms() > reports::MAX_FULL_MESH_VMS;
+        let announced = replication.lag().map(|(announced, _)| announced);
+        let step = replication.step(version, &offers, is_large_fleet, now);
+        shared.current.set_lag(replication.lag());
+        if let Some((newest, since)) = replication.lag()
+            && announced != Some(newest)
+        {
+            log::info!(target: "configuration", announced = newest, version, holders = offers.len(), lag_ms = now.since(since).as_millis() as u64; "peers announce a newer configuration");
         }
-        with_timeout(CHECK_INTERVAL, shared.fleet.wait_for_newer_configuration()).await;
-        let Some(offer) = newer_offer(shared) else {
-            continue;
-        };
-        if offer.bytes > MAX_PEER_BYTES {
-            return store.configuration().await;
-        }
-        let is_large = shared.dispatcher.live_vms() > reports::MAX_FULL_MESH_VMS;
-        let max_jitter = if is_large {
-            MAX_LARGE_FLEET_JITTER
-        } else {
-            MAX_PEER_JITTER
-        };
-        let jitter = max_jitter.mul_f64(rand::rng().random_range(0.0..1.0));
-        Timer::after(jitter).await;
-        fetch_from_peer(shared).await;
-        // Fall back to the store if the peer could not provide the new version.
-        if newer_offer(shared).is_some() {
-            return store.configuration().await;
+        match step {
+            Step::Idle => {
+                let news = shared.fleet.wait_for_newer_configuration();
+                with_timeout(CHECK_INTERVAL, news).await;
+            }
+            Step::Wait(until) => {
+                Timer::after(until.since(now)).await;
+            }
+            Step::Fetch(peer) => fetch(&shared, &mut replication, &offers, peer).await,
+            Step::Read => {
+                if read.as_ref().is_none_or(Task::is_finished) {
+                    log::warn!(target: "configuration", announced = replication.lag().map_or(0, |(announced, _)| announced), version; "no peer provides the newer configuration; reading it from the store");
+                    let task = read_once(Arc::clone(&shared), Arc::clone(&store));
+                    read = Some(shared.runtime.spawn(task));
+                }
+            }
         }
     }
 }
 
-fn newer_offer(shared: &Shared) -> Option<Offer> {
-    let version = shared.current.version();
-    shared.fleet.newer_configuration(version, shared.now())
+/// Requests the configuration of a peer and puts it in force.
+async fn fetch(shared: &Shared, replication: &mut Replication, offers: &[Offer], peer: Ipv4Addr) {
+    let offer = offers.iter().find(|offer| offer.peer == peer);
+    let announced = offer.map_or(0, |offer| offer.version);
+    let started = shared.now();
+    let result = match transfer::fetch(shared, peer).await {
+        Ok(encoding) => decode_encoding(encoding).await,
+        Err(failure) => Err(failure),
+    };
+    let now = shared.now();
+    let elapsed_ms = now.since(started).as_millis() as u64;
+    match result {
+        Ok(snapshot) => {
+            let version = snapshot.configuration.version();
+            if !apply(shared, snapshot, PEER_SOURCE).await && version < announced {
+                log::warn!(target: "configuration", peer:% = peer, announced, version; "peer sent an older configuration than it announced");
+                replication.record_failure(peer, now);
+            }
+        }
+        Err(transfer::Failure::Busy(retry_after)) => {
+            log::info!(target: "configuration", peer:% = peer, announced, retry_after_ms = retry_after.as_millis() as u64; "peer is busy sending its configuration to others");
+            replication.record_busy(peer, retry_after, now);
+        }
+        Err(transfer::Failure::Other(reason)) => {
+            log::warn!(target: "configuration", peer:% = peer, announced, elapsed_ms, reason; "failed to fetch the configuration from a peer");
+            replication.record_failure(peer, now);
+        }
+    }
 }
 
-/// Fetches the configuration from the peer that announces the newest version, if any does.
-async fn fetch_from_peer(shared: &Shared) {
-    let Some(Offer {
-        peer,
-        version: announced,
-        ..
-    }) = newer_offer(shared)
-    else {
-        return;
+/// Reads the configuration from the store once.
+async fn read_once(shared: Arc<Shared>, store: Arc<Store>) {
+    let result = match store.configuration().await {
+        Ok(reading) => decode_reading(reading).await,
+        Err(failure) => Err(failure),
     };
-    let port = shared.settings.load().listen.control.port();
-    let address = SocketAddr::from((peer, port));
-    let call = shared
-        .client
-        .call(address, Method::GET, PATH, Bytes::new(), RESPONSE_TIMEOUT);
-    match call.await {
-        Ok((status, body)) if status.is_success() => match parse_configuration(body) {
-            Ok(published) => apply(shared, published, "peer").await,
-            Err(error) => {
-                log::warn!(target: "configuration", peer:% = peer, error:% = error; "failed to parse the configuration of a peer");
-            }
-        },
-        Ok((status, _)) => {
-            log::warn!(target: "configuration", peer:% = peer, announced, status = status.as_u16(); "failed to fetch the configuration from a peer");
+    match result {
+        Ok(Versioned {
+            value: Some(snapshot),
+            ..
+        }) => {
+            apply(&shared, snapshot, STORE_SOURCE).await;
+        }
+        Ok(Versioned { value: None, .. }) => {
+            log::warn!(target: "store", of = "configuration"; "the store has no configuration though peers have one");
         }
         Err(failure) => {
-            log::warn!(target: "configuration", peer:% = peer, announced, reason:% = failure; "failed to fetch the configuration from a peer");
+            log::warn!(target: "store", of = "configuration", reason:% = failure; "failed to read the configuration");
         }
     }
 }
 
-/// Puts a configuration in force if it is newer and reports the new version to peers.
-async fn apply(shared: &Shared, published: Published, source: &str) {
-    let version = published.configuration.version();
-    if !shared.current.replace_if_newer(published) {
-        return;
+/// Puts a configuration in force if it is newer, and reports the new version to peers; returns
+/// whether it is newer.
+async fn apply(shared: &Shared, snapshot: Snapshot, source: &str) -> bool {
+    let version = snapshot.configuration.version();
+    let bytes = snapshot.encoding.plain_bytes();
+    let transfer_bytes = snapshot.encoding.body().len();
+    if !shared.current.replace_if_newer(snapshot) {
+        return false;
     }
-    log::info!(target: "configuration", version, source; "configuration applied");
+    log::info!(target: "configuration", version, source, bytes, transfer_bytes; "configuration applied");
     reports::send_now(shared, source == STORE_SOURCE).await;
+    true
+}
+
+/// Decodes a response of the store.
+async fn decode_reading(reading: Reading) -> Result<Versioned<Option<Snapshot>>, Failure> {
+    let is_large = reading.len() > LARGE_BYTES;
+    let decode = move || {
+        let Versioned { revision, value } = reading.decode()?;
+        let value = value.map(encode_published).transpose()?;
+        Ok(Versioned { revision, value })
+    };
+    run_off_thread(is_large, decode).await
+}
+
+fn encode_published(published: Published) -> Result<Snapshot, Failure> {
+    let encoding = Encoding::new(published.bytes)
+        .map_err(|error| Failure::Unavailable(error.to_string().into()))?;
+    Ok(Snapshot {
+        configuration: published.configuration,
+        encoding,
+    })
+}
+
+/// Decodes what a peer sent.
+async fn decode_encoding(received: transfer::Received) -> Result<Snapshot, transfer::Failure> {
+    let is_large = received.body.len() > LARGE_BYTES || received.is_deflated;
+    let decode = move || {
+        let (encoding, plain) = Encoding::from_peer(received.body, received.is_deflated)
+            .map_err(|error| transfer::Failure::Other(error.to_string().into()))?;
+        let published = parse_configuration(plain)
+            .map_err(|error| transfer::Failure::Other(error.to_string().into()))?;
+        Ok(Snapshot {
+            configuration: published.configuration,
+            encoding,
+        })
+    };
+    run_off_thread(is_large, decode).await
+}
+
+/// Runs work that takes long on a thread of its own, as the streams of this one would wait for it.
+async fn run_off_thread<T: Send + 'static>(
+    is_long: bool,
+    work: impl FnOnce() -> T + Send + 'static,
+) -> T {
+    if is_long {
+        smol::unblock(work).await
+    } else {
+        work()
+    }
 }
--- a/crates/gateway/src/control/current.rs
+++ b/crates/gateway/src/control/current.rs
@@ -1,50 +1,84 @@
 //! The configuration in force.
 
 use {
+    crate::control::encoding::Encoding,
     arc_swap::ArcSwapOption,
-    platform::store::Published,
+    base::Instant,
+    dispatch::Configuration,
     std::sync::{Arc, Mutex, PoisonError},
 };
 
+/// One version of the configuration, decoded and as it is sent to peers.
+#[derive(Debug)]
+pub struct Snapshot {
+    /// The decoded configuration.
+    pub configuration: Configuration,
+    /// The encoded value.
+    pub encoding: Encoding,
+}
+
 /// Holds the newest configuration known; its version never decreases.
 #[derive(Debug, Default)]
 pub struct Current {
-    published: ArcSwapOption<Published>,
+    snapshot: ArcSwapOption<Snapshot>,
     replace_lock: Mutex<()>,
+    /// Newest version that a peer announced, and since when that or one before it has been missing.
+    lag: ArcSwapOption<(u64, Instant)>,
 }
 
 impl Current {
     /// Returns the configuration; `None` before the first one.
-    pub fn load(&self) -> Option<Arc<Published>> {
-        self.published.load_full()
+    pub fn load(&self) -> Option<Arc<Snapshot>> {
+        self.snapshot.load_full()
     }
 
     /// Returns the configuration's version; 0 before the first one.
     pub fn version(&self) -> u64 {
-        let published = self.published.load();
-        published
+        let snapshot = self.snapshot.load();
+        snapshot
             .as_ref()
-            .map_or(0, |published| published.configuration.version())
+            .map_or(0, |snapshot| snapshot.configuration.version())
     }
 
     /// Returns the configuration's size in bytes; 0 before the first one.
     pub fn size_bytes(&self) -> u64 {
-        let published = self.published.load();
-        published
+        let snapshot = self.snapshot.load();
+        snapshot
             .as_ref()
-            .map_or(0, |published| published.bytes.len() as u64)
+            .map_or(0, |snapshot| snapshot.encoding.plain_bytes() as u64)
+    }
+
+    /// Returns the size of the deflated configuration in bytes; 0 if it is kept as published.
+    pub fn deflated_bytes(&self) -> u64 {
+        let snapshot = self.snapshot.load();
+        let encoding = snapshot.as_ref().map(|snapshot| &snapshot.encoding);
+        let deflated = encoding.filter(|encoding| encoding.is_deflated());
+        deflated.map_or(0, |encoding| encoding.body().len() as u64)
+    }
+
+    /// Returns the newest version that a peer announced, and since when it or one before it has been
+    /// missing; `None` if the newest version known is in force.
+    pub fn lag(&self) -> Option<(u64, Instant)> {
+        self.lag.load().as_deref().copied()
+    }
+
+    /// Sets what [`Self::lag`] returns.
+    pub fn set_lag(&self, lag: Option<(u64, Instant)>) {
+        if self.lag() != lag {
+            self.lag.store(lag.map(Arc::new));
+        }
     }
 
-    /// Replaces the configuration if `published` is newer; returns whether it is.
-    pub fn replace_if_newer(&self, published: Published) -> bool {
+    /// Replaces the configuration if `snapshot` is newer; returns whether it is.
+    pub fn replace_if_newer(&self, snapshot: Snapshot) -> bool {
         let _guard = self
             .replace_lock
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        if published.configuration.version() <= self.version() {
+        if snapshot.configuration.version() <= self.version() {
             return false;
         }
-        self.published.store(Some(Arc::new(published)));
+        self.snapshot.store(Some(Arc::new(snapshot)));
         true
     }
 }
--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -15,7 +15,7 @@
         peers::WatchRole,
         report::{Changes, Description, Entry},
     },
-    platform::store::{Change, Failure, Kind, Store, Versioned},
+    platform::store::{self, Change, Failure, Kind, Store, Versioned},
     smol::Timer,
     std::{
         net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -41,6 +41,9 @@
 const STARTUP_TIME: Duration = Duration::from_millis(1_200);
 /// Maximum duration of a watch that only reads missed changes.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1);
+/// Time for which the pages of a list that was not read to its end are kept; the store's history
+/// reaches back further.
+const LISTING_LIFETIME: Duration = Duration::from_secs(10);
 /// Interval at which expired targets are removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -51,10 +54,18 @@
     let mut backoff = Backoff::default();
     let mut was_behind = false;
     let started = shared.now();
+    let mut listing = store::Listing::default();
+    let mut listing_begun = started;
     loop {
         let role = shared.fleet.watch_role(WATCHERS, shared.now());
         let response = if !has_history {
-            store.targets().await
+            if shared.now().since(listing_begun) > LISTING_LIFETIME {
+                listing = store::Listing::default();
+            }
+            if listing.is_empty() {
+                listing_begun = shared.now();
+            }
+            store.targets(&mut listing).await
         } else if role.is_some() {
             store
                 .watch_targets(shared.directory.known_revision(), WATCH_TIMEOUT)
@@ -89,8 +100,8 @@
                 };
                 Timer::after(min_interval.max(startup_end.since(shared.now()))).await;
             }
-            Err(Failure::Compacted) => {
-                log::info!(target: "store", of = "targets"; "the store discarded its history; reading the full list");
+            Err(failure @ (Failure::Compacted | Failure::TooLong)) if has_history => {
+                log::info!(target: "store", of = "targets", reason:% = failure; "reading the full list instead of its history");
                 has_history = false;
             }
             Err(failure) => {
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -5,7 +5,7 @@
     derive_more::Debug,
     dispatch::{
         Peers,
-        peers::{Offer, WatchRole},
+        peers::{Candidate, Offer, WatchRole},
     },
     smol::{
         Async,
@@ -34,6 +34,7 @@
     is_store_unreachable: AtomicBool,
     has_changed: AtomicBool,
     data_centre: u64,
+    link_mbps: u32,
 }
 
 impl Fleet {
@@ -43,6 +44,7 @@
         own_address: SocketAddrV4,
         incarnation: u64,
         data_centre: u64,
+        link_mbps: u32,
     ) -> Self {
         let (wakeup_sender, wakeup_receiver) = bounded(1);
         Self {
@@ -56,6 +58,7 @@
             is_store_unreachable: AtomicBool::new(false),
             has_changed: AtomicBool::new(false),
             data_centre,
+            link_mbps,
         }
     }
 
@@ -94,6 +97,11 @@
         self.data_centre
     }
 
+    /// Returns the rate of this VM's link in Mbit/s; 0 if it is not known.
+    pub fn link_mbps(&self) -> u32 {
+        self.link_mbps
+    }
+
     /// Returns whether this VM's last call to the store failed.
     pub fn is_store_unreachable(&self) -> bool {
         self.is_store_unreachable.load(Ordering::Relaxed)
@@ -109,19 +117,18 @@
     /// Returns this VM's role in watching the store; `None` if it doesn't watch.
     pub fn watch_role(&self, count: usize, now: Instant) -> Option<WatchRole> {
         let is_unreachable = self.is_store_unreachable();
-        self.peers().watch_role(
-            self.own_address(),
-            self.data_centre,
-            is_unreachable,
-            count,
-            now,
-        )
+        let own = Candidate {
+            address: self.own_address(),
+            data_centre: self.data_centre,
+            link_mbps: self.link_mbps,
+        };
+        self.peers().watch_role(own, is_unreachable, count, now)
     }
 
-    /// Returns a peer that announces a newer configuration than `version`.
-    pub fn newer_configuration(&self, version: u64, now: Instant) -> Option<Offer> {
+    /// Returns the peers that announce a newer configuration than `version`.
+    pub fn newer_configurations(&self, version: u64, now: Instant) -> Vec<Offer> {
         self.peers()
-            .newer_configuration(version, self.data_centre, self.incarnation, now)
+            .newer_configurations(version, self.data_centre, now)
     }
 
     /// Records that a peer's state has changed.
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -294,6 +294,8 @@
         sequence: shared.fleet.next_sequence(),
         configuration_version: shared.current.version(),
         configuration_bytes: shared.current.size_bytes(),
+        configuration_transfer_bytes: shared.current.deflated_bytes(),
+        link_mbps: shared.fleet.link_mbps(),
         targets_revision: shared.directory.changed_revision(),
         loads: local_loads(shared),
         leaving: shared
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -13,7 +13,7 @@
             inquiry,
             quarantine::{self, Quarantine},
             reach::{self, Reach},
-            reports,
+            reports, transfer,
         },
         metrics::Metrics,
         targets::{client::Client, directory::Directory, dispatcher::Dispatcher},
@@ -78,7 +78,16 @@
                 .detach();
         }
         runtime
-            .spawn(configuration::run(Arc::clone(&shared), Arc::clone(&store)))
+            .spawn(configuration::watch(
+                Arc::clone(&shared),
+                Arc::clone(&store),
+            ))
+            .detach();
+        runtime
+            .spawn(configuration::replicate(
+                Arc::clone(&shared),
+                Arc::clone(&store),
+            ))
             .detach();
         runtime
             .spawn(discovery::run(Arc::clone(&shared), store))
@@ -179,6 +188,7 @@
         ),
         runtime,
         current: Current::default(),
+        sender: transfer::Sender::default(),
         directory: Directory::default(),
         dispatcher: Dispatcher::new(incarnation, budget_policy),
         fleet: Fleet::new(
@@ -186,6 +196,7 @@
             SocketAddrV4::new(*own_address.ip(), own_address.port()),
             incarnation,
             key::DataCentre::of(&settings.vm.data_centre).raw(),
+            settings.limits.link_mbps.ceil() as u32,
         ),
         reach: Reach::new(incarnation),
         tunnels: Tunnels::default(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -10,7 +10,7 @@
     entry::{Error, logs},
     opentelemetry::{
         KeyValue,
-        metrics::{Counter, Gauge, Histogram, MeterProvider},
+        metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
     },
     opentelemetry_sdk::{Resource, metrics::SdkMeterProvider},
     prometheus::{Encoder, Registry, TextEncoder},
@@ -48,7 +48,7 @@
     pause: Histogram<f64>,
     duration: Histogram<f64>,
     in_flight: Gauge<u64>,
-    version: Gauge<u64>,
+    versions: Versions,
     ready: Gauge<u64>,
     vms: Gauge<u64>,
     origins: Gauge<u64>,
@@ -62,6 +62,48 @@
     log_queue: OnceLock<logs::Queue>,
 }
 
+/// Instruments that show which configuration a VM has, and which it lacks.
+#[derive(Debug)]
+struct Versions {
+    in_force: Gauge<u64>,
+    announced: Gauge<u64>,
+    lag: Gauge<f64>,
+}
+
+impl Versions {
+    fn new(meter: &Meter) -> Self {
+        let gauge = |name: &'static str, description: &'static str| {
+            meter.u64_gauge(name).with_description(description).build()
+        };
+        Self {
+            in_force: gauge(
+                "mastictrail.gateway.configuration.version",
+                "Configuration version in force",
+            ),
+            announced: gauge(
+                "mastictrail.gateway.configuration.announced",
+                "Newest configuration version that a peer announces or this VM has",
+            ),
+            lag: meter
+                .f64_gauge("mastictrail.gateway.configuration.lag")
+                .with_unit("s")
+                .with_description(
+                    "Time since a version was announced that is newer than the one in force",
+                )
+                .build(),
+        }
+    }
+
+    fn record(&self, shared: &Shared) {
+        let version = shared.current.version();
+        let now = shared.now();
+        let (announced, since) = shared.current.lag().unwrap_or((version, now));
+        self.in_force.record(version, &[]);
+        self.announced.record(announced, &[]);
+        self.lag.record(now.since(since).as_secs_f64(), &[]);
+    }
+}
+
 impl Metrics {
     /// Creates the instruments; `vm` identifies this instance.
     ///
@@ -120,10 +162,7 @@
                 "Time from a request's arrival to its end",
             ),
             in_flight: gauge("mastictrail.gateway.in_flight", "Requests in progress"),
-            version: gauge(
-                "mastictrail.gateway.configuration.version",
-                "Configuration version in force",
-            ),
+            versions: Versions::new(&meter),
             ready: gauge("mastictrail.gateway.ready", "1 if new connections may come"),
             vms: gauge(
                 "mastictrail.gateway.vms",
@@ -210,7 +249,7 @@
     /// Returns an error if a metric can't be encoded.
     pub fn encode(&self, shared: &Shared) -> Result<Vec<u8>, Error> {
         self.in_flight.record(shared.drain.in_flight() as u64, &[]);
-        self.version.record(shared.current.version(), &[]);
+        self.versions.record(shared);
         self.ready.record(shared.is_ready().into(), &[]);
         self.vms
             .record(shared.fleet.live_vms(shared.now()) as u64, &[]);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,7 +5,7 @@
         clients::buffer::Budget,
         control::{
             current::Current, drain::Drain, fleet::Fleet, quarantine::Quarantine, reach::Reach,
-            reports,
+            reports, transfer,
         },
         metrics::Metrics,
         targets::{client::Client, directory::Directory, dispatcher::Dispatcher},
@@ -30,6 +30,8 @@
     pub runtime: Runtime,
     /// Configuration in force.
     pub current: Current,
+    /// Configurations that are being sent to peers.
+    pub sender: transfer::Sender,
     /// Known targets.
     pub directory: Directory,
     /// Placement, queueing and retry budgets.
--- a/crates/gateway/src/targets/client.rs
+++ b/crates/gateway/src/targets/client.rs
@@ -9,19 +9,19 @@
         targets::meter::{Allowance, Metered},
         tunnel::stream::PEER_LOST,
     },
-    base::Verdict,
-    bytes::Bytes,
-    derive_more::{Debug, Display, Error},
+    base::{Verdict, transfer::Bounds},
+    bytes::{Bytes, BytesMut},
+    derive_more::{Debug, Display, Error, From},
     entry::runtime::{Runtime, with_timeout},
     futures_lite::{AsyncRead, AsyncWrite},
     http_body_util::{BodyExt, Full, Limited},
     hyper::{
         HeaderMap, Method, Request, Response, StatusCode,
-        body::Incoming,
+        body::{Body as _, Incoming},
         client::conn::http1,
         header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING},
     },
-    platform::store::{Reply, Transport},
+    platform::store::{self, Reply, Transport},
     smol::{Async, Task, net::TcpStream},
     smol_hyper::rt::FuturesIo,
     socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive},
@@ -50,9 +50,7 @@
 const MAX_BUFFER_BYTES: usize = 64 << 10;
 /// Maximum size of a body that is not a stream of events, with its framing, in bytes.
 const MAX_BODY_BYTES: u64 = 8 << 20;
-/// Maximum size of a response from the store or a peer, in bytes.
-///
-/// It fits a 1 MB configuration in base64 and its envelope.
+/// Maximum size of a small response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 2 << 20;
 
 /// A request that received no usable response.
@@ -71,6 +69,16 @@
     pub is_local: bool,
 }
 
+/// Why a response was not received within its bounds.
+#[derive(Clone, Debug, Display, From)]
+pub enum Shortfall {
+    /// It exceeds the maximum size.
+    #[display("the answer is too long")]
+    TooLong,
+    /// It broke off or took too long, or there was none.
+    Failed(Failure),
+}
+
 impl Failure {
     /// Creates a failure of a request of which nothing was sent.
     pub fn not_run(message: impl Into<Box<str>>) -> Self {
@@ -281,9 +289,68 @@
         timeout: Duration,
     ) -> Result<(StatusCode, Bytes), Failure> {
         let request = small_request(address, method, path, body)?;
-        let call = async { buffer(self.send(address, request).await?).await };
-        let result = with_timeout(timeout, call).await;
-        result.unwrap_or_else(|| Err(Failure::may_have_run("no answer in time")))
+        let bounds = Bounds::within(timeout, MAX_RESPONSE_BYTES);
+        let response = self.fetch(address, request, bounds).await;
+        let response = response.map_err(|shortfall| match shortfall {
+            Shortfall::Failed(failure) => failure,
+            Shortfall::TooLong => Failure::may_have_run(shortfall.to_string()),
+        })?;
+        Ok((response.status(), response.into_body()))
+    }
+
+    /// Sends a request to the store or a peer and buffers the response.
+    ///
+    /// # Errors
+    /// Returns a failure if the response exceeds `bounds`.
+    pub async fn fetch(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        bounds: Bounds,
+    ) -> Result<Response<Bytes>, Shortfall> {
+        let exchange = async {
+            let answer = with_timeout(bounds.head, self.send(address, request)).await;
+            let answer = answer.ok_or_else(late)??;
+            let _connection = answer.connection;
+            receive(answer.response, bounds).await
+        };
+        let response = Box::pin(with_timeout(bounds.total, exchange)).await;
+        response.ok_or_else(late)?
+    }
+}
+
+fn late() -> Failure {
+    Failure::may_have_run("no answer in time")
+}
+
+/// Receives the body of a response, which may take long but not stop in between.
+async fn receive(
+    response: Response<Incoming>,
+    bounds: Bounds,
+) -> Result<Response<Bytes>, Shortfall> {
+    let (head, mut body) = response.into_parts();
+    // Of a response whose length is known to be too long, nothing is read.
+    let length = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if length > bounds.bytes {
+        return Err(Shortfall::TooLong);
+    }
+    let mut received = BytesMut::with_capacity(length);
+    loop {
+        let Some(frame) = with_timeout(bounds.stall, body.frame()).await else {
+            let message = format!("the answer stopped after {} bytes", received.len());
+            return Err(Failure::may_have_run(message).into());
+        };
+        let Some(frame) = frame else {
+            return Ok(Response::from_parts(head, received.freeze()));
+        };
+        let frame =
+            frame.map_err(|error| Failure::may_have_run(format!("a broken answer: {error}")))?;
+        if let Ok(data) = frame.into_data() {
+            if received.len() + data.len() > bounds.bytes {
+                return Err(Shortfall::TooLong);
+            }
+            received.extend_from_slice(&data);
+        }
     }
 }
 
@@ -323,11 +390,17 @@
         &self,
         address: SocketAddr,
         path: String,
-        timeout: Duration,
+        bounds: Bounds,
     ) -> Pin<Box<dyn Future<Output = Reply> + Send + '_>> {
         Box::pin(async move {
-            let call = self.call(address, Method::GET, &path, Bytes::new(), timeout);
-            call.await.map_err(|failure| failure.message)
+            let request = small_request(address, Method::GET, &path, Bytes::new())
+                .map_err(|failure| store::Failure::Unavailable(failure.message))?;
+            let response = self.fetch(address, request, bounds).await;
+            let response = response.map_err(|shortfall| match shortfall {
+                Shortfall::TooLong => store::Failure::TooLong,
+                Shortfall::Failed(failure) => store::Failure::Unavailable(failure.message),
+            })?;
+            Ok((response.status(), response.into_body()))
         })
     }
 }
