fix(dispatch): resume streams of unknown origin only if no other release has left

Other operators saw streams answered 200 whose first part came from one version of the engines and the rest from another, after all VMs were killed.

Cause: a VM without memory took the releases listed at the moment for all that there were. The last engine of the former one may just have left.

Now a stream of unknown origin goes on only if one release was listed for the time in which it can have begun: by the VM's own memory or, after its start, by the history of the store, in which an entry that left undescribed counts as another release. On the other hand a release that left long ago no longer stands in the way.

--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -69,12 +69,15 @@
 pub struct Platform {
     /// Address of the store.
     pub address: SocketAddr,
+    /// Time for which the store keeps the changes of its entries.
+    pub history: Duration,
 }
 
 impl Default for Platform {
     fn default() -> Self {
         Self {
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8742)),
+            history: Duration::from_secs(20),
         }
     }
 }
@@ -243,6 +246,7 @@
 impl Platform {
     fn read(&mut self, reader: &Reader<'_>) {
         reader.update("address", &mut self.address, value::address);
+        reader.update("history", &mut self.history, seconds);
     }
 }
 
--- a/crates/config/tests/gateway.rs
+++ b/crates/config/tests/gateway.rs
@@ -5,7 +5,8 @@
 /// The settings template of the deploy files, rendered with the platform's example values.
 const RENDERED: &str = "[vm]\nname = edge-wlkp-a-1\ndata_centre = wlkp-a\n\n[listen]\n\
     clients = 10.1.0.19:8740\nreadiness = 10.1.0.19:8749\ncontrol = 10.1.0.19:8748\n\
-    peers = 10.1.0.19:7200\nmetrics = 10.1.0.19:7201\n\n[platform]\naddress = 10.200.1.7:8742\n\n\
+    peers = 10.1.0.19:7200\nmetrics = 10.1.0.19:7201\n\n[platform]\naddress = 10.200.1.7:8742\n\
+    history = 20s\n\n\
     [peers]\nseeds = 10.1.0.19:8748,10.2.0.13:8748\n\n[limits]\nthreads = 1\nlink_mbps = 10.0\n\n[promises]\n\
     grace = 8s\nretry_ratio = 0.2\nretry_extra = 122\nretry_window = 10s\n";
 
--- a/crates/dispatch/src/listing.rs
+++ b/crates/dispatch/src/listing.rs
@@ -64,28 +64,40 @@
     is_store_unavailable: bool,
     /// Time from which removals take effect at once.
     immediate_removal_from: Instant,
-    has_synced: bool,
-    /// Releases of each service's targets, also of those that are gone.
-    seen_releases: HashMap<key::Service, HashSet<Box<str>>>,
+    /// When the list was first read.
+    synced: Option<Instant>,
+    /// Releases of each service's targets that are gone, with the time at which one was last listed.
+    former_releases: HashMap<key::Service, HashMap<Box<str>, Instant>>,
+    /// Time before the first list for which the store's history is known as well.
+    known_history: Duration,
+    /// Whether a target left in that time whose release is not known.
+    has_unknown_departure: bool,
+}
+
+/// What the store's history says of one entry, in the order of its changes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Past {
+    /// A target was listed.
+    Listed(Target),
+    /// An entry was removed, or replaced by one that can't be read.
+    Gone(key::Target),
 }
 
 impl Listing {
     /// Adds or replaces a target; returns whether anything changed.
-    pub fn put(&mut self, target: Target) -> bool {
+    pub fn put(&mut self, target: Target, now: Instant) -> bool {
         self.pending_removals.remove(&target.key);
         let before = self.targets.get(&target.key);
         if before.is_some_and(|before| *before == target) {
             return false;
         }
-        let releases = self.seen_releases.entry(target.service).or_default();
-        if !releases.contains(&target.release) {
-            releases.insert(target.release.clone());
-        }
         if before.is_some_and(|before| before.started_ms < target.started_ms) {
             self.leaving_notices.remove(&target.key);
             self.announced_leaving.remove(&target.key);
         }
-        self.targets.insert(target.key, target);
+        if let Some(before) = self.targets.insert(target.key, target) {
+            self.record_release(&before, now);
+        }
         true
     }
 
@@ -100,7 +112,7 @@
             self.pending_removals.entry(target).or_insert(now + delay);
             return false;
         }
-        self.remove_now(target);
+        self.remove_now(target, now);
         true
     }
 
@@ -114,10 +126,10 @@
             .filter(|key| !targets.iter().any(|target| target.key == **key))
             .copied()
             .collect();
-        let mut changed = !self.has_synced;
-        self.has_synced = true;
+        let mut changed = self.synced.is_none();
+        self.synced.get_or_insert(now);
         for target in targets {
-            changed |= self.put(target);
+            changed |= self.put(target, now);
         }
         for key in missing {
             changed |= self.remove(key, self.removal_delay(now), now);
@@ -179,7 +191,7 @@
             .map(|(key, _)| *key)
             .collect();
         for key in due {
-            self.remove_now(key);
+            self.remove_now(key, now);
             changed = true;
         }
         changed
@@ -187,13 +199,50 @@
 
     /// Returns whether the list of the store has been read at least once.
     pub fn has_synced(&self) -> bool {
-        self.has_synced
+        self.synced.is_some()
     }
 
-    /// Returns whether targets of a service were ever seen to run more than one release.
-    pub fn has_mixed_releases(&self, service: key::Service) -> bool {
-        let releases = self.seen_releases.get(&service);
-        releases.is_some_and(|releases| releases.len() > 1)
+    /// Adds what the store's history says of the time before the first list, for which it reaches
+    /// back `duration`.
+    pub fn add_history(&mut self, past: Vec<Past>, duration: Duration, now: Instant) {
+        let mut described = HashSet::new();
+        for change in past {
+            match change {
+                Past::Listed(target) => {
+                    described.insert(target.key);
+                    self.record_release(&target, now);
+                }
+                // What it ran is known only if the history has an entry of it before.
+                Past::Gone(key) => self.has_unknown_departure |= !described.contains(&key),
+            }
+        }
+        self.known_history = duration;
+    }
+
+    /// Returns the one release that the targets of a service have run for the last `window`.
+    ///
+    /// `None` if there were several, or if that is not known, as the process has just started.
+    pub fn only_release(
+        &self,
+        service: key::Service,
+        window: Duration,
+        now: Instant,
+    ) -> Option<&str> {
+        let known = now.since(self.synced?);
+        let is_known =
+            known >= window || known + self.known_history >= window && !self.has_unknown_departure;
+        if !is_known {
+            return None;
+        }
+        let listed = self.targets.values();
+        let listed = listed.filter(|target| target.service == service);
+        let former = self.former_releases.get(&service).into_iter().flatten();
+        let former = former.filter(|(_, seen)| now.since(**seen) <= window);
+        let mut releases = listed
+            .map(|target| &*target.release)
+            .chain(former.map(|(release, _)| &**release));
+        let first = releases.next().filter(|release| !release.is_empty())?;
+        releases.all(|release| release == first).then_some(first)
     }
 
     /// Returns all known targets, with `is_leaving` set by the store or by a notice.
@@ -206,8 +255,15 @@
         })
     }
 
-    fn remove_now(&mut self, target: key::Target) {
-        self.targets.remove(&target);
+    fn record_release(&mut self, target: &Target, now: Instant) {
+        let releases = self.former_releases.entry(target.service).or_default();
+        releases.insert(target.release.clone(), now);
+    }
+
+    fn remove_now(&mut self, target: key::Target, now: Instant) {
+        if let Some(removed) = self.targets.remove(&target) {
+            self.record_release(&removed, now);
+        }
         self.pending_removals.remove(&target);
         self.announced_leaving.remove(&target);
     }
--- a/crates/dispatch/tests/listing.rs
+++ b/crates/dispatch/tests/listing.rs
@@ -2,7 +2,10 @@
 
 use {
     base::{Instant, key},
-    mastictrail_dispatch::{Listing, listing::Target},
+    mastictrail_dispatch::{
+        Listing,
+        listing::{Past, Target},
+    },
     std::time::Duration,
 };
 
@@ -46,29 +49,91 @@
     assert!(listing.mark_store_available(at(5_000)));
     assert!(!listing.replace(Vec::new(), at(5_001)));
     assert_eq!(names(&listing).len(), 2);
-    listing.put(target("a", false, 1));
+    listing.put(target("a", false, 1), at(5_002));
     listing.expire(at(6_600));
     assert_eq!(names(&listing).len(), 2);
     listing.expire(at(6_800));
     assert_eq!(names(&listing), [Box::from("a")]);
 }
 
-/// A stream of an engine that has left may still be resumed.
+/// Time within which a stream that a client resumes has begun.
+const WINDOW: Duration = Duration::from_secs(6);
+
+fn release(name: &str, release: &str) -> Target {
+    Target {
+        release: release.into(),
+        ..target(name, false, 1)
+    }
+}
+
+fn only_release(listing: &Listing, now: u64) -> Option<&str> {
+    listing.only_release(key::Service::of("s"), WINDOW, at(now))
+}
+
+/// A stream may have begun at an engine that has left.
 #[test]
-fn a_service_has_mixed_releases_even_after_the_targets_of_one_have_left() {
+fn a_release_counts_for_a_while_after_its_last_target_has_left() {
+    let mut listing = Listing::default();
+    listing.replace(vec![release("a", "v1"), release("b", "v1")], at(0));
+    assert_eq!(only_release(&listing, 10_000), Some("v1"));
+    listing.put(release("a", "v2"), at(10_000));
+    assert_eq!(only_release(&listing, 11_000), None);
+    listing.remove(key::Target::of("b"), Duration::ZERO, at(12_000));
+    assert_eq!(only_release(&listing, 18_000), None);
+    assert_eq!(only_release(&listing, 18_001), Some("v2"));
+    let other = key::Service::of("other");
+    assert_eq!(listing.only_release(other, WINDOW, at(18_001)), None);
+}
+
+/// A process that has just started has not seen what left before.
+#[test]
+fn a_list_of_one_release_proves_nothing_at_first() {
+    let mut listing = Listing::default();
+    assert_eq!(only_release(&listing, 0), None);
+    listing.replace(vec![release("a", "v2")], at(1_000));
+    assert_eq!(only_release(&listing, 1_000), None);
+    assert_eq!(only_release(&listing, 6_999), None);
+    assert_eq!(only_release(&listing, 7_000), Some("v2"));
+}
+
+#[test]
+fn the_history_of_the_store_proves_that_no_other_release_has_left() {
+    let history = Duration::from_secs(20);
+    let listing = |past: Vec<Past>| {
+        let mut listing = Listing::default();
+        listing.replace(vec![release("a", "v2")], at(1_000));
+        listing.add_history(past, history, at(1_010));
+        listing
+    };
+    let gone = |name| Past::Gone(key::Target::of(name));
+    let listed = |name, version| Past::Listed(release(name, version));
+    assert_eq!(only_release(&listing(Vec::new()), 1_020), Some("v2"));
+    let same = vec![listed("b", "v2"), gone("b")];
+    assert_eq!(only_release(&listing(same), 1_020), Some("v2"));
+    for other in [
+        vec![listed("b", "v1"), gone("b")],
+        vec![listed("b", "v1"), listed("b", "v2")],
+        // What ran there is not known.
+        vec![gone("b")],
+        vec![gone("b"), listed("b", "v2")],
+    ] {
+        let listing = listing(other.clone());
+        assert_eq!(only_release(&listing, 1_020), None, "{other:?}");
+        assert_eq!(only_release(&listing, 7_011), Some("v2"), "{other:?}");
+    }
+    // A longer window than the history goes back.
+    let long = Duration::from_secs(21);
+    let listing = listing(Vec::new());
     let service = key::Service::of("s");
+    assert_eq!(listing.only_release(service, long, at(1_020)), None);
+    assert_eq!(listing.only_release(service, long, at(2_000)), Some("v2"));
+}
+
+#[test]
+fn a_release_that_no_peer_described_is_not_known() {
     let mut listing = Listing::default();
-    assert!(!listing.has_mixed_releases(service));
-    listing.put(target("a", false, 1));
-    listing.put(target("b", false, 1));
-    assert!(!listing.has_mixed_releases(service));
-    listing.put(Target {
-        release: "v2".into(),
-        ..target("a", false, 2)
-    });
-    listing.remove(key::Target::of("b"), Duration::ZERO, at(1));
-    assert!(listing.has_mixed_releases(service));
-    assert!(!listing.has_mixed_releases(key::Service::of("other")));
+    listing.replace(vec![release("a", "")], at(0));
+    assert_eq!(only_release(&listing, 10_000), None);
 }
 
 /// Longest time for which a target that has left may get requests.
@@ -106,10 +171,10 @@
 #[test]
 fn a_leaving_notice_holds_until_the_target_restarts() {
     let mut listing = Listing::default();
-    listing.put(target("a", false, 1));
+    listing.put(target("a", false, 1), at(0));
     assert!(listing.mark_leaving(key::Target::of("a"), at(0)));
     assert!(!listing.mark_leaving(key::Target::of("a"), at(1)));
     assert!(listing.targets().all(|target| target.is_leaving));
-    listing.put(target("a", false, 2));
+    listing.put(target("a", false, 2), at(0));
     assert!(listing.targets().all(|target| !target.is_leaving));
 }
--- a/crates/gateway/src/clients/resumption.rs
+++ b/crates/gateway/src/clients/resumption.rs
@@ -18,6 +18,10 @@
 /// only expired.
 const RELEASE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Minimum time back to which the releases of a service must be known, as a stream may have begun
+/// under a configuration with a longer timeout.
+const MIN_ORIGIN_WINDOW: Duration = Duration::from_secs(10);
+
 /// Returns whether a request resumes a stream that may go on at another engine.
 fn is_resumption(route: &Route, head: &Head) -> bool {
     let is_resumed = head.resumes.is_some() || head.last_event.is_some();
@@ -41,9 +45,12 @@
     }
     let directory = &exchange.shared.directory;
     let Some(origin) = exchange.origin() else {
-        let is_uniform =
-            exchange.route.shares.len() <= 1 && !directory.has_mixed_releases(exchange.service);
-        if is_uniform {
+        // The stream began within the route's timeout, at an engine that may have left since.
+        let window = exchange.route.timeout.max(MIN_ORIGIN_WINDOW);
+        let now = exchange.shared.now();
+        if exchange.route.shares.len() <= 1
+            && directory.has_one_release(exchange.service, window, now)
+        {
             return Ok(());
         }
         let message = "it is not known where the stream began";
--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -11,7 +11,7 @@
     },
     base::key,
     dispatch::{
-        listing::Target,
+        listing::{Past, Target},
         peers::WatchRole,
         report::{Changes, Description, Entry},
     },
@@ -88,6 +88,11 @@
             Ok(response) => {
                 backoff.reset();
                 mark_store_reachable(&shared);
+                if !shared.directory.has_list() {
+                    let history =
+                        read_history(Arc::clone(&shared), Arc::clone(&store), response.revision);
+                    shared.runtime.spawn(history).detach();
+                }
                 let changes = apply_response(&shared, response, !has_history);
                 has_history = true;
                 if let Some(changes) = changes {
@@ -112,6 +117,38 @@
     }
 }
 
+/// Reads which targets left before this process started: a stream that a client resumes may have
+/// begun at one of them.
+async fn read_history(shared: Arc<Shared>, store: Arc<Store>, revision: u64) {
+    let duration = shared.settings.load().platform.history;
+    let started = shared.now();
+    let mut backoff = Backoff::default();
+    while shared.now().since(started) < duration {
+        let failure = match store.targets_history(revision).await {
+            Ok(changes) => {
+                log::info!(target: "store", of = "targets", changes = changes.len(), revision; "read the history of the targets");
+                let past = changes.into_iter().map(into_past).collect();
+                let now = shared.now();
+                shared.directory.update(|listing| {
+                    listing.add_history(past, duration, now);
+                    false
+                });
+                return;
+            }
+            Err(failure) => failure,
+        };
+        log::warn!(target: "store", of = "targets", reason:% = failure; "failed to read the history of the targets");
+        Timer::after(backoff.next_delay()).await;
+    }
+}
+
+fn into_past(change: Change) -> Past {
+    match change.kind {
+        Kind::Put(target) => Past::Listed(target),
+        Kind::Removed(key) | Kind::Invalid(key, _) => Past::Gone(key),
+    }
+}
+
 /// Removes expired targets until the process exits.
 pub async fn expire_targets(shared: Arc<Shared>) {
     loop {
@@ -138,7 +175,7 @@
         {
             let key = key::Target::from_raw(entry.target);
             is_changed |= match &entry.description {
-                Some(description) => listing.put(decode_target(key, description)),
+                Some(description) => listing.put(decode_target(key, description), now),
                 None => listing.remove(key, removal_delay, now),
             };
         }
@@ -210,7 +247,7 @@
                 Kind::Put(target) => {
                     let entry = encode_entry(change.revision, &target);
                     let (key, is_leaving) = (target.key, target.is_leaving);
-                    let is_change = listing.put(target);
+                    let is_change = listing.put(target, now);
                     log::info!(target: "target", target_key:% = key, is_leaving, revision = change.revision, is_change; "target listed by the store");
                     (entry, is_change)
                 }
--- a/crates/gateway/src/targets/directory.rs
+++ b/crates/gateway/src/targets/directory.rs
@@ -10,6 +10,7 @@
             Arc, Mutex, PoisonError,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
+        time::Duration,
     },
 };
 
@@ -77,10 +78,11 @@
         counts
     }
 
-    /// Returns whether targets of a service were ever seen to run more than one release.
-    pub fn has_mixed_releases(&self, service: key::Service) -> bool {
+    /// Returns whether the targets of a service are known to have run one release only for the last
+    /// `window`.
+    pub fn has_one_release(&self, service: key::Service, window: Duration, now: Instant) -> bool {
         let listing = self.listing.lock().unwrap_or_else(PoisonError::into_inner);
-        listing.has_mixed_releases(service)
+        listing.only_release(service, window, now).is_some()
     }
 
     /// Returns whether a full list was ever read from the store.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1025,6 +1025,71 @@
     assert!(event_stream(20).ends_with(&response.body.expect("the stream is complete")));
 }
 
+/// All VMs died, and the last engine of the release that began the stream left meanwhile. Nothing that
+/// is listed shows that there was another release.
+#[test]
+fn a_stream_is_not_joined_from_two_releases_after_all_vms_were_killed() {
+    for leaves_with_notice in [true, false] {
+        let mut site = Site::start_releases(&["v1"], 1, 2);
+        site.wait_for_peers();
+        begin_stream(&site, 0, "a-1");
+        site.add_engine_of(1, "dc-1", "v2");
+        for gateway in &mut site.gateways {
+            gateway.process.kill();
+        }
+        if leaves_with_notice {
+            site.register(&site.engines[0], "engines", "dc-1", "draining");
+        } else {
+            // Older changes are no longer in the history.
+            site.store.compact();
+        }
+        site.store
+            .remove(&format!("servers/{}", site.engines[0].instance));
+        for index in 0..2 {
+            site.restart(index);
+        }
+        for gateway in &site.gateways {
+            wait_until("the gateway is ready", || is_ready(gateway));
+        }
+        site.wait_for_targets(2, 0);
+        let asked = Instant::now();
+        let response = resume_stream(&site, 0, "a-1", "a-2");
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(asked.elapsed() < Duration::from_millis(500));
+        assert!(read_to_end(response).headers.contains_key("retry-after"));
+        assert_eq!(site.engines[1].run_count(), 0);
+    }
+}
+
+/// The same, but nothing has left, or only what ran the same release.
+#[test]
+fn a_stream_goes_on_after_all_vms_were_killed_if_there_was_one_release() {
+    let mut site = Site::start(3, 1, 2);
+    site.wait_for_peers();
+    begin_stream(&site, 0, "a-1");
+    for gateway in &mut site.gateways {
+        gateway.process.kill();
+    }
+    site.store.compact();
+    site.register(&site.engines[0], "engines", "dc-1", "draining");
+    site.store
+        .remove(&format!("servers/{}", site.engines[0].instance));
+    for index in 0..2 {
+        site.restart(index);
+    }
+    for gateway in &site.gateways {
+        wait_until("the gateway is ready", || is_ready(gateway));
+    }
+    site.wait_for_targets(3, 0);
+    let goes_on = || {
+        let response = read_to_end(resume_stream(&site, 0, "a-1", "a-2"));
+        let body = response.body.expect("the stream is complete");
+        response.status == StatusCode::OK && event_stream(20).ends_with(&body)
+    };
+    // The history is read just after the list.
+    wait_until("the stream goes on", goes_on);
+}
+
 /// The only release was the right one as the request came, but not the only one any more as an engine
 /// had room.
 #[test]
