fix(platform): let an odd entry name no target, whatever stood there before

Other operators saw machines that read the list of runners end again and again after another writer had left an odd entry there. That can't be seen here: no gateway ends, and the list is followed. But entries were used that name no target (IPv6 and unspecified addresses, port 0, no or 4,294,967,295 slots, names that don't go into a header field, on which each request would fail), and a known target whose entry turns odd was kept by a watch, while a list that is read anew drops it.

--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -254,16 +254,13 @@
                 Kind::Removed(key) => {
                     let is_change = listing.remove(key, removal_delay, now);
                     log::info!(target: "target", target_key:% = key, revision = change.revision, at_once = is_change; "target removed from the store");
-                    let entry = Entry {
-                        revision: change.revision,
-                        target: key.raw(),
-                        description: None,
-                    };
-                    (entry, is_change)
+                    (encode_removal(change.revision, key), is_change)
                 }
+                // Such an entry names no target, even if it did before.
                 Kind::Invalid(key, error) => {
-                    log::warn!(target: "target", target_key:% = key, error:% = error; "failed to parse a target's entry in the store");
-                    continue;
+                    let is_change = listing.remove(key, removal_delay, now);
+                    log::warn!(target: "target", target_key:% = key, revision = change.revision, at_once = is_change, error:% = error; "failed to parse a target's entry in the store");
+                    (encode_removal(change.revision, key), is_change)
                 }
             };
             changes.entries.push(entry);
@@ -288,10 +285,18 @@
     }
 }
 
+fn encode_removal(revision: u64, target: key::Target) -> Entry {
+    Entry {
+        revision,
+        target: target.raw(),
+        description: None,
+    }
+}
+
 fn encode_entry(revision: u64, target: &Target) -> Entry {
     let address = match target.address.ip() {
         IpAddr::V4(address) => u32::from(address),
-        // The platform uses IPv4 only; an IPv6 address is unreachable from every VM.
+        // No target that was read from the store has one.
         IpAddr::V6(_) => 0,
     };
     Entry {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1204,6 +1204,116 @@
     );
 }
 
+/// Returns entries that name no target to use, by the store key.
+fn odd_entries() -> Vec<(String, String)> {
+    let entry = json!({
+        "Service": "ledger", "Address": "127.0.0.9:9", "Zone": "dc-1", "Version": "v1",
+        "Slots": 8, "State": "ready", "ColdRemainingMs": 0, "Sequence": 1, "born": 1,
+    });
+    let with = |field: &str, value: serde_json::Value| {
+        let mut entry = entry.clone();
+        entry[field] = value;
+        entry.to_string()
+    };
+    let without = |field: &str| {
+        let mut entry = entry.clone();
+        entry.as_object_mut().expect("an object").remove(field);
+        entry.to_string()
+    };
+    let number = |number: &str| {
+        entry
+            .to_string()
+            .replace("\"Slots\":8", &format!("\"Slots\":{number}"))
+    };
+    let nested = format!("{}{}", "[".repeat(200_000), "]".repeat(200_000));
+    let values = [
+        nested,
+        number("1e999"),
+        number("4294967296"),
+        number("99999999999999999999999999"),
+        number("-1"),
+        number("0"),
+        number("4294967295"),
+        with("Address", "127.0.0.9:65536".into()),
+        with("Address", "127.0.0.9:0".into()),
+        with("Address", "0.0.0.0:80".into()),
+        with("Address", "[::1]:80".into()),
+        with("Address", "somewhere:80".into()),
+        with("Address", 80.into()),
+        with("born", (-1).into()),
+        with("born", "yesterday".into()),
+        with("State", "odd".into()),
+        with("Service", json!(["ledger"])),
+        with("Version", serde_json::Value::Null),
+        without("Zone"),
+        "\u{feff}".to_owned(),
+        String::new(),
+    ];
+    let entries = values.into_iter().enumerate();
+    let entries = entries.map(|(index, value)| (format!("servers/odd-{index}"), value));
+    // The name of an instance goes into a header field.
+    let keys = ["servers/a\nb", "servers/\u{1}", "servers/żur"];
+    let named = keys.map(|key| (key.to_owned(), entry.to_string()));
+    entries.chain(named).collect()
+}
+
+/// Another writer left odd entries among those of the targets: they are in the list that a gateway
+/// reads as it starts, in the changes that it watches, and in what it passes on to peers.
+#[test]
+fn odd_entries_name_no_target_and_the_others_hold() {
+    let mut site = Site::start(1, 2, 5);
+    site.wait_for_peers();
+    let processes: Vec<_> = site
+        .gateways
+        .iter()
+        .map(|gateway| gateway.process.id())
+        .collect();
+    let counts = |site: &Site, count: usize| {
+        let line = format!("mastictrail_gateway_targets{{leaving=\"false\"}} {count}\n");
+        let mut gateways = 0..site.gateways.len();
+        gateways.all(|index| site.metrics(index).contains(&line))
+    };
+    let serve = |site: &Site| {
+        for gateway in &site.gateways {
+            for _ in 0..8 {
+                let response = send(gateway.clients, &Method::GET, SAFE_PATH, &[]);
+                let response = read_to_end(response.expect("the gateway responds"));
+                assert_eq!(response.status, StatusCode::OK);
+            }
+        }
+    };
+    for (key, value) in odd_entries() {
+        site.store.put(&key, &value);
+    }
+    // The list is followed after that, too.
+    site.add_engine(1, "dc-1");
+    wait_until("the gateways follow the list", || counts(&site, 4));
+    serve(&site);
+    // The entry of a target that is in use turns odd, and is written again.
+    let name = format!("servers/{}", site.services[1].instance);
+    for (_, value) in odd_entries().into_iter().take(8) {
+        site.store.put(&name, &value);
+        wait_until("the target is not used", || counts(&site, 3));
+        serve(&site);
+        site.register(&site.services[1], "ledger", "dc-1", "ready");
+        wait_until("the target is used again", || counts(&site, 4));
+    }
+    for gateway in &mut site.gateways {
+        assert_eq!(gateway.process.exit_status(), None);
+    }
+    assert_eq!(
+        processes,
+        site.gateways
+            .iter()
+            .map(|gateway| gateway.process.id())
+            .collect::<Vec<_>>()
+    );
+    site.restart(0);
+    wait_until("the gateway is ready", || is_ready(&site.gateways[0]));
+    wait_until("the gateways follow the list", || counts(&site, 4));
+    serve(&site);
+}
+
 /// A watch can't continue from a revision that the store has compacted; the gateway must list the
 /// targets again.
 #[test]
