test(soak): large configurations over narrow links between the VMs

Half of the versions that the soak publishes now have 1,400 or 4,200 routes more, the VMs send them to each other over links of 10 Mbit/s, and once all faults are over one more version has to be in force everywhere within 3 s.

--- a/tests/configurations.rs
+++ b/tests/configurations.rs
@@ -5,14 +5,15 @@
 use {
     fakes::site::{Network, link::Fault},
     hyper::{Method, StatusCode},
-    serde_json::{Value, json},
     std::{
         net::{IpAddr, SocketAddr},
         time::{Duration, Instant},
     },
     support::{
         process::free_address,
-        site::{HOST, MAX_GATEWAYS, Site, is_ready, read_to_end, send, vm_address},
+        site::{
+            MAX_GATEWAYS, Site, add_routes, added_prefix, is_ready, read_to_end, send, vm_address,
+        },
         wait_until,
     },
 };
@@ -70,33 +71,12 @@
     gateways.map(|gateway| gateway.clients.ip()).collect()
 }
 
-/// Returns the path prefix of a route; each has another one, without a pattern.
-fn prefix(index: usize) -> String {
-    let hash = (index as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    format!("/{:x}/", hash >> 24)
-}
-
 /// Publishes a version with this many further routes, and returns when it was acknowledged.
 fn publish_routes(site: &Site, version: u64, count: usize) -> Instant {
-    site.publish(version, |document| {
-        let routes = document["Routes"]
-            .as_array_mut()
-            .expect("routes are a list");
-        routes.extend((0..count).map(route));
-    });
+    site.publish(version, |document| add_routes(document, count));
     Instant::now()
 }
 
-fn route(index: usize) -> Value {
-    let prefix = prefix(index);
-    json!({
-        "Name": format!("r-{}", prefix.trim_matches('/')), "Host": HOST, "PathPrefix": prefix,
-        "Type": "safe", "TimeoutMs": 1000, "TargetLatencyMs": 100, "Priority": 2,
-        "Service": "ledger", "MaxAttempts": 2, "Public": false, "SessionAffinity": false,
-        "Resumable": false,
-    })
-}
-
 /// Waits until a version is in force at these gateways; returns the time since `published`.
 fn wait_for_version(
     site: &Site,
@@ -118,7 +98,7 @@
 /// Checks that each gateway serves the last of the added routes.
 fn check_routes(site: &Site, count: usize) {
     for gateway in &site.gateways {
-        let path = format!("{}1", prefix(count - 1));
+        let path = format!("{}1", added_prefix(count - 1));
         let response = send(gateway.clients, &Method::GET, &path, &[]).expect("it responds");
         assert_eq!(read_to_end(response).status, StatusCode::OK, "{path}");
     }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -14,7 +14,7 @@
     fakes::{
         proxy,
         site::{
-            Flooder, Target,
+            Flooder, Network, Target,
             flood::Flood,
             store::Mode,
             target::{Behaviour, Break, Copies, Framing, ReceivedRequest},
@@ -39,7 +39,7 @@
         process::{Process, free_address},
         site::{
             API_KEY, HOST, RESUMABLE_PATH, Response, SAFE_PATH, STREAM_PATH, Site, UNSAFE_PATH,
-            event_stream, read_to_end, send, start_gateway,
+            add_routes, event_stream, read_to_end, send, start_gateway,
         },
         wait_until,
     },
@@ -82,6 +82,12 @@
 ];
 /// A request that takes as long may be given up.
 const MIN_ROUTE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Numbers of routes that are added to published versions; the most is nearly 1 MiB.
+const MORE_ROUTES: [usize; 4] = [0, 0, 1_400, 4_200];
+/// Bytes per second of the links over which the VMs send each other their configuration.
+const LINK_RATE: f64 = 1_250_000.0;
+/// Time after its publication by which a version is in force once all faults are over.
+const APPLY_BOUND: Duration = Duration::from_secs(3);
 /// Grace periods of the settings, in seconds.
 const GRACES: [u64; 3] = [4, 5, 6];
 /// Time after SIGTERM within which a process must have exited: the longest grace period and a margin.
@@ -352,11 +358,16 @@
         let mut site = soak.site.lock().expect("the lock is not poisoned");
         site.publish(1, |_| {});
         soak.proxy_command(&format!("tcp store {store} {}", site.store.address));
+        let network = Network::default();
+        site.network = Some(network.clone());
         site.start_gateways(gateways, store);
         let settings = site.gateways.iter().map(|gateway| {
             std::fs::read_to_string(&gateway.settings).expect("the settings are there")
         });
         soak.settings = settings.collect();
+        for gateway in &site.gateways {
+            network.set_rate(gateway.clients.ip(), LINK_RATE);
+        }
         soak.client_addresses = site
             .gateways
             .iter()
@@ -602,6 +613,7 @@
             |timeouts: &[Duration]| *timeouts.choose(random).expect("the list is not empty");
         let idle_timeout = choose(&IDLE_TIMEOUTS);
         let timeouts: Vec<_> = (0..4).map(|_| choose(&ROUTE_TIMEOUTS)).collect();
+        let more = *MORE_ROUTES.choose(random).expect("the list is not empty");
         let site = self.site.lock().expect("the lock is not poisoned");
         let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
         let mut published = self.idle_timeouts.lock().expect("the lock is not poisoned");
@@ -611,7 +623,26 @@
             for (index, timeout) in timeouts.iter().enumerate() {
                 document["Routes"][index]["TimeoutMs"] = (timeout.as_millis() as u64).into();
             }
+            add_routes(document, more);
+        });
+    }
+
+    /// Checks that one more large version is in force everywhere in time.
+    fn check_configuration(&self, seed: u64) {
+        let mut random = SmallRng::seed_from_u64(seed);
+        self.publish(&mut random);
+        let site = self.site.lock().expect("the lock is not poisoned");
+        let version = self.version.fetch_add(1, Ordering::Relaxed) as usize + 1;
+        site.publish(version as u64, |document| {
+            add_routes(document, MORE_ROUTES[3]);
+        });
+        let published = Instant::now();
+        wait_until("the last version is in force", || {
+            let mut gateways = 0..site.gateways.len();
+            gateways.all(|index| site.metric(index, "configuration_version") == version)
         });
+        let lag = published.elapsed();
+        assert!(lag <= APPLY_BOUND, "seed {seed}: in force after {lag:?}");
     }
 
     /// Writes other settings for a gateway, or a file with a fault; the next start finds a valid one.
@@ -1216,6 +1247,7 @@
     let served = soak.check_guarantees(seed);
     soak.check_fleet(seed);
     soak.check_planned_work(seed);
+    soak.check_configuration(seed);
     assert!(served > 0, "seed {seed}: no request was served");
     let count = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
     println!(
--- a/tests/stale_refusals.rs
+++ b/tests/stale_refusals.rs
@@ -95,7 +95,7 @@
             let number = self.received.fetch_add(1, Ordering::Relaxed);
             let attempt = field(&head, "x-attempt-id");
             let length = field(&head, "content-length").parse().unwrap_or(0);
-            let is_refused = number % 2 == 0;
+            let is_refused = number.is_multiple_of(2);
             if is_refused && matches!(repeat, Repeat::BeforeBody) {
                 stream.write_all(format!("{REFUSAL}{REFUSAL}").as_bytes())?;
             }
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -12,7 +12,7 @@
     },
     http_body_util::{BodyExt, Full},
     hyper::{HeaderMap, Method, Request, StatusCode, body::Incoming, client::conn::http1},
-    serde_json::json,
+    serde_json::{Value, json},
     smol_hyper::rt::FuturesIo,
     std::{
         net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -577,3 +577,26 @@
         .collect();
     events.concat()
 }
+
+/// Adds this many idempotent routes to a configuration.
+pub fn add_routes(document: &mut Value, count: usize) {
+    let routes = document["Routes"].as_array_mut();
+    let routes = routes.expect("routes are a list");
+    routes.extend((0..count).map(added_route));
+}
+
+/// Returns the path prefix of a route that [`add_routes`] adds; each has another one, without a pattern.
+pub fn added_prefix(index: usize) -> String {
+    let hash = (index as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    format!("/{:x}/", hash >> 24)
+}
+
+fn added_route(index: usize) -> Value {
+    let prefix = added_prefix(index);
+    json!({
+        "Name": format!("r-{}", prefix.trim_matches('/')), "Host": HOST, "PathPrefix": prefix,
+        "Type": "safe", "TimeoutMs": 1000, "TargetLatencyMs": 100, "Priority": 2,
+        "Service": "ledger", "MaxAttempts": 2, "Public": false, "SessionAffinity": false,
+        "Resumable": false,
+    })
+}
