test(gateway): count the requests that no stream holds up

a_peer_that_is_cut_off_while_it_serves_another_is_replaced saw 75 to 78 requests in its time, where 100 are needed, in two of three runs beside 22 busy processes. The trace shows that all were served, and that three of four clients, or all, sent nothing for the last four seconds: each had a stream without a copy that was under way at the peer as that was cut off from the engines. Such a stream waits for its engine, which runs it, and ends with the cut or its client; no other engine may take it.

So one client more or less on a plain request decided. Now half of the clients send streams, the other half plain requests, and the latter alone must send 100.

--- a/tests/partitions.rs
+++ b/tests/partitions.rs
@@ -38,6 +38,7 @@
     gateway: usize,
     attempt: String,
     at: Instant,
+    is_stream: bool,
     /// `None` if the connection ended without an answer.
     status: Option<StatusCode>,
     /// Whether the client got the whole answer.
@@ -119,6 +120,7 @@
                 gateway,
                 attempt,
                 at,
+                is_stream: [RESUMABLE_PATH, STREAM_PATH].contains(&path),
                 status: result.0,
                 is_complete: result.1,
             });
@@ -321,6 +323,9 @@
 }
 
 /// Whatever happens to the peer, what it was handed runs at most once, and others take over.
+///
+/// Half of the clients send streams only: one without a copy that is under way at a peer when that
+/// is cut off waits for its engine, and its client sends nothing else meanwhile.
 fn assert_peers_are_replaced(change: impl FnOnce(&mut Site)) {
     let mut site = start(4);
     let addresses: Vec<_> = site
@@ -340,7 +345,11 @@
                     while !is_stopped.load(Ordering::Relaxed) {
                         let number = exchanges.len();
                         let attempt = format!("q-{client}-{number}");
-                        let path = [SAFE_PATH, UNSAFE_PATH, STREAM_PATH][number % 3];
+                        let path = if client % 2 == 0 {
+                            [SAFE_PATH, UNSAFE_PATH][number % 2]
+                        } else {
+                            STREAM_PATH
+                        };
                         let headers = [("x-attempt-id", &*attempt), ("x-token-usage", "100,40")];
                         let at = Instant::now();
                         let response = send(address, &Method::POST, path, &headers);
@@ -349,6 +358,7 @@
                             gateway: 0,
                             attempt,
                             at,
+                            is_stream: path == STREAM_PATH,
                             status: response.as_ref().map(|response| response.status),
                             is_complete: response.is_some_and(|response| response.body.is_some()),
                         });
@@ -372,7 +382,9 @@
     let (served, all) = (served.count(), exchanges.len());
     // Those that were under way at a peer that is lost may fail.
     assert!(served + 2 * CLIENTS >= all, "{served} of {all} served");
-    assert!(all >= 100, "{all} requests");
+    let plain = exchanges.iter().filter(|exchange| !exchange.is_stream);
+    let plain = plain.count();
+    assert!(plain >= 100, "{plain} of {all} requests are no streams");
 }
 
 #[test]
