fix(dispatch): split changes of the list of targets into datagrams

Changes of some 60 targets, as after an outage or a release that replaces many at once, exceeded the 8 KiB that a VM receives, so it dropped them as malformed, and noticed only by the revision.

Now such changes are sent in parts of up to 6 KiB that follow one another, which older builds apply as well, and datagrams of any size are received: reports of VMs with runs on more than 150 targets exceed 8 KiB, too.

--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -7,6 +7,7 @@
         waiting::Waiter,
     },
     base::{Instant, key},
+    prost::Message as _,
     std::time::Duration,
 };
 
@@ -15,6 +16,10 @@
 const GROWTH_TOKENS_PER_SECOND: f64 = 90.0;
 /// Maximum number of targets in a summary; each takes about 40 bytes.
 const MAX_SUMMARY_TARGETS: usize = 150;
+/// Maximum size of the entries in a message about changes of the list of targets, in bytes.
+///
+/// Older builds receive datagrams of up to 8 KiB.
+const MAX_CHANGES_BYTES: usize = 6 << 10;
 /// Maximum number of queued requests in a report.
 const MAX_QUEUED: usize = 16;
 
@@ -272,6 +277,47 @@
     pub removal_delay_ms: u32,
 }
 
+impl Changes {
+    /// Splits changes into messages that fit in a datagram each and follow one another.
+    ///
+    /// Entries of one revision stay together. A receiver that misses a message applies none of
+    /// those after it, and reads the changes from the store.
+    pub fn split(self) -> Vec<Self> {
+        let mut parts: Vec<Self> = Vec::new();
+        let mut bytes = 0;
+        let mut entries = self.entries;
+        entries.sort_by_key(|entry| entry.revision);
+        for entry in entries {
+            let entry_bytes = entry.encoded_len();
+            let last = parts.last_mut().filter(|part| {
+                part.to == entry.revision || bytes + entry_bytes <= MAX_CHANGES_BYTES
+            });
+            if let Some(part) = last {
+                bytes += entry_bytes;
+                part.to = entry.revision;
+                part.entries.push(entry);
+                continue;
+            }
+            bytes = entry_bytes;
+            parts.push(Self {
+                from: parts.last().map_or(self.from, |part| part.to),
+                to: entry.revision,
+                entries: vec![entry],
+                removal_delay_ms: self.removal_delay_ms,
+            });
+        }
+        // Without entries, the revision alone has advanced.
+        let Some(last) = parts.last_mut() else {
+            return vec![Self {
+                entries: Vec::new(),
+                ..self
+            }];
+        };
+        last.to = self.to;
+        parts
+    }
+}
+
 /// Where a stream began that clients may resume.
 #[derive(Clone, Eq, PartialEq, prost::Message)]
 pub struct Origin {
--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -6,7 +6,10 @@
         Load, Peers, origin,
         peers::{Candidate, Update, WatchRole},
         replication::{Replication, Step},
-        report::{Datagram, Origin, QueuedRequest, Report, Summary, TargetLoad},
+        report::{
+            Changes, Datagram, Description, Entry, Origin, QueuedRequest, Report, Summary,
+            TargetLoad,
+        },
         waiting::Waiter,
     },
     prost::Message,
@@ -188,6 +191,54 @@
     }
 }
 
+/// A release that replaces many targets at once, or the history after an outage, exceeds a datagram.
+#[test]
+fn changes_of_many_targets_are_split_into_datagrams_that_follow_one_another() {
+    let entry = |index: u64| Entry {
+        revision: 100 + index / 2,
+        target: index,
+        description: Some(Description {
+            instance: format!("i-{index:010x}"),
+            address: 1,
+            port: 8644,
+            service: 2,
+            data_centre: "data-centre-1".into(),
+            slots: 24,
+            is_leaving: false,
+            started_ms: Some(1_750_000_000_000),
+            release: "v1.2.3".into(),
+        }),
+    };
+    let entries: Vec<_> = (0..600).map(entry).collect();
+    let changes = Changes {
+        from: 90,
+        to: 500,
+        entries: entries.clone(),
+        removal_delay_ms: 7,
+    };
+    let parts = changes.split();
+    assert!(parts.len() > 5);
+    let mut from = 90;
+    for part in &parts {
+        assert_eq!((part.from, part.removal_delay_ms), (from, 7));
+        from = part.to;
+        let datagram = Datagram {
+            changes: Some(part.clone()),
+            ..Datagram::default()
+        };
+        assert!(datagram.encoded_len() <= 8 << 10);
+    }
+    assert_eq!(from, 500);
+    let received: Vec<_> = parts.into_iter().flat_map(|part| part.entries).collect();
+    assert_eq!(received, entries);
+    let none = Changes {
+        from: 1,
+        to: 2,
+        ..Changes::default()
+    };
+    assert_eq!(none.clone().split(), [none]);
+}
+
 #[test]
 fn a_newer_configuration_is_fetched_in_the_local_data_centre() {
     let peers = two_data_centres(1);
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -40,8 +40,8 @@
 const SUMMARY_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between full summaries.
 const FULL_SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
-/// Maximum size of a received datagram, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 8 << 10;
+/// Maximum size of a received datagram, in bytes: the most that UDP carries.
+const MAX_DATAGRAM_BYTES: usize = 64 << 10;
 
 /// Sends reports until the process exits.
 pub async fn send(shared: Arc<Shared>) {
@@ -208,11 +208,13 @@
 /// Sends changes of the target list to all peers.
 pub async fn send_changes(shared: &Shared, changes: Changes) {
     let addresses = shared.fleet.peers().report_recipients(shared.now());
-    let datagram = Datagram {
-        changes: Some(changes),
-        ..Datagram::default()
-    };
-    broadcast(shared, &datagram, addresses).await;
+    for changes in changes.split() {
+        let datagram = Datagram {
+            changes: Some(changes),
+            ..Datagram::default()
+        };
+        broadcast(shared, &datagram, addresses.clone()).await;
+    }
 }
 
 /// Sends the origin of a stream to the given peers.
