fix(gateway): leave the watch to others after a failed read of the configuration

A VM counted as reaching the store by its reads of the list of targets, which are small.

Now a VM that failed to read the configuration leaves the watch to others for 3 s, and reports so at once. The interval between watches counts from the beginning of the one before, as a slow read has gathered changes enough; and a watch is read up to one and a half times the size of the version in force, so that one version of 1 MiB is not read twice.

--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -25,7 +25,7 @@
 const STORE_SOURCE: &str = "store";
 /// The same for one that a peer sent.
 const PEER_SOURCE: &str = "peer";
-/// Minimum delay between two watches, so that frequent changes are read together.
+/// Minimum time from the beginning of a watch to the next one, so that frequent changes are read together.
 const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Reads the configuration from the store and, on the VMs that do, watches it until the process
@@ -39,8 +39,9 @@
     let mut is_unreachable = false;
     let mut backoff = Backoff::default();
     loop {
+        let began = shared.now();
         let version = shared.current.version();
-        let is_watcher = shared.fleet.watch_role(WATCHERS, shared.now()).is_some();
+        let is_watcher = shared.fleet.watch_role(WATCHERS, began).is_some();
         if version > 0 && !is_watcher {
             Timer::after(CHECK_INTERVAL).await;
             continue;
@@ -49,7 +50,12 @@
         let revision = known.filter(|(_, then)| *then == version);
         let reading = match revision {
             None => store.configuration().await,
-            Some((revision, _)) => store.watch_configuration(revision, WATCH_TIMEOUT).await,
+            Some((revision, _)) => {
+                let plain_bytes = shared.current.size_bytes();
+                store
+                    .watch_configuration(revision, WATCH_TIMEOUT, plain_bytes)
+                    .await
+            }
         };
         let result = match reading {
             Ok(reading) => decode_reading(reading).await,
@@ -58,6 +64,7 @@
         match result {
             Ok(response) => {
                 backoff.reset();
+                shared.fleet.record_configuration_read(true, shared.now());
                 if std::mem::take(&mut is_unreachable) {
                     log::info!(target: "store", of = "configuration"; "the store is reachable again");
                 }
@@ -66,15 +73,19 @@
                     apply(&shared, snapshot, STORE_SOURCE).await;
                 }
                 known = is_known.then(|| (response.revision, shared.current.version()));
-                Timer::after(MIN_WATCH_INTERVAL).await;
+                let elapsed = shared.now().since(began);
+                Timer::after(MIN_WATCH_INTERVAL.saturating_sub(elapsed)).await;
             }
             Err(failure @ (Failure::Compacted | Failure::TooLong)) if revision.is_some() => {
                 log::info!(target: "store", of = "configuration", reason:% = failure; "reading the value instead of its history");
                 known = None;
             }
             Err(failure) => {
+                shared.fleet.record_configuration_read(false, shared.now());
                 if !std::mem::replace(&mut is_unreachable, true) {
                     log::warn!(target: "store", of = "configuration", reason:% = failure; "the store is unreachable");
+                    // Others take over the watch.
+                    reports::send_now(&shared, true).await;
                 }
                 Timer::after(backoff.next_delay()).await;
             }
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -17,9 +17,13 @@
             Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
+        time::Duration,
     },
 };
 
+/// Time for which a VM that failed to read the configuration leaves the watch to others.
+const CEDE_DURATION: Duration = Duration::from_secs(3);
+
 /// The peers' reported state and the socket for reports.
 #[derive(Debug)]
 pub struct Fleet {
@@ -32,6 +36,9 @@
     wakeup_sender: Sender<()>,
     wakeup_receiver: Receiver<()>,
     is_store_unreachable: AtomicBool,
+    /// When this VM last failed to read the configuration, in microseconds of the clock; 0 if it
+    /// has read it since.
+    configuration_failure: AtomicU64,
     has_changed: AtomicBool,
     data_centre: u64,
     link_mbps: u32,
@@ -56,6 +63,7 @@
             wakeup_sender,
             wakeup_receiver,
             is_store_unreachable: AtomicBool::new(false),
+            configuration_failure: AtomicU64::new(0),
             has_changed: AtomicBool::new(false),
             data_centre,
             link_mbps,
@@ -114,9 +122,25 @@
             != is_unreachable
     }
 
+    /// Records whether this VM has read the configuration from the store.
+    pub fn record_configuration_read(&self, is_read: bool, now: Instant) {
+        let failure = if is_read { 0 } else { now.as_micros().max(1) };
+        self.configuration_failure.store(failure, Ordering::Relaxed);
+    }
+
+    /// Returns whether others should watch the store instead of this VM.
+    ///
+    /// Small responses may arrive where large ones don't, so a failure to read the configuration
+    /// counts for a time, though the list of targets can be read.
+    pub fn cedes_watch(&self, now: Instant) -> bool {
+        let failure = self.configuration_failure.load(Ordering::Relaxed);
+        let has_failed = failure > 0 && now.since(Instant::from_micros(failure)) < CEDE_DURATION;
+        has_failed || self.is_store_unreachable()
+    }
+
     /// Returns this VM's role in watching the store; `None` if it doesn't watch.
     pub fn watch_role(&self, count: usize, now: Instant) -> Option<WatchRole> {
-        let is_unreachable = self.is_store_unreachable();
+        let is_unreachable = self.cedes_watch(now);
         let own = Candidate {
             address: self.own_address(),
             data_centre: self.data_centre,
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -308,7 +308,7 @@
             .collect(),
         introductions: shared.fleet.peers().introductions(round, shared.now()),
         is_stopping: shared.drain.is_draining(),
-        is_store_unreachable: shared.fleet.is_store_unreachable(),
+        is_store_unreachable: shared.fleet.cedes_watch(shared.now()),
         data_centre: shared.fleet.data_centre(),
         waiting: QueuedRequest::most_urgent(
             shared.dispatcher.queued_requests().into_iter(),
