--- a/crates/dispatch/src/listing.rs
+++ b/crates/dispatch/src/listing.rs
@@ -74,7 +74,7 @@
     has_unknown_departure: bool,
 }
 
-/// What the store's history says of one entry, in the order of its changes.
+/// One change of an entry in the store's history.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Past {
     /// A target was listed.
@@ -202,8 +202,8 @@
         self.synced.is_some()
     }
 
-    /// Adds what the store's history says of the time before the first list, for which it reaches
-    /// back `duration`.
+    /// Adds the store's history of the time before the first list, back to which it reaches for
+    /// `duration`.
     pub fn add_history(&mut self, past: Vec<Past>, duration: Duration, now: Instant) {
         let mut described = HashSet::new();
         for change in past {
--- a/crates/dispatch/src/replication.rs
+++ b/crates/dispatch/src/replication.rs
@@ -14,11 +14,11 @@
 ///
 /// Builds that don't deflate it serve one of this size to several peers within 100 ms.
 const MAX_PLAIN_BYTES: u64 = 32 << 10;
-/// Maximum random delay before the first request, so that VMs don't all ask the same peer at once.
+/// Maximum random delay before the first request, so that VMs spread over the holders and over time.
 const MAX_DELAY: Duration = Duration::from_millis(250);
-/// The same in a large fleet, where more VMs ask.
+/// The same in a large fleet, where more VMs send requests.
 const MAX_LARGE_FLEET_DELAY: Duration = Duration::from_millis(500);
-/// Time after the delay for which peers alone are asked, before the store is read.
+/// Time after the delay for which only peers get requests, before the store is read.
 const MIN_READ_DELAY: Duration = Duration::from_secs(1);
 /// Maximum random extension of [`MIN_READ_DELAY`].
 const READ_JITTER: Duration = Duration::from_millis(500);
@@ -26,11 +26,11 @@
 const READ_INTERVAL: Duration = Duration::from_secs(2);
 /// Maximum interval between reads of the store.
 const MAX_READ_INTERVAL: Duration = Duration::from_secs(16);
-/// Time for which a peer that failed is not asked again; it doubles up to [`MAX_PEER_PAUSE`].
+/// Time for which a peer that failed gets no request; it doubles up to [`MAX_PEER_PAUSE`].
 const PEER_PAUSE: Duration = Duration::from_secs(1);
-/// Maximum time for which a peer that failed is not asked again.
+/// Maximum time for which a peer that failed gets no request.
 const MAX_PEER_PAUSE: Duration = Duration::from_secs(8);
-/// Maximum random part of a pause that a busy peer asks for, as a fraction of it.
+/// Maximum random extension of a busy peer's `Retry-After`, as a fraction of it.
 const PAUSE_JITTER: f64 = 0.5;
 
 /// What to do next.
@@ -59,7 +59,7 @@
     reads: u32,
 }
 
-/// A peer that is not asked for a time.
+/// A peer that gets no request for a time.
 #[derive(Clone, Copy, Debug)]
 struct Pause {
     until: Instant,
@@ -146,7 +146,7 @@
         pause.failures += 1;
     }
 
-    /// Records that a peer serves others and can be asked again after a time.
+    /// Records that a peer serves others and takes requests again after a time.
     pub fn record_busy(&mut self, peer: Ipv4Addr, retry_after: Duration, now: Instant) {
         let retry_after = retry_after.mul_f64(1.0 + PAUSE_JITTER * self.sample());
         let pause = self.pauses.entry(peer).or_insert(Pause {
--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -25,7 +25,8 @@
 const STORE_SOURCE: &str = "store";
 /// The same for one that a peer sent.
 const PEER_SOURCE: &str = "peer";
-/// Minimum time from the beginning of a watch to the next one, so that frequent changes are read together.
+/// Minimum time from the beginning of a watch to the next one, so that frequent changes are read
+/// together.
 const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Reads the configuration from the store and, on the VMs that do, watches it until the process
--- a/crates/gateway/src/control/transfer.rs
+++ b/crates/gateway/src/control/transfer.rs
@@ -42,7 +42,7 @@
 /// Why a peer gave no configuration.
 #[derive(Debug)]
 pub enum Failure {
-    /// It is sending its configuration to others; it may be asked again after this time.
+    /// It is sending its configuration to others, and takes requests again after this time.
     Busy(Duration),
     /// It did not respond, or not with a valid configuration.
     Other(Box<str>),
