perf(gateway): read the history of the targets only when a request needs it

Each process read it after its start, with some eight calls to the store: over a thousand as 139 VMs come back at once, where calls are priced. Of the time that the store keeps, what has passed since the start no longer counts as known. A watch of the configuration that brings nothing is repeated after 250 ms again, as it costs a call, too.

--- a/crates/gateway/src/clients/resumption.rs
+++ b/crates/gateway/src/clients/resumption.rs
@@ -30,8 +30,18 @@
 
 /// Returns where the stream began that a request resumes; `None` if that is not known.
 pub async fn find_origin(shared: &Shared, route: &Route, head: &Head) -> Option<Origin> {
-    let attempt = head.resumes.as_ref().filter(|_| is_resumption(route, head));
-    origins::find(shared, key::Request::of(attempt?)).await
+    if !is_resumption(route, head) {
+        return None;
+    }
+    let origin = match &head.resumes {
+        Some(attempt) => origins::find(shared, key::Request::of(attempt)).await,
+        None => None,
+    };
+    if origin.is_none() {
+        // What was listed before this process started decides whether the stream may go on.
+        shared.history.request().await;
+    }
+    origin
 }
 
 /// Checks that engines which began a stream can continue it.
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -8,6 +8,7 @@
 pub mod drain;
 pub mod encoding;
 pub mod fleet;
+pub mod history;
 pub mod inquiry;
 pub mod origins;
 pub mod quarantine;
--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -25,8 +25,8 @@
 const STORE_SOURCE: &str = "store";
 /// The same for one that a peer sent.
 const PEER_SOURCE: &str = "peer";
-/// Minimum time from the beginning of a watch to the next one, so that frequent changes are read
-/// together.
+/// Minimum delay between two watches, so that frequent changes are read together; after a change it
+/// counts from the beginning of the watch.
 const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Reads the configuration from the store and, on the VMs that do, watches it until the process
@@ -70,11 +70,13 @@
                     log::info!(target: "store", of = "configuration"; "the store is reachable again");
                 }
                 let is_known = response.value.is_some() || revision.is_some();
+                // Changes gather while a large version is read.
+                let mut elapsed = Duration::ZERO;
                 if let Some(snapshot) = response.value {
                     apply(&shared, snapshot, STORE_SOURCE).await;
+                    elapsed = shared.now().since(began);
                 }
                 known = is_known.then(|| (response.revision, shared.current.version()));
-                let elapsed = shared.now().since(began);
                 Timer::after(MIN_WATCH_INTERVAL.saturating_sub(elapsed)).await;
             }
             Err(failure @ (Failure::Compacted | Failure::TooLong)) if revision.is_some() => {
--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -44,6 +44,8 @@
 /// Time for which the pages of a list that was not read to its end are kept; the store's history
 /// reaches back further.
 const LISTING_LIFETIME: Duration = Duration::from_secs(10);
+/// Delay after a failure to read the history of the targets.
+const HISTORY_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Interval at which expired targets are removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -117,29 +119,33 @@
     }
 }
 
-/// Reads which targets left before this process started: a stream that a client resumes may have
-/// begun at one of them.
+/// Reads which targets left before this process started, once a request needs it: a stream that a
+/// client resumes may have begun at one of them.
 async fn read_history(shared: Arc<Shared>, store: Arc<Store>, revision: u64) {
     let duration = shared.settings.load().platform.history;
     let started = shared.now();
-    let mut backoff = Backoff::default();
+    shared.history.wait_for_request().await;
     while shared.now().since(started) < duration {
-        let failure = match store.targets_history(revision).await {
+        match store.targets_history(revision).await {
             Ok(changes) => {
                 log::info!(target: "store", of = "targets", changes = changes.len(), revision; "read the history of the targets");
                 let past = changes.into_iter().map(into_past).collect();
                 let now = shared.now();
+                // The history has moved on since the list was read.
+                let before_start = duration.saturating_sub(now.since(started));
                 shared.directory.update(|listing| {
-                    listing.add_history(past, duration, now);
+                    listing.add_history(past, before_start, now);
                     false
                 });
-                return;
+                break;
             }
-            Err(failure) => failure,
-        };
-        log::warn!(target: "store", of = "targets", reason:% = failure; "failed to read the history of the targets");
-        Timer::after(backoff.next_delay()).await;
+            Err(failure) => {
+                log::warn!(target: "store", of = "targets", reason:% = failure; "failed to read the history of the targets");
+            }
+        }
+        Timer::after(HISTORY_RETRY_DELAY).await;
     }
+    shared.history.finish();
 }
 
 fn into_past(change: Change) -> Past {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -10,6 +10,7 @@
             discovery,
             drain::Drain,
             fleet::Fleet,
+            history::History,
             inquiry,
             quarantine::{self, Quarantine},
             reach::{self, Reach},
@@ -190,6 +191,7 @@
         current: Current::default(),
         sender: transfer::Sender::default(),
         directory: Directory::default(),
+        history: History::default(),
         dispatcher: Dispatcher::new(incarnation, budget_policy),
         fleet: Fleet::new(
             socket,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,8 +4,8 @@
     crate::{
         clients::buffer::Budget,
         control::{
-            current::Current, drain::Drain, fleet::Fleet, quarantine::Quarantine, reach::Reach,
-            reports, transfer,
+            current::Current, drain::Drain, fleet::Fleet, history::History, quarantine::Quarantine,
+            reach::Reach, reports, transfer,
         },
         metrics::Metrics,
         targets::{client::Client, directory::Directory, dispatcher::Dispatcher},
@@ -34,6 +34,8 @@
     pub sender: transfer::Sender,
     /// Known targets.
     pub directory: Directory,
+    /// Request for which targets left before the process started.
+    pub history: History,
     /// Placement, queueing and retry budgets.
     pub dispatcher: Dispatcher,
     /// State of the other VMs.
