perf(dispatch): place long runs in the VM's own data centre

Cause: a run at an engine of another data centre is lost if a partition falls between the two and no copy is on the VM's side. The cost of another data centre was 30 ms for each run, however long: three runs on the own engines outweighed it.

Change: it grows with the tokens that a run is expected to produce.

--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -34,6 +34,9 @@
 const FULL_MEMORY_COST_MS: f64 = 250.0;
 /// Cost of a remote data centre for a run: a network partition between the two would lose the run.
 const REMOTE_COST_MS: f64 = 30.0;
+/// Additional cost for each token that the run is expected to produce there: the longer it runs, the
+/// more likely a partition falls into it.
+const REMOTE_TOKEN_COST_MS: f64 = 0.6;
 /// Additional cost of a remote data centre whose load is known with delay: other VMs may have
 /// chosen the same engine meanwhile.
 const STALE_LOAD_COST_MS: f64 = 100.0;
@@ -592,5 +595,10 @@
         return None;
     }
     let prefill = f64::from(load.pending_prefill) / PREFILL_TOKENS_PER_MS;
-    Some(remote_cost(REMOTE_COST_MS) + prefill + RUN_COST_MS * f64::from(load.runs) + memory)
+    let output = query
+        .load
+        .peak_memory
+        .saturating_sub(query.load.used_memory);
+    let remote = remote_cost(REMOTE_COST_MS + REMOTE_TOKEN_COST_MS * f64::from(output));
+    Some(remote + prefill + RUN_COST_MS * f64::from(load.runs) + memory)
 }
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -401,3 +401,136 @@
     let busy = chosen(&mut placement, "v1", new_run());
     assert!(busy.is_none_or(|target| target == targets[0].key));
 }
+
+/// Long and short generations over data centres of which one is cut off from the others.
+mod partition {
+    use {super::*, std::cmp::Reverse};
+
+    const DATA_CENTRES: usize = 4;
+    const VMS: usize = 12;
+    const STEP: Duration = Duration::from_millis(20);
+    /// Time between two tokens of a run.
+    const TOKEN_INTERVAL: Duration = Duration::from_millis(11);
+
+    /// A long run and, if there is one, its copy, each with the index of its data centre.
+    struct Draft {
+        vm: usize,
+        run: (RunId, usize),
+        copy: Option<(RunId, usize)>,
+        begun: Instant,
+        tokens: u32,
+    }
+
+    impl Draft {
+        /// Returns whether it is lost if a data centre is cut off now.
+        fn is_lost(&self, cut: usize) -> bool {
+            let is_reached = |data_centre| (data_centre == cut) == (self.vm % DATA_CENTRES == cut);
+            let copy = self.copy.map(|(_, data_centre)| data_centre);
+            !is_reached(self.run.1) && !copy.is_some_and(is_reached)
+        }
+    }
+
+    fn data_centre(target: &Target) -> usize {
+        let digit = target.data_centre.strip_prefix("dc-");
+        digit
+            .and_then(|digit| digit.parse().ok())
+            .expect("a name of `targets`")
+    }
+
+    /// Simulates 5 drafts and 7 short answers a second on 9 engines for a minute.
+    ///
+    /// Returns the mean share of the drafts that a partition at that moment loses, and the mean
+    /// number of prompt tokens that a request finds in prefill at its engine.
+    fn simulate(seed: u64) -> (f64, f64) {
+        let targets = targets(9, DATA_CENTRES);
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut placement = Placement::new(seed);
+        let mut drafts: Vec<Draft> = Vec::new();
+        let mut prefills: Vec<(Reverse<Instant>, RunId, bool)> = Vec::new();
+        let (mut lost, mut running, mut pending, mut placed) = (0_u32, 0_u32, 0_u32, 0_u32);
+        for step in 0..3_000 {
+            let now = Instant::default() + STEP * step;
+            prefills.retain(|&(Reverse(end), run, is_short)| {
+                if end <= now {
+                    placement.finish_prefill(run);
+                    if is_short {
+                        placement.end_run(run);
+                    }
+                }
+                end > now
+            });
+            drafts.retain(|draft| {
+                let made = now.since(draft.begun).as_millis() / TOKEN_INTERVAL.as_millis();
+                let made = u32::try_from(made).unwrap();
+                placement.update_tokens(draft.run.0, 3_000, made);
+                if made >= draft.tokens {
+                    placement.end_run(draft.run.0);
+                    if let Some((copy, _)) = draft.copy {
+                        placement.end_run(copy);
+                    }
+                }
+                made < draft.tokens
+            });
+            let is_draft = random.random_bool(5.0 / 12.0);
+            if random.random_bool(12.0 * STEP.as_secs_f64()) {
+                let vm = random.random_range(0..VMS);
+                let own = format!("dc-{}", vm % DATA_CENTRES);
+                let tokens = if is_draft { 700 } else { 10 };
+                let load = Load {
+                    peak_memory: 3_000 + tokens,
+                    ..new_run()
+                };
+                let query = Query {
+                    data_centre: &own,
+                    ..query(load)
+                };
+                let Some(choice) = placement.choose(now, &targets, &query) else {
+                    continue;
+                };
+                let (target, found) = (choice.target, choice.basis.load.pending_prefill);
+                (pending, placed) = (pending + found, placed + 1);
+                let run = placement.start_run(target.key, load);
+                let prefill = mastictrail_dispatch::placement::prefill_time(found + 3_000);
+                prefills.push((Reverse(now + prefill), run, !is_draft));
+                if !is_draft {
+                    continue;
+                }
+                let load = Load {
+                    copy_memory: 3_000 + tokens,
+                    ..Load::default()
+                };
+                let query = Query {
+                    load,
+                    excluded: &[target.key],
+                    is_run_local: data_centre(target) == vm % DATA_CENTRES,
+                    ..query
+                };
+                let copy = placement.choose(now, &targets, &query);
+                let copy = copy.map(|choice| (choice.target.key, data_centre(choice.target)));
+                drafts.push(Draft {
+                    vm,
+                    run: (run, data_centre(target)),
+                    copy: copy.map(|(copy, place)| (placement.start_run(copy, load), place)),
+                    begun: now + prefill,
+                    tokens: random.random_range(200..1_500),
+                });
+            }
+            let cut = random.random_range(0..DATA_CENTRES);
+            running += u32::try_from(drafts.len()).unwrap();
+            lost +=
+                u32::try_from(drafts.iter().filter(|draft| draft.is_lost(cut)).count()).unwrap();
+        }
+        let share = f64::from(lost) / f64::from(running);
+        (share, f64::from(pending) / f64::from(placed))
+    }
+
+    /// Drafts that run at engines of other data centres end with a partition unless they are copied.
+    #[test]
+    fn a_partition_loses_few_drafts() {
+        for seed in 1..=5 {
+            let (lost, pending) = simulate(seed);
+            println!("seed {seed}: {lost:.3} lost, {pending:.0} tokens in prefill");
+            assert!(lost < 0.1, "seed {seed}: {lost}");
+        }
+    }
+}
