perf(dispatch): spread the copies of runs whose engine is leaving

Cause: the VMs with runs on an engine that announces its departure choose where to copy them at the same moment and from the same load, so they choose the same few engines.

Change: a larger random part of the cost of such a copy, and a larger cost of another data centre.

--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -43,6 +43,9 @@
 /// Cost of the wrong data centre for a copy. Of a run and its copy, one belongs in the VM's data
 /// centre, so that a partition can't lose both; having both there would use its memory twice.
 const COPY_DATA_CENTRE_COST_MS: f64 = 150.0;
+/// The same for the copy of a run whose engine is leaving: a remote transfer takes twice as long on
+/// the link that all its runs share.
+const EVACUATION_DATA_CENTRE_COST_MS: f64 = 400.0;
 /// Cost of memory that is full of other copies.
 const COPY_CONCENTRATION_COST_MS: f64 = 200.0;
 /// Cost of a data centre to which the last connection attempt failed.
@@ -57,6 +60,9 @@
 const LATENCY_PRIOR_MS: f64 = 20.0;
 /// Upper bound of the random jitter that is added to the cost of each candidate.
 const MAX_JITTER_MS: f64 = 40.0;
+/// The same for the copy of a run whose engine is leaving: the VMs of all its runs choose at the same
+/// moment, from the same load.
+const MAX_EVACUATION_JITTER_MS: f64 = 400.0;
 /// Cost of a plain service target with all slots in use, as a multiple of its mean latency.
 const FULL_SLOTS_COST_FACTOR: f64 = 3.0;
 /// Cost of a remote data centre for a plain request.
@@ -249,8 +255,13 @@
         }
         let random = &mut self.random;
         let count = candidates.len();
+        let max_jitter = if query.is_urgent {
+            MAX_EVACUATION_JITTER_MS
+        } else {
+            MAX_JITTER_MS
+        };
         let best = cheapest(&mut candidates, query, || {
-            random.random_range(0.0..MAX_JITTER_MS)
+            random.random_range(0.0..max_jitter)
         })?;
         Some(Choice {
             target: best.target,
@@ -577,12 +588,15 @@
     }
     let memory = FULL_MEMORY_COST_MS * used_share * used_share;
     if is_copy {
-        let is_wrong_data_centre = match query.run_data_centre {
-            Some(data_centre) => *target.data_centre != *data_centre,
-            None => is_local == query.is_run_local,
+        let (is_wrong_data_centre, wrong_cost) = match query.run_data_centre {
+            Some(data_centre) => (
+                *target.data_centre != *data_centre,
+                EVACUATION_DATA_CENTRE_COST_MS,
+            ),
+            None => (is_local == query.is_run_local, COPY_DATA_CENTRE_COST_MS),
         };
         let data_centre_cost = if is_wrong_data_centre {
-            COPY_DATA_CENTRE_COST_MS
+            wrong_cost
         } else {
             0.0
         };
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -402,6 +402,60 @@
     assert!(busy.is_none_or(|target| target == targets[0].key));
 }
 
+/// The engine that leaves has runs of many VMs, which order copies of them at the same moment.
+#[test]
+fn copies_of_runs_on_a_leaving_engine_spread_over_its_data_centre() {
+    const RUNS: usize = 12;
+    let targets = targets(44, 4);
+    let leaving = &targets[0];
+    let mut refused = 0;
+    for seed in 1..=20 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let loads: HashMap<_, _> = targets
+            .iter()
+            .map(|target| {
+                let runs = random.random_range(5..=8);
+                let load = Load {
+                    runs,
+                    peak_memory: 3_700 * runs,
+                    used_memory: 3_300 * runs,
+                    ..Load::default()
+                };
+                (target.key, load)
+            })
+            .collect();
+        let mut copies: HashMap<key::Target, u32> = HashMap::new();
+        for vm in 0..RUNS {
+            let mut placement = Placement::new(seed * 100 + vm as u64);
+            placement.set_peer_load(loads.clone());
+            let copy = Load {
+                copy_memory: 3_700,
+                ..Load::default()
+            };
+            let query = Query {
+                excluded: &[leaving.key],
+                run_data_centre: Some(&leaving.data_centre),
+                is_urgent: true,
+                ..query(copy)
+            };
+            let choice = placement.choose(at(0), &targets, &query);
+            let target = choice.expect("a target has capacity").target;
+            assert_eq!(target.data_centre, leaving.data_centre, "seed {seed}");
+            *copies.entry(target.key).or_default() += 1;
+        }
+        refused += copies
+            .iter()
+            .map(|(target, &count)| {
+                // The growth of three runs is planned for, as in the choice itself.
+                let free = ENGINE.kv_capacity - loads[target].used_memory - 3 * 400;
+                count.saturating_sub(free / 3_700)
+            })
+            .sum::<u32>();
+    }
+    let share = f64::from(refused) / (20.0 * RUNS as f64);
+    assert!(share < 0.05, "{share} of the copies find no room");
+}
+
 /// Long and short generations over data centres of which one is cut off from the others.
 mod partition {
     use {super::*, std::cmp::Reverse};
