fix(gateway): let the store confirm the targets before a stream of unknown origin goes on

What clients saw (reported by operators of similar systems): a VM was out of step for some seconds while a release joined. Streams that had begun there through other VMs broke off, were resumed at that VM and went on at a target of the former release; the text was joined from two releases.

Cause: a stream of unknown origin goes on if all targets that the VM knows run one release. What the VM knows may be old: its watch is cut off or silent, or it stood still, and the peers that know the origin don't answer.

Change: such a stream goes on only if the store, in a read that begins after the request arrived, lists no target that the VM lacks. The list is compared, not applied, as a watch that began before may bring older states of its entries later.

Ruled out: trusting the time of the last answer to a watch, since a watch that the store doesn't serve looks like one without changes; asking more peers, since the VM is cut off from them.

--- a/crates/fakes/src/site/store.rs
+++ b/crates/fakes/src/site/store.rs
@@ -28,6 +28,8 @@
     Unavailable,
     /// Requests are never answered.
     Unresponsive,
+    /// Reads are answered, but watches return no changes.
+    SilentWatches,
 }
 
 #[derive(Debug, Default)]
@@ -129,7 +131,7 @@
         state.mode
     };
     match mode {
-        Mode::Normal => {}
+        Mode::Normal | Mode::SilentWatches => {}
         Mode::Unavailable => return Ok(http::text(StatusCode::SERVICE_UNAVAILABLE, "busy")),
         Mode::Unresponsive => smol::future::pending().await,
     }
@@ -187,6 +189,10 @@
         }
         {
             let state = lock(state);
+            let is_silent = state.mode == Mode::SilentWatches;
+            if is_silent && Instant::now() >= deadline {
+                return http::json(&json!({"events": [], "At": after}));
+            }
             if after < state.compacted {
                 return http::text(StatusCode::GONE, "no such history");
             }
@@ -196,7 +202,7 @@
                 .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix))
                 .map(|(revision, key, value)| item_json(*revision, key, value.as_ref()))
                 .collect();
-            if !events.is_empty() || Instant::now() >= deadline {
+            if !is_silent && !events.is_empty() || Instant::now() >= deadline {
                 return http::json(&json!({"events": events, "At": state.revision}));
             }
         }
--- a/crates/gateway/src/clients/exchange.rs
+++ b/crates/gateway/src/clients/exchange.rs
@@ -73,6 +73,9 @@
     pub fingerprint: key::Fingerprint,
     /// What may crash its targets: the shared parts of its prompt, and the request itself.
     features: Box<[Feature]>,
+    /// Whether the store has confirmed the list of targets since the request arrived, which a stream of
+    /// unknown origin requires.
+    pub is_list_confirmed: bool,
     /// Arrival time.
     pub arrived: Instant,
     /// Time at which the request is abandoned.
@@ -392,7 +395,10 @@
         ));
     }
     let customer = customer.map(|customer| customer.name.clone());
-    let origin = resumption::find_origin(shared, &route, &head).await;
+    let resumption::Lookup {
+        origin,
+        is_list_confirmed,
+    } = resumption::look_up(shared, &route, &head).await;
     let continued = origin.as_ref().map(|origin| origin.service);
     let continued =
         continued.filter(|service| route.shares.iter().any(|share| share.service == *service));
@@ -444,6 +450,7 @@
         origin: origin.map_or_else(OnceLock::new, OnceLock::from),
         runs: AtomicU32::new(0),
         losses: AtomicU32::new(0),
+        is_list_confirmed,
         is_trial: AtomicBool::new(false),
         published,
         _guard: guard,
--- a/crates/gateway/src/clients/resumption.rs
+++ b/crates/gateway/src/clients/resumption.rs
@@ -8,6 +8,7 @@
         listing::Target,
         origin::Origin,
     },
+    futures_util::future::join,
     platform::request::Head,
     std::time::Duration,
 };
@@ -28,20 +29,38 @@
     is_resumed && route.retry_policy == RetryPolicy::Resumable
 }
 
-/// Returns where the stream began that a request resumes; `None` if that is not known.
-pub async fn find_origin(shared: &Shared, route: &Route, head: &Head) -> Option<Origin> {
+/// What is known of the stream that a request resumes.
+#[derive(Debug, Default)]
+pub struct Lookup {
+    /// Where it began; `None` if that is not known, or if the request resumes none.
+    pub origin: Option<Origin>,
+    /// Whether the store has confirmed the list of targets since the request arrived.
+    pub is_list_confirmed: bool,
+}
+
+/// Finds out where the stream began that a request resumes or, failing that, which targets serve.
+pub async fn look_up(shared: &Shared, route: &Route, head: &Head) -> Lookup {
     if !is_resumption(route, head) {
-        return None;
+        return Lookup::default();
     }
     let origin = match &head.resumes {
         Some(attempt) => origins::find(shared, key::Request::of(attempt)).await,
         None => None,
     };
-    if origin.is_none() {
-        // What was listed before this process started decides whether the stream may go on.
-        shared.history.request().await;
+    if origin.is_some() {
+        return Lookup {
+            origin,
+            is_list_confirmed: false,
+        };
+    }
+    // Whether the stream may go on depends on what was listed before this process started, and on
+    // what is listed now. This VM may have been cut off as another release joined.
+    let (is_list_confirmed, ()) =
+        join(shared.confirmation.request(), shared.history.request()).await;
+    Lookup {
+        origin,
+        is_list_confirmed,
     }
-    origin
 }
 
 /// Checks that engines which began a stream can continue it.
@@ -58,7 +77,8 @@
         // The stream began within the route's timeout, at an engine that may have left since.
         let window = exchange.route.timeout.max(MIN_ORIGIN_WINDOW);
         let now = exchange.shared.now();
-        if exchange.route.shares.len() <= 1
+        if exchange.is_list_confirmed
+            && exchange.route.shares.len() <= 1
             && directory.has_one_release(exchange.service, window, now)
         {
             return Ok(());
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod backoff;
 pub mod configuration;
+pub mod confirmation;
 pub mod current;
 pub mod discovery;
 pub mod drain;
--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -155,6 +155,30 @@
     }
 }
 
+/// Checks when a request needs it that no target is missing here, until the process exits.
+///
+/// Watches don't show that: one that is silent may be cut off. The list that is read is only compared,
+/// as a watch may bring an older state of an entry later.
+pub async fn confirm(shared: Arc<Shared>, store: Arc<Store>) {
+    loop {
+        let waiting = shared.confirmation.next().await;
+        match store.targets(&mut store::Listing::default()).await {
+            Ok(response) => {
+                let mut listed = response.value.into_iter().filter_map(into_target);
+                match listed.find(|target| !shared.directory.has_release(target)) {
+                    None => waiting.confirm(),
+                    Some(missed) => {
+                        log::info!(target: "store", of = "targets", target_key:% = missed.key, release:% = missed.release; "this VM has missed a target");
+                    }
+                }
+            }
+            Err(failure) => {
+                log::warn!(target: "store", of = "targets", reason:% = failure; "failed to confirm the list of targets");
+            }
+        }
+    }
+}
+
 /// Removes expired targets until the process exits.
 pub async fn expire_targets(shared: Arc<Shared>) {
     loop {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -6,6 +6,7 @@
         clients::{buffer::Budget, listener},
         control::{
             admin, configuration,
+            confirmation::Confirmation,
             current::Current,
             discovery,
             drain::Drain,
@@ -91,7 +92,10 @@
             ))
             .detach();
         runtime
-            .spawn(discovery::run(Arc::clone(&shared), store))
+            .spawn(discovery::run(Arc::clone(&shared), Arc::clone(&store)))
+            .detach();
+        runtime
+            .spawn(discovery::confirm(Arc::clone(&shared), store))
             .detach();
         runtime
             .spawn(discovery::expire_targets(Arc::clone(&shared)))
@@ -192,6 +196,7 @@
         sender: transfer::Sender::default(),
         directory: Directory::default(),
         history: History::default(),
+        confirmation: Confirmation::default(),
         dispatcher: Dispatcher::new(incarnation, budget_policy),
         fleet: Fleet::new(
             socket,
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,8 +4,8 @@
     crate::{
         clients::buffer::Budget,
         control::{
-            current::Current, drain::Drain, fleet::Fleet, history::History, quarantine::Quarantine,
-            reach::Reach, reports, transfer,
+            confirmation::Confirmation, current::Current, drain::Drain, fleet::Fleet,
+            history::History, quarantine::Quarantine, reach::Reach, reports, transfer,
         },
         metrics::Metrics,
         targets::{client::Client, directory::Directory, dispatcher::Dispatcher},
@@ -36,6 +36,8 @@
     pub directory: Directory,
     /// Request for which targets left before the process started.
     pub history: History,
+    /// Requests for a list of targets that is known to be current.
+    pub confirmation: Confirmation,
     /// Placement, queueing and retry budgets.
     pub dispatcher: Dispatcher,
     /// State of the other VMs.
--- a/crates/gateway/src/targets/directory.rs
+++ b/crates/gateway/src/targets/directory.rs
@@ -85,6 +85,12 @@
         listing.only_release(service, window, now).is_some()
     }
 
+    /// Returns whether a listed target is known with its release.
+    pub fn has_release(&self, listed: &Target) -> bool {
+        let known = self.get(listed.key);
+        known.is_some_and(|known| known.release == listed.release)
+    }
+
     /// Returns whether a full list was ever read from the store.
     pub fn has_list(&self) -> bool {
         self.has_list.load(Ordering::Acquire)
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1126,6 +1126,48 @@
     assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
 }
 
+/// A release joins, and a stream that it has begun breaks off, while a VM misses all that: it is cut off
+/// from the others, or its watches of the store are silent. The VM still knows the former release only.
+#[test]
+fn a_stream_is_not_joined_from_two_releases_at_a_vm_that_is_out_of_step() {
+    for mode in [Mode::SilentWatches, Mode::Unresponsive, Mode::Unavailable] {
+        let mut site = Site::start(1, 1, 1);
+        // The VM has read the history of the store.
+        wait_until("a stream goes on", || {
+            let response = resume_stream(&site, 0, "a-0", "r-0");
+            response.status == StatusCode::OK && read_to_end(response).body.is_some()
+        });
+        let runs = site.engines[0].run_count();
+        site.store.set_mode(mode);
+        site.add_engine_of(1, "dc-1", "v2");
+        let asked = Instant::now();
+        let response = resume_stream(&site, 0, "a-1", "r-1");
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE, "{mode:?}");
+        assert!(asked.elapsed() < Duration::from_secs(1), "{mode:?}");
+        assert!(read_to_end(response).headers.contains_key("retry-after"));
+        assert_eq!(site.engines[0].run_count(), runs, "{mode:?}");
+        assert_eq!(site.engines[1].run_count(), 0, "{mode:?}");
+    }
+}
+
+/// Once the VM is in step again, streams of a single release go on.
+#[test]
+fn a_stream_of_unknown_origin_goes_on_once_the_store_is_back() {
+    let site = Site::start(1, 1, 1);
+    let mut stream = 0;
+    let mut goes_on = || {
+        stream += 1;
+        let (begun, resumed) = (format!("a-{stream}"), format!("r-{stream}"));
+        let response = resume_stream(&site, 0, &begun, &resumed);
+        response.status == StatusCode::OK && read_to_end(response).body.is_some()
+    };
+    wait_until("a stream goes on", &mut goes_on);
+    site.store.set_mode(Mode::Unavailable);
+    assert!(!goes_on());
+    site.store.set_mode(Mode::Normal);
+    wait_until("a stream goes on", goes_on);
+}
+
 /// The request can't be served now and must not wait for it; it has not run.
 #[test]
 fn a_stream_whose_release_has_left_is_refused_at_once() {
