fix(gateway): end a stream whose continuation is an error or empty

What clients saw (reported by operators of similar systems): a stream had begun and broke off, and the next engine answered with an error. The error's text stood in the middle of the stream, or the stream ended as if it were complete.

Cause: an answer with the status and content type of an event stream was taken for the rest of the stream. If it ended without any event, the stream ended as complete; an event without an id, such as the report of an error, and any line with a colon were passed on. Answers with another status or content type were refused before as well.

Change: in the answer that continues a stream whose events have ids, each event needs an id, and there has to be one. The name of a field in any stream consists of letters, digits, hyphens and underscores.

Ruled out: to refuse a continuation that only repeats the last event, as a run may have ended with it.

Evidence: a_stream_never_goes_on_with_an_error_of_the_next_engine, over both kinds of routes, failed before at the empty event stream; seven of its eleven answers were refused before. It passes now. Not shown through a tunnel: the same code reads the answer there.

--- a/crates/dispatch/src/frame.rs
+++ b/crates/dispatch/src/frame.rs
@@ -34,6 +34,9 @@
     /// The answer has a line that no event has.
     #[display("the answer has bytes that are no event")]
     NoField,
+    /// The answer goes on with a stream whose events have ids, but has an event without one.
+    #[display("an event of a continued stream has no id")]
+    NoId,
 }
 
 /// Buffers the bytes of an incomplete event; each answer takes a splitter of its own.
@@ -43,11 +46,23 @@
     /// Length of the part of `buffer` that contains no end of an event.
     searched: usize,
     has_event: bool,
-    /// Whether the buffer begins with something else than an event.
-    is_malformed: bool,
+    /// Whether the answer goes on with a stream whose events have ids.
+    is_continuation: bool,
+    /// Why the buffer begins with something else than an event of the stream.
+    malformed: Option<Defect>,
 }
 
 impl Splitter {
+    /// Creates a splitter for an answer that goes on with a stream whose events have ids.
+    ///
+    /// Another answer, such as the report of an error, is then a defect, and so is an empty one.
+    pub fn of_continuation() -> Self {
+        Self {
+            is_continuation: true,
+            ..Self::default()
+        }
+    }
+
     /// Appends bytes of the stream.
     pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
@@ -61,25 +76,32 @@
             self.searched = self.buffer.len();
             return None;
         };
-        self.is_malformed |= !self.buffer[..end]
-            .split(|&byte| byte == b'\n')
-            .all(is_field);
-        if self.is_malformed {
+        self.malformed = self.malformed.or(self.find_malformed(&self.buffer[..end]));
+        if self.malformed.is_some() {
             return None;
         }
         let bytes = self.buffer.split_to(end).freeze();
         self.searched = 0;
-        self.has_event = true;
-        Some(Event {
-            id: find_id(&bytes),
-            bytes,
-        })
+        let id = find_id(&bytes);
+        self.has_event |= !self.is_continuation || id.is_some();
+        Some(Event { id, bytes })
+    }
+
+    /// Returns why some bytes are no event of the stream; `None` if they are.
+    fn find_malformed(&self, bytes: &[u8]) -> Option<Defect> {
+        let mut lines = bytes.split(|&byte| byte == b'\n');
+        if !lines.clone().all(is_field) {
+            return Some(Defect::NoField);
+        }
+        let is_comment = |line: &[u8]| matches!(line, b"" | b"\r") || line.starts_with(b":");
+        let lacks_id = self.is_continuation && find_id(bytes).is_none() && !lines.all(is_comment);
+        lacks_id.then_some(Defect::NoId)
     }
 
     /// Returns why the buffered bytes can't be the beginning of an event; `None` if they can.
     pub fn defect(&self) -> Option<Defect> {
-        if self.is_malformed {
-            Some(Defect::NoField)
+        if self.malformed.is_some() {
+            self.malformed
         } else if self.buffer.len() > EVENT_LIMIT {
             Some(Defect::Overlong)
         } else {
@@ -99,7 +121,7 @@
             .any(|byte| !matches!(byte, b'\r' | b'\n'));
         if is_inside {
             Some(Defect::InsideEvent)
-        } else if !self.has_event && !is_delimited {
+        } else if !self.has_event && (!is_delimited || self.is_continuation) {
             Some(Defect::NoEvent)
         } else {
             None
@@ -114,7 +136,7 @@
     /// Removes and returns the bytes after the last complete event.
     pub fn take_rest(&mut self) -> Bytes {
         self.searched = 0;
-        self.is_malformed = false;
+        self.malformed = None;
         self.buffer.split().freeze()
     }
 }
@@ -141,7 +163,13 @@
 /// Returns whether a line has a field of an event, a comment or nothing.
 fn is_field(line: &[u8]) -> bool {
     let line = line.strip_suffix(b"\r").unwrap_or(line);
-    line.is_empty() || line.contains(&b':') || FIELDS.contains(&line)
+    let name = line.split(|&byte| byte == b':').next().unwrap_or(line);
+    let is_name = |byte: &u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_');
+    if name.len() < line.len() {
+        name.iter().all(is_name)
+    } else {
+        line.is_empty() || FIELDS.contains(&line)
+    }
 }
 
 /// Returns the value of the `id` field, if it is a number.
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -55,6 +55,33 @@
     assert_eq!(Splitter::default().find_defect(true), None);
 }
 
+/// The next engine may answer with an error in place of the rest, which would stand in the middle of the
+/// stream.
+#[test]
+fn a_continued_stream_has_no_event_without_an_id_and_is_not_empty() {
+    let defect_of = |answer: &str| {
+        let mut splitter = Splitter::of_continuation();
+        splitter.push(answer.as_bytes());
+        while splitter.next_event().is_some() {}
+        splitter.defect().or(splitter.find_defect(true))
+    };
+    assert_eq!(defect_of("id: 7\ndata: a\n\n: comment\n\n"), None);
+    assert_eq!(defect_of("x-version: 3\nid: 7\ndata: a\n\n"), None);
+    for empty in ["", ": comment\n\n", "\r\n"] {
+        assert_eq!(defect_of(empty), Some(Defect::NoEvent), "{empty:?}");
+    }
+    for error in [
+        "event: error\ndata: out of memory\n\n",
+        "data: [DONE]\n\n",
+        "id: 7\ndata: a\n\nerror: out of memory\n\n",
+    ] {
+        assert_eq!(defect_of(error), Some(Defect::NoId), "{error:?}");
+    }
+    for text in ["{\"error\": 1}\n\n", "Internal error: 5\n\n"] {
+        assert_eq!(defect_of(text), Some(Defect::NoField), "{text:?}");
+    }
+}
+
 #[test]
 fn an_event_without_an_end_exceeds_the_limit() {
     let mut splitter = Splitter::default();
--- a/crates/fakes/src/site/target.rs
+++ b/crates/fakes/src/site/target.rs
@@ -9,7 +9,7 @@
     bytes::Bytes,
     hyper::{
         StatusCode, Version,
-        header::{CONTENT_LENGTH, HeaderMap, HeaderValue, RETRY_AFTER},
+        header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER},
     },
     serde::Deserialize,
     serde_json::json,
@@ -78,6 +78,8 @@
     pub silent_after: Option<u64>,
     /// Response status of a plain service.
     pub status: u16,
+    /// Status, content type and body that an engine answers with instead of a stream.
+    pub error: Option<(u16, &'static str, &'static str)>,
     /// Refuses requests without running them.
     pub refuses: bool,
     /// Number of requests that a plain service runs at the same time; it refuses further ones.
@@ -118,6 +120,7 @@
             framing: Framing::default(),
             silent_after: None,
             status: 200,
+            error: None,
             refuses: false,
             capacity: None,
             brittle: None,
@@ -575,6 +578,16 @@
     if is_engine && behaviour.drops_response {
         return Err(http::aborted());
     }
+    if let Some((status, content_type, body)) = behaviour.error
+        && is_engine
+    {
+        let status = StatusCode::from_u16(status).map_err(io::Error::other)?;
+        let mut response = http::text(status, body);
+        let content_type = HeaderValue::from_static(content_type);
+        response.headers_mut().insert(CONTENT_TYPE, content_type);
+        sign(&mut response, &attempt);
+        return Ok(response);
+    }
     if is_engine {
         let head_delay = behaviour.head_delay;
         let response = stream(Arc::clone(state), behaviour, &attempt, &request);
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -146,6 +146,8 @@
     upstream: Option<Upstream>,
     splitter: Splitter,
     last_event_id: Option<u64>,
+    /// Whether no event came without an id.
+    has_ids: bool,
     events: u64,
     migrations: u32,
     first_event_at: Option<Instant>,
@@ -290,6 +292,7 @@
             upstream: Some(upstream),
             splitter: Splitter::default(),
             last_event_id,
+            has_ids: true,
             events: 0,
             migrations: 0,
             first_event_at: None,
@@ -440,6 +443,7 @@
                 continue;
             }
             self.last_event_id = event.id.or(self.last_event_id);
+            self.has_ids &= event.id.is_some();
             self.events += 1;
             events.extend_from_slice(&event.bytes);
         }
@@ -816,7 +820,11 @@
             && is_taken
         {
             self.framing = framing;
-            self.splitter = Splitter::default();
+            self.splitter = if self.has_ids && self.events > 0 {
+                Splitter::of_continuation()
+            } else {
+                Splitter::default()
+            };
             let body = response.into_body();
             self.upstream = Some(Upstream::new(body, framing, connection, via));
             self.failed_targets.clear();
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -717,6 +717,45 @@
     assert_eq!(response.received, event_stream(6));
 }
 
+/// A stream has begun and breaks off, and the next engine answers with an error. Neither its text nor
+/// its head belongs into the stream, which must not look complete either.
+#[test]
+fn a_stream_never_goes_on_with_an_error_of_the_next_engine() {
+    const EVENTS: &str = "text/event-stream";
+    let errors = [
+        (500, "text/plain", "HTTP/1.1 500 Internal Server Error"),
+        (500, EVENTS, "id: 6\ndata: internal error\n\n"),
+        (404, "application/json", "{\"error\": \"no such model\"}"),
+        (200, "text/plain", "out of memory"),
+        (200, "application/json", "{\"error\": \"out of memory\"}"),
+        (200, EVENTS, ""),
+        (204, EVENTS, ""),
+        (200, EVENTS, "event: error\ndata: out of memory\n\n"),
+        (200, EVENTS, "{\"error\": \"out of memory\"}\n\n"),
+        (
+            200,
+            EVENTS,
+            "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
+        ),
+        (200, EVENTS, "id: 6\ndata: tok"),
+    ];
+    for (path, tokens) in [(STREAM_PATH, "1000,600"), (RESUMABLE_PATH, "1000,40")] {
+        for error in errors {
+            let site = Site::start(2, 1, 1);
+            site.set_engine_behaviour(&broken_stream(Framing::Chunks, Break::Close));
+            let headers = [("x-attempt-id", "a-1"), ("x-token-usage", tokens)];
+            let stream = site.send(0, &Method::POST, path, &headers);
+            site.set_engine_behaviour(&Behaviour {
+                error: Some(error),
+                ..Behaviour::default()
+            });
+            let response = read_to_end(stream);
+            assert_eq!(response.body, None, "{path} {error:?}");
+            assert_eq!(response.received, event_stream(6), "{path} {error:?}");
+        }
+    }
+}
+
 #[test]
 fn a_whole_stream_is_complete_however_its_end_is_marked() {
     let site = Site::start(1, 1, 1);
