--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -23,6 +23,8 @@
   mastictrail explain --json 01f3a9 *.log
   mastictrail explain --failed *.log";
 
+/// Lowest status of an answer that counts as failed.
+const MIN_ERROR_STATUS: u64 = 400;
 /// Fields that are printed first, and left out of the list of other fields.
 const HEADLINE_FIELDS: [&str; 7] = [
     "time", "level", "vm", "event", "message", "request", "reason",
@@ -205,19 +207,23 @@
     output::print(&rows.collect::<String>())
 }
 
-/// Returns the cause that an `answer` record, or an `ended` record of a failed request, states.
+/// Returns the cause that an `answer` or `ended` record of a failed request states.
 fn failure_cause(record: &Record) -> Option<Cause> {
     let event = text_field(record, "event");
+    let status = record.get("status").and_then(Value::as_u64);
+    let is_error = status.is_some_and(|status| status >= MIN_ERROR_STATUS);
     let verdict = match event {
+        // The verdict of a refusal is never that a target ran the request.
+        "answer" if text_field(record, "verdict") == "ran" && !is_error => return None,
         "answer" => text_field(record, "verdict"),
         "ended" if text_field(record, "outcome") == "failed" => "failed",
         _ => return None,
     };
-    Some((
-        event.to_owned(),
-        verdict.to_owned(),
-        text_field(record, "reason").to_owned(),
-    ))
+    let reason = match status {
+        Some(status) if is_error => format!("status {status}"),
+        _ => text_field(record, "reason").to_owned(),
+    };
+    Some((event.to_owned(), verdict.to_owned(), reason))
 }
 
 /// Returns a line from its first `{` on: a log collector may have put a prefix before the object.
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -51,6 +51,39 @@
     write_file(folder, name, &value)
 }
 
+/// Requests that were answered are no failures, but an error that a target gave to its client is one.
+#[test]
+fn explain_counts_each_failed_request_and_no_other() {
+    let folder = tempfile::tempdir().expect("a temporary directory is created");
+    let log = concat!(
+        r#"{"event":"answer","request":"a","verdict":"ran","message":"complete"}"#,
+        "\n",
+        r#"{"event":"answer","request":"b","verdict":"ran","status":200,"message":"complete"}"#,
+        "\n",
+        r#"{"event":"answer","request":"c","verdict":"ran","status":500,"message":"failed"}"#,
+        "\n",
+        r#"{"event":"answer","request":"d","verdict":"not_run","reason":"overloaded"}"#,
+        "\n",
+        r#"{"event":"ended","request":"e","outcome":"served","reason":"whole"}"#,
+        "\n",
+        r#"{"event":"ended","request":"f","outcome":"failed","reason":"the time is over"}"#,
+        "\n",
+    );
+    let path = write_file(&folder, "vm.log", log);
+    let output = mastictrail(&["explain", "--failed", &path]);
+    assert_eq!(output.status.code(), SUCCESS, "{}", stderr(&output));
+    let text = stdout(&output);
+    let rows: Vec<_> = text.lines().collect();
+    assert_eq!(rows.len(), 3, "{text}");
+    for cause in [
+        "answer  ran  status 500  (such as c)",
+        "answer  not_run  overloaded  (such as d)",
+        "ended  failed  the time is over  (such as f)",
+    ] {
+        assert!(rows.iter().any(|row| row.ends_with(cause)), "{text}");
+    }
+}
+
 #[test]
 fn check_accepts_the_examples() {
     for name in ["wielkopolanka", "association"] {
--- a/crates/gateway/src/clients/exchange.rs
+++ b/crates/gateway/src/clients/exchange.rs
@@ -21,7 +21,10 @@
     },
     entry::runtime::with_timeout,
     http_body_util::{BodyExt, Full, LengthLimitError, Limited},
-    hyper::{HeaderMap, Method, Request, Response, Uri, Version, body::Incoming, header::HOST},
+    hyper::{
+        HeaderMap, Method, Request, Response, StatusCode, Uri, Version, body::Incoming,
+        header::HOST,
+    },
     platform::request::{GatewayFields, Head, forwarded_headers},
     rand::Rng,
     smol::Timer,
@@ -315,6 +318,17 @@
         parts.map(ToString::to_string).collect::<Vec<_>>().join(",")
     }
 
+    /// Logs that a target answered with an error, which the client gets as it is.
+    pub fn log_error(&self, status: StatusCode) {
+        log::info!(
+            target: "answer", request:% = self.head.attempt_id, route:% = self.route.name,
+            verdict:% = Verdict::Ran, status = status.as_u16(),
+            elapsed_ms = self.shared.now().since(self.arrived).as_millis() as u64,
+            configuration = self.published.configuration.version();
+            "the target answered with an error"
+        );
+    }
+
     /// Records the request's outcome in the metrics.
     pub fn record_outcome(&self, outcome: Outcome, reason: &str) {
         let route = &self.route.name;
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -480,6 +480,7 @@
         let body = body.map_err(|error| {
             Refusal::may_have_run(Reason::TargetLost, format!("a broken answer: {error}"))
         })?;
+        exchange.log_error(parts.status);
         exchange.record_outcome(Outcome::Failed, parts.status.as_str());
         return Ok(response_with_head(&parts, answer::full(body)));
     }
--- a/crates/gateway/src/clients/plain.rs
+++ b/crates/gateway/src/clients/plain.rs
@@ -365,6 +365,9 @@
     } else {
         Outcome::Failed
     };
+    if outcome == Outcome::Failed {
+        exchange.log_error(parts.status);
+    }
     exchange.record_outcome(outcome, parts.status.as_str());
     let mut response = Response::new(answer::full(body));
     *response.status_mut() = parts.status;
