fix(gateway): log the streams that the end of a planned stop cuts

Cause: a stream that outlasts the grace period ended with its process, without an `ended` line.

Evidence: a_stream_that_a_planned_stop_cuts_is_logged_as_failed failed before.

--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -268,6 +268,8 @@
     Suspected(Box<str>),
     /// The peer was lost through which the engine is connected.
     PeerLost(Box<str>),
+    /// This VM's drain has ended.
+    Stopped,
 }
 
 impl Relay {
@@ -361,6 +363,7 @@
                     (reason, is_targets_fault)
                 }
                 Read::PeerLost(reason) => (reason, false),
+                Read::Stopped => return Some(Err(self.fail("this VM has stopped"))),
             };
             if !self.migrate(&reason, is_targets_fault).await {
                 return Some(Err(self.fail(&reason)));
@@ -376,6 +379,9 @@
             let Some(Upstream { body, via, .. }) = self.upstream.as_mut() else {
                 return Read::End;
             };
+            if shared.drain.has_ended() {
+                return Read::Stopped;
+            }
             let via = *via;
             let remaining = self.exchange.deadline.since(shared.now());
             match with_timeout(remaining.min(PROBE_DELAY), body.frame()).await {
--- a/crates/gateway/src/control/drain.rs
+++ b/crates/gateway/src/control/drain.rs
@@ -51,6 +51,10 @@
         self.sender.close();
     }
 
+    fn is_set(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     async fn wait(&self) {
         // Nothing is ever sent; `recv` returns once the channel is closed.
         let _ = self.receiver.recv().await;
@@ -126,6 +130,11 @@
         self.end.set();
     }
 
+    /// Returns whether the drain has ended.
+    pub fn has_ended(&self) -> bool {
+        self.end.is_set()
+    }
+
     /// Waits until the drain has ended.
     pub async fn wait_for_end(&self) {
         self.end.wait().await;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -14,12 +14,13 @@
     hyper::{Method, StatusCode},
     serde_json::json,
     std::{
+        fs::{self, File},
         io::{Read, Write},
         net::TcpStream,
         time::{Duration, Instant},
     },
     support::{
-        process::free_address,
+        process::{Process, free_address},
         site::{
             API_KEY, HOST, PendingResponse, RESUMABLE_PATH, SAFE_PATH, STREAM_PATH, Site,
             UNSAFE_PATH, event_stream, is_ready, read_to_end, send,
@@ -1450,6 +1451,43 @@
     });
 }
 
+/// Its stream lasts longer than the grace period, so that it is lost; the log must account for it.
+#[test]
+fn a_stream_that_a_planned_stop_cuts_is_logged_as_failed() {
+    let mut site = Site::start(1, 1, 1);
+    site.set_engine_behaviour(&Behaviour {
+        events: 1_000,
+        event_interval: Duration::from_millis(40),
+        ..Behaviour::default()
+    });
+    let folder = tempfile::tempdir().expect("a temporary directory is created");
+    let path = folder.path().join("vm.log");
+    let log = File::create(&path).expect("the log is created");
+    let settings = site.gateways[0].settings.display().to_string();
+    site.gateways[0].process.kill();
+    site.gateways[0].process = Process::start_with_output(
+        env!("CARGO_BIN_EXE_mastictrail"),
+        &["gateway".to_owned(), settings],
+        log.into(),
+    );
+    wait_until("the gateway is ready", || is_ready(&site.gateways[0]));
+    site.wait_for_targets(2, 0);
+    let mut stream = site.open_stream("a-1", 4_000);
+    assert!(stream.read_part().starts_with("id: 0\n"));
+    site.gateways[0].process.terminate();
+    assert_eq!(read_to_end(stream).body, None);
+    wait_until("the process has exited", || {
+        site.gateways[0].process.exit_status().is_some()
+    });
+    let log = fs::read_to_string(&path).expect("the log is readable");
+    let ended = log
+        .lines()
+        .find(|line| line.contains("\"event\":\"ended\"") && line.contains("\"request\":\"a-1\""));
+    let ended = ended.expect("the end of the stream is logged");
+    assert!(ended.contains("\"outcome\":\"failed\""), "{ended}");
+    assert!(ended.contains("this VM has stopped"), "{ended}");
+}
+
 /// A gateway that starts while the store is silent refuses requests and is not ready.
 #[test]
 fn a_gateway_without_a_configuration_says_not_run() {
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -47,6 +47,11 @@
             let path = Path::new(&directory).join(name);
             File::create(path).expect("the log is created").into()
         });
+        Self::start_with_output(program, arguments, output)
+    }
+
+    /// Starts a program, whose output goes to `output`.
+    pub fn start_with_output(program: &str, arguments: &[String], output: Stdio) -> Self {
         let mut command = Command::new(program);
         command.args(arguments).stdin(Stdio::null()).stdout(output);
         Self {
