fix(dispatch): send all limits to VMs that have missed some

Cause: the message for a VM that has just started, or was cut off, carries 128 targets, always the same ones.

Change: as many messages as it takes, each with 128 targets at most and below 8 KiB.

Evidence: the_limits_of_all_targets_reach_a_vm_that_has_missed_them learned 128 of 352 before.

--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -359,9 +359,9 @@
         })
     }
 
-    /// Returns all limits, for VMs that have missed a message; `None` if there is none.
-    pub fn snapshot(&self, now: Instant) -> Option<report::Limits> {
-        let limits = self.rates.iter().take(MAX_SENT_TARGETS);
+    /// Returns messages with all limits, for VMs that have missed some.
+    pub fn snapshot(&self, now: Instant) -> Vec<report::Limits> {
+        let limits = self.rates.iter();
         let entries: Vec<_> = limits
             .map(|(target, limit)| report::TargetLimit {
                 backlog_ms: u32::try_from(limit.scheduled.since(now).as_millis())
@@ -372,11 +372,21 @@
         let brittle: Vec<_> = self
             .brittle
             .iter()
-            .take(MAX_SENT_TARGETS)
             .map(|(target, brittle)| encode_brittle(*target, brittle, now))
             .collect();
-        let is_empty = entries.is_empty() && brittle.is_empty();
-        (!is_empty).then_some(report::Limits { entries, brittle })
+        let of_limits = entries
+            .chunks(MAX_SENT_TARGETS)
+            .map(|entries| report::Limits {
+                entries: entries.to_vec(),
+                ..report::Limits::default()
+            });
+        let of_brittle = brittle
+            .chunks(MAX_SENT_TARGETS)
+            .map(|brittle| report::Limits {
+                brittle: brittle.to_vec(),
+                ..report::Limits::default()
+            });
+        of_limits.chain(of_brittle).collect()
     }
 
     /// Adds what another VM knows.
--- a/crates/dispatch/tests/limit.rs
+++ b/crates/dispatch/tests/limit.rs
@@ -3,6 +3,7 @@
 use {
     base::{Instant, key},
     mastictrail_dispatch::{Limits, report},
+    prost::Message,
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::time::Duration,
 };
@@ -48,7 +49,8 @@
                 messages.push((now + delay, news));
             }
             if number == 0 && now.as_micros().is_multiple_of(1_200_000) {
-                messages.extend(vm.snapshot(now).map(|snapshot| (now + delay, snapshot)));
+                let snapshot = vm.snapshot(now).into_iter();
+                messages.extend(snapshot.map(|message| (now + delay, message)));
             }
         }
     }
@@ -105,8 +107,10 @@
     let (mut one, mut other) = (Limits::new(1), Limits::new(2));
     let now = start();
     one.record_answer(target(), Some(5.0), now, now);
-    let old = one.snapshot(now + STEP).unwrap();
-    other.receive(&old, now + STEP);
+    let [old] = &one.snapshot(now + STEP)[..] else {
+        panic!("one message carries the limit");
+    };
+    other.receive(old, now + STEP);
     let later = now + Duration::from_secs(1);
     one.record_answer(target(), None, later, later + STEP);
     other.receive(&one.take_news(later + STEP).unwrap(), later + STEP);
@@ -256,3 +260,24 @@
     limits.record_brittle(target(), Some(1), now, now);
     assert_eq!(limits.brittle(now + Duration::from_secs(60)).count(), 0);
 }
+
+/// A VM that has started late gets all limits, also where there are more than one message carries.
+#[test]
+fn the_limits_of_all_targets_reach_a_vm_that_has_missed_them() {
+    const TARGETS: usize = 352;
+    let targets: Vec<_> = (0..TARGETS)
+        .map(|index| key::Target::of(&format!("t-{index}")))
+        .collect();
+    let mut known = Limits::new(1);
+    for target in &targets {
+        known.record_answer(*target, Some(0.5), start(), start());
+        known.record_brittle(*target, Some(3), start(), start());
+    }
+    let mut late = Limits::new(2);
+    for message in known.snapshot(start()) {
+        assert!(message.encoded_len() < 8 << 10);
+        late.receive(&message, start());
+    }
+    assert_eq!(late.len(), TARGETS);
+    assert_eq!(late.brittle(start()).count(), TARGETS);
+}
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -250,8 +250,8 @@
     }
     let is_known = |target| shared.directory.get(target).is_some();
     shared.dispatcher.retain_limits(is_known);
-    if let Some(limits) = shared.dispatcher.limits(shared.now()) {
-        broadcast(shared, &limits_datagram(limits), addresses).await;
+    for limits in shared.dispatcher.limits(shared.now()) {
+        broadcast(shared, &limits_datagram(limits), addresses.clone()).await;
     }
 }
 
--- a/crates/gateway/src/targets/dispatcher.rs
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -218,8 +218,8 @@
         self.lock().limits.receive(limits, now);
     }
 
-    /// Returns all limits for VMs that have missed a message; `None` if there is none.
-    pub fn limits(&self, now: Instant) -> Option<report::Limits> {
+    /// Returns messages with all limits, for VMs that have missed some.
+    pub fn limits(&self, now: Instant) -> Vec<report::Limits> {
         self.lock().limits.snapshot(now)
     }
 
