--- a/crates/dispatch/tests/limit.rs
+++ b/crates/dispatch/tests/limit.rs
@@ -107,7 +107,7 @@
     let (mut one, mut other) = (Limits::new(1), Limits::new(2));
     let now = start();
     one.record_answer(target(), Some(5.0), now, now);
-    let [old] = &one.snapshot(now + STEP)[..] else {
+    let [old] = &*one.snapshot(now + STEP) else {
         panic!("one message carries the limit");
     };
     other.receive(old, now + STEP);
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -458,7 +458,7 @@
 
 /// Long and short generations over data centres of which one is cut off from the others.
 mod partition {
-    use {super::*, std::cmp::Reverse};
+    use super::*;
 
     const DATA_CENTRES: usize = 4;
     const VMS: usize = 12;
@@ -500,11 +500,11 @@
         let mut random = SmallRng::seed_from_u64(seed);
         let mut placement = Placement::new(seed);
         let mut drafts: Vec<Draft> = Vec::new();
-        let mut prefills: Vec<(Reverse<Instant>, RunId, bool)> = Vec::new();
+        let mut prefills: Vec<(Instant, RunId, bool)> = Vec::new();
         let (mut lost, mut running, mut pending, mut placed) = (0_u32, 0_u32, 0_u32, 0_u32);
         for step in 0..3_000 {
             let now = Instant::default() + STEP * step;
-            prefills.retain(|&(Reverse(end), run, is_short)| {
+            prefills.retain(|&(end, run, is_short)| {
                 if end <= now {
                     placement.finish_prefill(run);
                     if is_short {
@@ -545,7 +545,7 @@
                 (pending, placed) = (pending + found, placed + 1);
                 let run = placement.start_run(target.key, load);
                 let prefill = mastictrail_dispatch::placement::prefill_time(found + 3_000);
-                prefills.push((Reverse(now + prefill), run, !is_draft));
+                prefills.push((now + prefill, run, !is_draft));
                 if !is_draft {
                     continue;
                 }
--- a/crates/fakes/src/site/target.rs
+++ b/crates/fakes/src/site/target.rs
@@ -575,24 +575,8 @@
             .insert("x-not-executed", HeaderValue::from_static("1"));
         return Ok(response);
     }
-    if is_engine && behaviour.drops_response {
-        return Err(http::aborted());
-    }
-    if let Some((status, content_type, body)) = behaviour.error
-        && is_engine
-    {
-        let status = StatusCode::from_u16(status).map_err(io::Error::other)?;
-        let mut response = http::text(status, body);
-        let content_type = HeaderValue::from_static(content_type);
-        response.headers_mut().insert(CONTENT_TYPE, content_type);
-        sign(&mut response, &attempt);
-        return Ok(response);
-    }
     if is_engine {
-        let head_delay = behaviour.head_delay;
-        let response = stream(Arc::clone(state), behaviour, &attempt, &request);
-        Timer::after(head_delay).await;
-        return Ok(response);
+        return respond_as_engine(state, behaviour, &attempt, &request).await;
     }
     Timer::after(behaviour.delay).await;
     if is_crashing(&behaviour, &request) {
@@ -712,6 +696,37 @@
     }
 }
 
+async fn respond_as_engine(
+    state: &Arc<Mutex<State>>,
+    behaviour: Behaviour,
+    attempt: &str,
+    request: &Request,
+) -> HandlerResult {
+    if behaviour.drops_response {
+        return Err(http::aborted());
+    }
+    if let Some(error) = behaviour.error {
+        return answer_with_error(error, attempt);
+    }
+    let head_delay = behaviour.head_delay;
+    let response = stream(Arc::clone(state), behaviour, attempt, request);
+    Timer::after(head_delay).await;
+    Ok(response)
+}
+
+/// Answers with a status, content type and body instead of a stream.
+fn answer_with_error(
+    (status, content_type, body): (u16, &'static str, &'static str),
+    attempt: &str,
+) -> HandlerResult {
+    let status = StatusCode::from_u16(status).map_err(io::Error::other)?;
+    let mut response = http::text(status, body);
+    let content_type = HeaderValue::from_static(content_type);
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    sign(&mut response, attempt);
+    Ok(response)
+}
+
 /// Streams the events after `last-event-id`, and stores a copy of the run at the backup engine.
 fn stream(
     state: Arc<Mutex<State>>,
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -146,8 +146,8 @@
     upstream: Option<Upstream>,
     splitter: Splitter,
     last_event_id: Option<u64>,
-    /// Whether no event came without an id.
-    has_ids: bool,
+    /// Number of events without an id.
+    unnumbered_events: u64,
     events: u64,
     migrations: u32,
     first_event_at: Option<Instant>,
@@ -294,7 +294,7 @@
             upstream: Some(upstream),
             splitter: Splitter::default(),
             last_event_id,
-            has_ids: true,
+            unnumbered_events: 0,
             events: 0,
             migrations: 0,
             first_event_at: None,
@@ -449,7 +449,7 @@
                 continue;
             }
             self.last_event_id = event.id.or(self.last_event_id);
-            self.has_ids &= event.id.is_some();
+            self.unnumbered_events += u64::from(event.id.is_none());
             self.events += 1;
             events.extend_from_slice(&event.bytes);
         }
@@ -826,7 +826,7 @@
             && is_taken
         {
             self.framing = framing;
-            self.splitter = if self.has_ids && self.events > 0 {
+            self.splitter = if self.events > 0 && self.unnumbered_events == 0 {
                 Splitter::of_continuation()
             } else {
                 Splitter::default()
