test(gateway): stall an engine once its stream may be probed

Cause, from the logs of the run that failed again: the test stalled the engine for 300 ms from 200 ms on. An engine isn't probed in the first 400 ms of its stream, so the suspicion came 310 ms after the last event, as the stall was over, in the passing runs too (logs of the same file: 310, 311 ms). Whether the engine's next event or the takeover came first was left to chance.

Change: the stall begins at 500 ms, so that it is noticed after 140 ms. Checks and bounds are as before; what they check, that no two engines run the draft 450 ms after the takeover, now comes earlier in the stall.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -378,6 +378,8 @@
     let site = Site::start(2, 1, 1);
     let (stream, source, other) = open_copied_draft(&site);
     other.set_behaviour(late_head(Duration::from_secs(1)));
+    // An engine is not probed in the first 400 ms of its stream.
+    std::thread::sleep(Duration::from_millis(300));
     source.stall(Duration::from_millis(300)).unwrap();
     wait_until("the engine with the copy runs the draft", || {
         takeovers(other) > 0
