--- a/crates/gateway/src/control/confirmation.rs
+++ b/crates/gateway/src/control/confirmation.rs
@@ -1,7 +1,7 @@
 //! Confirmation that no target is missing from the list.
 //!
-//! A VM that was cut off, or stood still, doesn't know which targets have joined meanwhile. Most
-//! decisions tolerate that; whether a stream of unknown origin may go on does not.
+//! A VM that was cut off, or stood still, has missed the targets that joined meanwhile. Most decisions
+//! tolerate that; whether a stream of unknown origin may go on does not.
 
 use {
     derive_more::Debug,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1169,7 +1169,7 @@
 }
 
 /// A release joins, and a stream that it has begun breaks off, while a VM misses all that: it is cut off
-/// from the others, or its watches of the store are silent. The VM still knows the former release only.
+/// from the others, or its watches of the store are silent. Its list has the former release only.
 #[test]
 fn a_stream_is_not_joined_from_two_releases_at_a_vm_that_is_out_of_step() {
     for mode in [Mode::SilentWatches, Mode::Unresponsive, Mode::Unavailable] {
