--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -37,6 +37,7 @@
         "missed-removal" => missed_removal(record, trouble),
         "same-id" => same_id(record, trouble),
         "older-list" => older_list(record, trouble),
+        "large-bodies" => large_bodies(record, trouble),
         _ => Err(format!("there is no case {case}")),
     }
 }
@@ -243,7 +244,7 @@
     let keys = keys.join(",");
     format!(
         "{{\"Version\":{version},\"Routes\":[{{\"Name\":\"r-hold\",\"Host\":\"{HOST}\",\"PathPrefix\":\"/hold/\",\
-         \"Type\":\"unsafe\",\"TimeoutMs\":1000,\"TargetLatencyMs\":150,\"Priority\":2,\"Service\":\"{SERVICE}\",\
+         \"Type\":\"unsafe\",\"TimeoutMs\":10000,\"TargetLatencyMs\":150,\"Priority\":2,\"Service\":\"{SERVICE}\",\
          \"MaxAttempts\":1,\"Public\":false,\"SessionAffinity\":false,\"Resumable\":false}}],\
          \"Services\":[{{\"Name\":\"{SERVICE}\",\"HealthCheckPath\":\"/healthz\",\"MaxConnections\":248}}],\
          \"Limits\":{{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\
@@ -439,3 +440,86 @@
     record.line("counted", &text);
     Ok((after < MIN_SERVED).then_some(text).into_iter().collect())
 }
+
+/// Many users come at once, with bodies of up to `MaxBodyBytes`.
+fn large_bodies(record: &Record, trouble: bool) -> Outcome {
+    /// Usual number of uploads at a VM at a time.
+    const USUAL: usize = 12;
+    /// Strength of the site's `burst`.
+    const BURST: f64 = 1.7;
+    /// `MemoryMb` of the site.
+    const MEMORY_BYTES: u64 = 182 << 20;
+    /// `LinkMbps` of the site.
+    const LINK_BYTES_PER_SECOND: f64 = 700e6 / 8.0;
+    /// Size of a body; `MaxBodyBytes` is 4,194,304.
+    const BODY_BYTES: usize = 4_190_000;
+    /// Time after which the platform starts a process again.
+    const RESTART: Duration = Duration::from_millis(500);
+    const VMS: usize = 2;
+    /// Ends of its own of each process from which the rule is broken, on two machines.
+    const MAX_ENDS: u32 = 3;
+    let mut site = Deployment::start(record, &["zone-a"], VMS, 2)?;
+    let body = vec![b'x'; BODY_BYTES];
+    let uploads = if trouble { (USUAL as f64 * BURST).round() as usize } else { USUAL };
+    let duration = Duration::from_secs_f64((uploads * BODY_BYTES) as f64 / LINK_BYTES_PER_SECOND);
+    let mut ends = [0_u32; VMS];
+    let mut peaks = [0_u64; VMS];
+    for round in 1..=MAX_ENDS {
+        for vm in 0..VMS {
+            let address = site.gateways[vm].clients;
+            let unanswered = AtomicU64::new(0);
+            thread::scope(|scope| {
+                let mut threads = Vec::new();
+                for index in 0..uploads {
+                    let (body, unanswered) = (&body, &unanswered);
+                    threads.push(scope.spawn(move || {
+                        let attempt = format!("u{round}-{index}-vm{vm}");
+                        let authorization = format!("Token {KEPT_KEY}");
+                        let headers = [
+                            ("Host", HOST),
+                            ("X-Attempt-Id", attempt.as_str()),
+                            ("X-Deadline-Ms", "10000"),
+                            ("Authorization", authorization.as_str()),
+                            ("Connection", "close"),
+                        ];
+                        record.line("sent", &format!("{attempt} with {BODY_BYTES} bytes through vm-{vm}"));
+                        let timeout = Duration::from_secs(10);
+                        let answer = http::upload(address, "/hold/1", &headers, body, duration, timeout);
+                        match answer {
+                            Ok(answer) => record.line("answered", &format!("{attempt} {}", answer.status())),
+                            Err(error) => {
+                                unanswered.fetch_add(1, Ordering::Relaxed);
+                                record.line("answered", &format!("{attempt} nothing: {error}"));
+                            }
+                        }
+                    }));
+                }
+                // The platform kills a process that exceeds its memory.
+                while threads.iter().any(|thread| !thread.is_finished()) {
+                    let memory = site.gateways[vm].memory();
+                    peaks[vm] = peaks[vm].max(memory);
+                    if memory > MEMORY_BYTES {
+                        let text = format!("vm-{vm} uses {} MB, {} allowed", memory >> 20, MEMORY_BYTES >> 20);
+                        record.line("platform", &text);
+                        site.gateways[vm].kill();
+                        ends[vm] += 1;
+                    }
+                    thread::sleep(Duration::from_millis(5));
+                }
+            });
+            let unanswered = unanswered.load(Ordering::Relaxed);
+            let peak = peaks[vm] >> 20;
+            let text = format!("vm-{vm}: {uploads} uploads, {unanswered} without an answer, at most {peak} MB");
+            record.line("counted", &text);
+            if site.gateways[vm].memory() == 0 {
+                thread::sleep(RESTART);
+                site.gateways[vm].run().map_err(|error| error.to_string())?;
+            }
+        }
+        site.wait_until_ready()?;
+    }
+    let text = format!("Fault: the processes ended by themselves {ends:?} times, as they exceeded their memory");
+    record.line("counted", &text);
+    let is_broken = ends.iter().all(|ends| *ends >= MAX_ENDS);
+    Ok(is_broken.then_some(text).into_iter().collect())
+}
--- a/review/standin/gateway.rs
+++ b/review/standin/gateway.rs
@@ -172,6 +172,16 @@
         }
     }
 
+    /// Returns the memory that the process uses, in bytes; 0 if it doesn't run.
+    pub fn memory(&self) -> u64 {
+        let id = self.process.as_ref().map(Child::id);
+        let status = id.and_then(|id| fs::read_to_string(format!("/proc/{id}/status")).ok());
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.trim().strip_suffix(" kB")?.trim().parse::<u64>().ok());
+        kilobytes.unwrap_or_default() << 10
+    }
+
     /// Asks as the platform's balancer does whether the VM is ready.
     pub fn is_ready(&self) -> bool {
         let timeout = Duration::from_millis(500);
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -5,7 +5,7 @@
     net::{SocketAddr, TcpListener, TcpStream},
     sync::Arc,
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// A request or a response with its whole body.
@@ -156,3 +156,31 @@
     let answer = read_message(&mut BufReader::new(stream), true)?;
     answer.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
 }
+
+/// Sends a request whose body takes a time, at an even pace, and reads the whole answer.
+pub fn upload(
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+    duration: Duration,
+    timeout: Duration,
+) -> io::Result<Message> {
+    const PARTS: u32 = 100;
+    let mut stream = TcpStream::connect_timeout(&address, timeout)?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(timeout))?;
+    let mut head = format!("POST {path} HTTP/1.1\r\nContent-Length: {}\r\n", body.len());
+    for (name, value) in headers {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    head.push_str("\r\n");
+    stream.write_all(head.as_bytes())?;
+    let started = Instant::now();
+    for (index, part) in (1..).zip(body.chunks(body.len().div_ceil(PARTS as usize))) {
+        stream.write_all(part)?;
+        thread::sleep((duration * index / PARTS).saturating_sub(started.elapsed()));
+    }
+    let answer = read_message(&mut BufReader::new(stream), true)?;
+    answer.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+}
