--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -55,7 +55,12 @@
 
 impl Deployment {
     /// Starts everything and waits until all VMs are ready.
-    fn start(record: &Record, zones: &[&'static str], vms: usize, runners: usize) -> Result<Self, String> {
+    fn start(
+        record: &Record,
+        zones: &[&'static str],
+        vms: usize,
+        runners: usize,
+    ) -> Result<Self, String> {
         let network = Network::new().map_err(|error| error.to_string())?;
         let mut deployment = Self {
             record: record.clone(),
@@ -66,13 +71,16 @@
             zones: zones.to_vec(),
             attempts: AtomicU64::new(1),
         };
-        deployment.build(vms, runners).map_err(|error| error.to_string())?;
+        deployment
+            .build(vms, runners)
+            .map_err(|error| error.to_string())?;
         deployment.wait_until_ready()?;
         Ok(deployment)
     }
 
     fn build(&mut self, vms: usize, runners: usize) -> std::io::Result<()> {
-        self.store.put("op/config", &configuration(1, &[KEPT_KEY, REVOKED_KEY]));
+        self.store
+            .put("op/config", &configuration(1, &[KEPT_KEY, REVOKED_KEY]));
         for index in 0..runners {
             self.add_runner(index)?;
         }
@@ -96,7 +104,8 @@
         let address = self.network.runner(index);
         let runner = Runner::start(id, address, &self.record)?;
         let zone = self.zones[index % self.zones.len()];
-        self.store.put(&runner.key(), &runner.entry(SERVICE, zone, 1));
+        self.store
+            .put(&runner.key(), &runner.entry(SERVICE, zone, 1));
         self.runners.push(runner);
         Ok(())
     }
@@ -125,7 +134,8 @@
                 since = Instant::now();
             }
             if since.elapsed() > Duration::from_secs(4) && !known.is_empty() {
-                self.record.line("store", &format!("watched by the VMs {known:?}"));
+                self.record
+                    .line("store", &format!("watched by the VMs {known:?}"));
                 return Ok(known);
             }
             thread::sleep(Duration::from_millis(100));
@@ -146,7 +156,8 @@
             ("Connection", "close"),
         ];
         let sent = self.record.now();
-        self.record.line("sent", &format!("{attempt} with {key} through vm-{vm}"));
+        self.record
+            .line("sent", &format!("{attempt} with {key} through vm-{vm}"));
         let address = self.gateways[vm].clients;
         let timeout = Duration::from_millis(1_500);
         let answer = http::send(address, "POST", "/hold/1", &headers, b"a lot", timeout);
@@ -156,7 +167,9 @@
                 let text = format!("{attempt} {}: {}", answer.status(), text.trim_end());
                 self.record.line("answered", &text);
             }
-            Err(error) => self.record.line("answered", &format!("{attempt} nothing: {error}")),
+            Err(error) => self
+                .record
+                .line("answered", &format!("{attempt} nothing: {error}")),
         }
         (attempt, sent, answer.ok())
     }
@@ -190,14 +203,21 @@
             // All VMs get a request at the same time.
             let requests = thread::scope(|scope| {
                 let threads = vms.iter();
-                let threads = threads.map(|&vm| (vm, scope.spawn(move || self.request(vm, KEPT_KEY))));
+                let threads =
+                    threads.map(|&vm| (vm, scope.spawn(move || self.request(vm, KEPT_KEY))));
                 let threads: Vec<_> = threads.collect();
-                let requests = threads.into_iter().map(|(vm, thread)| Some((vm, thread.join().ok()?)));
+                let requests = threads
+                    .into_iter()
+                    .map(|(vm, thread)| Some((vm, thread.join().ok()?)));
                 requests.collect::<Option<Vec<_>>>()
             });
             for (vm, (attempt, sent, _)) in requests.ok_or("a requester failed")? {
                 let is_late = sent > acked + DRAIN;
-                if is_late && self.runner_of(&attempt).is_some_and(|runner| runner.id == "i-0") {
+                if is_late
+                    && self
+                        .runner_of(&attempt)
+                        .is_some_and(|runner| runner.id == "i-0")
+                {
                     let after = (sent - acked).as_millis();
                     breaks.push(format!(
                         "DRAIN: {attempt} was sent through vm-{vm} {after} ms after the store acknowledged that \
@@ -260,7 +280,11 @@
     let watchers = site.watchers()?;
     let calm: Vec<_> = (0..18).filter(|vm| !watchers.contains(vm)).collect();
     for &vm in &calm {
-        if site.request(vm, REVOKED_KEY).2.is_none_or(|answer| answer.status() != 200) {
+        if site
+            .request(vm, REVOKED_KEY)
+            .2
+            .is_none_or(|answer| answer.status() != 200)
+        {
             return Err(format!("vm-{vm} does not serve"));
         }
     }
@@ -274,7 +298,8 @@
     site.store.put("op/config", &configuration(2, &[KEPT_KEY]));
     let acked = record.now();
     thread::sleep(CONFIG_APPLY + Duration::from_millis(20));
-    let mut breaks = site.send_with_revoked_key(&calm, acked, DARK.saturating_sub(killed.elapsed()));
+    let mut breaks =
+        site.send_with_revoked_key(&calm, acked, DARK.saturating_sub(killed.elapsed()));
     if trouble {
         for &vm in &watchers {
             site.gateways[vm].run().map_err(|error| error.to_string())?;
@@ -291,13 +316,20 @@
     let mut site = Deployment::start(record, &["zone-a"], 2, 2)?;
     thread::sleep(Duration::from_secs(3));
     for vm in 0..2 {
-        if site.request(vm, REVOKED_KEY).2.is_none_or(|answer| answer.status() != 200) {
+        if site
+            .request(vm, REVOKED_KEY)
+            .2
+            .is_none_or(|answer| answer.status() != 200)
+        {
             return Err(format!("vm-{vm} does not serve"));
         }
     }
     let copy = site.store.copy();
     // The copy lacks these: a version of the configuration, and a runner that joins.
-    site.store.put("op/config", &configuration(2, &[KEPT_KEY, REVOKED_KEY, "key-2"]));
+    site.store.put(
+        "op/config",
+        &configuration(2, &[KEPT_KEY, REVOKED_KEY, "key-2"]),
+    );
     site.add_runner(2).map_err(|error| error.to_string())?;
     thread::sleep(Duration::from_millis(2_500));
     if trouble {
@@ -305,16 +337,21 @@
         thread::sleep(AWAY);
         site.store.return_from(copy);
         // The operator and the runner write again what they wrote, and the operator goes on.
-        site.store.put("op/config", &configuration(2, &[KEPT_KEY, REVOKED_KEY, "key-2"]));
+        site.store.put(
+            "op/config",
+            &configuration(2, &[KEPT_KEY, REVOKED_KEY, "key-2"]),
+        );
     } else {
         thread::sleep(AWAY);
     }
-    site.store.put("op/config", &configuration(3, &[KEPT_KEY, "key-2"]));
+    site.store
+        .put("op/config", &configuration(3, &[KEPT_KEY, "key-2"]));
     let acked = record.now();
     if trouble {
         thread::sleep(Duration::from_millis(500));
         let runner = &site.runners[2];
-        site.store.put(&runner.key(), &runner.entry(SERVICE, "zone-a", 9));
+        site.store
+            .put(&runner.key(), &runner.entry(SERVICE, "zone-a", 9));
     }
     // All is calm for longer than the stable window before the first request that counts.
     thread::sleep(CONFIG_APPLY.max(STABLE_WINDOW) * 2);
@@ -361,7 +398,8 @@
     let runner = &site.runners[3];
     for sequence in 2..4 {
         thread::sleep(HEARTBEAT);
-        site.store.put(&runner.key(), &runner.entry(SERVICE, "zone-a", sequence));
+        site.store
+            .put(&runner.key(), &runner.entry(SERVICE, "zone-a", sequence));
     }
     thread::sleep(Duration::from_millis(500));
     if trouble {
@@ -370,7 +408,8 @@
         site.store.return_from(copy);
         thread::sleep(Duration::from_millis(500));
         // The runner writes again what it wrote.
-        site.store.put(&runner.key(), &runner.entry(SERVICE, "zone-a", 4));
+        site.store
+            .put(&runner.key(), &runner.entry(SERVICE, "zone-a", 4));
     } else {
         thread::sleep(AWAY);
     }
@@ -420,14 +459,20 @@
     for index in 0..RUNNERS {
         let runner = &site.runners[index];
         runner.is_leaving.store(true, Ordering::Relaxed);
-        site.store.put(&runner.key(), &runner.entry(SERVICE, "zone-a", 2));
+        site.store
+            .put(&runner.key(), &runner.entry(SERVICE, "zone-a", 2));
         thread::sleep(DRAIN + Duration::from_millis(500));
         runner.is_gone.store(true, Ordering::Relaxed);
         site.store.remove(&runner.key());
         record.line("process", &format!("{} has ended", runner.id));
         thread::sleep(RESTART);
-        let id = if trouble { format!("i-{index}") } else { format!("i-{}", RUNNERS + index) };
-        site.add_runner_as(RUNNERS + index, &id).map_err(|error| error.to_string())?;
+        let id = if trouble {
+            format!("i-{index}")
+        } else {
+            format!("i-{}", RUNNERS + index)
+        };
+        site.add_runner_as(RUNNERS + index, &id)
+            .map_err(|error| error.to_string())?;
         record.line("process", &format!("{id} has started"));
         thread::sleep(Duration::from_millis(500));
     }
@@ -460,7 +505,11 @@
     const MAX_ENDS: u32 = 3;
     let mut site = Deployment::start(record, &["zone-a"], VMS, 2)?;
     let body = vec![b'x'; BODY_BYTES];
-    let uploads = if trouble { (USUAL as f64 * BURST).round() as usize } else { USUAL };
+    let uploads = if trouble {
+        (USUAL as f64 * BURST).round() as usize
+    } else {
+        USUAL
+    };
     let duration = Duration::from_secs_f64((uploads * BODY_BYTES) as f64 / LINK_BYTES_PER_SECOND);
     let mut ends = [0_u32; VMS];
     let mut peaks = [0_u64; VMS];
@@ -482,11 +531,17 @@
                             ("Authorization", authorization.as_str()),
                             ("Connection", "close"),
                         ];
-                        record.line("sent", &format!("{attempt} with {BODY_BYTES} bytes through vm-{vm}"));
+                        record.line(
+                            "sent",
+                            &format!("{attempt} with {BODY_BYTES} bytes through vm-{vm}"),
+                        );
                         let timeout = Duration::from_secs(10);
-                        let answer = http::upload(address, "/hold/1", &headers, body, duration, timeout);
+                        let answer =
+                            http::upload(address, "/hold/1", &headers, body, duration, timeout);
                         match answer {
-                            Ok(answer) => record.line("answered", &format!("{attempt} {}", answer.status())),
+                            Ok(answer) => {
+                                record.line("answered", &format!("{attempt} {}", answer.status()))
+                            }
                             Err(error) => {
                                 unanswered.fetch_add(1, Ordering::Relaxed);
                                 record.line("answered", &format!("{attempt} nothing: {error}"));
@@ -499,7 +554,11 @@
                     let memory = site.gateways[vm].memory();
                     peaks[vm] = peaks[vm].max(memory);
                     if memory > MEMORY_BYTES {
-                        let text = format!("vm-{vm} uses {} MB, {} allowed", memory >> 20, MEMORY_BYTES >> 20);
+                        let text = format!(
+                            "vm-{vm} uses {} MB, {} allowed",
+                            memory >> 20,
+                            MEMORY_BYTES >> 20
+                        );
                         record.line("platform", &text);
                         site.gateways[vm].kill();
                         ends[vm] += 1;
@@ -509,7 +568,9 @@
             });
             let unanswered = unanswered.load(Ordering::Relaxed);
             let peak = peaks[vm] >> 20;
-            let text = format!("vm-{vm}: {uploads} uploads, {unanswered} without an answer, at most {peak} MB");
+            let text = format!(
+                "vm-{vm}: {uploads} uploads, {unanswered} without an answer, at most {peak} MB"
+            );
             record.line("counted", &text);
             if site.gateways[vm].memory() == 0 {
                 thread::sleep(RESTART);
@@ -518,7 +579,9 @@
         }
         site.wait_until_ready()?;
     }
-    let text = format!("Fault: the processes ended by themselves {ends:?} times, as they exceeded their memory");
+    let text = format!(
+        "Fault: the processes ended by themselves {ends:?} times, as they exceeded their memory"
+    );
     record.line("counted", &text);
     let is_broken = ends.iter().all(|ends| *ends >= MAX_ENDS);
     Ok(is_broken.then_some(text).into_iter().collect())
--- a/review/standin/gateway.rs
+++ b/review/standin/gateway.rs
@@ -116,7 +116,9 @@
             text = text.replace(&format!("{{{{{name}}}}}"), &value);
         }
         if text.contains("{{") {
-            return Err(io::Error::other("the template has fields that the stand-in lacks"));
+            return Err(io::Error::other(
+                "the template has fields that the stand-in lacks",
+            ));
         }
         let settings = directory.join(format!("edge-{vm}.ini"));
         fs::write(&settings, text)?;
@@ -138,7 +140,10 @@
         let log = match std::env::var_os("LOGS") {
             Some(logs) => {
                 let path = PathBuf::from(logs).join(format!("edge-{}.log", self.vm));
-                let file = fs::OpenOptions::new().create(true).append(true).open(path)?;
+                let file = fs::OpenOptions::new()
+                    .create(true)
+                    .append(true)
+                    .open(path)?;
                 Stdio::from(file)
             }
             None => Stdio::null(),
@@ -159,7 +164,8 @@
         }
         let process = command.spawn()?;
         self.process = Some(process);
-        self.record.line("process", &format!("vm-{} started", self.vm));
+        self.record
+            .line("process", &format!("vm-{} started", self.vm));
         Ok(())
     }
 
@@ -168,7 +174,8 @@
         if let Some(mut process) = self.process.take() {
             let _ = process.kill();
             let _ = process.wait();
-            self.record.line("process", &format!("vm-{} killed", self.vm));
+            self.record
+                .line("process", &format!("vm-{} killed", self.vm));
         }
     }
 
@@ -178,7 +185,8 @@
         let status = id.and_then(|id| fs::read_to_string(format!("/proc/{id}/status")).ok());
         let status = status.unwrap_or_default();
         let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kilobytes = line.and_then(|line| line.trim().strip_suffix(" kB")?.trim().parse::<u64>().ok());
+        let kilobytes =
+            line.and_then(|line| line.trim().strip_suffix(" kB")?.trim().parse::<u64>().ok());
         kilobytes.unwrap_or_default() << 10
     }
 
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -36,7 +36,9 @@
         let target = self.start.get(1).map_or("", String::as_str);
         let query = target.split_once('?').map_or("", |(_, query)| query);
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(known, _)| *known == name).map_or("", |(_, value)| value)
+        pairs
+            .find(|(known, _)| *known == name)
+            .map_or("", |(_, value)| value)
     }
 
     /// Returns the status of a response; 0 if it has none.
@@ -78,7 +80,10 @@
         let Reply::Answer(status, headers, body) = handler(&request) else {
             return Ok(());
         };
-        let mut head = format!("HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n", body.len());
+        let mut head = format!(
+            "HTTP/1.1 {status} Status\r\nContent-Length: {}\r\n",
+            body.len()
+        );
         for (name, value) in headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
@@ -89,7 +94,10 @@
 }
 
 /// Reads a message; `None` at the end of the connection.
-fn read_message(reader: &mut impl BufRead, ends_with_connection: bool) -> io::Result<Option<Message>> {
+fn read_message(
+    reader: &mut impl BufRead,
+    ends_with_connection: bool,
+) -> io::Result<Option<Message>> {
     let mut message = Message::default();
     let mut line = String::new();
     if reader.read_line(&mut line)? == 0 {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -47,7 +47,10 @@
             for entry in &breaks {
                 record.line("broken", entry);
             }
-            record.line("verdict", &format!("the rule was broken {} times", breaks.len()));
+            record.line(
+                "verdict",
+                &format!("the rule was broken {} times", breaks.len()),
+            );
             1
         }
         Err(message) => {
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -63,7 +63,10 @@
                 return Reply::Answer(200, headers, Vec::new());
             }
             if request.header("x-expect-instance") != id {
-                record.line("refused", &format!("{attempt} by {id}: another instance expected"));
+                record.line(
+                    "refused",
+                    &format!("{attempt} by {id}: another instance expected"),
+                );
                 return Reply::Answer(421, headers, Vec::new());
             }
             let tenant = request.header("x-tenant").to_owned();
@@ -71,7 +74,9 @@
             let run = Run {
                 attempt: attempt.clone(),
             };
-            runs.lock().unwrap_or_else(PoisonError::into_inner).push(run);
+            runs.lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .push(run);
             thread::sleep(WORK);
             headers.push(("X-Attempt-Id".to_owned(), attempt.clone()));
             headers.push(("X-Server-Signature".to_owned(), format!("{id}.{attempt}")));
@@ -83,7 +88,10 @@
 
     /// Returns the requests that ran so far.
     pub fn runs(&self) -> Vec<Run> {
-        self.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.runs
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 
     /// Returns its entry in the store.
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -68,10 +68,14 @@
         let (revision, encoded) = (state.content.revision, base64(value.as_bytes()));
         let item = (revision, encoded.clone());
         state.content.items.insert(key.to_owned(), item);
-        state.content.history.push((revision, key.to_owned(), Some(encoded)));
+        state
+            .content
+            .history
+            .push((revision, key.to_owned(), Some(encoded)));
         drop(state);
         self.changed.notify_all();
-        self.record.line("store", &format!("revision {revision}: {key} written"));
+        self.record
+            .line("store", &format!("revision {revision}: {key} written"));
     }
 
     /// Removes an item.
@@ -83,7 +87,8 @@
         state.content.history.push((revision, key.to_owned(), None));
         drop(state);
         self.changed.notify_all();
-        self.record.line("store", &format!("revision {revision}: {key} removed"));
+        self.record
+            .line("store", &format!("revision {revision}: {key} removed"));
     }
 
     /// Returns a copy of the content.
@@ -120,7 +125,8 @@
 
     fn answer(&self, vm: usize, request: &Message) -> Reply {
         if self.lock().is_away {
-            self.record.line("store", &format!("call of vm-{vm} not answered"));
+            self.record
+                .line("store", &format!("call of vm-{vm} not answered"));
             return Reply::Close;
         }
         let prefix = request.query("PathPrefix").to_owned();
@@ -165,7 +171,10 @@
             .map(|(key, (revision, value))| item(key, *revision, Some(value)))
             .collect();
         let (items, at) = (items.join(","), content.revision);
-        self.reply(200, format!("{{\"Items\":[{items}],\"HasMore\":false,\"At\":{at}}}"))
+        self.reply(
+            200,
+            format!("{{\"Items\":[{items}],\"HasMore\":false,\"At\":{at}}}"),
+        )
     }
 
     fn watch(&self, vm: usize, prefix: &str, after: u64, wait: Duration) -> Reply {
@@ -179,12 +188,14 @@
             if after > state.content.revision {
                 let revision = state.content.revision;
                 drop(state);
-                let text = format!("410 to vm-{vm}: watch of {prefix} after {after}, at {revision}");
+                let text =
+                    format!("410 to vm-{vm}: watch of {prefix} after {after}, at {revision}");
                 self.record.line("store", &text);
                 return self.reply(410, String::new());
             }
             let history = state.content.history.iter();
-            let events = history.filter(|(revision, key, _)| *revision > after && key.starts_with(prefix));
+            let events =
+                history.filter(|(revision, key, _)| *revision > after && key.starts_with(prefix));
             let events: Vec<_> = events
                 .map(|(revision, key, value)| item(key, *revision, value.as_ref()))
                 .collect();
@@ -220,7 +231,11 @@
         for index in 0..4 {
             let digit = (group >> (18 - 6 * index)) & 63;
             let is_padding = index > chunk.len();
-            text.push(if is_padding { '=' } else { DIGITS[digit as usize] as char });
+            text.push(if is_padding {
+                '='
+            } else {
+                DIGITS[digit as usize] as char
+            });
         }
     }
     text
