fix(gateway): tell the eras of a restored store apart

Cause: what a VM has of the store was one revision. After the restore the same revision is another point of the history, so a watch from there misses what was written before it; and the known revision could not go back, so a VM stayed ahead of the store, and its messages ahead of its peers, even after a read of the whole list.

Change: a position is an era and a revision. platform/ reads Store-Era of every response, drops responses of an earlier era, and answers a watch from another era as one whose history is gone. Messages between VMs carry the era; builds without it are not compared. The list of a new era undoes nothing that was known: what it lacks may register again for 1.7 s, what had announced its departure is leaving still, and what had left is excluded until its entry is written again or for 6 s. Changes of list entries are compared by their own revisions, and the position of a full list includes the removals before it.

--- a/crates/dispatch/src/listing.rs
+++ b/crates/dispatch/src/listing.rs
@@ -5,6 +5,7 @@
 //! register again.
 
 use {
+    crate::revision::{Position, Revisions},
     base::{Instant, key},
     std::{
         collections::{HashMap, HashSet},
@@ -20,6 +21,12 @@
 const REMOVAL_DELAY: Duration = Duration::from_millis(1_700);
 /// Time after which a notice that a target is leaving expires unless the store confirms it.
 const NOTICE_LIFETIME: Duration = Duration::from_secs(20);
+/// Time for which a departed target is remembered; backups of the store are not older.
+const DEPARTURE_LIFETIME: Duration = Duration::from_secs(60);
+/// Time for which a departed target that is listed again by a restored backup stays excluded.
+///
+/// Without a sign of life, the store removes such an entry after three heartbeats of the target.
+const RESTORED_ENTRY_DELAY: Duration = Duration::from_secs(6);
 
 /// A target as it is registered in the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -72,6 +79,11 @@
     known_history: Duration,
     /// Whether a target left in that time whose release is not known.
     has_unknown_departure: bool,
+    revisions: Revisions,
+    /// Starts of the processes of targets that are gone, with the time of their removal.
+    departed: HashMap<key::Target, (Option<u64>, Instant)>,
+    /// Departed targets that a restored backup lists, with the time until which they are excluded.
+    restored: HashMap<key::Target, Instant>,
 }
 
 /// One change of an entry in the store's history.
@@ -87,9 +99,10 @@
     /// Adds or replaces a target; returns whether anything changed.
     pub fn put(&mut self, target: Target, now: Instant) -> bool {
         self.pending_removals.remove(&target.key);
+        let was_excluded = self.restored.remove(&target.key).is_some();
         let before = self.targets.get(&target.key);
         if before.is_some_and(|before| *before == target) {
-            return false;
+            return was_excluded;
         }
         if before.is_some_and(|before| before.started_ms < target.started_ms) {
             self.leaving_notices.remove(&target.key);
@@ -137,6 +150,71 @@
         changed
     }
 
+    /// Records a change that the store or a peer reports; returns whether it is newer than the known
+    /// one of that target.
+    pub fn record(&mut self, target: key::Target, revision: u64) -> bool {
+        self.revisions.record(target, revision)
+    }
+
+    /// Returns which changes of the store the list has.
+    pub fn revisions(&self) -> &Revisions {
+        &self.revisions
+    }
+
+    /// Advances the revision up to which all changes are known, and that of the last change.
+    pub fn advance(&mut self, revision: u64, last_change: u64) {
+        self.revisions.advance(revision, last_change);
+    }
+
+    /// Replaces the whole list by the one that the store had at `position`, except entries of which
+    /// a newer change is known.
+    ///
+    /// Returns whether anything changed at once.
+    pub fn replace_at(
+        &mut self,
+        position: Position,
+        mut listed: Vec<(u64, Target)>,
+        now: Instant,
+    ) -> bool {
+        if self.has_synced() && position.era > self.revisions.position().era {
+            self.begin_era(&mut listed, now);
+        }
+        let revisions = listed
+            .iter()
+            .map(|(revision, target)| (target.key, *revision));
+        let newer = self.revisions.replace(position, revisions);
+        let targets = listed.into_iter().map(|(_, target)| target);
+        let mut targets: Vec<_> = targets
+            .filter(|target| !newer.contains(&target.key))
+            .collect();
+        let known = newer.iter().filter_map(|key| self.targets.get(key));
+        targets.extend(known.cloned());
+        let restored = std::mem::take(&mut self.restored);
+        let is_changed = self.replace(targets, now);
+        self.restored = restored;
+        is_changed
+    }
+
+    /// Prepares for the list of a store that was restored from a backup.
+    ///
+    /// It may lack targets that register again soon, and have others as they were before they left
+    /// or announced that they would.
+    fn begin_era(&mut self, listed: &mut [(u64, Target)], now: Instant) {
+        let register_end = now + REMOVAL_DELAY;
+        self.immediate_removal_from = self.immediate_removal_from.max(register_end);
+        for (_, target) in listed {
+            let is_same = |started_ms: Option<u64>| started_ms == target.started_ms;
+            if let Some(before) = self.targets.get(&target.key) {
+                target.is_leaving |= before.is_leaving && is_same(before.started_ms);
+            } else if let Some((started_ms, _)) = self.departed.get(&target.key)
+                && is_same(*started_ms)
+            {
+                let end = now + RESTORED_ENTRY_DELAY;
+                self.restored.insert(target.key, end);
+            }
+        }
+    }
+
     /// Returns the time by which removals are delayed at present.
     pub fn removal_delay(&self, now: Instant) -> Duration {
         self.immediate_removal_from.since(now)
@@ -194,6 +272,11 @@
             self.remove_now(key, now);
             changed = true;
         }
+        self.departed
+            .retain(|_, (_, removed)| now.since(*removed) < DEPARTURE_LIFETIME);
+        let before = self.restored.len();
+        self.restored.retain(|_, end| now < *end);
+        changed |= before != self.restored.len();
         changed
     }
 
@@ -247,7 +330,9 @@
 
     /// Returns all known targets, with `is_leaving` set by the store or by a notice.
     pub fn targets(&self) -> impl Iterator<Item = Target> {
-        self.targets.values().map(|target| Target {
+        let included = self.targets.values();
+        let included = included.filter(|target| !self.restored.contains_key(&target.key));
+        included.map(|target| Target {
             is_leaving: target.is_leaving
                 || self.leaving_notices.contains_key(&target.key)
                 || self.announced_leaving.contains(&target.key),
@@ -263,7 +348,9 @@
     fn remove_now(&mut self, target: key::Target, now: Instant) {
         if let Some(removed) = self.targets.remove(&target) {
             self.record_release(&removed, now);
+            self.departed.insert(target, (removed.started_ms, now));
         }
+        self.restored.remove(&target);
         self.pending_removals.remove(&target);
         self.announced_leaving.remove(&target);
     }
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -7,6 +7,7 @@
     crate::{
         Load,
         report::{Report, Summary, TargetLoad},
+        revision::Position,
         waiting::Waiter,
     },
     base::{Instant, key, rendezvous},
@@ -274,12 +275,15 @@
         ranked
     }
 
-    /// Returns the highest revision among the target lists of the live peers.
-    pub fn newest_targets_revision(&self, now: Instant) -> u64 {
-        self.live(now)
-            .map(|(_, report)| report.targets_revision)
-            .max()
-            .unwrap_or_default()
+    /// Returns the newest position among the target lists of the live peers.
+    ///
+    /// Older builds report no era, so what they report is not comparable in an era other than 0.
+    pub fn newest_targets_position(&self, now: Instant) -> Position {
+        let positions = self.live(now).map(|(_, report)| Position {
+            era: report.targets_era,
+            revision: report.targets_revision,
+        });
+        positions.max().unwrap_or_default()
     }
 
     /// Returns all addresses that reports are sent to.
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -129,6 +129,9 @@
     /// Rate of the sender's link in Mbit/s; 0 if it is not known.
     #[prost(uint32, tag = "17")]
     pub link_mbps: u32,
+    /// Era of the store that `targets_revision` belongs to; 0 if it is not known.
+    #[prost(uint64, tag = "18")]
+    pub targets_era: u64,
 }
 
 /// A request that is queued at a VM; ages replace times, as the VMs' clocks differ.
@@ -275,6 +278,9 @@
     /// Milliseconds by which removals are delayed; 0 unless the store was unavailable recently.
     #[prost(uint32, tag = "4")]
     pub removal_delay_ms: u32,
+    /// Era of the store that the revisions belong to; 0 if it is not known.
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
 }
 
 impl Changes {
@@ -304,6 +310,7 @@
                 to: entry.revision,
                 entries: vec![entry],
                 removal_delay_ms: self.removal_delay_ms,
+                era: self.era,
             });
         }
         // Without entries, the revision alone has advanced.
--- /dev/null
+++ b/crates/dispatch/src/revision.rs
@@ -0,0 +1,89 @@
+//! Which changes of the store a VM has.
+//!
+//! Changes arrive from the store and from peers, in any order and more than once, so each entry is
+//! compared by itself.
+
+use {base::key, std::collections::HashMap};
+
+/// A point in the store's history.
+///
+/// Revisions are only comparable within an era: a store that was restored from a backup begins a
+/// new one, goes back and assigns the same revisions to other changes.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Position {
+    /// Number of times that the history has begun anew; 0 if the store doesn't report it.
+    pub era: u64,
+    /// Revision of the store within the era.
+    pub revision: u64,
+}
+
+/// The newest known change of each entry.
+#[derive(Debug, Default)]
+pub struct Revisions {
+    /// Point up to which all changes are known.
+    position: Position,
+    /// Revision of the last change.
+    last_change: u64,
+    /// Revision of the newest change of each entry, which may have removed it.
+    changes: HashMap<key::Target, u64>,
+}
+
+impl Revisions {
+    /// Returns the point up to which all changes are known.
+    pub fn position(&self) -> Position {
+        self.position
+    }
+
+    /// Returns the revision of the last change, with its era.
+    pub fn last_change(&self) -> Position {
+        Position {
+            era: self.position.era,
+            revision: self.last_change,
+        }
+    }
+
+    /// Records a change of an entry; returns whether it is newer than the known one.
+    ///
+    /// A change without a revision always is.
+    pub fn record(&mut self, target: key::Target, revision: u64) -> bool {
+        let known = self.changes.get(&target);
+        if revision > 0 && known.is_some_and(|known| *known >= revision) {
+            return false;
+        }
+        self.changes.insert(target, revision);
+        true
+    }
+
+    /// Advances the point up to which all changes are known, and the revision of the last change.
+    pub fn advance(&mut self, revision: u64, last_change: u64) {
+        self.last_change = self.last_change.max(last_change);
+        self.position.revision = self.position.revision.max(revision).max(last_change);
+    }
+
+    /// Replaces everything by a full list that was read at `position`.
+    ///
+    /// Returns the entries of which a change is known that is newer than the list: those it lacks
+    /// or has in an older state.
+    pub fn replace(
+        &mut self,
+        position: Position,
+        listed: impl Iterator<Item = (key::Target, u64)>,
+    ) -> Vec<key::Target> {
+        if position.era != self.position.era {
+            *self = Self::default();
+        }
+        let listed: HashMap<_, _> = listed.collect();
+        self.changes.retain(|target, known| {
+            let in_list = listed.get(target).copied().unwrap_or(position.revision);
+            *known > in_list
+        });
+        let newer = self.changes.keys().copied().collect();
+        for (target, revision) in listed {
+            self.record(target, revision);
+        }
+        self.position.era = position.era;
+        // The list contains all changes up to its position, also those that have removed an entry.
+        self.advance(position.revision, position.revision);
+        newer
+    }
+}
--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -215,12 +215,13 @@
         to: 500,
         entries: entries.clone(),
         removal_delay_ms: 7,
+        era: 3,
     };
     let parts = changes.split();
     assert!(parts.len() > 5);
     let mut from = 90;
     for part in &parts {
-        assert_eq!((part.from, part.removal_delay_ms), (from, 7));
+        assert_eq!((part.from, part.removal_delay_ms, part.era), (from, 7, 3));
         from = part.to;
         let datagram = Datagram {
             changes: Some(part.clone()),
--- a/crates/fakes/src/site/store.rs
+++ b/crates/fakes/src/site/store.rs
@@ -32,8 +32,9 @@
     SilentWatches,
 }
 
-#[derive(Debug, Default)]
-struct State {
+/// What the store holds; a copy of it is a backup.
+#[derive(Clone, Debug, Default)]
+pub struct Content {
     revision: u64,
     /// Revision and Base64 value by key.
     items: BTreeMap<String, (u64, String)>,
@@ -41,6 +42,13 @@
     history: Vec<(u64, String, Option<String>)>,
     /// Revision up to which the history has been dropped.
     compacted: u64,
+}
+
+#[derive(Debug)]
+struct State {
+    content: Content,
+    /// Increases with each restored backup.
+    era: u64,
     mode: Mode,
     request_count: u64,
 }
@@ -63,7 +71,12 @@
     pub fn start(address: SocketAddr) -> io::Result<Self> {
         let listener = smol::block_on(TcpListener::bind(address))?;
         let address = listener.local_addr()?;
-        let state = Arc::new(Mutex::new(State::default()));
+        let state = Arc::new(Mutex::new(State {
+            content: Content::default(),
+            era: 1,
+            mode: Mode::Normal,
+            request_count: 0,
+        }));
         let changed = Arc::new(Signal::default());
         let (handler_state, handler_changed) = (Arc::clone(&state), Arc::clone(&changed));
         let server = http::serve(listener, move |request| {
@@ -84,12 +97,15 @@
     /// Writes an item and notifies watches.
     pub fn put(&self, key: &str, value: &str) {
         let mut state = lock(&self.state);
-        state.revision += 1;
-        let (revision, value) = (state.revision, STANDARD.encode(value));
-        state
+        let content = &mut state.content;
+        content.revision += 1;
+        let (revision, value) = (content.revision, STANDARD.encode(value));
+        content
             .items
             .insert(key.to_owned(), (revision, value.clone()));
-        state.history.push((revision, key.to_owned(), Some(value)));
+        content
+            .history
+            .push((revision, key.to_owned(), Some(value)));
         drop(state);
         self.changed.notify();
     }
@@ -97,19 +113,37 @@
     /// Removes an item and notifies watches.
     pub fn remove(&self, key: &str) {
         let mut state = lock(&self.state);
-        state.revision += 1;
-        let revision = state.revision;
-        state.items.remove(key);
-        state.history.push((revision, key.to_owned(), None));
+        let content = &mut state.content;
+        content.revision += 1;
+        content.items.remove(key);
+        let removal = (content.revision, key.to_owned(), None);
+        content.history.push(removal);
         drop(state);
         self.changed.notify();
     }
 
     /// Drops the history, so that watches from an earlier revision fail with 410.
     pub fn compact(&self) {
+        let content = &mut lock(&self.state).content;
+        content.compacted = content.revision;
+        content.history.clear();
+    }
+
+    /// Returns a backup of what the store holds.
+    pub fn backup(&self) -> Content {
+        lock(&self.state).content.clone()
+    }
+
+    /// Replaces everything by a backup, which begins a new era, and accepts requests again.
+    ///
+    /// Pending watches are cut.
+    pub fn restore(&self, backup: Content) {
         let mut state = lock(&self.state);
-        state.compacted = state.revision;
-        state.history.clear();
+        state.content = backup;
+        state.era += 1;
+        state.mode = Mode::Normal;
+        drop(state);
+        self.changed.notify();
     }
 
     /// Sets how requests are handled; of the modes, pending watches only obey `Unresponsive`.
@@ -125,8 +159,18 @@
 }
 
 async fn handle(state: Arc<Mutex<State>>, changed: Arc<Signal>, request: Request) -> HandlerResult {
+    let era = lock(&state).era;
+    let mut response = answer(&state, &changed, &request).await?;
+    if lock(&state).era != era {
+        return Err(io::Error::other("the store was restored meanwhile"));
+    }
+    response.headers_mut().insert("store-era", era.into());
+    Ok(response)
+}
+
+async fn answer(state: &Mutex<State>, changed: &Signal, request: &Request) -> HandlerResult {
     let mode = {
-        let mut state = lock(&state);
+        let mut state = lock(state);
         state.request_count += 1;
         state.mode
     };
@@ -141,36 +185,36 @@
         value.unwrap_or_default().to_owned()
     };
     match &*request.path {
-        "/v1/kv-key" => Ok(read(&lock(&state), &query_text("Key"))),
-        "/v1/kv-range" => Ok(list(&lock(&state), &query_text("PathPrefix"))),
+        "/v1/kv-key" => Ok(read(&lock(state).content, &query_text("Key"))),
+        "/v1/kv-range" => Ok(list(&lock(state).content, &query_text("PathPrefix"))),
         "/v1/kv-watch" => {
             let after = request.query_number("After").unwrap_or_default();
             let timeout = Duration::from_millis(request.query_number("WaitMs").unwrap_or_default());
-            Ok(watch(&state, &changed, &query_text("PathPrefix"), after, timeout).await)
+            Ok(watch(state, changed, &query_text("PathPrefix"), after, timeout).await)
         }
         _ => Ok(http::text(StatusCode::NOT_FOUND, "no such call")),
     }
 }
 
-fn read(state: &State, key: &str) -> hyper::Response<http::Body> {
-    let Some((revision, value)) = state.items.get(key) else {
+fn read(content: &Content, key: &str) -> hyper::Response<http::Body> {
+    let Some((revision, value)) = content.items.get(key) else {
         return http::text(StatusCode::NOT_FOUND, "no such item");
     };
     http::json(&json!({
         "Key": key, "Value": value, "Revision": revision, "Created": revision, "Lease": 0,
-        "At": state.revision,
+        "At": content.revision,
     }))
 }
 
-fn list(state: &State, prefix: &str) -> hyper::Response<http::Body> {
-    let items = state
+fn list(content: &Content, prefix: &str) -> hyper::Response<http::Body> {
+    let items = content
         .items
         .iter()
         .filter(|(key, _)| key.starts_with(prefix));
     let items: Vec<_> = items
         .map(|(key, (revision, value))| item_json(*revision, key, Some(value)))
         .collect();
-    http::json(&json!({"Items": items, "HasMore": false, "At": state.revision}))
+    http::json(&json!({"Items": items, "HasMore": false, "At": content.revision}))
 }
 
 /// Waits for changes after a revision, or for the timeout.
@@ -182,6 +226,7 @@
     timeout: Duration,
 ) -> hyper::Response<http::Body> {
     let deadline = Instant::now() + timeout;
+    let era = lock(state).era;
     loop {
         let waiter = changed.waiter();
         if lock(state).mode == Mode::Unresponsive {
@@ -189,21 +234,23 @@
         }
         {
             let state = lock(state);
+            let content = &state.content;
             let is_silent = state.mode == Mode::SilentWatches;
             if is_silent && Instant::now() >= deadline {
                 return http::json(&json!({"events": [], "At": after}));
             }
-            if after < state.compacted {
+            let is_missing = after < content.compacted || after > content.revision;
+            if is_missing || state.era != era {
                 return http::text(StatusCode::GONE, "no such history");
             }
-            let events: Vec<_> = state
+            let events: Vec<_> = content
                 .history
                 .iter()
                 .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix))
                 .map(|(revision, key, value)| item_json(*revision, key, value.as_ref()))
                 .collect();
             if !is_silent && !events.is_empty() || Instant::now() >= deadline {
-                return http::json(&json!({"events": events, "At": state.revision}));
+                return http::json(&json!({"events": events, "At": content.revision}));
             }
         }
         waiter
--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -35,7 +35,7 @@
 /// If a response of the store is lost, its connection stays silent, so each watch has a short
 /// timeout.
 pub async fn watch(shared: Arc<Shared>, store: Arc<Store>) {
-    // Revision of the store to watch from, and the version that was in force there.
+    // Position of the store to watch from, and the version that was in force there.
     let mut known = None;
     let mut is_unreachable = false;
     let mut backoff = Backoff::default();
@@ -47,14 +47,14 @@
             Timer::after(CHECK_INTERVAL).await;
             continue;
         }
-        // The history since an older revision contains all versions that peers have sent meanwhile.
-        let revision = known.filter(|(_, then)| *then == version);
-        let reading = match revision {
+        // The history since an older position contains all versions that peers have sent meanwhile.
+        let after = known.filter(|(_, then)| *then == version);
+        let reading = match after {
             None => store.configuration().await,
-            Some((revision, _)) => {
+            Some((position, _)) => {
                 let plain_bytes = shared.current.size_bytes();
                 store
-                    .watch_configuration(revision, WATCH_TIMEOUT, plain_bytes)
+                    .watch_configuration(position, WATCH_TIMEOUT, plain_bytes)
                     .await
             }
         };
@@ -69,17 +69,17 @@
                 if std::mem::take(&mut is_unreachable) {
                     log::info!(target: "store", of = "configuration"; "the store is reachable again");
                 }
-                let is_known = response.value.is_some() || revision.is_some();
+                let is_known = response.value.is_some() || after.is_some();
                 // Changes gather while a large version is read.
                 let mut elapsed = Duration::ZERO;
                 if let Some(snapshot) = response.value {
                     apply(&shared, snapshot, STORE_SOURCE).await;
                     elapsed = shared.now().since(began);
                 }
-                known = is_known.then(|| (response.revision, shared.current.version()));
+                known = is_known.then(|| (response.position, shared.current.version()));
                 Timer::after(MIN_WATCH_INTERVAL.saturating_sub(elapsed)).await;
             }
-            Err(failure @ (Failure::Compacted | Failure::TooLong)) if revision.is_some() => {
+            Err(failure @ (Failure::Compacted | Failure::TooLong)) if after.is_some() => {
                 log::info!(target: "store", of = "configuration", reason:% = failure; "reading the value instead of its history");
                 known = None;
             }
@@ -203,9 +203,9 @@
 async fn decode_reading(reading: Reading) -> Result<Versioned<Option<Snapshot>>, Failure> {
     let is_large = reading.len() > LARGE_BYTES;
     let decode = move || {
-        let Versioned { revision, value } = reading.decode()?;
+        let Versioned { position, value } = reading.decode()?;
         let value = value.map(encode_published).transpose()?;
-        Ok(Versioned { revision, value })
+        Ok(Versioned { position, value })
     };
     run_off_thread(is_large, decode).await
 }
--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -11,6 +11,7 @@
     },
     base::key,
     dispatch::{
+        Position,
         listing::{Past, Target},
         peers::WatchRole,
         report::{Changes, Description, Entry},
@@ -70,7 +71,7 @@
             store.targets(&mut listing).await
         } else if role.is_some() {
             store
-                .watch_targets(shared.directory.known_revision(), WATCH_TIMEOUT)
+                .watch_targets(shared.directory.known_position(), WATCH_TIMEOUT)
                 .await
         } else {
             let is_behind = is_behind(&shared);
@@ -83,7 +84,7 @@
             }
             was_behind = false;
             store
-                .watch_targets(shared.directory.known_revision(), CATCH_UP_TIMEOUT)
+                .watch_targets(shared.directory.known_position(), CATCH_UP_TIMEOUT)
                 .await
         };
         match response {
@@ -92,7 +93,7 @@
                 mark_store_reachable(&shared);
                 if !shared.directory.has_list() {
                     let history =
-                        read_history(Arc::clone(&shared), Arc::clone(&store), response.revision);
+                        read_history(Arc::clone(&shared), Arc::clone(&store), response.position);
                     shared.runtime.spawn(history).detach();
                 }
                 let changes = apply_response(&shared, response, !has_history);
@@ -121,14 +122,14 @@
 
 /// Reads which targets left before this process started, once a request needs it: a stream that a
 /// client resumes may have begun at one of them.
-async fn read_history(shared: Arc<Shared>, store: Arc<Store>, revision: u64) {
+async fn read_history(shared: Arc<Shared>, store: Arc<Store>, position: Position) {
     let duration = shared.settings.load().platform.history;
     let started = shared.now();
     shared.history.wait_for_request().await;
     while shared.now().since(started) < duration {
-        match store.targets_history(revision).await {
+        match store.targets_history(position).await {
             Ok(changes) => {
-                log::info!(target: "store", of = "targets", changes = changes.len(), revision; "read the history of the targets");
+                log::info!(target: "store", of = "targets", changes = changes.len(), era = position.era, revision = position.revision; "read the history of the targets");
                 let past = changes.into_iter().map(into_past).collect();
                 let now = shared.now();
                 // The history has moved on since the list was read.
@@ -164,7 +165,11 @@
         let waiting = shared.confirmation.next().await;
         match store.targets(&mut store::Listing::default()).await {
             Ok(response) => {
-                let mut listed = response.value.into_iter().filter_map(into_target);
+                let mut listed = response
+                    .value
+                    .into_iter()
+                    .filter_map(into_target)
+                    .map(|(_, target)| target);
                 match listed.find(|target| !shared.directory.has_release(target)) {
                     None => waiting.confirm(),
                     Some(missed) => {
@@ -190,38 +195,39 @@
 
 /// Applies changes that a peer has read from the store.
 pub fn apply_changes(shared: &Shared, changes: &Changes) {
-    let known = shared.directory.known_revision();
-    if known < changes.from || known >= changes.to {
+    let known = shared.directory.known_position();
+    // Older builds don't send the era.
+    let is_same_era = changes.era == 0 || changes.era == known.era;
+    if !is_same_era || known.revision < changes.from || known.revision >= changes.to {
         return;
     }
     let now = shared.now();
     let removal_delay = Duration::from_millis(changes.removal_delay_ms.into());
     shared.directory.update(|listing| {
         let mut is_changed = false;
-        for entry in changes
-            .entries
-            .iter()
-            .filter(|entry| entry.revision > known)
-        {
+        for entry in &changes.entries {
             let key = key::Target::from_raw(entry.target);
+            if !listing.record(key, entry.revision) {
+                continue;
+            }
             is_changed |= match &entry.description {
                 Some(description) => listing.put(decode_target(key, description), now),
                 None => listing.remove(key, removal_delay, now),
             };
         }
+        listing.advance(changes.to, changes.to);
         is_changed
     });
     log::info!(
         target: "target", revision = changes.to, changes = changes.entries.len();
         "applied target changes received from a peer"
     );
-    shared.directory.advance_revisions(changes.to, changes.to);
 }
 
-/// Returns whether a peer knows a newer revision of the list.
+/// Returns whether a peer knows a newer state of the list.
 fn is_behind(shared: &Shared) -> bool {
-    let newest = shared.fleet.peers().newest_targets_revision(shared.now());
-    newest > shared.directory.known_revision()
+    let newest = shared.fleet.peers().newest_targets_position(shared.now());
+    newest > shared.directory.known_position()
 }
 
 fn mark_store_unreachable(shared: &Shared, failure: &Failure) {
@@ -251,44 +257,43 @@
     response: Versioned<Vec<Change>>,
     is_full_list: bool,
 ) -> Option<Changes> {
+    if is_full_list {
+        replace_list(shared, response);
+        return None;
+    }
     let now = shared.now();
-    let from = shared.directory.changed_revision();
-    let last_revision = response
-        .value
-        .iter()
-        .map(|change| change.revision)
-        .max()
-        .unwrap_or_default();
+    let Position { era, revision } = response.position;
+    let from = shared.directory.changed_position().revision;
+    let to = response.value.iter().map(|change| change.revision).max();
+    let to = to.unwrap_or_default();
     let mut changes = Changes {
         from,
-        to: last_revision,
+        to,
+        era,
         ..Changes::default()
     };
     shared.directory.update(|listing| {
-        if is_full_list {
-            let targets = response.value.into_iter().filter_map(into_target).collect();
-            return listing.replace(targets, now);
-        }
         let removal_delay = listing.removal_delay(now);
         changes.removal_delay_ms = removal_delay.as_millis() as u32;
         let mut is_changed = false;
         for change in response.value {
+            let is_news = listing.record(change.key(), change.revision);
             let (entry, is_change) = match change.kind {
                 Kind::Put(target) => {
                     let entry = encode_entry(change.revision, &target);
                     let (key, is_leaving) = (target.key, target.is_leaving);
-                    let is_change = listing.put(target, now);
+                    let is_change = is_news && listing.put(target, now);
                     log::info!(target: "target", target_key:% = key, is_leaving, revision = change.revision, is_change; "target listed by the store");
                     (entry, is_change)
                 }
                 Kind::Removed(key) => {
-                    let is_change = listing.remove(key, removal_delay, now);
+                    let is_change = is_news && listing.remove(key, removal_delay, now);
                     log::info!(target: "target", target_key:% = key, revision = change.revision, at_once = is_change; "target removed from the store");
                     (encode_removal(change.revision, key), is_change)
                 }
                 // Such an entry names no target, even if it did before.
                 Kind::Invalid(key, error) => {
-                    let is_change = listing.remove(key, removal_delay, now);
+                    let is_change = is_news && listing.remove(key, removal_delay, now);
                     log::warn!(target: "target", target_key:% = key, revision = change.revision, at_once = is_change, error:% = error; "failed to parse a target's entry in the store");
                     (encode_removal(change.revision, key), is_change)
                 }
@@ -296,17 +301,30 @@
             changes.entries.push(entry);
             is_changed |= is_change;
         }
+        listing.advance(revision, to);
         is_changed
     });
+    (to > from).then_some(changes)
+}
+
+/// Applies the full list that the store had at a position.
+fn replace_list(shared: &Shared, response: Versioned<Vec<Change>>) {
+    let now = shared.now();
+    let position = response.position;
+    let before = shared.directory.known_position();
+    if shared.directory.has_list() && position.era != before.era {
+        log::warn!(target: "store", of = "targets", era = position.era, revision = position.revision, era_before = before.era, revision_before = before.revision; "the store has begun a new history");
+    }
+    let listed = response.value.into_iter().filter_map(into_target).collect();
     shared
         .directory
-        .advance_revisions(response.revision, last_revision);
-    (!is_full_list && last_revision > from).then_some(changes)
+        .update(|listing| listing.replace_at(position, listed, now));
 }
 
-fn into_target(change: Change) -> Option<Target> {
+/// Returns the target that a change lists, with the change's revision.
+fn into_target(change: Change) -> Option<(u64, Target)> {
     match change.kind {
-        Kind::Put(target) => Some(target),
+        Kind::Put(target) => Some((change.revision, target)),
         Kind::Removed(_) => None,
         Kind::Invalid(key, error) => {
             log::warn!(target: "target", target_key:% = key, error:% = error; "failed to parse a target's entry in the store");
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -290,6 +290,7 @@
 
 /// Builds a report; `round` selects the peers that it introduces.
 fn build_report(shared: &Shared, round: u64) -> Datagram {
+    let changed = shared.directory.changed_position();
     let report = Report {
         address: shared.fleet.own_address().into(),
         incarnation: shared.fleet.incarnation(),
@@ -298,7 +299,8 @@
         configuration_bytes: shared.current.size_bytes(),
         configuration_transfer_bytes: shared.current.deflated_bytes(),
         link_mbps: shared.fleet.link_mbps(),
-        targets_revision: shared.directory.changed_revision(),
+        targets_revision: changed.revision,
+        targets_era: changed.era,
         loads: local_loads(shared),
         leaving: shared
             .directory
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -49,6 +49,7 @@
     duration: Histogram<f64>,
     in_flight: Gauge<u64>,
     versions: Versions,
+    history: History,
     ready: Gauge<u64>,
     vms: Gauge<u64>,
     origins: Gauge<u64>,
@@ -104,6 +105,37 @@
     }
 }
 
+/// Instruments that show up to where a VM has the store's history.
+#[derive(Debug)]
+struct History {
+    era: Gauge<u64>,
+    revision: Gauge<u64>,
+}
+
+impl History {
+    fn new(meter: &Meter) -> Self {
+        let gauge = |name: &'static str, description: &'static str| {
+            meter.u64_gauge(name).with_description(description).build()
+        };
+        Self {
+            era: gauge(
+                "mastictrail.gateway.store.era",
+                "Era of the store that the list of targets is from",
+            ),
+            revision: gauge(
+                "mastictrail.gateway.store.revision",
+                "Revision of the store up to which the list of targets has all changes",
+            ),
+        }
+    }
+
+    fn record(&self, shared: &Shared) {
+        let position = shared.directory.known_position();
+        self.era.record(position.era, &[]);
+        self.revision.record(position.revision, &[]);
+    }
+}
+
 impl Metrics {
     /// Creates the instruments; `vm` identifies this instance.
     ///
@@ -163,6 +195,7 @@
             ),
             in_flight: gauge("mastictrail.gateway.in_flight", "Requests in progress"),
             versions: Versions::new(&meter),
+            history: History::new(&meter),
             ready: gauge("mastictrail.gateway.ready", "1 if new connections may come"),
             vms: gauge(
                 "mastictrail.gateway.vms",
@@ -250,6 +283,7 @@
     pub fn encode(&self, shared: &Shared) -> Result<Vec<u8>, Error> {
         self.in_flight.record(shared.drain.in_flight() as u64, &[]);
         self.versions.record(shared);
+        self.history.record(shared);
         self.ready.record(shared.is_ready().into(), &[]);
         self.vms
             .record(shared.fleet.live_vms(shared.now()) as u64, &[]);
--- a/crates/gateway/src/targets/client.rs
+++ b/crates/gateway/src/targets/client.rs
@@ -400,7 +400,12 @@
                 Shortfall::TooLong => store::Failure::TooLong,
                 Shortfall::Failed(failure) => store::Failure::Unavailable(failure.message),
             })?;
-            Ok((response.status(), response.into_body()))
+            let (head, body) = response.into_parts();
+            Ok(store::Response {
+                status: head.status,
+                headers: head.headers,
+                body,
+            })
         })
     }
 }
--- a/crates/gateway/src/targets/directory.rs
+++ b/crates/gateway/src/targets/directory.rs
@@ -3,12 +3,12 @@
 use {
     arc_swap::ArcSwap,
     base::{Instant, key},
-    dispatch::{Listing, listing::Target},
+    dispatch::{Listing, Position, listing::Target},
     std::{
         collections::HashMap,
         sync::{
-            Arc, Mutex, PoisonError,
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, Ordering},
         },
         time::Duration,
     },
@@ -23,10 +23,6 @@
     listing: Mutex<Listing>,
     by_service: ArcSwap<ByService>,
     has_list: AtomicBool,
-    /// Store revision up to which all changes are known.
-    known_revision: AtomicU64,
-    /// Store revision of the last change.
-    changed_revision: AtomicU64,
 }
 
 impl Directory {
@@ -81,8 +77,7 @@
     /// Returns whether the targets of a service are known to have run one release only for the last
     /// `window`.
     pub fn has_one_release(&self, service: key::Service, window: Duration, now: Instant) -> bool {
-        let listing = self.listing.lock().unwrap_or_else(PoisonError::into_inner);
-        listing.only_release(service, window, now).is_some()
+        self.listing().only_release(service, window, now).is_some()
     }
 
     /// Returns whether a listed target is known with its release.
@@ -96,26 +91,23 @@
         self.has_list.load(Ordering::Acquire)
     }
 
-    /// Returns the store revision up to which all changes are known.
-    pub fn known_revision(&self) -> u64 {
-        self.known_revision.load(Ordering::Relaxed)
+    /// Returns the position of the store up to which all changes are known.
+    pub fn known_position(&self) -> Position {
+        self.listing().revisions().position()
     }
 
-    /// Returns the store revision of the last change.
-    pub fn changed_revision(&self) -> u64 {
-        self.changed_revision.load(Ordering::Relaxed)
+    /// Returns the position of the last change.
+    pub fn changed_position(&self) -> Position {
+        self.listing().revisions().last_change()
     }
 
-    /// Advances the known revision and the revision of the last change.
-    pub fn advance_revisions(&self, known: u64, changed: u64) {
-        self.known_revision
-            .fetch_max(known.max(changed), Ordering::Relaxed);
-        self.changed_revision.fetch_max(changed, Ordering::Relaxed);
+    fn listing(&self) -> MutexGuard<'_, Listing> {
+        self.listing.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Applies `change`, which returns whether it changed the list; returns the same.
     pub fn update(&self, change: impl FnOnce(&mut Listing) -> bool) -> bool {
-        let mut listing = self.listing.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut listing = self.listing();
         if !change(&mut listing) {
             return false;
         }
