fix(gateway): take over the watch of the store soon after all watchers are lost

Cause: a VM that does not watch takes silence for no changes, and counts a silent peer as a watcher for 5 s, longer than a version may take. Where all watchers are lost at once, nobody reads the store until they are back. The same holds for the list of targets.

Change: VMs that watch announce it to their data centre every 250 ms, 400 ms in a large fleet. Where announcements stop, the next VMs of the ranking take over one after the other, reading changes from where the announcements have shown that nothing was newer. Watchers without a response of the store for 1.5 s get two more VMs beside them.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,10 +23,12 @@
 pub mod request;
 pub mod revision;
 pub mod waiting;
+pub mod watch;
 
 pub use {
     budget::Budget, configuration::Configuration, drain::Drain, duration::Durations,
     frame::Splitter, length::Lengths, limit::Limits, listing::Listing, load::Load, origin::Origins,
     peers::Peers, placement::Placement, quarantine::Quarantine, reach::Reach,
     replication::Replication, request::Generation, revision::Position, waiting::Queues,
+    watch::Watches,
 };
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -6,11 +6,13 @@
 use {
     crate::{
         Load,
-        report::{Report, Summary, TargetLoad},
+        report::{Report, Summary, TargetLoad, Watch},
         revision::Position,
         waiting::Waiter,
+        watch::Watches,
     },
     base::{Instant, key, rendezvous},
+    derive_more::Display,
     std::{
         collections::{HashMap, HashSet},
         net::Ipv4Addr,
@@ -66,17 +68,26 @@
     summaries: HashMap<u64, SummarizedLoad>,
     /// When the latest report of any peer was received.
     last_received: Instant,
+    watches: Watches,
 }
 
 /// Role of a VM that watches the store on behalf of all.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[display(rename_all = "snake_case")]
 pub enum WatchRole {
     /// Reads each change at once.
     Primary,
     /// Watches at longer intervals and reads what the primary missed.
     Standby,
+    /// Watches because the regular watchers of the data centre have fallen silent.
+    Substitute,
+    /// Watches because those watchers get no response of the store.
+    Auxiliary,
 }
 
+/// Number of VMs up to which a fleet is small: each VM is sent every change of the others' load.
+pub const MAX_SMALL_FLEET: usize = 40;
+
 /// A newer configuration that a peer has.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Offer {
@@ -168,6 +179,13 @@
             .retain(|_, peer| now.since(peer.received) < ADDRESS_LIFETIME);
         self.introduced
             .retain(|_, introduced| now.since(*introduced) < ADDRESS_LIFETIME);
+        self.watches.expire(ADDRESS_LIFETIME, now);
+    }
+
+    /// Processes an announcement of a VM that watches the store; returns whether it is newer than
+    /// the last one of its sender.
+    pub fn receive_watch(&mut self, watch: Watch, own: Ipv4Addr, now: Instant) -> bool {
+        Ipv4Addr::from(watch.address) != own && self.watches.receive(watch, now)
     }
 
     /// Returns the peers whose last report is recent.
@@ -191,7 +209,8 @@
     /// A VM that receives no reports always watches. Otherwise at least `count` watchers are chosen
     /// among the VMs that reach the store, or among all if none does. They are chosen evenly from
     /// the data centres, so that one that is cut off has watchers of its own, and there from the
-    /// VMs with the fastest links, which pass large values on soon.
+    /// VMs with the fastest links, which pass large values on soon. If these no longer announce
+    /// that they watch, others do as well.
     pub fn watch_role(
         &self,
         own: Candidate,
@@ -220,8 +239,14 @@
         let data_centres: HashSet<_> = candidates.iter().map(|other| other.data_centre).collect();
         let per_data_centre = count.div_ceil(data_centres.len());
         let is_local = |other: &Candidate| other.data_centre == own.data_centre;
-        if ranking.rank(own, is_local) >= per_data_centre {
-            return None;
+        let rank = ranking.rank(own, is_local);
+        if rank >= per_data_centre {
+            let is_senior = |address| ranking.is_before(address, own);
+            let is_large_fleet = candidates.len() > MAX_SMALL_FLEET;
+            let excess = rank - per_data_centre;
+            return self
+                .watches
+                .role(own.data_centre, is_senior, excess, is_large_fleet, now);
         }
         // A build that reports no link ranks the VMs otherwise, and may leave the first rank to one
         // that is none of the watchers here.
@@ -486,6 +511,13 @@
         others.filter(|other| self.key(other) > own).count()
     }
 
+    /// Returns whether a VM comes before `own`; one that is no candidate does.
+    fn is_before(&self, address: Ipv4Addr, own: Candidate) -> bool {
+        let mut candidates = self.candidates.iter();
+        let candidate = candidates.find(|candidate| candidate.address == address);
+        candidate.is_none_or(|candidate| self.key(candidate) > self.key(&own))
+    }
+
     fn key(&self, candidate: &Candidate) -> (bool, u64, u64) {
         let fastest = self.fastest.get(&candidate.data_centre).copied();
         let link = candidate.link_mbps.saturating_mul(FAST_LINK_FACTOR);
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -134,6 +134,36 @@
     pub targets_era: u64,
 }
 
+/// Announcement of a VM that watches the store, to the VMs of its data centre.
+#[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
+pub struct Watch {
+    /// IPv4 address of the sender.
+    #[prost(fixed32, tag = "1")]
+    pub address: u32,
+    /// Random number that the sender's process draws at its start.
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    /// Sequence number of the announcement, of the same sequence as the reports'.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// Hash of the name of the sender's data centre.
+    #[prost(fixed64, tag = "4")]
+    pub data_centre: u64,
+    /// Milliseconds since the store last responded to the sender, of two watches the older one.
+    #[prost(uint32, tag = "5")]
+    pub response_age_ms: u32,
+    /// Version of the sender's configuration.
+    #[prost(uint64, tag = "6")]
+    pub configuration_version: u64,
+    /// Era and revision of the store at which the sender last found no newer configuration; 0 if
+    /// it doesn't know.
+    #[prost(uint64, tag = "7")]
+    pub configuration_era: u64,
+    /// See `configuration_era`.
+    #[prost(uint64, tag = "8")]
+    pub configuration_revision: u64,
+}
+
 /// A request that is queued at a VM; ages replace times, as the VMs' clocks differ.
 #[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
 pub struct QueuedRequest {
@@ -618,4 +648,7 @@
     /// Limits that targets have named.
     #[prost(message, optional, tag = "6")]
     pub limits: Option<Limits>,
+    /// That the sender watches the store.
+    #[prost(message, optional, tag = "7")]
+    pub watch: Option<Watch>,
 }
--- /dev/null
+++ b/crates/dispatch/src/watch.rs
@@ -0,0 +1,113 @@
+//! Whether the VMs that watch the store on behalf of all still do.
+//!
+//! To a VM that doesn't watch, "no changes" and "nobody watches" look the same, and a configuration
+//! must be in force everywhere sooner than a silent peer counts as gone. So the VMs that watch
+//! announce it to their data centre at short intervals. Where the announcements stop, other VMs
+//! take over one after the other, so that a loss of all watchers doesn't make all VMs read at once.
+
+use {
+    crate::{peers::WatchRole, report},
+    base::Instant,
+    std::{collections::HashMap, net::Ipv4Addr, time::Duration},
+};
+
+/// Interval between two announcements of a VM in a small fleet.
+const INTERVAL: Duration = Duration::from_millis(250);
+/// The same in a large fleet, where bounds are longer and each announcement has more receivers.
+const LARGE_FLEET_INTERVAL: Duration = Duration::from_millis(400);
+/// Intervals without an announcement after which a VM no longer counts as watching: two may be lost.
+const MAX_SILENT_INTERVALS: f64 = 3.3;
+/// Maximum age of a watcher's last response of the store.
+///
+/// The store responds at the end of each watch at the latest, and the next one follows soon.
+const MAX_RESPONSE_AGE: Duration = Duration::from_millis(1_500);
+/// Time from the start of the process in which the other VMs' watches may begin, as all may have
+/// started together.
+const STARTUP_TIME: Duration = Duration::from_secs(3);
+/// Delay between the takeovers of two VMs that are next to each other in the ranking.
+const TAKEOVER_STEP: Duration = Duration::from_millis(60);
+/// Maximum delay of a takeover by the rank of the VM.
+const MAX_TAKEOVER_DELAY: Duration = Duration::from_millis(300);
+/// Number of VMs of a data centre that watch in addition if its watchers get no responses.
+///
+/// More would not help against a store that is slow or away.
+const AUXILIARIES: usize = 2;
+
+/// Returns the interval between two announcements of a VM.
+pub fn interval(is_large_fleet: bool) -> Duration {
+    if is_large_fleet {
+        LARGE_FLEET_INTERVAL
+    } else {
+        INTERVAL
+    }
+}
+
+/// An announcement, with the time at which it was received.
+#[derive(Clone, Copy, Debug)]
+struct Received {
+    watch: report::Watch,
+    at: Instant,
+}
+
+/// The latest announcements of the VMs that watch the store.
+#[derive(Debug, Default)]
+pub struct Watches {
+    received: HashMap<Ipv4Addr, Received>,
+}
+
+impl Watches {
+    /// Processes an announcement; returns whether it is newer than the last one of its sender.
+    pub fn receive(&mut self, watch: report::Watch, now: Instant) -> bool {
+        let address = Ipv4Addr::from(watch.address);
+        let is_outdated = self.received.get(&address).is_some_and(|last| {
+            last.watch.incarnation == watch.incarnation && last.watch.sequence >= watch.sequence
+        });
+        if !is_outdated {
+            let received = Received { watch, at: now };
+            self.received.insert(address, received);
+        }
+        !is_outdated
+    }
+
+    /// Forgets VMs that have been silent for long.
+    pub fn expire(&mut self, lifetime: Duration, now: Instant) {
+        self.received
+            .retain(|_, received| now.since(received.at) < lifetime);
+    }
+
+    /// Returns the role of a VM that is not one of the regular watchers of its data centre.
+    ///
+    /// `is_senior` tells for each VM of the data centre whether it ranks before this one, which
+    /// comes `excess` ranks after the regular watchers.
+    pub fn role(
+        &self,
+        data_centre: u64,
+        is_senior: impl Fn(Ipv4Addr) -> bool,
+        excess: usize,
+        is_large_fleet: bool,
+        now: Instant,
+    ) -> Option<WatchRole> {
+        let silence = interval(is_large_fleet).mul_f64(MAX_SILENT_INTERVALS);
+        let startup = Instant::default() + STARTUP_TIME;
+        let (mut announced_until, mut current_until) = (startup, startup);
+        let seniors = self.received.iter().filter(|(address, received)| {
+            received.watch.data_centre == data_centre && is_senior(**address)
+        });
+        for (_, received) in seniors {
+            let end = received.at + silence;
+            announced_until = announced_until.max(end);
+            let age = Duration::from_millis(received.watch.response_age_ms.into());
+            let remaining = MAX_RESPONSE_AGE.saturating_sub(age);
+            current_until = current_until.max(end.min(received.at + remaining));
+        }
+        let steps = u32::try_from(excess).unwrap_or(u32::MAX);
+        let delay = TAKEOVER_STEP.saturating_mul(steps).min(MAX_TAKEOVER_DELAY);
+        if now < current_until + delay {
+            return None;
+        }
+        if now >= announced_until + delay {
+            return Some(WatchRole::Substitute);
+        }
+        (excess < AUXILIARIES).then_some(WatchRole::Auxiliary)
+    }
+}
--- a/crates/fakes/src/site/store.rs
+++ b/crates/fakes/src/site/store.rs
@@ -51,6 +51,15 @@
     era: u64,
     mode: Mode,
     request_count: u64,
+    callers: Vec<Caller>,
+}
+
+/// A caller with an address of its own to reach the store at.
+#[derive(Debug, Default)]
+struct Caller {
+    last_watch: Option<Instant>,
+    /// Whether nothing that the store sends reaches the caller.
+    is_cut: bool,
 }
 
 /// A running store.
@@ -60,7 +69,7 @@
     pub address: SocketAddr,
     state: Arc<Mutex<State>>,
     changed: Arc<Signal>,
-    _server: Task<io::Result<()>>,
+    servers: Mutex<Vec<Task<io::Result<()>>>>,
 }
 
 impl Store {
@@ -76,24 +85,52 @@
             era: 1,
             mode: Mode::Normal,
             request_count: 0,
+            callers: Vec::new(),
         }));
         let changed = Arc::new(Signal::default());
-        let (handler_state, handler_changed) = (Arc::clone(&state), Arc::clone(&changed));
-        let server = http::serve(listener, move |request| {
-            handle(
-                Arc::clone(&handler_state),
-                Arc::clone(&handler_changed),
-                request,
-            )
-        });
         Ok(Self {
             address,
+            servers: Mutex::new(vec![serve(&state, &changed, listener, None)]),
             state,
             changed,
-            _server: smol::spawn(server),
         })
     }
 
+    /// Listens on a further address, for one caller; returns the caller's index.
+    ///
+    /// # Errors
+    /// Returns an error if the address cannot be bound.
+    pub fn listen_for_caller(&self, address: SocketAddr) -> io::Result<usize> {
+        let listener = smol::block_on(TcpListener::bind(address))?;
+        let caller = {
+            let callers = &mut lock(&self.state).callers;
+            callers.push(Caller::default());
+            callers.len() - 1
+        };
+        let server = serve(&self.state, &self.changed, listener, Some(caller));
+        lock(&self.servers).push(server);
+        Ok(caller)
+    }
+
+    /// Returns the callers that have begun or ended a watch within `window`.
+    pub fn watching(&self, window: Duration) -> Vec<usize> {
+        let state = lock(&self.state);
+        let callers = state.callers.iter().enumerate();
+        let is_watching = |caller: &Caller| {
+            let last_watch = caller.last_watch;
+            last_watch.is_some_and(|last_watch| last_watch.elapsed() < window)
+        };
+        callers
+            .filter(|(_, caller)| is_watching(caller))
+            .map(|(index, _)| index)
+            .collect()
+    }
+
+    /// Sets whether a caller gets no more responses, without any notice.
+    pub fn set_cut(&self, caller: usize, is_cut: bool) {
+        lock(&self.state).callers[caller].is_cut = is_cut;
+    }
+
     /// Writes an item and notifies watches.
     pub fn put(&self, key: &str, value: &str) {
         let mut state = lock(&self.state);
@@ -158,9 +195,42 @@
     }
 }
 
-async fn handle(state: Arc<Mutex<State>>, changed: Arc<Signal>, request: Request) -> HandlerResult {
+fn serve(
+    state: &Arc<Mutex<State>>,
+    changed: &Arc<Signal>,
+    listener: TcpListener,
+    caller: Option<usize>,
+) -> Task<io::Result<()>> {
+    let (state, changed) = (Arc::clone(state), Arc::clone(changed));
+    smol::spawn(http::serve(listener, move |request| {
+        handle(Arc::clone(&state), Arc::clone(&changed), caller, request)
+    }))
+}
+
+async fn handle(
+    state: Arc<Mutex<State>>,
+    changed: Arc<Signal>,
+    caller: Option<usize>,
+    request: Request,
+) -> HandlerResult {
+    let record_watch = || {
+        if let Some(caller) = caller
+            && &*request.path == "/v1/kv-watch"
+        {
+            lock(&state).callers[caller].last_watch = Some(Instant::now());
+        }
+    };
+    let is_cut = || caller.is_some_and(|caller| lock(&state).callers[caller].is_cut);
     let era = lock(&state).era;
+    record_watch();
+    if is_cut() {
+        smol::future::pending::<()>().await;
+    }
     let mut response = answer(&state, &changed, &request).await?;
+    record_watch();
+    if is_cut() {
+        smol::future::pending::<()>().await;
+    }
     if lock(&state).era != era {
         return Err(io::Error::other("the store was restored meanwhile"));
     }
--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -9,12 +9,13 @@
         control::{
             backoff::Backoff,
             current::Snapshot,
-            discovery::{CHECK_INTERVAL, WATCH_TIMEOUT, WATCHERS},
+            discovery::{CATCH_UP_TIMEOUT, CHECK_INTERVAL, WATCH_TIMEOUT, WATCHERS},
             encoding::{Encoding, LARGE_BYTES},
+            fleet::Subject,
             reports, transfer,
         },
     },
-    dispatch::{Replication, peers::Offer, replication::Step},
+    dispatch::{Position, Replication, peers::Offer, replication::Step, report::Watch},
     entry::runtime::with_timeout,
     platform::store::{Failure, Published, Reading, Store, Versioned, parse_configuration},
     smol::{Task, Timer},
@@ -35,26 +36,33 @@
 /// If a response of the store is lost, its connection stays silent, so each watch has a short
 /// timeout.
 pub async fn watch(shared: Arc<Shared>, store: Arc<Store>) {
-    // Position of the store to watch from, and the version that was in force there.
-    let mut known = None;
     let mut is_unreachable = false;
+    let mut was_watcher = false;
     let mut backoff = Backoff::default();
     loop {
         let began = shared.now();
         let version = shared.current.version();
         let is_watcher = shared.fleet.watch_role(WATCHERS, began).is_some();
         if version > 0 && !is_watcher {
+            was_watcher = false;
             Timer::after(CHECK_INTERVAL).await;
             continue;
         }
         // The history since an older position contains all versions that peers have sent meanwhile.
-        let after = known.filter(|(_, then)| *then == version);
+        let after = shared.current.newest_until();
+        let is_first = is_watcher && !was_watcher;
         let reading = match after {
             None => store.configuration().await,
-            Some((position, _)) => {
+            Some(position) => {
                 let plain_bytes = shared.current.size_bytes();
+                // The first one returns at once, so that this VM can announce that it watches.
+                let timeout = if is_first {
+                    CATCH_UP_TIMEOUT
+                } else {
+                    WATCH_TIMEOUT
+                };
                 store
-                    .watch_configuration(position, WATCH_TIMEOUT, plain_bytes)
+                    .watch_configuration(position, timeout, plain_bytes)
                     .await
             }
         };
@@ -76,12 +84,17 @@
                     apply(&shared, snapshot, STORE_SOURCE).await;
                     elapsed = shared.now().since(began);
                 }
-                known = is_known.then(|| (response.position, shared.current.version()));
+                let newest = is_known.then(|| (response.position, shared.current.version()));
+                shared.current.set_newest_until(newest);
+                was_watcher = is_watcher;
+                shared
+                    .fleet
+                    .record_response(Subject::Configuration, shared.now());
                 Timer::after(MIN_WATCH_INTERVAL.saturating_sub(elapsed)).await;
             }
             Err(failure @ (Failure::Compacted | Failure::TooLong)) if after.is_some() => {
                 log::info!(target: "store", of = "configuration", reason:% = failure; "reading the value instead of its history");
-                known = None;
+                shared.current.set_newest_until(None);
             }
             Err(failure) => {
                 shared.fleet.record_configuration_read(false, shared.now());
@@ -96,6 +109,21 @@
     }
 }
 
+/// Takes over what a VM that watches the store knows of the configuration in force.
+///
+/// This VM then needs no read of the whole value if it has to watch the store itself.
+pub fn receive_watch(shared: &Shared, watch: &Watch) {
+    let position = Position {
+        era: watch.configuration_era,
+        revision: watch.configuration_revision,
+    };
+    let version = shared.current.version();
+    let is_same = watch.configuration_version == version && position.revision > 0;
+    if is_same && shared.current.newest_until() < Some(position) {
+        shared.current.set_newest_until(Some((position, version)));
+    }
+}
+
 /// Gets newer versions from the peers that announce them until the process exits.
 pub async fn replicate(shared: Arc<Shared>, store: Arc<Store>) {
     let mut replication = Replication::new(shared.fleet.incarnation());
--- a/crates/gateway/src/control/current.rs
+++ b/crates/gateway/src/control/current.rs
@@ -4,7 +4,7 @@
     crate::control::encoding::Encoding,
     arc_swap::ArcSwapOption,
     base::Instant,
-    dispatch::Configuration,
+    dispatch::{Configuration, Position},
     std::sync::{Arc, Mutex, PoisonError},
 };
 
@@ -24,6 +24,8 @@
     replace_lock: Mutex<()>,
     /// Newest version that a peer announced, and since when that or one before it has been missing.
     lag: ArcSwapOption<(u64, Instant)>,
+    /// Position of the store up to which a version was the newest one, and that version.
+    newest_until: Mutex<Option<(Position, u64)>>,
 }
 
 impl Current {
@@ -69,6 +71,20 @@
         }
     }
 
+    /// Returns the position of the store up to which the configuration in force is the newest one.
+    pub fn newest_until(&self) -> Option<Position> {
+        let version = self.version();
+        let known = self.newest_until.lock();
+        let known = known.unwrap_or_else(PoisonError::into_inner);
+        known.and_then(|(position, of)| (of == version).then_some(position))
+    }
+
+    /// Sets what [`Self::newest_until`] returns while a version is in force.
+    pub fn set_newest_until(&self, known: Option<(Position, u64)>) {
+        let newest_until = self.newest_until.lock();
+        *newest_until.unwrap_or_else(PoisonError::into_inner) = known;
+    }
+
     /// Replaces the configuration if `snapshot` is newer; returns whether it is.
     pub fn replace_if_newer(&self, snapshot: Snapshot) -> bool {
         let _guard = self
--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         Shared,
-        control::{backoff::Backoff, reports},
+        control::{backoff::Backoff, fleet::Subject, reports},
     },
     base::key,
     dispatch::{
@@ -35,13 +35,15 @@
 /// Minimum delay between two watches, so that simultaneous changes are read in one call.
 const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(100);
 /// Minimum delay between two watches of a standby, which only covers what the primary misses.
-const STANDBY_MIN_WATCH_INTERVAL: Duration = Duration::from_millis(600);
+///
+/// With the duration of a watch, it is less than the age from which a response counts as outdated.
+const STANDBY_MIN_WATCH_INTERVAL: Duration = Duration::from_millis(350);
 /// Interval at which VMs that don't watch check their peers' revisions and their own role.
 pub const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Time after the start to wait for reports of peers, so that few VMs start to watch.
 const STARTUP_TIME: Duration = Duration::from_millis(1_200);
 /// Maximum duration of a watch that only reads missed changes.
-const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1);
+pub const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1);
 /// Time for which the pages of a list that was not read to its end are kept; the store's history
 /// reaches back further.
 const LISTING_LIFETIME: Duration = Duration::from_secs(10);
@@ -56,11 +58,24 @@
     let mut has_history = false;
     let mut backoff = Backoff::default();
     let mut was_behind = false;
+    let mut watching_as = None;
     let started = shared.now();
     let mut listing = store::Listing::default();
     let mut listing_begun = started;
     loop {
-        let role = shared.fleet.watch_role(WATCHERS, shared.now());
+        // Peers are not known yet when the process starts, and all VMs read the list then.
+        let role = if shared.directory.has_list() {
+            shared.fleet.watch_role(WATCHERS, shared.now())
+        } else {
+            None
+        };
+        let is_first = role.is_some() && watching_as.is_none();
+        if watching_as != role {
+            let name = role.map_or_else(|| "none".to_owned(), |role| role.to_string());
+            log::info!(target: "store", of = "targets", role = name; "the role in watching the store has changed");
+            watching_as = role;
+            shared.fleet.set_watching(role.is_some());
+        }
         let response = if !has_history {
             if shared.now().since(listing_begun) > LISTING_LIFETIME {
                 listing = store::Listing::default();
@@ -70,8 +85,14 @@
             }
             store.targets(&mut listing).await
         } else if role.is_some() {
+            // The first one returns at once, so that this VM can announce that it watches.
+            let timeout = if is_first {
+                CATCH_UP_TIMEOUT
+            } else {
+                WATCH_TIMEOUT
+            };
             store
-                .watch_targets(shared.directory.known_position(), WATCH_TIMEOUT)
+                .watch_targets(shared.directory.known_position(), timeout)
                 .await
         } else {
             let is_behind = is_behind(&shared);
@@ -101,10 +122,11 @@
                 if let Some(changes) = changes {
                     reports::send_changes(&shared, changes).await;
                 }
+                shared.fleet.record_response(Subject::Targets, shared.now());
                 let startup_end = started + STARTUP_TIME;
                 let min_interval = match role {
-                    Some(WatchRole::Standby) => STANDBY_MIN_WATCH_INTERVAL,
-                    Some(WatchRole::Primary) | None => MIN_WATCH_INTERVAL,
+                    Some(WatchRole::Standby | WatchRole::Auxiliary) => STANDBY_MIN_WATCH_INTERVAL,
+                    Some(WatchRole::Primary | WatchRole::Substitute) | None => MIN_WATCH_INTERVAL,
                 };
                 Timer::after(min_interval.max(startup_end.since(shared.now()))).await;
             }
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -24,6 +24,15 @@
 /// Time for which a VM that failed to read the configuration leaves the watch to others.
 const CEDE_DURATION: Duration = Duration::from_secs(3);
 
+/// What is read from the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Subject {
+    /// The configuration.
+    Configuration,
+    /// The list of targets.
+    Targets,
+}
+
 /// The peers' reported state and the socket for reports.
 #[derive(Debug)]
 pub struct Fleet {
@@ -39,6 +48,12 @@
     /// When this VM last failed to read the configuration, in microseconds of the clock; 0 if it
     /// has read it since.
     configuration_failure: AtomicU64,
+    /// Whether this VM watches the store.
+    is_watching: AtomicBool,
+    /// When the store last responded about each subject, in microseconds of the clock; 0 if never.
+    responses: [AtomicU64; 2],
+    watch_sender: Sender<()>,
+    watch_receiver: Receiver<()>,
     has_changed: AtomicBool,
     data_centre: u64,
     link_mbps: u32,
@@ -54,6 +69,7 @@
         link_mbps: u32,
     ) -> Self {
         let (wakeup_sender, wakeup_receiver) = bounded(1);
+        let (watch_sender, watch_receiver) = bounded(1);
         Self {
             peers: Mutex::default(),
             socket,
@@ -64,6 +80,10 @@
             wakeup_receiver,
             is_store_unreachable: AtomicBool::new(false),
             configuration_failure: AtomicU64::new(0),
+            is_watching: AtomicBool::new(false),
+            responses: Default::default(),
+            watch_sender,
+            watch_receiver,
             has_changed: AtomicBool::new(false),
             data_centre,
             link_mbps,
@@ -149,6 +169,37 @@
         self.peers().watch_role(own, is_unreachable, count, now)
     }
 
+    /// Sets whether this VM watches the store.
+    pub fn set_watching(&self, is_watching: bool) {
+        self.is_watching.store(is_watching, Ordering::Relaxed);
+    }
+
+    /// Returns whether this VM watches the store.
+    pub fn is_watching(&self) -> bool {
+        self.is_watching.load(Ordering::Relaxed)
+    }
+
+    /// Records that the store has responded, which is announced at once if this VM watches.
+    pub fn record_response(&self, subject: Subject, now: Instant) {
+        self.responses[subject as usize].store(now.as_micros().max(1), Ordering::Relaxed);
+        if self.is_watching() {
+            let _ = self.watch_sender.try_send(());
+        }
+    }
+
+    /// Returns the time since the store has responded about everything; `None` if it has not.
+    pub fn response_age(&self, now: Instant) -> Option<Duration> {
+        let responses = self.responses.iter();
+        let oldest = responses.map(|at| at.load(Ordering::Relaxed)).min()?;
+        (oldest > 0).then(|| now.since(Instant::from_micros(oldest)))
+    }
+
+    /// Waits until the store has responded to a watch of this VM.
+    pub async fn wait_for_response(&self) {
+        // `self` owns the sender, so the channel is never closed.
+        let _ = self.watch_receiver.recv().await;
+    }
+
     /// Returns the peers that announce a newer configuration than `version`.
     pub fn newer_configurations(&self, version: u64, now: Instant) -> Vec<Offer> {
         self.peers()
--- a/crates/gateway/src/control/inquiry.rs
+++ b/crates/gateway/src/control/inquiry.rs
@@ -10,7 +10,7 @@
         control::{discovery::WATCHERS, reports},
     },
     bytes::Bytes,
-    dispatch::listing::Target,
+    dispatch::{listing::Target, peers::WatchRole},
     futures_util::future::join_all,
     hyper::Method,
     platform::engine,
@@ -27,7 +27,10 @@
 pub async fn run(shared: Arc<Shared>) {
     loop {
         Timer::after(POLL_INTERVAL).await;
-        let is_watcher = || shared.fleet.watch_role(WATCHERS, shared.now()).is_some();
+        let is_watcher = || {
+            let role = shared.fleet.watch_role(WATCHERS, shared.now());
+            role.is_some_and(|role| role != WatchRole::Auxiliary)
+        };
         if !shared.fleet.is_store_unreachable() || !is_watcher() {
             continue;
         }
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -3,14 +3,17 @@
 use {
     crate::{
         Shared,
-        control::{discovery, origins, quarantine},
+        control::{configuration, discovery, origins, quarantine},
     },
     base::key,
     dispatch::{
         Load,
+        peers::MAX_SMALL_FLEET,
         report::{
-            Changes, Datagram, Evidence, Limits, Origin, QueuedRequest, Report, Summary, TargetLoad,
+            Changes, Datagram, Evidence, Limits, Origin, QueuedRequest, Report, Summary,
+            TargetLoad, Watch,
         },
+        watch,
     },
     entry::runtime::with_timeout,
     prost::Message,
@@ -35,7 +38,7 @@
 /// Maximum number of peers that are sent every load change.
 ///
 /// In a larger fleet, the VMs of other data centres receive changes with the next heartbeat.
-pub const MAX_FULL_MESH_VMS: usize = 40;
+pub const MAX_FULL_MESH_VMS: usize = MAX_SMALL_FLEET;
 /// Interval between summaries of a data centre: an eighth of the duration of a prefill.
 const SUMMARY_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval between full summaries.
@@ -101,6 +104,9 @@
                     if let Some(evidence) = datagram.evidence {
                         quarantine::receive(&shared, &evidence);
                     }
+                    if let Some(watch) = datagram.watch {
+                        receive_watch(&shared, watch);
+                    }
                     if let Some(summary) = datagram.summary {
                         let now = shared.now();
                         shared.fleet.peers().receive_summary(summary, now);
@@ -217,6 +223,55 @@
     }
 }
 
+/// Announces to the data centre that this VM watches the store, until the process exits.
+pub async fn announce_watch(shared: Arc<Shared>) {
+    loop {
+        shared.fleet.wait_for_response().await;
+        while shared.fleet.is_watching() {
+            if shared.directory.has_list() && shared.current.version() > 0 {
+                send_watch(&shared).await;
+            }
+            let is_large_fleet = shared.dispatcher.live_vms() > MAX_SMALL_FLEET;
+            let interval = watch::interval(is_large_fleet);
+            with_timeout(interval, shared.fleet.wait_for_response()).await;
+        }
+    }
+}
+
+async fn send_watch(shared: &Shared) {
+    let now = shared.now();
+    let response_age = shared.fleet.response_age(now);
+    let newest_until = shared.current.newest_until().unwrap_or_default();
+    let watch = Watch {
+        address: shared.fleet.own_address().into(),
+        incarnation: shared.fleet.incarnation(),
+        sequence: shared.fleet.next_sequence(),
+        data_centre: shared.fleet.data_centre(),
+        response_age_ms: response_age
+            .and_then(|age| u32::try_from(age.as_millis()).ok())
+            .unwrap_or(u32::MAX),
+        configuration_version: shared.current.version(),
+        configuration_era: newest_until.era,
+        configuration_revision: newest_until.revision,
+    };
+    let datagram = Datagram {
+        watch: Some(watch),
+        ..Datagram::default()
+    };
+    let data_centre = shared.fleet.data_centre();
+    let addresses = shared.fleet.peers().live_in(data_centre, now);
+    broadcast(shared, &datagram, addresses).await;
+}
+
+/// Processes the announcement of a VM that watches the store.
+fn receive_watch(shared: &Shared, watch: Watch) {
+    let own = shared.fleet.own_address();
+    let is_newer = shared.fleet.peers().receive_watch(watch, own, shared.now());
+    if is_newer {
+        configuration::receive_watch(shared, &watch);
+    }
+}
+
 /// Sends the origin of a stream to the given peers.
 pub async fn send_origin(shared: &Shared, origin: Origin, holders: Vec<Ipv4Addr>) {
     let datagram = Datagram {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -110,6 +110,9 @@
             .spawn(reports::receive(Arc::clone(&shared)))
             .detach();
         runtime.spawn(reports::send(Arc::clone(&shared))).detach();
+        runtime
+            .spawn(reports::announce_watch(Arc::clone(&shared)))
+            .detach();
         runtime
             .spawn(reports::send_limits(Arc::clone(&shared)))
             .detach();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -105,11 +105,12 @@
     }
 }
 
-/// Instruments that show up to where a VM has the store's history.
+/// Instruments that show up to where a VM has the store's history, and whether it watches.
 #[derive(Debug)]
 struct History {
     era: Gauge<u64>,
     revision: Gauge<u64>,
+    watching: Gauge<u64>,
 }
 
 impl History {
@@ -126,6 +127,10 @@
                 "mastictrail.gateway.store.revision",
                 "Revision of the store up to which the list of targets has all changes",
             ),
+            watching: gauge(
+                "mastictrail.gateway.store.watching",
+                "1 if this VM watches the store on behalf of others",
+            ),
         }
     }
 
@@ -133,6 +138,7 @@
         let position = shared.directory.known_position();
         self.era.record(position.era, &[]);
         self.revision.record(position.revision, &[]);
+        self.watching.record(shared.fleet.is_watching().into(), &[]);
     }
 }
 
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -47,6 +47,9 @@
     pub settings: String,
     /// Data centres of the gateways, in turn.
     pub data_centres: Vec<&'static str>,
+    /// Whether each gateway reaches the store at an address of its own, as its caller of the same
+    /// index.
+    pub has_callers: bool,
     /// Links of the gateways to the store and to each other; `None` if nothing limits them.
     pub network: Option<Network>,
     proxied_store: Option<SocketAddr>,
@@ -106,6 +109,7 @@
             copies: Copies::default(),
             settings: String::new(),
             data_centres: vec!["dc-1"],
+            has_callers: false,
             network: None,
             proxied_store: None,
             directory: tempfile::tempdir().expect("a temporary directory is created"),
@@ -130,13 +134,7 @@
         for (index, release) in releases.iter().enumerate() {
             site.add_engine_of(index, "dc-1", release);
         }
-        for index in 0..services {
-            let name = format!("s-{index}");
-            let target = Target::start(free_address(), &name, false, &site.copies);
-            let target = target.expect("the address is free");
-            site.register(&target, "ledger", "dc-1", "ready");
-            site.services.push(target);
-        }
+        site.add_services(services);
         let store = site.store.address;
         site.start_gateways(gateways, store);
         for gateway in &site.gateways {
@@ -145,6 +143,17 @@
         site
     }
 
+    /// Starts fake processes of a plain service and registers them in the store.
+    pub fn add_services(&mut self, count: usize) {
+        for index in 0..count {
+            let name = format!("s-{index}");
+            let target = Target::start(free_address(), &name, false, &self.copies);
+            let target = target.expect("the address is free");
+            self.register(&target, "ledger", "dc-1", "ready");
+            self.services.push(target);
+        }
+    }
+
     /// Starts another fake engine and registers it in the store.
     pub fn add_engine(&mut self, index: usize, data_centre: &str) {
         self.add_engine_of(index, data_centre, RELEASE);
@@ -241,7 +250,7 @@
     /// If the site has a network, they reach each other's control address over their links.
     pub fn start_gateways(&mut self, count: usize, store: SocketAddr) {
         self.proxied_store = Some(store);
-        let ports: Vec<u16> = (0..5).map(|_| free_address().port()).collect();
+        let ports: Vec<u16> = (0..6).map(|_| free_address().port()).collect();
         let ips: Vec<Ipv4Addr> = (0..count).map(vm_address).collect();
         for (index, ip) in ips.iter().enumerate() {
             let address = |port: usize| SocketAddr::from((*ip, ports[port]));
@@ -251,6 +260,12 @@
                 let proxy = network.proxy(address(2), control);
                 proxy.expect("the address is free");
             }
+            let mut store = store;
+            if self.has_callers {
+                store = address(5);
+                let caller = self.store.listen_for_caller(store);
+                assert_eq!(caller.expect("the address is free"), index);
+            }
             let seeds: Vec<_> = ips.iter().map(|ip| format!("{ip}:{}", ports[2])).collect();
             let text = format!(
                 "[vm]\nname = vm-{index}\ndata_centre = {}\n\n[listen]\nclients = {}\n\
@@ -279,6 +294,27 @@
         }
     }
 
+    /// Waits until the same gateways have watched the store for some seconds, and returns them.
+    ///
+    /// The site must have a caller of the store for each gateway.
+    pub fn wait_for_watchers(&self) -> Vec<usize> {
+        /// Time in which a gateway that watches calls the store.
+        const WINDOW: Duration = Duration::from_millis(1_500);
+        /// Time for which the watchers must stay the same; at the start, all gateways watch.
+        const STABLE: Duration = Duration::from_secs(4);
+        let mut known = Vec::new();
+        let mut since = std::time::Instant::now();
+        wait_until("the same gateways watch the store", || {
+            let now = self.store.watching(WINDOW);
+            if now != known {
+                known = now;
+                since = std::time::Instant::now();
+            }
+            !known.is_empty() && since.elapsed() > STABLE
+        });
+        known
+    }
+
     /// Returns the address at which the gateways reach the store.
     pub fn store_address(&self) -> SocketAddr {
         self.proxied_store.unwrap_or(self.store.address)
