fix(gateway): notice a gap in the list of targets whatever made it

Cause: what a VM has of the list was the revision of the last change it got. A removal that only a read of the whole list shows is in no message to the others, and leaves no revision in the list, so the next change is applied over the gap.

Change: announcements of VMs that watch carry their position and a digest of all entries with their revisions. A VM that differs reads the changes, then the whole list, after a random delay; one that agrees has all changes up to the announced position. Only VMs that watch pass on what they read.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 //! engine. Nothing here does I/O or reads a clock; `gateway` connects these parts to both.
 
 pub mod budget;
+pub mod catch_up;
 pub mod configuration;
 pub mod drain;
 pub mod duration;
@@ -26,9 +27,9 @@
 pub mod watch;
 
 pub use {
-    budget::Budget, configuration::Configuration, drain::Drain, duration::Durations,
-    frame::Splitter, length::Lengths, limit::Limits, listing::Listing, load::Load, origin::Origins,
-    peers::Peers, placement::Placement, quarantine::Quarantine, reach::Reach,
-    replication::Replication, request::Generation, revision::Position, waiting::Queues,
-    watch::Watches,
+    budget::Budget, catch_up::CatchUp, configuration::Configuration, drain::Drain,
+    duration::Durations, frame::Splitter, length::Lengths, limit::Limits, listing::Listing,
+    load::Load, origin::Origins, peers::Peers, placement::Placement, quarantine::Quarantine,
+    reach::Reach, replication::Replication, request::Generation, revision::Position,
+    waiting::Queues, watch::Watches,
 };
--- a/crates/dispatch/src/listing.rs
+++ b/crates/dispatch/src/listing.rs
@@ -152,8 +152,8 @@
 
     /// Records a change that the store or a peer reports; returns whether it is newer than the known
     /// one of that target.
-    pub fn record(&mut self, target: key::Target, revision: u64) -> bool {
-        self.revisions.record(target, revision)
+    pub fn record(&mut self, target: key::Target, revision: u64, is_listed: bool) -> bool {
+        self.revisions.record(target, revision, is_listed)
     }
 
     /// Returns which changes of the store the list has.
@@ -200,8 +200,7 @@
     /// It may lack targets that register again soon, and have others as they were before they left
     /// or announced that they would.
     fn begin_era(&mut self, listed: &mut [(u64, Target)], now: Instant) {
-        let register_end = now + REMOVAL_DELAY;
-        self.immediate_removal_from = self.immediate_removal_from.max(register_end);
+        self.delay_removals(REMOVAL_DELAY, now);
         for (_, target) in listed {
             let is_same = |started_ms: Option<u64>| started_ms == target.started_ms;
             if let Some(before) = self.targets.get(&target.key) {
@@ -220,6 +219,11 @@
         self.immediate_removal_from.since(now)
     }
 
+    /// Takes over from a peer that the store was unavailable until recently.
+    pub fn delay_removals(&mut self, delay: Duration, now: Instant) {
+        self.immediate_removal_from = self.immediate_removal_from.max(now + delay);
+    }
+
     /// Records that the store does not respond.
     pub fn mark_store_unavailable(&mut self) {
         self.is_store_unavailable = true;
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -7,7 +7,7 @@
     crate::{
         Load,
         report::{Report, Summary, TargetLoad, Watch},
-        revision::Position,
+        revision::State,
         waiting::Waiter,
         watch::Watches,
     },
@@ -300,15 +300,10 @@
         ranked
     }
 
-    /// Returns the newest position among the target lists of the live peers.
-    ///
-    /// Older builds report no era, so what they report is not comparable in an era other than 0.
-    pub fn newest_targets_position(&self, now: Instant) -> Position {
-        let positions = self.live(now).map(|(_, report)| Position {
-            era: report.targets_era,
-            revision: report.targets_revision,
-        });
-        positions.max().unwrap_or_default()
+    /// Returns the newest state of the list of targets that VMs announce which watch the store.
+    pub fn announced_targets(&self, now: Instant) -> Option<State> {
+        let is_large_fleet = self.live(now).count() >= MAX_SMALL_FLEET;
+        self.watches.targets(is_large_fleet, now)
     }
 
     /// Returns all addresses that reports are sent to.
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -4,6 +4,7 @@
     crate::{
         Load, origin,
         quarantine::{Feature, Kind},
+        revision::{Position, State},
         waiting::Waiter,
     },
     base::{Instant, key},
@@ -129,9 +130,6 @@
     /// Rate of the sender's link in Mbit/s; 0 if it is not known.
     #[prost(uint32, tag = "17")]
     pub link_mbps: u32,
-    /// Era of the store that `targets_revision` belongs to; 0 if it is not known.
-    #[prost(uint64, tag = "18")]
-    pub targets_era: u64,
 }
 
 /// Announcement of a VM that watches the store, to the VMs of its data centre.
@@ -162,6 +160,31 @@
     /// See `configuration_era`.
     #[prost(uint64, tag = "8")]
     pub configuration_revision: u64,
+    /// Era and revision of the store up to which the sender's list of targets has all changes.
+    #[prost(uint64, tag = "9")]
+    pub targets_era: u64,
+    /// See `targets_era`.
+    #[prost(uint64, tag = "10")]
+    pub targets_revision: u64,
+    /// Hash of the entries of that list, see [`State`].
+    #[prost(fixed64, tag = "11")]
+    pub targets_digest: u64,
+    /// Milliseconds by which removals are delayed; 0 unless the store was unavailable recently.
+    #[prost(uint32, tag = "12")]
+    pub removal_delay_ms: u32,
+}
+
+impl Watch {
+    /// Returns the state of the sender's list of targets.
+    pub fn targets(&self) -> State {
+        State {
+            position: Position {
+                era: self.targets_era,
+                revision: self.targets_revision,
+            },
+            digest: self.targets_digest,
+        }
+    }
 }
 
 /// A request that is queued at a VM; ages replace times, as the VMs' clocks differ.
--- a/crates/dispatch/src/revision.rs
+++ b/crates/dispatch/src/revision.rs
@@ -3,7 +3,10 @@
 //! Changes arrive from the store and from peers, in any order and more than once, so each entry is
 //! compared by itself.
 
-use {base::key, std::collections::HashMap};
+use {
+    base::{key, rendezvous},
+    std::collections::HashMap,
+};
 
 /// A point in the store's history.
 ///
@@ -17,6 +20,23 @@
     pub revision: u64,
 }
 
+/// What a VM has of the store, in a form in which two VMs can compare it.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct State {
+    /// Point up to which all changes are known.
+    pub position: Position,
+    /// Hash of all listed entries with their revisions.
+    pub digest: u64,
+}
+
+/// The newest change of an entry.
+#[derive(Clone, Copy, Debug)]
+struct Change {
+    revision: u64,
+    /// Whether it added or updated the entry; otherwise it removed it.
+    is_listed: bool,
+}
+
 /// The newest known change of each entry.
 #[derive(Debug, Default)]
 pub struct Revisions {
@@ -24,8 +44,7 @@
     position: Position,
     /// Revision of the last change.
     last_change: u64,
-    /// Revision of the newest change of each entry, which may have removed it.
-    changes: HashMap<key::Target, u64>,
+    changes: HashMap<key::Target, Change>,
 }
 
 impl Revisions {
@@ -42,15 +61,30 @@
         }
     }
 
+    /// Returns what is compared with other VMs.
+    pub fn state(&self) -> State {
+        let listed = self.changes.iter().filter(|(_, change)| change.is_listed);
+        let hashes =
+            listed.map(|(target, change)| rendezvous::weight(target.raw(), change.revision));
+        State {
+            position: self.position,
+            digest: hashes.fold(0, u64::wrapping_add),
+        }
+    }
+
     /// Records a change of an entry; returns whether it is newer than the known one.
     ///
     /// A change without a revision always is.
-    pub fn record(&mut self, target: key::Target, revision: u64) -> bool {
+    pub fn record(&mut self, target: key::Target, revision: u64, is_listed: bool) -> bool {
         let known = self.changes.get(&target);
-        if revision > 0 && known.is_some_and(|known| *known >= revision) {
+        if revision > 0 && known.is_some_and(|known| known.revision >= revision) {
             return false;
         }
-        self.changes.insert(target, revision);
+        let change = Change {
+            revision,
+            is_listed,
+        };
+        self.changes.insert(target, change);
         true
     }
 
@@ -73,13 +107,13 @@
             *self = Self::default();
         }
         let listed: HashMap<_, _> = listed.collect();
-        self.changes.retain(|target, known| {
+        self.changes.retain(|target, change| {
             let in_list = listed.get(target).copied().unwrap_or(position.revision);
-            *known > in_list
+            change.revision > in_list
         });
         let newer = self.changes.keys().copied().collect();
         for (target, revision) in listed {
-            self.record(target, revision);
+            self.record(target, revision, true);
         }
         self.position.era = position.era;
         // The list contains all changes up to its position, also those that have removed an entry.
--- a/crates/dispatch/src/watch.rs
+++ b/crates/dispatch/src/watch.rs
@@ -6,7 +6,7 @@
 //! take over one after the other, so that a loss of all watchers doesn't make all VMs read at once.
 
 use {
-    crate::{peers::WatchRole, report},
+    crate::{peers::WatchRole, report, revision::State},
     base::Instant,
     std::{collections::HashMap, net::Ipv4Addr, time::Duration},
 };
@@ -42,6 +42,11 @@
     }
 }
 
+/// Returns the time without an announcement after which a VM no longer counts as watching.
+fn max_silence(is_large_fleet: bool) -> Duration {
+    interval(is_large_fleet).mul_f64(MAX_SILENT_INTERVALS)
+}
+
 /// An announcement, with the time at which it was received.
 #[derive(Clone, Copy, Debug)]
 struct Received {
@@ -75,6 +80,14 @@
             .retain(|_, received| now.since(received.at) < lifetime);
     }
 
+    /// Returns the newest state of the list of targets that VMs still announce.
+    pub fn targets(&self, is_large_fleet: bool, now: Instant) -> Option<State> {
+        let silence = max_silence(is_large_fleet);
+        let received = self.received.values();
+        let recent = received.filter(|received| now.since(received.at) < silence);
+        recent.map(|received| received.watch.targets()).max()
+    }
+
     /// Returns the role of a VM that is not one of the regular watchers of its data centre.
     ///
     /// `is_senior` tells for each VM of the data centre whether it ranks before this one, which
@@ -87,7 +100,7 @@
         is_large_fleet: bool,
         now: Instant,
     ) -> Option<WatchRole> {
-        let silence = interval(is_large_fleet).mul_f64(MAX_SILENT_INTERVALS);
+        let silence = max_silence(is_large_fleet);
         let startup = Instant::default() + STARTUP_TIME;
         let (mut announced_until, mut current_until) = (startup, startup);
         let seniors = self.received.iter().filter(|(address, received)| {
--- a/crates/dispatch/tests/revision.rs
+++ b/crates/dispatch/tests/revision.rs
@@ -54,20 +54,20 @@
 #[test]
 fn an_older_change_of_an_entry_is_no_news() {
     let mut revisions = Revisions::default();
-    assert!(revisions.record(key_of("a"), 5));
-    assert!(!revisions.record(key_of("a"), 5));
-    assert!(!revisions.record(key_of("a"), 4));
-    assert!(revisions.record(key_of("b"), 4));
-    assert!(revisions.record(key_of("a"), 6));
+    assert!(revisions.record(key_of("a"), 5, true));
+    assert!(!revisions.record(key_of("a"), 5, true));
+    assert!(!revisions.record(key_of("a"), 4, true));
+    assert!(revisions.record(key_of("b"), 4, true));
+    assert!(revisions.record(key_of("a"), 6, true));
 }
 
 /// A list that was read before a peer's newer changes may arrive after them.
 #[test]
 fn a_list_does_not_undo_newer_changes() {
     let mut listing = listing();
-    assert!(listing.record(key_of("b"), 12));
+    assert!(listing.record(key_of("b"), 12, false));
     listing.remove(key_of("b"), Duration::ZERO, at(1));
-    assert!(listing.record(key_of("c"), 13));
+    assert!(listing.record(key_of("c"), 13, true));
     listing.put(target("c", false, 1), at(1));
     listing.advance(13, 13);
     let older = vec![(4, target("a", false, 1)), (7, target("b", false, 1))];
@@ -90,7 +90,7 @@
     listing.replace_at(position(2, 6), restored, at(1));
     assert_eq!(listing.revisions().position(), position(2, 6));
     assert!(
-        listing.record(key_of("b"), 7),
+        listing.record(key_of("b"), 7, true),
         "the revision is assigned anew"
     );
 }
@@ -132,3 +132,18 @@
     assert!(listing.expire(at(6_200)));
     assert_eq!(names(&listing), ["a", "b"]);
 }
+
+/// VMs that got the same changes on different ways have the same digest, and no others.
+#[test]
+fn two_lists_have_one_digest_only_if_they_are_the_same() {
+    let read = listing().revisions().state();
+    let mut received = Revisions::default();
+    for (name, revision) in [("c", 5), ("b", 7), ("a", 4)] {
+        received.record(key_of(name), revision, true);
+    }
+    assert_ne!(received.state().digest, read.digest);
+    received.record(key_of("c"), 8, false);
+    assert_eq!(received.state().digest, read.digest);
+    received.record(key_of("b"), 9, true);
+    assert_ne!(received.state().digest, read.digest);
+}
--- a/crates/fakes/src/site/store.rs
+++ b/crates/fakes/src/site/store.rs
@@ -44,6 +44,13 @@
     compacted: u64,
 }
 
+impl Content {
+    fn compact(&mut self) {
+        self.compacted = self.revision;
+        self.history.clear();
+    }
+}
+
 #[derive(Debug)]
 struct State {
     content: Content,
@@ -161,9 +168,17 @@
 
     /// Drops the history, so that watches from an earlier revision fail with 410.
     pub fn compact(&self) {
-        let content = &mut lock(&self.state).content;
-        content.compacted = content.revision;
-        content.history.clear();
+        lock(&self.state).content.compact();
+    }
+
+    /// Removes an item together with the history, so that only a read of the list shows it.
+    pub fn remove_and_compact(&self, key: &str) {
+        let mut state = lock(&self.state);
+        state.content.revision += 1;
+        state.content.items.remove(key);
+        state.content.compact();
+        drop(state);
+        self.changed.notify();
     }
 
     /// Returns a backup of what the store holds.
--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -1,8 +1,8 @@
 //! Keeps the list of targets up to date.
 //!
 //! Calls to the store are expensive, so a few VMs watch the list and send the changes to the
-//! others. A VM that missed a change notices it from the revision in its peers' reports and reads
-//! the change from the store.
+//! others. A VM that missed a change notices it from what they announce of their list and reads the
+//! change, or the whole list, from the store.
 
 use {
     crate::{
@@ -11,10 +11,11 @@
     },
     base::key,
     dispatch::{
-        Position,
+        CatchUp, Position,
+        catch_up::Step,
         listing::{Past, Target},
-        peers::WatchRole,
-        report::{Changes, Description, Entry},
+        peers::{MAX_SMALL_FLEET, WatchRole},
+        report::{Changes, Description, Entry, Watch},
     },
     platform::store::{self, Change, Failure, Kind, Store, Versioned},
     smol::Timer,
@@ -57,25 +58,15 @@
     // Whether the store can report changes since the known revision; if not, the full list is read.
     let mut has_history = false;
     let mut backoff = Backoff::default();
-    let mut was_behind = false;
-    let mut watching_as = None;
+    let mut catch_up = CatchUp::new(shared.fleet.incarnation());
+    let mut last_role = None;
     let started = shared.now();
     let mut listing = store::Listing::default();
     let mut listing_begun = started;
     loop {
-        // Peers are not known yet when the process starts, and all VMs read the list then.
-        let role = if shared.directory.has_list() {
-            shared.fleet.watch_role(WATCHERS, shared.now())
-        } else {
-            None
-        };
-        let is_first = role.is_some() && watching_as.is_none();
-        if watching_as != role {
-            let name = role.map_or_else(|| "none".to_owned(), |role| role.to_string());
-            log::info!(target: "store", of = "targets", role = name; "the role in watching the store has changed");
-            watching_as = role;
-            shared.fleet.set_watching(role.is_some());
-        }
+        let is_watching = shared.fleet.is_watching();
+        let role = update_role(&shared, &mut last_role);
+        let is_first = role.is_some() && !is_watching;
         let response = if !has_history {
             if shared.now().since(listing_begun) > LISTING_LIFETIME {
                 listing = store::Listing::default();
@@ -95,15 +86,30 @@
                 .watch_targets(shared.directory.known_position(), timeout)
                 .await
         } else {
-            let is_behind = is_behind(&shared);
-            // Changes from a peer are usually in transit; read the store only if some stay missing.
-            let is_due = shared.fleet.is_store_unreachable() || is_behind && was_behind;
-            if !is_due {
-                was_behind = is_behind;
-                Timer::after(CHECK_INTERVAL).await;
-                continue;
+            let step = if shared.fleet.is_store_unreachable() {
+                Step::ReadChanges
+            } else {
+                let now = shared.now();
+                let announced = shared.fleet.peers().announced_targets(now);
+                let is_large_fleet = shared.dispatcher.live_vms() > MAX_SMALL_FLEET;
+                catch_up.step(shared.directory.state(), announced, is_large_fleet, now)
+            };
+            match step {
+                Step::Idle => {
+                    Timer::after(CHECK_INTERVAL).await;
+                    continue;
+                }
+                Step::Wait(until) => {
+                    Timer::after(until.since(shared.now()).min(CHECK_INTERVAL)).await;
+                    continue;
+                }
+                Step::ReadChanges => {}
+                Step::ReadList => {
+                    log::info!(target: "store", of = "targets"; "the list differs from that of the VMs that watch the store; reading it");
+                    has_history = false;
+                    continue;
+                }
             }
-            was_behind = false;
             store
                 .watch_targets(shared.directory.known_position(), CATCH_UP_TIMEOUT)
                 .await
@@ -118,8 +124,12 @@
                     shared.runtime.spawn(history).detach();
                 }
                 let changes = apply_response(&shared, response, !has_history);
-                has_history = true;
-                if let Some(changes) = changes {
+                if !std::mem::replace(&mut has_history, true) {
+                    let announced = shared.fleet.peers().announced_targets(shared.now());
+                    catch_up.record_list(shared.directory.state(), announced);
+                }
+                // The others have what a VM reads that has only missed something.
+                if let Some(changes) = changes.filter(|_| role.is_some()) {
                     reports::send_changes(&shared, changes).await;
                 }
                 shared.fleet.record_response(Subject::Targets, shared.now());
@@ -142,6 +152,22 @@
     }
 }
 
+/// Returns the role of this VM in watching the store, and records and logs that it has changed.
+fn update_role(shared: &Shared, last: &mut Option<WatchRole>) -> Option<WatchRole> {
+    // Peers are not known yet when the process starts, and all VMs read the list then.
+    let role = if shared.directory.has_list() {
+        shared.fleet.watch_role(WATCHERS, shared.now())
+    } else {
+        None
+    };
+    if std::mem::replace(last, role) != role {
+        let name = role.map_or_else(|| "none".to_owned(), |role| role.to_string());
+        log::info!(target: "store", of = "targets", role = name; "the role in watching the store has changed");
+        shared.fleet.set_watching(role.is_some());
+    }
+    role
+}
+
 /// Reads which targets left before this process started, once a request needs it: a stream that a
 /// client resumes may have begun at one of them.
 async fn read_history(shared: Arc<Shared>, store: Arc<Store>, position: Position) {
@@ -229,7 +255,7 @@
         let mut is_changed = false;
         for entry in &changes.entries {
             let key = key::Target::from_raw(entry.target);
-            if !listing.record(key, entry.revision) {
+            if !listing.record(key, entry.revision, entry.description.is_some()) {
                 continue;
             }
             is_changed |= match &entry.description {
@@ -246,10 +272,20 @@
     );
 }
 
-/// Returns whether a peer knows a newer state of the list.
-fn is_behind(shared: &Shared) -> bool {
-    let newest = shared.fleet.peers().newest_targets_position(shared.now());
-    newest > shared.directory.known_position()
+/// Takes over what a VM that watches the store knows of the list of targets.
+pub fn receive_watch(shared: &Shared, watch: &Watch) {
+    let now = shared.now();
+    let announced = watch.targets();
+    shared.directory.update(|listing| {
+        let delay = Duration::from_millis(watch.removal_delay_ms.into());
+        listing.delay_removals(delay, now);
+        let own = listing.revisions().state();
+        if own.position.era == announced.position.era && own.digest == announced.digest {
+            // Both lists are the same, so this one has all changes up to there as well.
+            listing.advance(announced.position.revision, 0);
+        }
+        false
+    });
 }
 
 fn mark_store_unreachable(shared: &Shared, failure: &Failure) {
@@ -299,7 +335,8 @@
         changes.removal_delay_ms = removal_delay.as_millis() as u32;
         let mut is_changed = false;
         for change in response.value {
-            let is_news = listing.record(change.key(), change.revision);
+            let is_listed = matches!(change.kind, Kind::Put(_));
+            let is_news = listing.record(change.key(), change.revision, is_listed);
             let (entry, is_change) = match change.kind {
                 Kind::Put(target) => {
                     let entry = encode_entry(change.revision, &target);
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -242,6 +242,7 @@
     let now = shared.now();
     let response_age = shared.fleet.response_age(now);
     let newest_until = shared.current.newest_until().unwrap_or_default();
+    let targets = shared.directory.state();
     let watch = Watch {
         address: shared.fleet.own_address().into(),
         incarnation: shared.fleet.incarnation(),
@@ -253,6 +254,10 @@
         configuration_version: shared.current.version(),
         configuration_era: newest_until.era,
         configuration_revision: newest_until.revision,
+        targets_era: targets.position.era,
+        targets_revision: targets.position.revision,
+        targets_digest: targets.digest,
+        removal_delay_ms: shared.directory.removal_delay(now).as_millis() as u32,
     };
     let datagram = Datagram {
         watch: Some(watch),
@@ -269,6 +274,7 @@
     let is_newer = shared.fleet.peers().receive_watch(watch, own, shared.now());
     if is_newer {
         configuration::receive_watch(shared, &watch);
+        discovery::receive_watch(shared, &watch);
     }
 }
 
@@ -345,7 +351,6 @@
 
 /// Builds a report; `round` selects the peers that it introduces.
 fn build_report(shared: &Shared, round: u64) -> Datagram {
-    let changed = shared.directory.changed_position();
     let report = Report {
         address: shared.fleet.own_address().into(),
         incarnation: shared.fleet.incarnation(),
@@ -354,8 +359,7 @@
         configuration_bytes: shared.current.size_bytes(),
         configuration_transfer_bytes: shared.current.deflated_bytes(),
         link_mbps: shared.fleet.link_mbps(),
-        targets_revision: changed.revision,
-        targets_era: changed.era,
+        targets_revision: shared.directory.changed_position().revision,
         loads: local_loads(shared),
         leaving: shared
             .directory
--- a/crates/gateway/src/targets/directory.rs
+++ b/crates/gateway/src/targets/directory.rs
@@ -3,7 +3,7 @@
 use {
     arc_swap::ArcSwap,
     base::{Instant, key},
-    dispatch::{Listing, Position, listing::Target},
+    dispatch::{Listing, Position, listing::Target, revision::State},
     std::{
         collections::HashMap,
         sync::{
@@ -96,6 +96,16 @@
         self.listing().revisions().position()
     }
 
+    /// Returns the state of the list that is compared with other VMs.
+    pub fn state(&self) -> State {
+        self.listing().revisions().state()
+    }
+
+    /// Returns the time by which removals are delayed at present.
+    pub fn removal_delay(&self, now: Instant) -> Duration {
+        self.listing().removal_delay(now)
+    }
+
     /// Returns the position of the last change.
     pub fn changed_position(&self) -> Position {
         self.listing().revisions().last_change()
--- a/tests/watchers.rs
+++ b/tests/watchers.rs
@@ -23,6 +23,8 @@
 /// Time for which the gateways are observed after that.
 const OBSERVED: Duration = Duration::from_secs(2);
 const GATEWAYS: usize = 9;
+/// Key of the target that leaves.
+const REMOVED_KEY: &str = "servers/s-0";
 /// A key that a later version of the configuration withdraws.
 const WITHDRAWN_KEY: (&str, &str) = ("authorization", "Token key-withdrawn");
 
@@ -82,9 +84,13 @@
 
     /// Removes a target without notice; the others must exclude it from the end of the bound on.
     fn assert_target_is_excluded_in_time(&self) {
-        self.site.store.remove("servers/s-0");
-        let acknowledged = Instant::now();
-        thread::sleep(BOUND);
+        self.site.store.remove(REMOVED_KEY);
+        self.assert_target_is_excluded(Instant::now());
+    }
+
+    /// Checks that the others exclude the target from the end of the bound on.
+    fn assert_target_is_excluded(&self, acknowledged: Instant) {
+        thread::sleep(BOUND.saturating_sub(acknowledged.elapsed()));
         while acknowledged.elapsed() < BOUND + OBSERVED {
             for &gateway in &self.others {
                 let attempt = format!("late-{gateway}-{}", acknowledged.elapsed().as_millis());
@@ -161,6 +167,29 @@
     watched.assert_target_is_excluded_in_time();
 }
 
+/// Watchers that start again have read a list without the target, and see no change in it.
+#[test]
+fn a_removal_is_not_missed_though_all_watchers_restart_meanwhile() {
+    let mut watched = Watched::start();
+    watched.kill_watchers();
+    thread::sleep(Duration::from_millis(200));
+    watched.site.store.remove(REMOVED_KEY);
+    let acknowledged = Instant::now();
+    thread::sleep(Duration::from_millis(300));
+    for index in watched.watchers.clone() {
+        watched.site.restart(index);
+    }
+    watched.assert_target_is_excluded(acknowledged);
+}
+
+/// The watchers read the whole list instead of the history, which no longer has the removal.
+#[test]
+fn a_removal_is_not_missed_though_the_history_is_dropped_with_it() {
+    let watched = Watched::start();
+    watched.site.store.remove_and_compact(REMOVED_KEY);
+    watched.assert_target_is_excluded(Instant::now());
+}
+
 /// Once the regular watchers are back, the others stop: each watch costs calls to the store.
 #[test]
 fn as_many_gateways_watch_as_before_once_the_watchers_are_back() {
