--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -52,8 +52,8 @@
     is_watching: AtomicBool,
     /// When the store last responded about each subject, in microseconds of the clock; 0 if never.
     responses: [AtomicU64; 2],
-    watch_sender: Sender<()>,
-    watch_receiver: Receiver<()>,
+    announce_sender: Sender<()>,
+    announce_receiver: Receiver<()>,
     has_changed: AtomicBool,
     data_centre: u64,
     link_mbps: u32,
@@ -69,7 +69,7 @@
         link_mbps: u32,
     ) -> Self {
         let (wakeup_sender, wakeup_receiver) = bounded(1);
-        let (watch_sender, watch_receiver) = bounded(1);
+        let (announce_sender, announce_receiver) = bounded(1);
         Self {
             peers: Mutex::default(),
             socket,
@@ -82,8 +82,8 @@
             configuration_failure: AtomicU64::new(0),
             is_watching: AtomicBool::new(false),
             responses: Default::default(),
-            watch_sender,
-            watch_receiver,
+            announce_sender,
+            announce_receiver,
             has_changed: AtomicBool::new(false),
             data_centre,
             link_mbps,
@@ -169,9 +169,10 @@
         self.peers().watch_role(own, is_unreachable, count, now)
     }
 
-    /// Sets whether this VM watches the store.
+    /// Sets whether this VM watches the store, which is announced at once.
     pub fn set_watching(&self, is_watching: bool) {
         self.is_watching.store(is_watching, Ordering::Relaxed);
+        self.notify_announcer();
     }
 
     /// Returns whether this VM watches the store.
@@ -183,10 +184,15 @@
     pub fn record_response(&self, subject: Subject, now: Instant) {
         self.responses[subject as usize].store(now.as_micros().max(1), Ordering::Relaxed);
         if self.is_watching() {
-            let _ = self.watch_sender.try_send(());
+            self.notify_announcer();
         }
     }
 
+    fn notify_announcer(&self) {
+        // A notification that is pending already covers this one.
+        let _ = self.announce_sender.try_send(());
+    }
+
     /// Returns the time since the store has responded about everything; `None` if it has not.
     pub fn response_age(&self, now: Instant) -> Option<Duration> {
         let responses = self.responses.iter();
@@ -194,10 +200,10 @@
         (oldest > 0).then(|| now.since(Instant::from_micros(oldest)))
     }
 
-    /// Waits until the store has responded to a watch of this VM.
-    pub async fn wait_for_response(&self) {
+    /// Waits until there is something to announce about this VM's watch of the store.
+    pub async fn wait_for_announcement(&self) {
         // `self` owns the sender, so the channel is never closed.
-        let _ = self.watch_receiver.recv().await;
+        let _ = self.announce_receiver.recv().await;
     }
 
     /// Returns the peers that announce a newer configuration than `version`.
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -226,14 +226,14 @@
 /// Announces to the data centre that this VM watches the store, until the process exits.
 pub async fn announce_watch(shared: Arc<Shared>) {
     loop {
-        shared.fleet.wait_for_response().await;
+        shared.fleet.wait_for_announcement().await;
         while shared.fleet.is_watching() {
             if shared.directory.has_list() && shared.current.version() > 0 {
                 send_watch(&shared).await;
             }
             let is_large_fleet = shared.dispatcher.live_vms() > MAX_SMALL_FLEET;
             let interval = watch::interval(is_large_fleet);
-            with_timeout(interval, shared.fleet.wait_for_response()).await;
+            with_timeout(interval, shared.fleet.wait_for_announcement()).await;
         }
     }
 }
