perf(gateway): send announcements of a watch with reports, and add fewer watchers

VMs that watch now add the announcement to the reports that they send anyway. A VM is added to watchers without responses only in the time until these have noticed that themselves, and one in place of two.

--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -650,7 +650,7 @@
     pub refused: u32,
 }
 
-/// Content of one datagram; exactly one field is present.
+/// Content of one datagram; one field is present, or a report and an announcement.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Datagram {
     /// Load and state of the sender.
--- a/crates/dispatch/src/watch.rs
+++ b/crates/dispatch/src/watch.rs
@@ -17,10 +17,14 @@
 const LARGE_FLEET_INTERVAL: Duration = Duration::from_millis(400);
 /// Intervals without an announcement after which a VM no longer counts as watching: two may be lost.
 const MAX_SILENT_INTERVALS: f64 = 3.3;
-/// Maximum age of a watcher's last response of the store.
+/// Age from which a watcher's last response of the store shows that it is probably cut off.
 ///
 /// The store responds at the end of each watch at the latest, and the next one follows soon.
-const MAX_RESPONSE_AGE: Duration = Duration::from_millis(1_500);
+const MAX_RESPONSE_AGE: Duration = Duration::from_millis(1_600);
+/// Age from which the watcher has noticed that itself, or has just begun to watch.
+///
+/// It then reports whether it reaches the store, which is what the ranking goes by.
+const NOTICED_RESPONSE_AGE: Duration = Duration::from_secs(3);
 /// Time from the start of the process in which the other VMs' watches may begin, as all may have
 /// started together.
 const STARTUP_TIME: Duration = Duration::from_secs(3);
@@ -31,7 +35,7 @@
 /// Number of VMs of a data centre that watch in addition if its watchers get no responses.
 ///
 /// More would not help against a store that is slow or away.
-const AUXILIARIES: usize = 2;
+const AUXILIARIES: usize = 1;
 
 /// Returns the interval between two announcements of a VM.
 pub fn interval(is_large_fleet: bool) -> Duration {
@@ -110,8 +114,12 @@
             let end = received.at + silence;
             announced_until = announced_until.max(end);
             let age = Duration::from_millis(received.watch.response_age_ms.into());
-            let remaining = MAX_RESPONSE_AGE.saturating_sub(age);
-            current_until = current_until.max(end.min(received.at + remaining));
+            let current_end = if age < NOTICED_RESPONSE_AGE {
+                end.min(received.at + MAX_RESPONSE_AGE.saturating_sub(age))
+            } else {
+                end
+            };
+            current_until = current_until.max(current_end);
         }
         let steps = u32::try_from(excess).unwrap_or(u32::MAX);
         let delay = TAKEOVER_STEP.saturating_mul(steps).min(MAX_TAKEOVER_DELAY);
--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -90,6 +90,9 @@
                 shared
                     .fleet
                     .record_response(Subject::Configuration, shared.now());
+                if is_first {
+                    shared.fleet.announce_watch();
+                }
                 Timer::after(MIN_WATCH_INTERVAL.saturating_sub(elapsed)).await;
             }
             Err(failure @ (Failure::Compacted | Failure::TooLong)) if after.is_some() => {
--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -133,6 +133,9 @@
                     reports::send_changes(&shared, changes).await;
                 }
                 shared.fleet.record_response(Subject::Targets, shared.now());
+                if is_first {
+                    shared.fleet.announce_watch();
+                }
                 let startup_end = started + STARTUP_TIME;
                 let min_interval = match role {
                     Some(WatchRole::Standby | WatchRole::Auxiliary) => STANDBY_MIN_WATCH_INTERVAL,
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -52,6 +52,8 @@
     is_watching: AtomicBool,
     /// When the store last responded about each subject, in microseconds of the clock; 0 if never.
     responses: [AtomicU64; 2],
+    /// When this VM last announced that it watches, in microseconds of the clock.
+    last_announcement: AtomicU64,
     announce_sender: Sender<()>,
     announce_receiver: Receiver<()>,
     has_changed: AtomicBool,
@@ -82,6 +84,7 @@
             configuration_failure: AtomicU64::new(0),
             is_watching: AtomicBool::new(false),
             responses: Default::default(),
+            last_announcement: AtomicU64::new(0),
             announce_sender,
             announce_receiver,
             has_changed: AtomicBool::new(false),
@@ -172,7 +175,7 @@
     /// Sets whether this VM watches the store, which is announced at once.
     pub fn set_watching(&self, is_watching: bool) {
         self.is_watching.store(is_watching, Ordering::Relaxed);
-        self.notify_announcer();
+        self.announce_watch();
     }
 
     /// Returns whether this VM watches the store.
@@ -180,15 +183,13 @@
         self.is_watching.load(Ordering::Relaxed)
     }
 
-    /// Records that the store has responded, which is announced at once if this VM watches.
+    /// Records that the store has responded.
     pub fn record_response(&self, subject: Subject, now: Instant) {
         self.responses[subject as usize].store(now.as_micros().max(1), Ordering::Relaxed);
-        if self.is_watching() {
-            self.notify_announcer();
-        }
     }
 
-    fn notify_announcer(&self) {
+    /// Announces at once that this VM watches the store, if it does.
+    pub fn announce_watch(&self) {
         // A notification that is pending already covers this one.
         let _ = self.announce_sender.try_send(());
     }
@@ -200,6 +201,21 @@
         (oldest > 0).then(|| now.since(Instant::from_micros(oldest)))
     }
 
+    /// Returns whether an announcement of this VM's watch is due at `interval`, and counts it as sent.
+    pub fn take_due_announcement(&self, interval: Duration, now: Instant) -> bool {
+        let is_due = self.is_watching() && now.since(self.last_announcement()) >= interval;
+        if is_due {
+            self.last_announcement
+                .store(now.as_micros(), Ordering::Relaxed);
+        }
+        is_due
+    }
+
+    /// Returns when this VM last announced that it watches the store.
+    pub fn last_announcement(&self) -> Instant {
+        Instant::from_micros(self.last_announcement.load(Ordering::Relaxed))
+    }
+
     /// Waits until there is something to announce about this VM's watch of the store.
     pub async fn wait_for_announcement(&self) {
         // `self` owns the sender, so the channel is never closed.
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -224,26 +224,50 @@
 }
 
 /// Announces to the data centre that this VM watches the store, until the process exits.
+///
+/// Reports that are sent meanwhile carry announcements as well, and take the place of these.
 pub async fn announce_watch(shared: Arc<Shared>) {
     loop {
         shared.fleet.wait_for_announcement().await;
+        let mut min_interval = Duration::ZERO;
         while shared.fleet.is_watching() {
-            if shared.directory.has_list() && shared.current.version() > 0 {
-                send_watch(&shared).await;
+            if let Some(watch) = due_watch(&shared, min_interval) {
+                let datagram = Datagram {
+                    watch: Some(watch),
+                    ..Datagram::default()
+                };
+                let data_centre = shared.fleet.data_centre();
+                let addresses = shared.fleet.peers().live_in(data_centre, shared.now());
+                broadcast(&shared, &datagram, addresses).await;
             }
-            let is_large_fleet = shared.dispatcher.live_vms() > MAX_SMALL_FLEET;
-            let interval = watch::interval(is_large_fleet);
-            with_timeout(interval, shared.fleet.wait_for_announcement()).await;
+            let interval = announcement_interval(&shared);
+            let since = shared.now().since(shared.fleet.last_announcement());
+            let delay = interval.saturating_sub(since).max(BATCH_DELAY);
+            let announced = with_timeout(delay, shared.fleet.wait_for_announcement()).await;
+            min_interval = if announced.is_some() {
+                Duration::ZERO
+            } else {
+                interval
+            };
         }
     }
 }
 
-async fn send_watch(shared: &Shared) {
+fn announcement_interval(shared: &Shared) -> Duration {
+    watch::interval(shared.dispatcher.live_vms() > MAX_SMALL_FLEET)
+}
+
+/// Returns the announcement that this VM watches the store if the last one is `interval` ago.
+fn due_watch(shared: &Shared, interval: Duration) -> Option<Watch> {
     let now = shared.now();
+    let is_complete = shared.directory.has_list() && shared.current.version() > 0;
+    if !is_complete || !shared.fleet.take_due_announcement(interval, now) {
+        return None;
+    }
     let response_age = shared.fleet.response_age(now);
     let newest_until = shared.current.newest_until().unwrap_or_default();
     let targets = shared.directory.state();
-    let watch = Watch {
+    Some(Watch {
         address: shared.fleet.own_address().into(),
         incarnation: shared.fleet.incarnation(),
         sequence: shared.fleet.next_sequence(),
@@ -258,14 +282,7 @@
         targets_revision: targets.position.revision,
         targets_digest: targets.digest,
         removal_delay_ms: shared.directory.removal_delay(now).as_millis() as u32,
-    };
-    let datagram = Datagram {
-        watch: Some(watch),
-        ..Datagram::default()
-    };
-    let data_centre = shared.fleet.data_centre();
-    let addresses = shared.fleet.peers().live_in(data_centre, now);
-    broadcast(shared, &datagram, addresses).await;
+    })
 }
 
 /// Processes the announcement of a VM that watches the store.
@@ -346,7 +363,10 @@
         addresses.extend(seed_addresses(shared));
         send_state(shared, addresses.clone()).await;
     }
-    broadcast(shared, &build_report(shared, round), addresses).await;
+    let mut datagram = build_report(shared, round);
+    // Half of the interval leaves room for a report to come before the announcement itself.
+    datagram.watch = due_watch(shared, announcement_interval(shared) / 2);
+    broadcast(shared, &datagram, addresses).await;
 }
 
 /// Builds a report; `round` selects the peers that it introduces.
