perf(gateway): begin a watch of the store without an extra call

A VM that takes over the watch of the store announces it before it has had a response, so the call that made one come at once is not needed. It doubled the calls of VMs to which the watch passes while the store is away.

--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -9,7 +9,7 @@
         control::{
             backoff::Backoff,
             current::Snapshot,
-            discovery::{CATCH_UP_TIMEOUT, CHECK_INTERVAL, WATCH_TIMEOUT, WATCHERS},
+            discovery::{CHECK_INTERVAL, WATCH_TIMEOUT, WATCHERS},
             encoding::{Encoding, LARGE_BYTES},
             fleet::Subject,
             reports, transfer,
@@ -37,32 +37,23 @@
 /// timeout.
 pub async fn watch(shared: Arc<Shared>, store: Arc<Store>) {
     let mut is_unreachable = false;
-    let mut was_watcher = false;
     let mut backoff = Backoff::default();
     loop {
         let began = shared.now();
         let version = shared.current.version();
         let is_watcher = shared.fleet.watch_role(WATCHERS, began).is_some();
         if version > 0 && !is_watcher {
-            was_watcher = false;
             Timer::after(CHECK_INTERVAL).await;
             continue;
         }
         // The history since an older position contains all versions that peers have sent meanwhile.
         let after = shared.current.newest_until();
-        let is_first = is_watcher && !was_watcher;
         let reading = match after {
             None => store.configuration().await,
             Some(position) => {
                 let plain_bytes = shared.current.size_bytes();
-                // The first one returns at once, so that this VM can announce that it watches.
-                let timeout = if is_first {
-                    CATCH_UP_TIMEOUT
-                } else {
-                    WATCH_TIMEOUT
-                };
                 store
-                    .watch_configuration(position, timeout, plain_bytes)
+                    .watch_configuration(position, WATCH_TIMEOUT, plain_bytes)
                     .await
             }
         };
@@ -86,13 +77,9 @@
                 }
                 let newest = is_known.then(|| (response.position, shared.current.version()));
                 shared.current.set_newest_until(newest);
-                was_watcher = is_watcher;
                 shared
                     .fleet
                     .record_response(Subject::Configuration, shared.now());
-                if is_first {
-                    shared.fleet.announce_watch();
-                }
                 Timer::after(MIN_WATCH_INTERVAL.saturating_sub(elapsed)).await;
             }
             Err(failure @ (Failure::Compacted | Failure::TooLong)) if after.is_some() => {
--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -44,7 +44,7 @@
 /// Time after the start to wait for reports of peers, so that few VMs start to watch.
 const STARTUP_TIME: Duration = Duration::from_millis(1_200);
 /// Maximum duration of a watch that only reads missed changes.
-pub const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1);
+const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(1);
 /// Time for which the pages of a list that was not read to its end are kept; the store's history
 /// reaches back further.
 const LISTING_LIFETIME: Duration = Duration::from_secs(10);
@@ -64,9 +64,7 @@
     let mut listing = store::Listing::default();
     let mut listing_begun = started;
     loop {
-        let is_watching = shared.fleet.is_watching();
         let role = update_role(&shared, &mut last_role);
-        let is_first = role.is_some() && !is_watching;
         let response = if !has_history {
             if shared.now().since(listing_begun) > LISTING_LIFETIME {
                 listing = store::Listing::default();
@@ -76,14 +74,8 @@
             }
             store.targets(&mut listing).await
         } else if role.is_some() {
-            // The first one returns at once, so that this VM can announce that it watches.
-            let timeout = if is_first {
-                CATCH_UP_TIMEOUT
-            } else {
-                WATCH_TIMEOUT
-            };
             store
-                .watch_targets(shared.directory.known_position(), timeout)
+                .watch_targets(shared.directory.known_position(), WATCH_TIMEOUT)
                 .await
         } else {
             let step = if shared.fleet.is_store_unreachable() {
@@ -133,9 +125,6 @@
                     reports::send_changes(&shared, changes).await;
                 }
                 shared.fleet.record_response(Subject::Targets, shared.now());
-                if is_first {
-                    shared.fleet.announce_watch();
-                }
                 let startup_end = started + STARTUP_TIME;
                 let min_interval = match role {
                     Some(WatchRole::Standby | WatchRole::Auxiliary) => STANDBY_MIN_WATCH_INTERVAL,
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -173,9 +173,17 @@
     }
 
     /// Sets whether this VM watches the store, which is announced at once.
+    ///
+    /// Responses from before it has begun to watch don't count.
     pub fn set_watching(&self, is_watching: bool) {
+        if is_watching && !self.is_watching() {
+            for response in &self.responses {
+                response.store(0, Ordering::Relaxed);
+            }
+        }
         self.is_watching.store(is_watching, Ordering::Relaxed);
-        self.announce_watch();
+        // A notification that is pending already covers this one.
+        let _ = self.announce_sender.try_send(());
     }
 
     /// Returns whether this VM watches the store.
@@ -188,13 +196,8 @@
         self.responses[subject as usize].store(now.as_micros().max(1), Ordering::Relaxed);
     }
 
-    /// Announces at once that this VM watches the store, if it does.
-    pub fn announce_watch(&self) {
-        // A notification that is pending already covers this one.
-        let _ = self.announce_sender.try_send(());
-    }
-
-    /// Returns the time since the store has responded about everything; `None` if it has not.
+    /// Returns the time since the store has responded about everything; `None` if it has not since
+    /// this VM has begun to watch it.
     pub fn response_age(&self, now: Instant) -> Option<Duration> {
         let responses = self.responses.iter();
         let oldest = responses.map(|at| at.load(Ordering::Relaxed)).min()?;
@@ -216,8 +219,8 @@
         Instant::from_micros(self.last_announcement.load(Ordering::Relaxed))
     }
 
-    /// Waits until there is something to announce about this VM's watch of the store.
-    pub async fn wait_for_announcement(&self) {
+    /// Waits until this VM begins or ends to watch the store.
+    pub async fn wait_for_watch(&self) {
         // `self` owns the sender, so the channel is never closed.
         let _ = self.announce_receiver.recv().await;
     }
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -228,7 +228,8 @@
 /// Reports that are sent meanwhile carry announcements as well, and take the place of these.
 pub async fn announce_watch(shared: Arc<Shared>) {
     loop {
-        shared.fleet.wait_for_announcement().await;
+        shared.fleet.wait_for_watch().await;
+        // That this VM begins to watch is announced at once.
         let mut min_interval = Duration::ZERO;
         while shared.fleet.is_watching() {
             if let Some(watch) = due_watch(&shared, min_interval) {
@@ -243,12 +244,8 @@
             let interval = announcement_interval(&shared);
             let since = shared.now().since(shared.fleet.last_announcement());
             let delay = interval.saturating_sub(since).max(BATCH_DELAY);
-            let announced = with_timeout(delay, shared.fleet.wait_for_announcement()).await;
-            min_interval = if announced.is_some() {
-                Duration::ZERO
-            } else {
-                interval
-            };
+            Timer::after(delay).await;
+            min_interval = interval;
         }
     }
 }
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -300,8 +300,8 @@
     pub fn wait_for_watchers(&self) -> Vec<usize> {
         /// Time in which a gateway that watches calls the store.
         const WINDOW: Duration = Duration::from_millis(1_500);
-        /// Time for which the watchers must stay the same; at the start, all gateways watch.
-        const STABLE: Duration = Duration::from_secs(4);
+        /// Time for which the watchers must stay the same.
+        const STABLE: Duration = Duration::from_secs(3);
         let mut known = Vec::new();
         let mut since = std::time::Instant::now();
         wait_until("the same gateways watch the store", || {
@@ -310,7 +310,9 @@
                 known = now;
                 since = std::time::Instant::now();
             }
-            !known.is_empty() && since.elapsed() > STABLE
+            // Until the gateways know each other, all of them watch.
+            let are_some = !known.is_empty() && known.len() < self.gateways.len();
+            are_some && since.elapsed() > STABLE
         });
         known
     }
