--- a/crates/fakes/src/site/store.rs
+++ b/crates/fakes/src/site/store.rs
@@ -140,10 +140,14 @@
 
     /// Writes an item and notifies watches.
     pub fn put(&self, key: &str, value: &str) {
+        self.put_encoded(key, STANDARD.encode(value));
+    }
+
+    fn put_encoded(&self, key: &str, value: String) {
         let mut state = lock(&self.state);
         let content = &mut state.content;
         content.revision += 1;
-        let (revision, value) = (content.revision, STANDARD.encode(value));
+        let revision = content.revision;
         content
             .items
             .insert(key.to_owned(), (revision, value.clone()));
@@ -198,6 +202,21 @@
         self.changed.notify();
     }
 
+    /// Writes again what differs from `content`, as the writers do after a restore.
+    pub fn write_again(&self, content: &Content) {
+        let now = self.backup();
+        for key in now.items.keys() {
+            if !content.items.contains_key(key) {
+                self.remove(key);
+            }
+        }
+        for (key, (_, value)) in &content.items {
+            if now.items.get(key).is_none_or(|(_, known)| known != value) {
+                self.put_encoded(key, value.clone());
+            }
+        }
+    }
+
     /// Sets how requests are handled; of the modes, pending watches only obey `Unresponsive`.
     pub fn set_mode(&self, mode: Mode) {
         lock(&self.state).mode = mode;
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -484,7 +484,9 @@
         let endpoint = self.endpoints.choose(random).expect("there are targets");
         let vm = random.random_range(0..self.vm_locks.len());
         let is_service = endpoint.service == "ledger";
-        match random.random_range(0..21) {
+        match random.random_range(0..23) {
+            22 => self.restore_store(duration, random),
+            21 => self.restart_watchers(duration, random),
             19.. => self.partition(random),
             18 => self.flood(endpoint.service, duration, random),
             17 if is_service => self.name_limit(endpoint, 4 * duration),
@@ -562,6 +564,58 @@
         }
     }
 
+    /// Restores the store from a backup that is `age` old; what is missing is written again soon.
+    fn restore_store(&self, age: Duration, random: &mut SmallRng) {
+        let lock = || self.site.lock().expect("the lock is not poisoned");
+        let backup = lock().store.backup();
+        thread::sleep(age);
+        lock().store.set_mode(Mode::Unavailable);
+        thread::sleep(Duration::from_millis(random.random_range(0..500)));
+        let site = lock();
+        let written = site.store.backup();
+        site.store.restore(backup);
+        thread::sleep(Duration::from_millis(random.random_range(0..300)));
+        site.store.write_again(&written);
+    }
+
+    /// Kills all gateways that watch the store, or lets them stand still, and changes the
+    /// configuration meanwhile.
+    fn restart_watchers(&self, duration: Duration, random: &mut SmallRng) {
+        let watchers: Vec<_> = {
+            let site = self.site.lock().expect("the lock is not poisoned");
+            let vms = 0..site.gateways.len();
+            vms.filter(|&vm| site.metric(vm, "store_watching") == 1)
+                .collect()
+        };
+        let locked = watchers.into_iter().filter_map(|vm| {
+            let lock = self.vm_locks[vm].try_lock().ok()?;
+            Some((vm, lock))
+        });
+        let locked: Vec<_> = locked.collect();
+        if random.random() {
+            for (vm, _) in &locked {
+                self.set_frozen(*vm, true);
+            }
+            self.publish(random);
+            thread::sleep(duration);
+            for (vm, _) in &locked {
+                self.set_frozen(*vm, false);
+            }
+            return;
+        }
+        self.record_vm_fault();
+        for (vm, _) in &locked {
+            self.with_process(*vm, Process::kill);
+        }
+        self.publish(random);
+        thread::sleep(duration);
+        self.record_vm_fault();
+        for (vm, _) in &locked {
+            let mut site = self.site.lock().expect("the lock is not poisoned");
+            site.restart(*vm);
+        }
+    }
+
     /// Partitions some gateways from all targets, in one of the ways that the proxy has.
     fn partition(&self, random: &mut SmallRng) {
         let duration = Duration::from_millis(random.random_range(500..5_000));
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -294,18 +294,23 @@
         }
     }
 
+    /// Returns the gateways that watch the store, by their calls.
+    pub fn watchers(&self) -> Vec<usize> {
+        /// Time in which a gateway that watches calls the store.
+        const WINDOW: Duration = Duration::from_millis(1_500);
+        self.store.watching(WINDOW)
+    }
+
     /// Waits until the same gateways have watched the store for some seconds, and returns them.
     ///
     /// The site must have a caller of the store for each gateway.
     pub fn wait_for_watchers(&self) -> Vec<usize> {
-        /// Time in which a gateway that watches calls the store.
-        const WINDOW: Duration = Duration::from_millis(1_500);
         /// Time for which the watchers must stay the same.
         const STABLE: Duration = Duration::from_secs(3);
         let mut known = Vec::new();
         let mut since = std::time::Instant::now();
         wait_until("the same gateways watch the store", || {
-            let now = self.store.watching(WINDOW);
+            let now = self.watchers();
             if now != known {
                 known = now;
                 since = std::time::Instant::now();
--- a/tests/watchers.rs
+++ b/tests/watchers.rs
@@ -202,5 +202,8 @@
     wait_until("the gateways know each other", || {
         (0..GATEWAYS).all(|index| watched.site.metric(index, "vms") == GATEWAYS)
     });
+    wait_until("only the regular watchers watch", || {
+        watched.site.watchers() == watched.watchers
+    });
     assert_eq!(watched.site.wait_for_watchers(), watched.watchers);
 }
