fix(dispatch): forget old removals of targets

Targets leave every few seconds, and each removal was remembered for as long as the process runs, about 50 bytes each. Removals are forgotten 1,000 revisions later; no response is under way for so long.

--- a/crates/dispatch/src/revision.rs
+++ b/crates/dispatch/src/revision.rs
@@ -8,6 +8,9 @@
     std::collections::HashMap,
 };
 
+/// Revisions for which a removal is remembered; responses that come later than that are lost.
+const REMOVAL_LIFETIME: u64 = 1_000;
+
 /// A point in the store's history.
 ///
 /// Revisions are only comparable within an era: a store that was restored from a backup begins a
@@ -44,6 +47,7 @@
     position: Position,
     /// Revision of the last change.
     last_change: u64,
+    /// Also of entries that were removed not long ago.
     changes: HashMap<key::Target, Change>,
 }
 
@@ -61,6 +65,16 @@
         }
     }
 
+    /// Returns the number of entries of which a change is remembered.
+    pub fn len(&self) -> usize {
+        self.changes.len()
+    }
+
+    /// Returns whether no change is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.changes.is_empty()
+    }
+
     /// Returns what is compared with other VMs.
     pub fn state(&self) -> State {
         let listed = self.changes.iter().filter(|(_, change)| change.is_listed);
@@ -90,8 +104,13 @@
 
     /// Advances the point up to which all changes are known, and the revision of the last change.
     pub fn advance(&mut self, revision: u64, last_change: u64) {
-        self.last_change = self.last_change.max(last_change);
         self.position.revision = self.position.revision.max(revision).max(last_change);
+        if last_change > self.last_change {
+            self.last_change = last_change;
+            let first = last_change.saturating_sub(REMOVAL_LIFETIME);
+            self.changes
+                .retain(|_, change| change.is_listed || change.revision > first);
+        }
     }
 
     /// Replaces everything by a full list that was read at `position`.
--- a/crates/dispatch/tests/revision.rs
+++ b/crates/dispatch/tests/revision.rs
@@ -147,3 +147,20 @@
     received.record(key_of("b"), 9, true);
     assert_ne!(received.state().digest, read.digest);
 }
+
+/// Targets leave every few seconds, for as long as the process runs.
+#[test]
+fn old_removals_are_forgotten() {
+    let mut revisions = Revisions::default();
+    for revision in 1..10_000 {
+        let target = key_of(&format!("i-{revision}"));
+        revisions.record(target, revision, revision % 100 == 0);
+        revisions.advance(revision, revision);
+    }
+    assert!(revisions.len() < 2_000, "{} entries", revisions.len());
+    assert!(
+        !revisions.record(key_of("i-100"), 99, false),
+        "it is listed"
+    );
+    assert!(!revisions.record(key_of("i-9900"), 9_899, true));
+}
