fix(dispatch): bind notices that a target is leaving to its process

The notice outlived the entry, applied to the next process under the id, and all VMs renewed it for one another.

Change: a notice names the start of the process, ends with its entry, and does not come back with reports that are later than the removal.

Evidence: a_target_that_is_back_under_its_id_gets_requests_again fails on (503, 2 s after the entry was ready again) and passes now.

--- a/crates/dispatch/src/listing.rs
+++ b/crates/dispatch/src/listing.rs
@@ -58,14 +58,29 @@
     }
 }
 
+/// A notice that a target is leaving.
+#[derive(Clone, Copy, Debug)]
+struct Notice {
+    at: Instant,
+    /// Start of the process that is leaving, if known: a later one under the same name is not.
+    started_ms: Option<u64>,
+}
+
+impl Notice {
+    /// Returns whether it is about a process that started at this time.
+    fn applies_to(self, started_ms: Option<u64>) -> bool {
+        self.started_ms.is_none() || started_ms <= self.started_ms
+    }
+}
+
 /// The known targets, with pending removals and notices that some are leaving.
 #[derive(Debug, Default)]
 pub struct Listing {
     targets: HashMap<key::Target, Target>,
     /// Targets whose entries were removed, with the time at which that takes effect.
     pending_removals: HashMap<key::Target, Instant>,
-    /// Targets that are leaving by their own notice or a peer's, with its time.
-    leaving_notices: HashMap<key::Target, Instant>,
+    /// Targets that are leaving by their own notice or a peer's.
+    leaving_notices: HashMap<key::Target, Notice>,
     /// Targets that have said in an answer that they leave, which holds until they have left.
     announced_leaving: HashSet<key::Target>,
     is_store_unavailable: bool,
@@ -108,6 +123,10 @@
             self.leaving_notices.remove(&target.key);
             self.announced_leaving.remove(&target.key);
         }
+        let notice = self.leaving_notices.get(&target.key);
+        if notice.is_some_and(|notice| !notice.applies_to(target.started_ms)) {
+            self.leaving_notices.remove(&target.key);
+        }
         if let Some(before) = self.targets.insert(target.key, target) {
             self.record_release(&before, now);
         }
@@ -238,14 +257,33 @@
         true
     }
 
-    /// Records a notice, by a target or a peer, that the target is leaving.
+    /// Records a notice, by a target or a peer, that the target is leaving whose process started at
+    /// `started_ms`.
     ///
-    /// Returns whether that was unknown before.
-    pub fn mark_leaving(&mut self, target: key::Target, now: Instant) -> bool {
+    /// A notice about a process that has left already doesn't count. Returns whether that was unknown
+    /// before.
+    pub fn mark_leaving(
+        &mut self,
+        target: key::Target,
+        started_ms: Option<u64>,
+        now: Instant,
+    ) -> bool {
+        let notice = Notice {
+            at: now,
+            started_ms,
+        };
         let known = self.targets.get(&target);
+        let has_left = match (known, self.departed.get(&target)) {
+            (Some(known), _) => !notice.applies_to(known.started_ms),
+            (None, Some((departed, _))) => notice.applies_to(*departed),
+            (None, None) => false,
+        };
+        if has_left {
+            return false;
+        }
         let is_new = known.is_some_and(|known| !known.is_leaving)
             && !self.leaving_notices.contains_key(&target);
-        self.leaving_notices.insert(target, now);
+        self.leaving_notices.insert(target, notice);
         is_new
     }
 
@@ -264,7 +302,7 @@
     pub fn expire(&mut self, now: Instant) -> bool {
         let before = self.leaving_notices.len();
         self.leaving_notices
-            .retain(|_, noticed| now.since(*noticed) < NOTICE_LIFETIME);
+            .retain(|_, notice| now.since(notice.at) < NOTICE_LIFETIME);
         let mut changed = before != self.leaving_notices.len();
         let due: Vec<_> = self
             .pending_removals
@@ -353,6 +391,8 @@
         if let Some(removed) = self.targets.remove(&target) {
             self.record_release(&removed, now);
             self.departed.insert(target, (removed.started_ms, now));
+            // The notice has come true; a process that is back under this name is another one.
+            self.leaving_notices.remove(&target);
         }
         self.restored.remove(&target);
         self.pending_removals.remove(&target);
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -127,8 +127,8 @@
 pub struct Update {
     /// Whether the sender was unknown, has restarted or had been silent for [`PEER_TIMEOUT`].
     pub is_new: bool,
-    /// Targets that the sender knows to be leaving.
-    pub leaving: Vec<key::Target>,
+    /// Targets that the sender knows to be leaving, with the starts of their processes, if known.
+    pub leaving: Vec<(key::Target, Option<u64>)>,
 }
 
 impl Peers {
@@ -160,8 +160,7 @@
                 self.introduced.insert(introduced, now);
             }
         }
-        let leaving = report.leaving.iter().map(|&raw| key::Target::from_raw(raw));
-        let leaving = leaving.collect();
+        let leaving = report.leaving_targets();
         self.reporting.insert(
             address,
             Peer {
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -130,6 +130,21 @@
     /// Rate of the sender's link in Mbit/s; 0 if it is not known.
     #[prost(uint32, tag = "17")]
     pub link_mbps: u32,
+    /// Start of each target in `leaving`, in Unix milliseconds; 0 if it is not known.
+    #[prost(uint64, repeated, tag = "18")]
+    pub leaving_started_ms: Vec<u64>,
+}
+
+impl Report {
+    /// Returns the targets that are leaving, with the starts of their processes.
+    pub fn leaving_targets(&self) -> Vec<(key::Target, Option<u64>)> {
+        let started = self.leaving_started_ms.iter().copied();
+        // Older builds send no starts.
+        let started = started.map(|started_ms| (started_ms > 0).then_some(started_ms));
+        let started = started.chain(std::iter::repeat(None));
+        let leaving = self.leaving.iter().map(|&raw| key::Target::from_raw(raw));
+        leaving.zip(started).collect()
+    }
 }
 
 /// Announcement of a VM that watches the store, to the VMs of its data centre.
--- a/crates/dispatch/tests/listing.rs
+++ b/crates/dispatch/tests/listing.rs
@@ -172,9 +172,52 @@
 fn a_leaving_notice_holds_until_the_target_restarts() {
     let mut listing = Listing::default();
     listing.put(target("a", false, 1), at(0));
-    assert!(listing.mark_leaving(key::Target::of("a"), at(0)));
-    assert!(!listing.mark_leaving(key::Target::of("a"), at(1)));
+    assert!(listing.mark_leaving(key::Target::of("a"), Some(1), at(0)));
+    assert!(!listing.mark_leaving(key::Target::of("a"), Some(1), at(1)));
     assert!(listing.targets().all(|target| target.is_leaving));
     listing.put(target("a", false, 2), at(0));
     assert!(listing.targets().all(|target| !target.is_leaving));
 }
+
+/// Peers report a target as leaving until they have its removal, some of them after this VM has.
+#[test]
+fn a_notice_about_a_process_that_has_left_does_not_hold_for_the_next_one() {
+    let key = key::Target::of("a");
+    for started_ms in [Some(1), None] {
+        let mut listing = Listing::default();
+        listing.replace(vec![target("a", true, 1)], at(0));
+        listing.mark_leaving(key, started_ms, at(1));
+        listing.remove(key, Duration::ZERO, at(2));
+        assert!(
+            !listing.mark_leaving(key, started_ms, at(3)),
+            "a late report"
+        );
+        assert!(listing.put(target("a", false, 2), at(4)));
+        assert!(listing.targets().all(|target| !target.is_leaving));
+        if started_ms.is_some() {
+            assert!(!listing.mark_leaving(key, started_ms, at(5)), "a later one");
+            assert!(listing.targets().all(|target| !target.is_leaving));
+        }
+        assert!(
+            listing.mark_leaving(key, Some(2), at(6)),
+            "it leaves as well"
+        );
+        assert!(listing.targets().all(|target| target.is_leaving));
+    }
+}
+
+/// A report may come before the entry of the target that it names.
+#[test]
+fn a_notice_about_an_unknown_process_holds_for_it_only() {
+    let key = key::Target::of("a");
+    let mut listing = Listing::default();
+    listing.replace(Vec::new(), at(0));
+    assert!(!listing.mark_leaving(key, Some(1), at(1)));
+    listing.put(target("a", false, 1), at(2));
+    assert!(listing.targets().all(|target| target.is_leaving));
+    let mut listing = Listing::default();
+    listing.replace(Vec::new(), at(0));
+    listing.mark_leaving(key, Some(1), at(1));
+    listing.put(target("a", false, 2), at(2));
+    assert!(listing.targets().all(|target| !target.is_leaving));
+}
--- a/crates/gateway/src/control/inquiry.rs
+++ b/crates/gateway/src/control/inquiry.rs
@@ -43,7 +43,9 @@
             .zip(leaving)
             .filter(|(_, is_leaving)| *is_leaving)
         {
-            is_changed |= shared.directory.mark_leaving(target.key, now);
+            is_changed |= shared
+                .directory
+                .mark_leaving(target.key, target.started_ms, now);
             log::info!(target: "target", target_key:% = target.key, instance:% = target.instance; "engine reports that it is leaving");
         }
         if is_changed {
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -368,6 +368,7 @@
 
 /// Builds a report; `round` selects the peers that it introduces.
 fn build_report(shared: &Shared, round: u64) -> Datagram {
+    let leaving = shared.directory.leaving_targets();
     let report = Report {
         address: shared.fleet.own_address().into(),
         incarnation: shared.fleet.incarnation(),
@@ -378,11 +379,10 @@
         link_mbps: shared.fleet.link_mbps(),
         targets_revision: shared.directory.changed_position().revision,
         loads: local_loads(shared),
-        leaving: shared
-            .directory
-            .leaving_targets()
+        leaving: leaving.iter().map(|(key, _)| key.raw()).collect(),
+        leaving_started_ms: leaving
             .iter()
-            .map(|key| key.raw())
+            .map(|(_, started_ms)| started_ms.unwrap_or_default())
             .collect(),
         introductions: shared.fleet.peers().introductions(round, shared.now()),
         is_stopping: shared.drain.is_draining(),
@@ -452,8 +452,8 @@
     if update.is_new {
         log::info!(target: "peer", peer:% = address, vms = shared.fleet.live_vms(now); "discovered a peer");
     }
-    for target in update.leaving {
-        if shared.directory.mark_leaving(target, now) {
+    for (target, started_ms) in update.leaving {
+        if shared.directory.mark_leaving(target, started_ms, now) {
             log::info!(
                 target: "target", target_key:% = target, peer:% = address;
                 "peer reports that the target is leaving"
--- a/crates/gateway/src/targets/directory.rs
+++ b/crates/gateway/src/targets/directory.rs
@@ -54,13 +54,13 @@
         self.get(target).is_some_and(|target| !target.is_leaving)
     }
 
-    /// Returns the keys of the leaving targets.
-    pub fn leaving_targets(&self) -> Vec<key::Target> {
+    /// Returns the leaving targets, with the starts of their processes, if known.
+    pub fn leaving_targets(&self) -> Vec<(key::Target, Option<u64>)> {
         let by_service = self.by_service.load();
         let targets = by_service.values().flat_map(|targets| targets.iter());
         targets
             .filter(|target| target.is_leaving)
-            .map(|target| target.key)
+            .map(|target| (target.key, target.started_ms))
             .collect()
     }
 
@@ -146,8 +146,9 @@
         is_new
     }
 
-    /// Marks a target as leaving; returns whether it was not marked before.
-    pub fn mark_leaving(&self, target: key::Target, now: Instant) -> bool {
-        self.update(|listing| listing.mark_leaving(target, now))
+    /// Marks a target as leaving whose process started at `started_ms`; returns whether it was not
+    /// marked before.
+    pub fn mark_leaving(&self, target: key::Target, started_ms: Option<u64>, now: Instant) -> bool {
+        self.update(|listing| listing.mark_leaving(target, started_ms, now))
     }
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -110,6 +110,32 @@
     );
 }
 
+/// A notice that a target leaves outlived the target, and the gateways renewed it for one another, so
+/// a service whose targets had all restarted under their ids got no request any more.
+#[test]
+fn a_target_that_is_back_under_its_id_gets_requests_again() {
+    let site = Site::start(1, 1, 3);
+    site.wait_for_peers();
+    let target = &site.services[0];
+    site.register(target, "ledger", "dc-1", "draining");
+    wait_until("the target is known to be leaving", || {
+        (0..3).all(|index| {
+            site.metrics(index)
+                .contains("targets{leaving=\"true\"} 1\n")
+        })
+    });
+    // Each gateway has reports of the others that name the target.
+    std::thread::sleep(Duration::from_secs(2));
+    site.store.remove("servers/s-0");
+    std::thread::sleep(Duration::from_millis(500));
+    site.put_entry_of(target, target.address, "ledger", "dc-1", "ready", "v1", 2);
+    std::thread::sleep(Duration::from_secs(2));
+    for index in 0..3 {
+        let response = site.send(index, &Method::GET, SAFE_PATH, &[]);
+        assert_eq!(response.status, StatusCode::OK, "gateway {index}");
+    }
+}
+
 /// A gateway that restarts while the store refuses calls must not stay without a configuration.
 #[test]
 fn a_vm_that_the_store_turns_away_gets_the_configuration_of_a_peer() {
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -201,10 +201,25 @@
         data_centre: &str,
         state: &str,
         release: &str,
+    ) {
+        self.put_entry_of(target, address, service, data_centre, state, release, 1);
+    }
+
+    /// Writes the entry of a process that started at `started_ms` to the store.
+    #[expect(clippy::too_many_arguments, reason = "the fields of an entry")]
+    pub fn put_entry_of(
+        &self,
+        target: &Target,
+        address: SocketAddr,
+        service: &str,
+        data_centre: &str,
+        state: &str,
+        release: &str,
+        started_ms: u64,
     ) {
         let entry = json!({
             "Service": service, "Address": address, "Zone": data_centre, "Version": release,
-            "Slots": 8, "State": state, "ColdRemainingMs": 0, "Sequence": 1, "born": 1,
+            "Slots": 8, "State": state, "ColdRemainingMs": 0, "Sequence": 1, "born": started_ms,
         });
         self.store
             .put(&format!("servers/{}", target.instance), &entry.to_string());
