--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -127,7 +127,7 @@
 pub struct Update {
     /// Whether the sender was unknown, has restarted or had been silent for [`PEER_TIMEOUT`].
     pub is_new: bool,
-    /// Targets that the sender knows to be leaving, with the starts of their processes, if known.
+    /// Targets that the sender reports as leaving, with the starts of their processes, if known.
     pub leaving: Vec<(key::Target, Option<u64>)>,
 }
 
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -169,7 +169,7 @@
     #[prost(uint64, tag = "6")]
     pub configuration_version: u64,
     /// Era and revision of the store at which the sender last found no newer configuration; 0 if
-    /// it doesn't know.
+    /// it has not read any.
     #[prost(uint64, tag = "7")]
     pub configuration_era: u64,
     /// See `configuration_era`.
--- a/crates/dispatch/src/watch.rs
+++ b/crates/dispatch/src/watch.rs
@@ -94,8 +94,8 @@
 
     /// Returns the role of a VM that is not one of the regular watchers of its data centre.
     ///
-    /// `is_senior` tells for each VM of the data centre whether it ranks before this one, which
-    /// comes `excess` ranks after the regular watchers.
+    /// `is_senior` returns whether a VM of the data centre ranks before this one, which comes `excess`
+    /// ranks after the regular watchers.
     pub fn role(
         &self,
         data_centre: u64,
--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -99,7 +99,7 @@
     }
 }
 
-/// Takes over what a VM that watches the store knows of the configuration in force.
+/// Takes over from a VM that watches the store how long the configuration in force is the newest.
 ///
 /// This VM then needs no read of the whole value if it has to watch the store itself.
 pub fn receive_watch(shared: &Shared, watch: &Watch) {
--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -264,7 +264,7 @@
     );
 }
 
-/// Takes over what a VM that watches the store knows of the list of targets.
+/// Compares the list of targets with that of a VM that watches the store.
 pub fn receive_watch(shared: &Shared, watch: &Watch) {
     let now = shared.now();
     let announced = watch.targets();
--- a/tests/restores.rs
+++ b/tests/restores.rs
@@ -1,6 +1,6 @@
 //! A store that is restored from a backup some seconds old, behind real gateway processes.
 //!
-//! Its revisions go back and are assigned again, so what a gateway knows of them no longer counts.
+//! Its revisions go back and are assigned again, so what a gateway has read before no longer counts.
 
 mod support;
 
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -330,7 +330,7 @@
                 known = now;
                 since = std::time::Instant::now();
             }
-            // Until the gateways know each other, all of them watch.
+            // Until the gateways have discovered each other, all of them watch.
             let are_some = !known.is_empty() && known.len() < self.gateways.len();
             are_some && since.elapsed() > STABLE
         });
--- a/tests/watchers.rs
+++ b/tests/watchers.rs
@@ -199,7 +199,7 @@
     for index in watched.watchers.clone() {
         watched.site.restart(index);
     }
-    wait_until("the gateways know each other", || {
+    wait_until("the gateways have discovered each other", || {
         (0..GATEWAYS).all(|index| watched.site.metric(index, "vms") == GATEWAYS)
     });
     wait_until("only the regular watchers watch", || {
