refactor(dispatch): remove the import cycles between modules

Cause: `peers` and `watch` imported each other, and so did `quarantine` and `report`, so `report` was not layered below the modules that use its messages.

Change: `WatchRole` moves from `peers` to `watch`. `Feature` and its `Kind` move from `quarantine` to the new module `feature`, which `report` and `quarantine` import.

Result: of the modules of crates/dispatch, `peers`, `quarantine`, `report` and `watch` were on a cycle of imports, now none is, also not through a third module.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod configuration;
 pub mod drain;
 pub mod duration;
+pub mod feature;
 pub mod frame;
 pub mod length;
 pub mod limit;
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -9,10 +9,9 @@
         report::{Report, Summary, TargetLoad, Watch},
         revision::State,
         waiting::Waiter,
-        watch::Watches,
+        watch::{WatchRole, Watches},
     },
     base::{Instant, key, rendezvous},
-    derive_more::Display,
     std::{
         collections::{HashMap, HashSet},
         net::Ipv4Addr,
@@ -71,20 +70,6 @@
     watches: Watches,
 }
 
-/// Role of a VM that watches the store on behalf of all.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
-#[display(rename_all = "snake_case")]
-pub enum WatchRole {
-    /// Reads each change at once.
-    Primary,
-    /// Watches at longer intervals and reads what the primary missed.
-    Standby,
-    /// Watches because the regular watchers of the data centre have fallen silent.
-    Substitute,
-    /// Watches because those watchers get no response of the store.
-    Auxiliary,
-}
-
 /// Number of VMs up to which a fleet is small: each VM is sent every change of the others' load.
 pub const MAX_SMALL_FLEET: usize = 40;
 
--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -14,9 +14,11 @@
 //! target is lost again.
 
 use {
-    crate::report::{Evidence, Loss, Quarantined, Survival, Survived},
+    crate::{
+        feature::{Feature, Kind},
+        report::{Evidence, Loss, Quarantined, Survival, Survived},
+    },
     base::{Instant, key, rendezvous},
-    derive_more::Display,
     std::{
         collections::{BTreeMap, HashMap, HashSet, VecDeque},
         time::Duration,
@@ -82,49 +84,6 @@
 /// Maximum number of survivals and of verdicts in a message.
 const MAX_SENT_PARTS: usize = 32;
 
-/// What a feature identifies.
-#[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub enum Kind {
-    /// A part of prompts, which different requests share.
-    #[display("part")]
-    Part,
-    /// A request, which is repeated word for word.
-    #[display("request")]
-    Request,
-}
-
-/// Something that requests of one service carry along and that may crash their targets.
-#[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
-#[display("{kind} {id:016x}")]
-pub struct Feature {
-    /// Service that the requests are for.
-    pub service: key::Service,
-    /// What the feature identifies.
-    pub kind: Kind,
-    /// Raw key of the part, or of the request's fingerprint.
-    pub id: u64,
-}
-
-impl Feature {
-    /// Returns the feature of prompts that contain a part.
-    pub fn part(service: key::Service, part: key::Part) -> Self {
-        Self {
-            service,
-            kind: Kind::Part,
-            id: part.raw(),
-        }
-    }
-
-    /// Returns the feature of a request that is repeated.
-    pub fn request(service: key::Service, fingerprint: key::Fingerprint) -> Self {
-        Self {
-            service,
-            kind: Kind::Request,
-            id: fingerprint.raw(),
-        }
-    }
-}
-
 /// Durations of a quarantine.
 #[derive(Clone, Copy, Debug)]
 pub struct Policy {
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::{
-        Load, origin,
-        quarantine::{Feature, Kind},
+        Load,
+        feature::{Feature, Kind},
+        origin,
         revision::{Position, State},
         waiting::Waiter,
     },
--- a/crates/dispatch/src/watch.rs
+++ b/crates/dispatch/src/watch.rs
@@ -6,8 +6,9 @@
 //! take over one after the other, so that a loss of all watchers doesn't make all VMs read at once.
 
 use {
-    crate::{peers::WatchRole, report, revision::State},
+    crate::{report, revision::State},
     base::Instant,
+    derive_more::Display,
     std::{collections::HashMap, net::Ipv4Addr, time::Duration},
 };
 
@@ -37,6 +38,20 @@
 /// More would not help against a store that is slow or away.
 const AUXILIARIES: usize = 1;
 
+/// Role of a VM that watches the store on behalf of all.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[display(rename_all = "snake_case")]
+pub enum WatchRole {
+    /// Reads each change at once.
+    Primary,
+    /// Watches at longer intervals and reads what the primary missed.
+    Standby,
+    /// Watches because the regular watchers of the data centre have fallen silent.
+    Substitute,
+    /// Watches because those watchers get no response of the store.
+    Auxiliary,
+}
+
 /// Returns the interval between two announcements of a VM.
 pub fn interval(is_large_fleet: bool) -> Duration {
     if is_large_fleet {
--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -4,13 +4,14 @@
     base::{Instant, key},
     mastictrail_dispatch::{
         Load, Peers, origin,
-        peers::{Candidate, Update, WatchRole},
+        peers::{Candidate, Update},
         replication::{Replication, Step},
         report::{
             Changes, Datagram, Description, Entry, Origin, QueuedRequest, Report, Summary,
             TargetLoad,
         },
         waiting::Waiter,
+        watch::WatchRole,
     },
     prost::Message,
     std::{net::Ipv4Addr, time::Duration},
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -4,7 +4,8 @@
     base::{Instant, key},
     mastictrail_dispatch::{
         Quarantine,
-        quarantine::{Admission, Change, Feature, Policy},
+        feature::Feature,
+        quarantine::{Admission, Change, Policy},
         report::{Datagram, Evidence},
     },
     prost::Message,
--- a/crates/dispatch/tests/watch.rs
+++ b/crates/dispatch/tests/watch.rs
@@ -4,8 +4,9 @@
     base::Instant,
     mastictrail_dispatch::{
         Peers,
-        peers::{Candidate, WatchRole},
+        peers::Candidate,
         report::{Report, Watch},
+        watch::WatchRole,
     },
     std::{net::Ipv4Addr, time::Duration},
 };
--- a/crates/gateway/src/clients/exchange.rs
+++ b/crates/gateway/src/clients/exchange.rs
@@ -15,9 +15,10 @@
     bytes::Bytes,
     dispatch::{
         configuration::{RetryPolicy, Route},
+        feature::{Feature, Kind},
         listing::Target,
         origin::Origin,
-        quarantine::{Admission, Feature, Kind},
+        quarantine::Admission,
     },
     entry::runtime::with_timeout,
     http_body_util::{BodyExt, Full, LengthLimitError, Limited},
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -5,7 +5,8 @@
     derive_more::Debug,
     dispatch::{
         Peers,
-        peers::{Candidate, Offer, WatchRole},
+        peers::{Candidate, Offer},
+        watch::WatchRole,
     },
     smol::{
         Async,
--- a/crates/gateway/src/control/inquiry.rs
+++ b/crates/gateway/src/control/inquiry.rs
@@ -10,7 +10,7 @@
         control::{discovery::WATCHERS, reports},
     },
     bytes::Bytes,
-    dispatch::{listing::Target, peers::WatchRole},
+    dispatch::{listing::Target, watch::WatchRole},
     futures_util::future::join_all,
     hyper::Method,
     platform::engine,
--- a/crates/gateway/src/control/quarantine.rs
+++ b/crates/gateway/src/control/quarantine.rs
@@ -4,7 +4,8 @@
     crate::{Shared, control::reports},
     base::key,
     dispatch::{
-        quarantine::{Admission, Change, Feature},
+        feature::Feature,
+        quarantine::{Admission, Change},
         report::Evidence,
     },
     entry::runtime::with_timeout,
