fix(gateway): ask engines for their departure whoever watches the store

Cause: only VMs that both watch the store and find it unreachable asked. A watcher that finds it unreachable gives way to others as long as one VM has not noticed, and in a large fleet most never read the store. So hardly any VM was both.

Change: in each data centre, the first VM that doesn't reach the store asks, unless a VM of the data centre announces current responses.

Evidence: the test in dispatch/tests/watch.rs shows that such VMs have no role in watching, which the former condition required.

--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -243,6 +243,26 @@
         })
     }
 
+    /// Returns whether a VM that doesn't reach the store asks the engines of its data centre whether
+    /// they are leaving.
+    ///
+    /// Watchers that get no response give way to others, which take seconds to notice the same, so
+    /// this doesn't depend on who watches. No VM asks while one of the data centre has current
+    /// responses, and only the first of those that don't reach the store does, as each request is
+    /// priced.
+    pub fn polls_departures(&self, own: Ipv4Addr, data_centre: u64, now: Instant) -> bool {
+        if self.watches.has_current(data_centre, now) {
+            return false;
+        }
+        let mut others = self.live(now);
+        !others.any(|(address, report)| {
+            report.data_centre == data_centre
+                && report.is_store_unreachable
+                && !report.is_stopping
+                && address < own
+        })
+    }
+
     /// Returns the peers that a VM tells where a stream began.
     ///
     /// One of them is in another data centre, for clients that come back there.
--- a/crates/dispatch/src/watch.rs
+++ b/crates/dispatch/src/watch.rs
@@ -107,6 +107,16 @@
         recent.map(|received| received.watch.targets()).max()
     }
 
+    /// Returns whether a VM of the data centre has had a response of the store lately, as its
+    /// announcements show.
+    pub fn has_current(&self, data_centre: u64, now: Instant) -> bool {
+        self.received.values().any(|received| {
+            let age = Duration::from_millis(received.watch.response_age_ms.into());
+            received.watch.data_centre == data_centre
+                && age.saturating_add(now.since(received.at)) < MAX_RESPONSE_AGE
+        })
+    }
+
     /// Returns the role of a VM that is not one of the regular watchers of its data centre.
     ///
     /// `is_senior` returns whether a VM of the data centre ranks before this one, which comes `excess`
--- a/crates/dispatch/tests/watch.rs
+++ b/crates/dispatch/tests/watch.rs
@@ -203,3 +203,52 @@
         "its own"
     );
 }
+
+/// The watchers of a large fleet find the store unreachable and give way to VMs that haven't noticed.
+/// Unless the first of them asks the engines, nobody learns that these leave.
+#[test]
+fn the_first_vm_that_does_not_reach_the_store_asks_engines_unless_a_peer_has_responses() {
+    let noticed = [2, 4, 6];
+    let poll = |fleet: &Fleet, milliseconds| {
+        let vms = fleet.vms.iter().filter(|(vm, _)| noticed.contains(vm));
+        let polling = vms.filter(|(vm, peers)| {
+            let role = peers.watch_role(
+                Candidate {
+                    address: address(*vm),
+                    data_centre: data_centre(*vm),
+                    link_mbps: 0,
+                },
+                true,
+                WATCHERS * 2,
+                at(milliseconds),
+            );
+            assert_eq!(role, None, "VM {vm} gives way");
+            peers.polls_departures(address(*vm), data_centre(*vm), at(milliseconds))
+        });
+        polling.map(|(vm, _)| *vm).collect::<Vec<_>>()
+    };
+    let mut fleet = Fleet::new();
+    fleet.report(10_000, |_| true);
+    fleet.sequence += 1;
+    for (own, peers) in &mut fleet.vms {
+        for vm in noticed.iter().filter(|vm| **vm != *own) {
+            let report = Report {
+                address: address(*vm).into(),
+                incarnation: u64::from(*vm),
+                sequence: fleet.sequence,
+                data_centre: data_centre(*vm),
+                is_store_unreachable: true,
+                ..Report::default()
+            };
+            peers.receive_report(report, address(*own), at(10_000));
+        }
+    }
+    assert_eq!(poll(&fleet, 10_100), [2]);
+    // A watcher elsewhere has responses, which says nothing of this data centre's path to the store.
+    fleet.announce(10_100, &[1], 100);
+    assert_eq!(poll(&fleet, 10_100), [2]);
+    fleet.announce(10_200, &[8], 100);
+    assert_eq!(poll(&fleet, 10_300), [] as [u8; 0]);
+    fleet.report(11_700, |vm| !noticed.contains(&vm));
+    assert_eq!(poll(&fleet, 11_800), [2], "its responses are outdated");
+}
--- a/crates/gateway/src/control/fleet.rs
+++ b/crates/gateway/src/control/fleet.rs
@@ -173,6 +173,15 @@
         self.peers().watch_role(own, is_unreachable, count, now)
     }
 
+    /// Returns whether this VM asks the engines of its data centre whether they are leaving.
+    pub fn polls_departures(&self, now: Instant) -> bool {
+        // The same as peers are told, so that they don't leave it to a VM that doesn't poll.
+        self.cedes_watch(now)
+            && self
+                .peers()
+                .polls_departures(self.own_address(), self.data_centre, now)
+    }
+
     /// Sets whether this VM watches the store, which is announced at once.
     ///
     /// Responses from before it has begun to watch don't count.
--- a/crates/gateway/src/control/inquiry.rs
+++ b/crates/gateway/src/control/inquiry.rs
@@ -1,16 +1,13 @@
 //! Polls engines for their departure while the store is unreachable.
 //!
 //! Engines announce their departure only in the store and exit two seconds later, so while the
-//! store is unreachable, no VM would evacuate their runs. The VMs that watch the store poll the
-//! engines of their data centre instead and include the departures in their reports.
+//! store is unreachable, no VM would evacuate their runs. In each data centre, one of the VMs that
+//! don't reach the store polls the engines instead and includes the departures in its reports.
 
 use {
-    crate::{
-        Shared,
-        control::{discovery::WATCHERS, reports},
-    },
+    crate::{Shared, control::reports},
     bytes::Bytes,
-    dispatch::{listing::Target, watch::WatchRole},
+    dispatch::listing::Target,
     futures_util::future::join_all,
     hyper::Method,
     platform::engine,
@@ -27,11 +24,7 @@
 pub async fn run(shared: Arc<Shared>) {
     loop {
         Timer::after(POLL_INTERVAL).await;
-        let is_watcher = || {
-            let role = shared.fleet.watch_role(WATCHERS, shared.now());
-            role.is_some_and(|role| role != WatchRole::Auxiliary)
-        };
-        if !shared.fleet.is_store_unreachable() || !is_watcher() {
+        if !shared.fleet.polls_departures(shared.now()) {
             continue;
         }
         let engines = local_engines(&shared);
