feat(dispatch): share which engines fail or don't answer with all data centres

The VM that loses a request avoids it for 400 ms, and tells its data centre, but VMs elsewhere hear of it with heartbeats two seconds apart. And an engine that never answers does not count as failing until its run ends.

Change: summaries between data centres carry the failing targets with the number of VMs. An engine whose answer takes over twice the expected time counts as failing until it answers. Reports of peers lengthen the back-off like a VM's own failures.

Evidence: an_engine_that_fails_at_once_is_avoided_by_the_vms_that_have_not_tried_it: 20 VMs that learn by themselves send it 20 requests or more in 10 s, 10 at most with the change. a_summary_carries_the_failing_targets_of_a_data_centre and a_target_no_longer_counts_as_failing_once_an_overdue_run_has_an_event fail without it.

--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -47,6 +47,8 @@
 struct SummarizedLoad {
     /// Load of each target by its raw key, with the time at which it was received.
     loads: HashMap<u64, (TargetLoad, Instant)>,
+    /// Raw keys of the targets that fail requests there, once for each VM.
+    failing: Vec<u64>,
     updated: Instant,
 }
 
@@ -347,6 +349,9 @@
         for load in summary.loads {
             summarized.loads.insert(load.target, (load, now));
         }
+        if let Some(failing) = summary.failing {
+            summarized.failing = failing.targets;
+        }
     }
 
     /// Returns the data centres whose summaries are recent.
@@ -437,14 +442,34 @@
     }
 
     /// Returns the number of live peers that report each target as failing.
+    ///
+    /// Those of a data centre with recent summaries come from these as well, as the reports of its
+    /// VMs are rare and a failure may be over before the next one.
     pub fn failure_counts(&self, now: Instant) -> HashMap<key::Target, u32> {
         let mut total = HashMap::new();
+        let summarized = self.summarized_data_centres(now);
+        let is_reporting =
+            |report: &Report| !summarized.contains(&key::DataCentre::from_raw(report.data_centre));
         // What fails at a VM without a path to targets is not the targets' fault.
         let reaching = self.live(now).filter(|(_, report)| !report.is_isolated);
-        for (_, report) in reaching {
-            for &target in &report.failing {
-                *total.entry(key::Target::from_raw(target)).or_default() += 1;
-            }
+        let reported = reaching
+            .filter(|(_, report)| is_reporting(report))
+            .flat_map(|(_, report)| &report.failing);
+        let summaries = self.fresh_summaries(now);
+        let summarized = summaries.flat_map(|(_, summarized)| &summarized.failing);
+        for &target in reported.chain(summarized) {
+            *total.entry(key::Target::from_raw(target)).or_default() += 1;
+        }
+        total
+    }
+
+    /// Returns the number of live peers of a data centre that report each target as failing.
+    pub fn failure_counts_in(&self, data_centre: u64, now: Instant) -> HashMap<key::Target, u32> {
+        let mut total = HashMap::new();
+        let reaching = self.live(now).filter(|(_, report)| !report.is_isolated);
+        let local = reaching.filter(|(_, report)| report.data_centre == data_centre);
+        for &target in local.flat_map(|(_, report)| &report.failing) {
+            *total.entry(key::Target::from_raw(target)).or_default() += 1;
         }
         total
     }
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -69,10 +69,18 @@
 const PLAIN_REMOTE_COST_MS: f64 = 8.0;
 /// Cost of a target for each peer that reports it as failing.
 const REPORTED_FAILURE_COST_MS: f64 = 400.0;
+/// Multiple of the expected time to the first event after which a run counts as overdue.
+const OVERDUE_FACTOR: u32 = 2;
+/// Time after that, for decode steps up to the first event and for network latency.
+const OVERDUE_MARGIN: Duration = Duration::from_millis(500);
 /// Time for which a target is avoided after its first failure; doubles with each further one.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(400);
 /// Upper bound of the time for which a target is avoided after a failure.
 const MAX_BACKOFF: Duration = Duration::from_secs(3);
+/// Time without reports of a failing target after which further ones are of another failure.
+const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+/// Time without reports after which earlier failures no longer lengthen the back-off.
+const EPISODE_LIFETIME: Duration = Duration::from_secs(6);
 /// Time for which a target is avoided after it rejected a request for lack of capacity: about the
 /// delay with which peers report the load that filled it.
 const REJECTION_BACKOFF: Duration = Duration::from_millis(150);
@@ -82,6 +90,15 @@
 struct Run {
     target: key::Target,
     load: Load,
+    /// Time by which its first event is expected, even if the target is slow; `None` if it has come
+    /// or the run is none of an engine.
+    due: Option<Instant>,
+}
+
+impl Run {
+    fn is_overdue(&self, now: Instant) -> bool {
+        self.due.is_some_and(|due| now >= due)
+    }
 }
 
 /// Identifies a run of this VM.
@@ -97,6 +114,17 @@
     avoided_until: Instant,
 }
 
+/// Reports of peers that a target fails their requests.
+#[derive(Clone, Copy, Debug, Default)]
+struct FailureReports {
+    /// Number of peers that report it now.
+    peers: u32,
+    /// How often it began to be reported, one time soon after the other.
+    episodes: u32,
+    /// When it was last reported.
+    last: Instant,
+}
+
 /// Requirements of one request, or of the copy of a run, on its target.
 #[derive(Clone, Copy, Debug)]
 pub struct Query<'a> {
@@ -192,6 +220,12 @@
     Duration::from_secs_f64(f64::from(tokens) / PREFILL_TOKENS_PER_MS / 1e3)
 }
 
+/// Returns the time after which a run is overdue at an engine that has `pending_prefill` prompt
+/// tokens to process, including the run's own.
+pub fn overdue_delay(pending_prefill: u32) -> Duration {
+    prefill_time(pending_prefill) * OVERDUE_FACTOR + OVERDUE_MARGIN
+}
+
 /// Chooses targets by the load and the failures that are known of them.
 #[derive(Debug)]
 pub struct Placement {
@@ -203,8 +237,8 @@
     latencies: HashMap<key::Target, Latency>,
     /// Data centres whose load is known with little delay.
     summarized: HashSet<key::DataCentre>,
-    /// Number of peers that report a target as failing.
-    failure_reports: HashMap<key::Target, u32>,
+    /// What peers report of failing targets.
+    failure_reports: HashMap<key::Target, FailureReports>,
     /// Time of the last failed connection attempt to a data centre, until a request succeeds.
     unreachable: HashMap<Box<str>, Instant>,
     #[debug(skip)]
@@ -313,12 +347,10 @@
             if self.is_unreachable(&target.data_centre, now) {
                 fixed_cost += UNREACHABLE_COST_MS;
             }
-            let failure_reports = self
-                .failure_reports
-                .get(&target.key)
-                .copied()
-                .unwrap_or_default();
-            fixed_cost += REPORTED_FAILURE_COST_MS * f64::from(failure_reports);
+            let reports = self.failure_reports.get(&target.key);
+            let failure_reports = reports.map_or(0, |reports| reports.peers);
+            let own_report = u32::from(self.has_overdue_run(target.key, now));
+            fixed_cost += REPORTED_FAILURE_COST_MS * f64::from(failure_reports + own_report);
             if is_stale(target) && query.load.runs > 0 {
                 fixed_cost += STALE_LOAD_COST_MS;
                 // Require capacity for one more request, as a peer may have placed one meanwhile.
@@ -367,14 +399,26 @@
     pub fn start_run(&mut self, target: key::Target, load: Load) -> RunId {
         let id = RunId(self.next_id);
         self.next_id += 1;
-        self.runs.insert(id, Run { target, load });
+        let due = None;
+        self.runs.insert(id, Run { target, load, due });
         id
     }
 
+    /// Sets the time by which the first event of a run is expected.
+    ///
+    /// An engine that accepts requests and never answers looks idle to all other VMs. Until such a
+    /// run has an event, its engine counts as failing here and at the VMs that are told so.
+    pub fn set_due(&mut self, id: RunId, due: Instant) {
+        if let Some(run) = self.runs.get_mut(&id) {
+            run.due = Some(due);
+        }
+    }
+
     /// Records that a run's prefill is complete.
     pub fn finish_prefill(&mut self, id: RunId) {
         if let Some(run) = self.runs.get_mut(&id) {
             run.load.pending_prefill = 0;
+            run.due = None;
         }
     }
 
@@ -404,15 +448,40 @@
     }
 
     /// Replaces the number of peers that report each target as failing.
-    pub fn set_failure_reports(&mut self, failure_reports: HashMap<key::Target, u32>) {
-        self.failure_reports = failure_reports;
+    pub fn set_failure_reports(&mut self, counts: &HashMap<key::Target, u32>, now: Instant) {
+        for (target, reports) in &mut self.failure_reports {
+            reports.peers = counts.get(target).copied().unwrap_or_default();
+        }
+        for (target, peers) in counts {
+            let reports = self.failure_reports.entry(*target).or_default();
+            let is_new = reports.episodes == 0 || now.since(reports.last) > REPORT_INTERVAL;
+            reports.episodes += u32::from(is_new);
+            reports.peers = *peers;
+            reports.last = now;
+        }
+        self.failure_reports
+            .retain(|_, reports| now.since(reports.last) < EPISODE_LIFETIME);
     }
 
-    /// Returns the targets that this VM currently avoids because they failed requests.
+    /// Returns the targets that this VM currently avoids because they failed requests, and those where
+    /// a run is overdue.
     pub fn failing(&self, now: Instant) -> Vec<key::Target> {
         let failing = self.health.iter();
         let failing = failing.filter(|(_, health)| health.is_failing && now < health.avoided_until);
-        failing.map(|(target, _)| *target).collect()
+        let overdue = self.runs.values().filter(|run| run.is_overdue(now));
+        let mut targets: Vec<_> = failing
+            .map(|(target, _)| *target)
+            .chain(overdue.map(|run| run.target))
+            .collect();
+        targets.sort_unstable();
+        targets.dedup();
+        targets
+    }
+
+    /// Returns whether a run of this VM is overdue at a target.
+    fn has_overdue_run(&self, target: key::Target, now: Instant) -> bool {
+        let mut runs = self.runs.values();
+        runs.any(|run| run.target == target && run.is_overdue(now))
     }
 
     /// Returns the number of runs of this VM and its peers on the given targets.
@@ -486,9 +555,15 @@
     }
 
     /// Records that a request failed at a target, and avoids the target with exponential backoff.
+    ///
+    /// Peers that report the target as failing count as earlier failures: a target that fails at once
+    /// looks idle, and each VM of a large fleet would lose several requests to learn the same.
     pub fn record_failure(&mut self, target: key::Target, now: Instant) {
+        let reports = self.failure_reports.get(&target);
+        let reported = reports.map_or(0, |reports| reports.episodes);
         let health = self.health.entry(target).or_default();
-        let backoff = INITIAL_BACKOFF * 2_u32.pow(health.consecutive_failures.min(4));
+        let failures = health.consecutive_failures.max(reported);
+        let backoff = INITIAL_BACKOFF * 2_u32.pow(failures.min(4));
         health.consecutive_failures += 1;
         health.is_failing = true;
         health.avoided_until = now + backoff.min(MAX_BACKOFF);
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -10,7 +10,7 @@
     },
     base::{Instant, key},
     prost::Message as _,
-    std::time::Duration,
+    std::{collections::HashMap, time::Duration},
 };
 
 /// Tokens by which the memory of a run grows per second, to extrapolate reported loads: a decode
@@ -22,6 +22,10 @@
 ///
 /// Older builds receive datagrams of up to 8 KiB.
 const MAX_CHANGES_BYTES: usize = 6 << 10;
+/// Maximum number of VMs that a summary counts for a failing target; more make no difference.
+const MAX_FAILING_VMS: u32 = 8;
+/// Maximum number of keys of failing targets in a summary, of 8 bytes each.
+const MAX_FAILING: usize = 64;
 /// Maximum number of queued requests in a report.
 const MAX_QUEUED: usize = 16;
 
@@ -259,6 +263,31 @@
     /// Whether this replaces all earlier summaries: targets that are not listed have no load.
     #[prost(bool, tag = "3")]
     pub is_full: bool,
+    /// Targets that fail requests of the data centre's VMs; replaces those of earlier summaries.
+    #[prost(message, optional, tag = "4")]
+    pub failing: Option<Failing>,
+}
+
+/// Targets that fail requests, in a [`Summary`].
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct Failing {
+    /// Raw key of each target, once for each VM whose requests it fails.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub targets: Vec<u64>,
+}
+
+impl Failing {
+    /// Encodes the number of VMs whose requests each target fails, as far as a datagram has room.
+    pub fn new(counts: &HashMap<key::Target, u32>) -> Self {
+        let vms = |count: u32| count.min(MAX_FAILING_VMS) as usize;
+        let mut targets: Vec<_> = counts
+            .iter()
+            .flat_map(|(target, count)| std::iter::repeat_n(target.raw(), vms(*count)))
+            .collect();
+        targets.sort_unstable();
+        targets.truncate(MAX_FAILING);
+        Self { targets }
+    }
 }
 
 impl Summary {
@@ -268,6 +297,7 @@
             data_centre,
             loads: Vec::new(),
             is_full,
+            failing: None,
         };
         let mut parts: Vec<_> = loads
             .chunks(MAX_SUMMARY_TARGETS)
--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -7,14 +7,14 @@
         peers::{Candidate, Update},
         replication::{Replication, Step},
         report::{
-            Changes, Datagram, Description, Entry, Origin, QueuedRequest, Report, Summary,
+            Changes, Datagram, Description, Entry, Failing, Origin, QueuedRequest, Report, Summary,
             TargetLoad,
         },
         waiting::Waiter,
         watch::WatchRole,
     },
     prost::Message,
-    std::{net::Ipv4Addr, time::Duration},
+    std::{collections::HashMap, net::Ipv4Addr, time::Duration},
 };
 
 const OWN: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
@@ -332,6 +332,7 @@
         data_centre: 0,
         loads: vec![TargetLoad::new(target, load)],
         is_full,
+        failing: None,
     };
     peers.receive_summary(summary(load, true), at(20));
     assert_eq!(runs(&peers, 30), Some(9 + 3));
@@ -350,6 +351,39 @@
     assert_eq!(runs(&peers, 1_500), Some(19), "the summary has expired");
 }
 
+/// A target that fails at once looks idle. VMs of other data centres report to this one every two
+/// seconds only, so without summaries each VM loses requests to learn of such a target by itself.
+#[test]
+fn a_summary_carries_the_failing_targets_of_a_data_centre() {
+    let mut peers = two_data_centres(1);
+    let target = key::Target::of("t");
+    let count = |peers: &Peers, now| peers.failure_counts(at(now)).get(&target).copied();
+    assert_eq!(count(&peers, 10), None);
+    let summary = |count| Summary {
+        data_centre: 0,
+        failing: Some(Failing::new(&HashMap::from([(target, count)]))),
+        ..Summary::default()
+    };
+    peers.receive_summary(summary(3), at(20));
+    assert_eq!(count(&peers, 30), Some(3));
+    let unchanged = Summary {
+        data_centre: 0,
+        ..Summary::default()
+    };
+    peers.receive_summary(unchanged, at(40));
+    assert_eq!(
+        count(&peers, 50),
+        Some(3),
+        "a summary without it changes nothing"
+    );
+    peers.receive_summary(summary(1_000), at(60));
+    assert_eq!(count(&peers, 70), Some(8), "the count is bounded");
+    peers.receive_summary(summary(0), at(80));
+    assert_eq!(count(&peers, 90), None);
+    peers.receive_summary(summary(3), at(100));
+    assert_eq!(count(&peers, 1_500), None, "the summary has expired");
+}
+
 #[test]
 fn each_vm_gets_summaries_from_one_vm_of_every_other_data_centre() {
     let mut received = [0; 21];
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -588,3 +588,82 @@
         }
     }
 }
+
+/// Plans 20 VMs that send requests to 10 engines one after the other, 10 a second. One engine fails
+/// each at once, so that it always looks idle. Returns how many it gets.
+///
+/// `shares` tells whether the VMs learn from each other which targets fail.
+fn sent_to_failing_engine(shares: bool) -> usize {
+    const VMS: usize = 20;
+    const INTERVAL_MS: u64 = 100;
+    const RUN_MS: u64 = 4_000;
+    let targets = targets(10, 1);
+    let failing = targets[0].key;
+    let mut vms: Vec<_> = (0..VMS).map(|vm| Placement::new(vm as u64)).collect();
+    let mut active: Vec<(u64, usize, RunId)> = Vec::new();
+    let mut failures = 0;
+    for step in 0..100 {
+        let now = step * INTERVAL_MS;
+        active.retain(|&(started, vm, run)| {
+            let is_running = now < started + RUN_MS;
+            if !is_running {
+                vms[vm].end_run(run);
+            }
+            is_running
+        });
+        let vm = step as usize % VMS;
+        let reported: Vec<_> = vms
+            .iter()
+            .map(|vm| (vm.local_load(), vm.failing(at(now))))
+            .collect();
+        for (own, vm) in vms.iter_mut().enumerate() {
+            let mut loads: HashMap<key::Target, Load> = HashMap::new();
+            let mut counts: HashMap<key::Target, u32> = HashMap::new();
+            let peers = reported.iter().enumerate().filter(|(peer, _)| *peer != own);
+            for (_, (load, failing)) in peers {
+                for (target, load) in load {
+                    *loads.entry(*target).or_default() += *load;
+                }
+                for target in failing.iter().filter(|_| shares) {
+                    *counts.entry(*target).or_default() += 1;
+                }
+            }
+            vm.set_peer_load(loads);
+            vm.set_failure_reports(&counts, at(now));
+        }
+        let choice = vms[vm].choose(at(now), &targets, &query(new_run()));
+        let target = choice.expect("an engine has room").target.key;
+        if target == failing {
+            vms[vm].record_failure(target, at(now));
+            failures += 1;
+            continue;
+        }
+        let run = vms[vm].start_run(target, new_run());
+        vms[vm].finish_prefill(run);
+        active.push((now, vm, run));
+    }
+    failures
+}
+
+/// An engine that fails each request at once must not draw one request after the other because it
+/// looks idle: it may be tried again about once in the shortest back-off, by one VM and not by each.
+#[test]
+fn an_engine_that_fails_at_once_is_avoided_by_the_vms_that_have_not_tried_it() {
+    let alone = sent_to_failing_engine(false);
+    let shared = sent_to_failing_engine(true);
+    assert!(alone >= 20, "each VM learns by itself: {alone}");
+    assert!(shared <= 10, "the engine got {shared} requests in 10 s");
+}
+
+/// A run that is overdue only says so until its first event.
+#[test]
+fn a_target_no_longer_counts_as_failing_once_an_overdue_run_has_an_event() {
+    let targets = targets(1, 1);
+    let mut placement = Placement::new(1);
+    let run = placement.start_run(targets[0].key, new_run());
+    placement.set_due(run, at(1_000));
+    assert!(placement.failing(at(999)).is_empty());
+    assert_eq!(placement.failing(at(1_000)), [targets[0].key]);
+    placement.finish_prefill(run);
+    assert!(placement.failing(at(1_100)).is_empty());
+}
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -22,7 +22,7 @@
         Generation, Load,
         configuration::{Engine, RetryPolicy},
         listing::Target,
-        placement::{Query, prefill_time, prefill_tokens},
+        placement::{Query, overdue_delay, prefill_time, prefill_tokens},
     },
     futures_util::stream,
     http_body_util::{BodyExt, StreamBody},
@@ -32,7 +32,7 @@
         strip_connection_fields,
     },
     smol::Timer,
-    std::{net::Ipv4Addr, sync::Arc, time::Duration},
+    std::{future, net::Ipv4Addr, sync::Arc, time::Duration},
 };
 
 /// Maximum number of engines that receive one request before its stream starts.
@@ -352,7 +352,8 @@
             exchange.mark_sent(&target, via);
             let sent = shared.now();
             let request = exchange.request(&target, &fields);
-            let result = path.send(shared, request).await;
+            let response = path.send(shared, request);
+            let result = smol::future::or(response, report_overdue(exchange, &source)).await;
             if let Ok(Answer { response, .. }) = &result {
                 let answer = (response.status(), response.headers());
                 notice::apply(shared, &target, answer, sent, via);
@@ -423,6 +424,22 @@
     Err(refusal.retry_after(BUSY_RETRY_AFTER))
 }
 
+/// Tells peers that the engine doesn't answer once its response is overdue; never returns.
+async fn report_overdue<T>(exchange: &Exchange, source: &Source) -> T {
+    let load = &source.reservation().basis().load;
+    let prompt_tokens = exchange.head.generation.unwrap_or_default().prompt_tokens;
+    Timer::after(overdue_delay(load.pending_prefill + prompt_tokens)).await;
+    let shared = &exchange.shared;
+    shared.dispatcher.notify_peers();
+    shared.metrics.record_overdue();
+    log::info!(
+        target: "overdue", request:% = exchange.head.attempt_id, instance:% = source.target().instance,
+        data_centre:% = source.target().data_centre, prefill = load.pending_prefill, runs = load.runs;
+        "the engine has not answered in the expected time"
+    );
+    future::pending().await
+}
+
 /// Records the failure of an engine, unless it is this VM's or a peer's.
 async fn record_failure(exchange: &Exchange, target: &Target, failure: &Failure) {
     let shared = &exchange.shared;
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -10,7 +10,7 @@
         Load,
         peers::MAX_SMALL_FLEET,
         report::{
-            Changes, Datagram, Evidence, Limits, Origin, QueuedRequest, Report, Summary,
+            Changes, Datagram, Evidence, Failing, Limits, Origin, QueuedRequest, Report, Summary,
             TargetLoad, Watch,
         },
         watch,
@@ -132,6 +132,7 @@
 pub async fn send_summaries(shared: Arc<Shared>) {
     let mut recipients = HashSet::new();
     let mut sent = HashMap::new();
+    let mut sent_failing = Failing::default();
     let mut full_sent_at = shared.now();
     loop {
         Timer::after(SUMMARY_INTERVAL).await;
@@ -154,7 +155,20 @@
         };
         sent = load;
         let data_centre = shared.fleet.data_centre();
-        for summary in Summary::split(data_centre, &changed, is_full) {
+        let mut summaries = Summary::split(data_centre, &changed, is_full);
+        let failing = Failing::new(&data_centre_failures(&shared));
+        if is_full || failing != sent_failing {
+            sent_failing = failing.clone();
+            let empty = Summary {
+                data_centre,
+                ..Summary::default()
+            };
+            if summaries.is_empty() {
+                summaries.push(empty);
+            }
+            summaries[0].failing = Some(failing);
+        }
+        for summary in summaries {
             let datagram = Datagram {
                 summary: Some(summary),
                 ..Datagram::default()
@@ -183,6 +197,19 @@
     load
 }
 
+/// Returns the number of VMs of the data centre whose requests each target fails.
+fn data_centre_failures(shared: &Shared) -> HashMap<key::Target, u32> {
+    let now = shared.now();
+    let data_centre = shared.fleet.data_centre();
+    let mut failures = shared.fleet.peers().failure_counts_in(data_centre, now);
+    if !shared.reach.is_isolated() {
+        for target in shared.dispatcher.failing_targets(now) {
+            *failures.entry(target).or_default() += 1;
+        }
+    }
+    failures
+}
+
 /// Returns the load of targets where it differs from what was sent.
 ///
 /// Memory growth alone is not sent because the receivers extrapolate it.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -44,6 +44,7 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     migrations: Counter<u64>,
+    overdue: Counter<u64>,
     first_event: Histogram<f64>,
     pause: Histogram<f64>,
     duration: Histogram<f64>,
@@ -187,6 +188,10 @@
                 "mastictrail.gateway.moves",
                 "Streams that went on at another engine, by whether it took them",
             ),
+            overdue: counter(
+                "mastictrail.gateway.overdue",
+                "Generations whose engine did not answer in the expected time",
+            ),
             first_event: histogram(
                 "mastictrail.gateway.first_event",
                 "Time from a request's arrival to its first event",
@@ -277,6 +282,11 @@
         self.migrations.add(1, &[KeyValue::new("taken", is_taken)]);
     }
 
+    /// Counts a generation whose engine does not answer in the expected time.
+    pub fn record_overdue(&self) {
+        self.overdue.add(1, &[]);
+    }
+
     /// Counts a request that was to go through another VM.
     pub fn record_tunnel(&self, is_open: bool) {
         self.tunnelled.add(1, &[KeyValue::new("opened", is_open)]);
--- a/crates/gateway/src/targets/dispatcher.rs
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -7,7 +7,7 @@
         Budget, Durations, Generation, Lengths, Limits, Load, Peers, Placement,
         budget::Policy,
         listing::Target,
-        placement::{Basis, Query, RunId},
+        placement::{Basis, Query, RunId, overdue_delay},
         report,
         waiting::{Demand, Position, Queues, Waiter},
     },
@@ -128,6 +128,11 @@
         let choice = state.placement.choose(now, targets, query)?;
         let (target, basis) = (choice.target.clone(), choice.basis);
         let run = state.placement.start_run(target.key, query.load);
+        if query.engine.is_some() && query.load.runs > 0 {
+            let pending_prefill = basis.load.pending_prefill + query.load.pending_prefill;
+            let due = now + overdue_delay(pending_prefill);
+            state.placement.set_due(run, due);
+        }
         let is_announced = query.load.runs > 0 && state.limits.record_sent(target.key, now);
         drop(state);
         if is_announced {
@@ -294,7 +299,7 @@
             .set_summarized(peers.summarized_data_centres(now));
         state
             .placement
-            .set_failure_reports(peers.failure_counts(now));
+            .set_failure_reports(&peers.failure_counts(now), now);
         state
             .queues
             .set_remote_waiters(peers.waiters(local_data_centre, now));
@@ -415,6 +420,11 @@
             .try_spend(now, &self.budget_policy, vms)
     }
 
+    /// Sends the state of the targets to peers soon.
+    pub fn notify_peers(&self) {
+        self.notifier.notify();
+    }
+
     /// Waits until there is a change that peers should be notified of.
     pub async fn wait_for_change(&self) {
         // `self` owns a sender, so the channel is never closed.
