fix(dispatch): order the copies of runs one after the other

Cause: engines leave several at a time, and the VMs of all their runs choose at the same moment, from the same load.

Change: each run's first copy is ordered after a random part of 200 ms, in which its VM learns of most of the copies before it.

--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -6,7 +6,7 @@
         Load, Placement,
         configuration::Engine,
         listing::Target,
-        placement::{Query, RunId},
+        placement::{Query, RunId, evacuation_delay},
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{collections::HashMap, time::Duration},
@@ -667,3 +667,93 @@
     placement.finish_prefill(run);
     assert!(placement.failing(at(1_100)).is_empty());
 }
+
+/// Returns the share of copies that find no room at the engine that is chosen, when nine of 60 engines
+/// leave at the same moment and the VMs of their runs order a copy each.
+///
+/// A VM knows the copies of the others that were ordered [`REPORT_MS`] before its own.
+fn refused_evacuations(is_delayed: bool) -> f64 {
+    /// Time in which the VMs of a data centre learn of a copy.
+    const REPORT_MS: u64 = 10;
+    const LEAVING: usize = 9;
+    const RUNS: usize = 6;
+    let mut targets = targets(60, 4);
+    for target in &mut targets[..LEAVING] {
+        target.is_leaving = true;
+    }
+    let copy = Load {
+        copy_memory: 3_700,
+        ..Load::default()
+    };
+    let (mut refused, mut total) = (0, 0);
+    for seed in 1..=10 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let loads: HashMap<_, _> = targets
+            .iter()
+            .map(|target| {
+                let runs = random.random_range(5..=9);
+                let load = Load {
+                    runs,
+                    peak_memory: 3_700 * runs,
+                    used_memory: 3_300 * runs,
+                    ..Load::default()
+                };
+                (target.key, load)
+            })
+            .collect();
+        let mut runs: Vec<_> = (0..LEAVING * RUNS)
+            .map(|run| {
+                let request = key::Request::of(&format!("{seed}-{run}"));
+                let delay = evacuation_delay(request).as_millis() as u64;
+                (if is_delayed { delay } else { 0 }, run)
+            })
+            .collect();
+        runs.sort_unstable();
+        let mut ordered: Vec<(u64, key::Target)> = Vec::new();
+        for (now, run) in runs {
+            let leaving = &targets[run % LEAVING];
+            let mut known = loads.clone();
+            for (_, target) in ordered.iter().filter(|(at, _)| at + REPORT_MS <= now) {
+                *known.entry(*target).or_default() += copy;
+            }
+            let mut placement = Placement::new(seed * 1_000 + run as u64);
+            placement.set_peer_load(known);
+            let query = Query {
+                run_data_centre: Some(&leaving.data_centre),
+                is_urgent: true,
+                ..query(copy)
+            };
+            if let Some(choice) = placement.choose(at(now), &targets, &query) {
+                ordered.push((now, choice.target.key));
+                total += 1;
+            }
+        }
+        let mut copies: HashMap<key::Target, u32> = HashMap::new();
+        for (_, target) in ordered {
+            *copies.entry(target).or_default() += 1;
+        }
+        refused += copies
+            .iter()
+            .map(|(target, &count)| {
+                let load = loads[target];
+                let free = ENGINE
+                    .kv_capacity
+                    .saturating_sub(load.used_memory + 3 * 400);
+                count.saturating_sub(free / 3_700)
+            })
+            .sum::<u32>();
+    }
+    f64::from(refused) / f64::from(total)
+}
+
+/// Engines leave several at a time, so the VMs of 54 runs look for room at the same moment. Those that
+/// choose from the same load send their copies to engines that others have just filled.
+#[test]
+fn copies_of_runs_on_many_leaving_engines_rarely_find_no_room() {
+    /// Share of the copies that may find no room, as for a single engine that leaves.
+    const MAX_REFUSED: f64 = 0.05;
+    let at_once = refused_evacuations(false);
+    let delayed = refused_evacuations(true);
+    assert!(at_once > MAX_REFUSED, "{at_once} at once");
+    assert!(delayed < MAX_REFUSED, "{delayed} with delays");
+}
--- a/crates/gateway/src/clients/evacuation.rs
+++ b/crates/gateway/src/clients/evacuation.rs
@@ -16,7 +16,7 @@
     },
     base::{Instant, key},
     bytes::Bytes,
-    dispatch::listing::Target,
+    dispatch::{listing::Target, placement::evacuation_delay},
     entry::runtime::with_timeout,
     hyper::Method,
     platform::engine,
@@ -46,6 +46,8 @@
     /// Engines where a copy failed.
     failed_targets: Vec<key::Target>,
     next_poll: Instant,
+    /// When the first copy may be ordered; `None` unless the source engine gave notice.
+    begins: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -88,6 +90,14 @@
         if self.pending.is_some() || shared.directory.is_active(source.key) {
             return;
         }
+        let run = key::Request::of(&exchange.head.attempt_id);
+        let begins = *self
+            .begins
+            .get_or_insert_with(|| now + evacuation_delay(run));
+        if now < begins {
+            self.next_poll = begins;
+            return;
+        }
         let has_copy = copy
             .as_ref()
             .is_some_and(|copy| shared.directory.is_active(copy.target.key));
