feat(gateway): let operators take a data centre out of service

Healthy, registered targets of a data centre under maintenance kept getting requests, as nothing but their departure kept VMs away from them.

With the setting `[promises] cordon`, each VM keeps the set of data centres that the keys `op/evacuate/NAME` cordon, as of a position of the store: read with the configuration in one range read, updated by the watch, and carried whole by reports. A later set replaces the known one; sets are never merged. A cordoned target takes no request, retry, hedge, continuation, copy or probe; its runs end there while it stays. If all targets of a service are cordoned, requests are refused at once with the new reason `cordoned`. Without the setting, the calls to the store and the reports are as before (the test covers the calls).

--- a/crates/base/src/refusal.rs
+++ b/crates/base/src/refusal.rs
@@ -30,6 +30,8 @@
     Deadline,
     /// No target can take the request.
     NoTarget,
+    /// All targets are in data centres that the operator has taken out of service.
+    Cordoned,
     /// This VM is leaving or not ready.
     NotReady,
     /// Engines crash on a part of the prompt.
--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -121,6 +121,9 @@
     pub retry_extra: f64,
     /// Length of the window for retries.
     pub retry_window: Duration,
+    /// Time after which no request may reach a data centre that the operator has cordoned; `None`
+    /// if operators can't cordon any.
+    pub cordon: Option<Duration>,
 }
 
 impl Default for Promises {
@@ -130,6 +133,7 @@
             retry_ratio: 0.2,
             retry_extra: 10.0,
             retry_window: Duration::from_secs(10),
+            cordon: None,
         }
     }
 }
@@ -268,6 +272,7 @@
         reader.update("retry_ratio", &mut self.retry_ratio, amount);
         reader.update("retry_extra", &mut self.retry_extra, amount);
         reader.update("retry_window", &mut self.retry_window, seconds);
+        reader.update("cordon", &mut self.cordon, optional_seconds);
     }
 }
 
@@ -307,6 +312,14 @@
         .ok_or("a number from 0")
 }
 
+/// Parses a duration; without a value, there is none.
+fn optional_seconds(value: &str) -> Result<Option<Duration>, Box<str>> {
+    if value.is_empty() {
+        return Ok(None);
+    }
+    seconds(value).map(Some)
+}
+
 /// Parses a duration; a number of seconds may have a fraction.
 fn seconds(value: &str) -> Result<Duration, Box<str>> {
     let number = value.strip_suffix('s').and_then(|text| text.parse().ok());
--- a/crates/config/tests/gateway.rs
+++ b/crates/config/tests/gateway.rs
@@ -8,7 +8,7 @@
     peers = 10.1.0.19:7200\nmetrics = 10.1.0.19:7201\n\n[platform]\naddress = 10.200.1.7:8742\n\
     history = 20s\n\n\
     [peers]\nseeds = 10.1.0.19:8748,10.2.0.13:8748\n\n[limits]\nthreads = 1\nlink_mbps = 10.0\n\n[promises]\n\
-    grace = 8s\nretry_ratio = 0.2\nretry_extra = 122\nretry_window = 10s\n";
+    grace = 8s\nretry_ratio = 0.2\nretry_extra = 122\nretry_window = 10s\ncordon = 5000ms\n";
 
 fn faults(text: &str) -> Vec<String> {
     let faults = gateway::parse("gateway.ini", text).unwrap_err();
@@ -40,16 +40,34 @@
     assert_eq!(faults(&text), ["limits link_mbps: `fast` is not permitted"]);
 }
 
+/// Most deployments have no bound for cordons, so the template renders nothing or an empty line.
+#[test]
+fn a_deployment_without_cordons_is_valid() {
+    let settings = gateway::parse("gateway.ini", RENDERED).unwrap();
+    assert_eq!(settings.promises.cordon, Some(Duration::from_secs(5)));
+    for text in ["", "cordon =", "cordon = "] {
+        let text = RENDERED.replace("cordon = 5000ms", text);
+        let settings = gateway::parse("gateway.ini", &text).unwrap();
+        assert_eq!(settings.promises.cordon, None);
+    }
+    let text = RENDERED.replace("cordon = 5000ms", "cordon = soon");
+    assert_eq!(faults(&text), ["promises cordon: `soon` is not permitted"]);
+}
+
 #[test]
 fn template_has_the_keys_of_the_rendered_text() {
     let template = include_str!("../../../deploy/gateway.ini");
+    // A section of the template is rendered if its value is present.
+    let section = "Bounds.EvacuateMs";
+    let template = template.replace(&format!("{{{{#{section}}}}}"), "");
+    let template = template.replace(&format!("{{{{/{section}}}}}"), "");
     let keys = |text: &str| -> Vec<String> {
         let lines = text
             .lines()
             .map(|line| line.split('=').next().unwrap_or_default().trim().to_owned());
         lines.collect()
     };
-    assert_eq!(keys(template), keys(RENDERED));
+    assert_eq!(keys(&template), keys(RENDERED));
 }
 
 #[test]
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod budget;
 pub mod catch_up;
 pub mod configuration;
+pub mod cordon;
 pub mod drain;
 pub mod duration;
 pub mod frame;
@@ -27,7 +28,7 @@
 pub mod watch;
 
 pub use {
-    budget::Budget, catch_up::CatchUp, configuration::Configuration, drain::Drain,
+    budget::Budget, catch_up::CatchUp, configuration::Configuration, cordon::Cordon, drain::Drain,
     duration::Durations, frame::Splitter, length::Lengths, limit::Limits, listing::Listing,
     load::Load, origin::Origins, peers::Peers, placement::Placement, quarantine::Quarantine,
     reach::Reach, replication::Replication, request::Generation, revision::Position,
--- a/crates/dispatch/src/listing.rs
+++ b/crates/dispatch/src/listing.rs
@@ -8,7 +8,7 @@
     crate::revision::{Position, Revisions},
     base::{Instant, key},
     std::{
-        collections::{HashMap, HashSet},
+        collections::{BTreeSet, HashMap, HashSet},
         net::SocketAddr,
         time::Duration,
     },
@@ -45,6 +45,8 @@
     pub slots: u32,
     /// Whether it has announced that it is leaving and accepts no new requests.
     pub is_leaving: bool,
+    /// Whether its data centre is cordoned; set by [`Listing::targets`] only.
+    pub is_cordoned: bool,
     /// Start of its process in Unix milliseconds, if known.
     pub started_ms: Option<u64>,
     /// Release of the software that it runs; empty if a peer described it without one.
@@ -52,6 +54,11 @@
 }
 
 impl Target {
+    /// Returns whether it takes new requests, as it is neither leaving nor cordoned.
+    pub fn is_usable(&self) -> bool {
+        !self.is_leaving && !self.is_cordoned
+    }
+
     /// Returns whether it is known to run a release; streams go on only within one.
     pub fn runs_release(&self, release: &str) -> bool {
         !release.is_empty() && *self.release == *release
@@ -99,6 +106,8 @@
     departed: HashMap<key::Target, (Option<u64>, Instant)>,
     /// Departed targets that a restored backup lists, with the time until which they are excluded.
     restored: HashMap<key::Target, Instant>,
+    /// Names of the data centres that the operator has taken out of service.
+    cordoned: BTreeSet<Box<str>>,
 }
 
 /// One change of an entry in the store's history.
@@ -370,7 +379,17 @@
         releases.all(|release| release == first).then_some(first)
     }
 
-    /// Returns all known targets, with `is_leaving` set by the store or by a notice.
+    /// Sets the data centres whose targets are cordoned; returns whether these are others than before.
+    pub fn set_cordoned(&mut self, names: &BTreeSet<Box<str>>) -> bool {
+        if self.cordoned == *names {
+            return false;
+        }
+        self.cordoned.clone_from(names);
+        true
+    }
+
+    /// Returns all known targets, with `is_leaving` set by the store or by a notice, and
+    /// `is_cordoned` by [`Self::set_cordoned`].
     pub fn targets(&self) -> impl Iterator<Item = Target> {
         let included = self.targets.values();
         let included = included.filter(|target| !self.restored.contains_key(&target.key));
@@ -378,6 +397,7 @@
             is_leaving: target.is_leaving
                 || self.leaving_notices.contains_key(&target.key)
                 || self.announced_leaving.contains(&target.key),
+            is_cordoned: self.cordoned.contains(&target.data_centre),
             ..target.clone()
         })
     }
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -236,7 +236,7 @@
     ) -> Option<Choice<'a>> {
         let usable: Vec<_> = targets
             .iter()
-            .filter(|target| !target.is_leaving && !query.excluded.contains(&target.key))
+            .filter(|target| target.is_usable() && !query.excluded.contains(&target.key))
             .filter(|target| {
                 query
                     .release
@@ -416,12 +416,12 @@
     }
 
     /// Returns the number of runs of this VM and its peers on the given targets.
-    pub fn run_count(&self, targets: &[Target]) -> u32 {
+    pub fn run_count<'a>(&self, targets: impl IntoIterator<Item = &'a Target>) -> u32 {
         let local = self.local_load();
         let runs = |loads: &HashMap<key::Target, Load>, target: &Target| {
             loads.get(&target.key).map_or(0, |load| load.runs)
         };
-        let targets = targets.iter();
+        let targets = targets.into_iter();
         targets
             .map(|target| runs(&local, target) + runs(&self.peer_loads, target))
             .sum()
--- a/crates/dispatch/src/reach.rs
+++ b/crates/dispatch/src/reach.rs
@@ -244,12 +244,12 @@
 
     /// Returns what to check now, given all targets; `None` if nothing is due.
     ///
-    /// Targets that are leaving or no longer listed are forgotten.
+    /// Targets that are leaving, cordoned or no longer listed are forgotten.
     pub fn check(&mut self, targets: &[Target], now: Instant) -> Option<Check> {
         let is_due = |last: Option<Instant>, interval| {
             last.is_none_or(|last: Instant| now.since(last) >= interval)
         };
-        let usable: Vec<_> = targets.iter().filter(|target| !target.is_leaving).collect();
+        let usable: Vec<_> = targets.iter().filter(|target| target.is_usable()).collect();
         self.contacts
             .retain(|key, _| usable.iter().any(|target| target.key == *key));
         if let Some(since) = self.isolated_since {
@@ -368,7 +368,7 @@
 
     /// Evaluates the evidence, given all targets; returns what has changed.
     pub fn evaluate(&mut self, targets: &[Target]) -> Option<Change> {
-        let usable: Vec<_> = targets.iter().filter(|target| !target.is_leaving).collect();
+        let usable: Vec<_> = targets.iter().filter(|target| target.is_usable()).collect();
         if self.isolated_since.is_some() {
             let needed = MIN_RECOVERED_TARGETS.min(usable.len());
             if self.recovered.len() < needed {
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -133,6 +133,23 @@
     /// Start of each target in `leaving`, in Unix milliseconds; 0 if it is not known.
     #[prost(uint64, repeated, tag = "18")]
     pub leaving_started_ms: Vec<u64>,
+    /// Cordoned data centres; absent if the sender doesn't know or need them.
+    #[prost(message, optional, tag = "19")]
+    pub cordon: Option<Cordon>,
+}
+
+/// The cordoned data centres as of a position of the store.
+#[derive(Clone, Eq, PartialEq, prost::Message)]
+pub struct Cordon {
+    /// Era of the store.
+    #[prost(uint64, tag = "1")]
+    pub era: u64,
+    /// Revision of the store within the era.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Names of the data centres.
+    #[prost(string, repeated, tag = "3")]
+    pub names: Vec<String>,
 }
 
 impl Report {
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -36,6 +36,7 @@
             data_centre: format!("dc-{}", index % data_centres).into(),
             slots: 6,
             is_leaving: false,
+            is_cordoned: false,
             started_ms: None,
             release: "v1".into(),
         })
--- a/crates/dispatch/tests/reach.rs
+++ b/crates/dispatch/tests/reach.rs
@@ -27,6 +27,7 @@
             data_centre: format!("dc-{}", index % 2).into(),
             slots: 8,
             is_leaving: false,
+            is_cordoned: false,
             started_ms: None,
             release: "v1".into(),
         })
--- a/crates/dispatch/tests/revision.rs
+++ b/crates/dispatch/tests/revision.rs
@@ -23,6 +23,7 @@
         data_centre: "dc-1".into(),
         slots: 8,
         is_leaving,
+        is_cordoned: false,
         started_ms: Some(started_ms),
         release: "v1".into(),
     }
--- a/crates/dispatch/tests/waiting.rs
+++ b/crates/dispatch/tests/waiting.rs
@@ -180,6 +180,7 @@
         data_centre: "dc-0".into(),
         slots: 24,
         is_leaving: false,
+        is_cordoned: false,
         started_ms: None,
         release: "v1".into(),
     }];
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -90,6 +90,7 @@
         Reason::CustomerLimit => StatusCode::TOO_MANY_REQUESTS,
         Reason::Overloaded
         | Reason::NoTarget
+        | Reason::Cordoned
         | Reason::NotReady
         | Reason::Quarantined
         | Reason::TargetRefused => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/fakes/src/site/store.rs
+++ b/crates/fakes/src/site/store.rs
@@ -58,6 +58,8 @@
     era: u64,
     mode: Mode,
     request_count: u64,
+    /// Number of requests for each path and first query field.
+    calls: BTreeMap<String, u64>,
     callers: Vec<Caller>,
 }
 
@@ -92,6 +94,7 @@
             era: 1,
             mode: Mode::Normal,
             request_count: 0,
+            calls: BTreeMap::new(),
             callers: Vec::new(),
         }));
         let changed = Arc::new(Signal::default());
@@ -223,6 +226,11 @@
         self.changed.notify();
     }
 
+    /// Returns the number of requests for each path and first query field.
+    pub fn calls(&self) -> BTreeMap<String, u64> {
+        lock(&self.state).calls.clone()
+    }
+
     /// Returns the number of requests received.
     pub fn request_count(&self) -> u64 {
         lock(&self.state).request_count
@@ -276,6 +284,9 @@
     let mode = {
         let mut state = lock(state);
         state.request_count += 1;
+        let field = request.query.split('&').next().unwrap_or_default();
+        let call = format!("{}?{field}", request.path);
+        *state.calls.entry(call).or_default() += 1;
         state.mode
     };
     match mode {
--- a/crates/gateway/src/clients/evacuation.rs
+++ b/crates/gateway/src/clients/evacuation.rs
@@ -2,7 +2,8 @@
 //!
 //! The engine that stores the copy of a run may leave before the engine that runs it. When the
 //! running engine announces its departure as well, the run is copied again, repeatedly until that
-//! engine is gone, so that little has to be recomputed where the run resumes.
+//! engine is gone, so that little has to be recomputed where the run resumes. A copy in a cordoned
+//! data centre can't be used, so its run is copied again like one without a copy.
 
 use {
     crate::{
@@ -90,7 +91,7 @@
         }
         let has_copy = copy
             .as_ref()
-            .is_some_and(|copy| shared.directory.is_active(copy.target.key));
+            .is_some_and(|copy| shared.directory.is_usable(copy.target.key));
         let (target, reservation) = match (&self.copied_to, has_copy) {
             (Some(target), true) => (target.clone(), None),
             (None, true) => return,
--- a/crates/gateway/src/clients/exchange.rs
+++ b/crates/gateway/src/clients/exchange.rs
@@ -7,7 +7,7 @@
             answer::{self, Body},
             generation, plain, resumption,
         },
-        control::{current::Snapshot, drain::Guard, origins, quarantine},
+        control::{cordon, current::Snapshot, drain::Guard, origins, quarantine},
         metrics::Outcome,
         targets::path,
     },
@@ -40,6 +40,8 @@
 
 /// Retry delay sent while there is no usable configuration: the duration of a startup.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Retry delay sent when all targets are cordoned, which lasts until the operator ends it.
+const CORDON_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Retry delay sent when a request times out before it was sent to a target.
 const TIMEOUT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -175,6 +177,19 @@
         Err(Refusal::not_run(Reason::NotReady, message).retry_after(Duration::ZERO))
     }
 
+    /// Checks that not all targets of the service are in cordoned data centres.
+    ///
+    /// # Errors
+    /// Returns a refusal if they are.
+    pub fn check_cordon(&self) -> Result<(), Refusal> {
+        if !self.shared.directory.is_service_cordoned(self.service) {
+            return Ok(());
+        }
+        let names = cordon::join(&self.shared.cordon.names());
+        let message = format!("all targets are in cordoned data centres ({names})");
+        Err(Refusal::not_run(Reason::Cordoned, message).retry_after(CORDON_RETRY_AFTER))
+    }
+
     /// Returns how long the request is expected to take.
     fn estimate(&self, planned: Duration) -> Duration {
         let longest = self.shared.dispatcher.longest_duration(&self.route.name);
@@ -188,6 +203,7 @@
         path::Purpose {
             attempt: &self.head.attempt_id,
             may_leave: false,
+            is_control: false,
         }
     }
 
@@ -388,6 +404,11 @@
         let refusal = Refusal::not_run(Reason::NotReady, "no configuration is known yet");
         return Err(refusal.retry_after(STARTUP_RETRY_AFTER));
     };
+    if !shared.cordon.is_known() {
+        let message = "it is not known yet which data centres are cordoned";
+        let refusal = Refusal::not_run(Reason::NotReady, message);
+        return Err(refusal.retry_after(STARTUP_RETRY_AFTER));
+    }
     let (parts, body) = request.into_parts();
     let configuration = &published.configuration;
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -102,6 +102,7 @@
 pub async fn serve(exchange: &Arc<Exchange>) -> Result<Response<Body>, Refusal> {
     let plan = plan(exchange);
     exchange.check_drain(plan.duration)?;
+    exchange.check_cordon()?;
     resumption::check(exchange)?;
     exchange.check_quarantine()?;
     let mut excluded = Vec::new();
@@ -198,6 +199,7 @@
 ) -> Result<(Target, Reservation), Refusal> {
     let shared = &exchange.shared;
     let service = exchange.service;
+    exchange.check_cordon()?;
     let priority = exchange.route.priority;
     let now = shared.now();
     let ahead = shared.dispatcher.ahead_of_arrival(service, priority, now);
@@ -229,6 +231,7 @@
         {
             return Ok(reserved);
         }
+        exchange.check_cordon()?;
         if now >= wait_deadline || exchange.outlasts_drain(plan.duration) {
             let delay = shared.dispatcher.retry_delay(service);
             return Err(Refusal::not_run(Reason::NoTarget, "no engine had room").retry_after(delay));
--- a/crates/gateway/src/clients/plain.rs
+++ b/crates/gateway/src/clients/plain.rs
@@ -135,7 +135,10 @@
     let mut attempts = Attempts::default();
     loop {
         exchange.check_drain(exchange.route.latency_objective)?;
-        if let Err(refusal) = path::check(&exchange.shared) {
+        let checked = exchange
+            .check_cordon()
+            .and_then(|()| path::check(&exchange.shared));
+        if let Err(refusal) = checked {
             attempts.refusal.get_or_insert(refusal);
             break;
         }
@@ -162,7 +165,10 @@
             (Some(refusal), _) => refusal,
             (None, Some(failure)) => Refusal::not_run(Reason::TargetRefused, failure.message)
                 .retry_after(BUSY_RETRY_AFTER),
-            (None, None) => no_target(exchange),
+            (None, None) => exchange
+                .check_cordon()
+                .err()
+                .unwrap_or_else(|| no_target(exchange)),
         },
     })
 }
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -47,7 +47,8 @@
 ///
 /// This is twice the usual interval between two events while the engine processes other prompts.
 const PROBE_DELAY: Duration = Duration::from_millis(85);
-/// Time without an event after which a stream counts as lost whose engine this VM doesn't reach.
+/// Time without an event after which a stream counts as lost whose engine this VM doesn't reach, or
+/// must not probe.
 const CUT_SILENCE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Connect timeout of a probe; the network latency is a few milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(55);
@@ -406,6 +407,13 @@
             if self.first_event_at.is_none() || now.since(self.last_probe) < MIN_PROBE_INTERVAL {
                 continue;
             }
+            if shared.directory.is_cordoned(target.key) {
+                // No probe is sent there.
+                if now.since(self.last_received) < CUT_SILENCE_TIMEOUT {
+                    continue;
+                }
+                return Read::Suspected("silent, and its data centre is cordoned".into());
+            }
             if is_cut {
                 // Other connections may live on, so this one counts as lost only if it is silent.
                 if now.since(self.last_received) < CUT_SILENCE_TIMEOUT {
@@ -580,10 +588,16 @@
     fn can_continue(&self) -> bool {
         let is_resumable = self.exchange.route.retry_policy == RetryPolicy::Resumable;
         self.migrations < MAX_MIGRATIONS
-            && (self.source.copy.is_some() || is_resumable && self.exchange.may_run_again())
+            && (self.has_usable_copy() || is_resumable && self.exchange.may_run_again())
             && self.is_admitted()
     }
 
+    /// Returns whether there is a copy in a data centre that is not cordoned.
+    fn has_usable_copy(&self) -> bool {
+        let copy = self.source.copy.as_ref();
+        copy.is_some_and(|copy| !self.exchange.shared.directory.is_cordoned(copy.target.key))
+    }
+
     /// Returns whether the request is not one that engines are lost to.
     fn is_admitted(&self) -> bool {
         if self.is_proven {
@@ -694,6 +708,9 @@
         let Some(copy) = &mut self.source.copy else {
             return false;
         };
+        if shared.directory.is_cordoned(copy.target.key) {
+            return false;
+        }
         let is_repeated = std::mem::replace(&mut copy.was_asked, true);
         if is_repeated && !shared.dispatcher.take_retry(exchange.service, now) {
             return false;
--- a/crates/gateway/src/clients/resumption.rs
+++ b/crates/gateway/src/clients/resumption.rs
@@ -87,7 +87,7 @@
         return Err(Refusal::not_run(Reason::NoTarget, message).retry_after(ORIGIN_RETRY_AFTER));
     };
     let targets = directory.targets_of(exchange.service);
-    let can_continue = |target: &Target| !target.is_leaving && target.runs_release(&origin.release);
+    let can_continue = |target: &Target| target.is_usable() && target.runs_release(&origin.release);
     if origin.service != exchange.service || !targets.iter().any(can_continue) {
         let message = format!(
             "no engine of release {}, which began the stream",
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -4,6 +4,7 @@
 pub mod backoff;
 pub mod configuration;
 pub mod confirmation;
+pub mod cordon;
 pub mod current;
 pub mod discovery;
 pub mod drain;
--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -8,6 +8,7 @@
         Shared,
         control::{
             backoff::Backoff,
+            cordon,
             current::Snapshot,
             discovery::{CHECK_INTERVAL, WATCH_TIMEOUT, WATCHERS},
             encoding::{Encoding, LARGE_BYTES},
@@ -17,7 +18,9 @@
     },
     dispatch::{Position, Replication, peers::Offer, replication::Step, report::Watch},
     entry::runtime::with_timeout,
-    platform::store::{Failure, Published, Reading, Store, Versioned, parse_configuration},
+    platform::store::{
+        Cordoned, Failure, Published, Reading, Store, Versioned, parse_configuration,
+    },
     smol::{Task, Timer},
     std::{net::Ipv4Addr, sync::Arc, time::Duration},
 };
@@ -42,13 +45,14 @@
         let began = shared.now();
         let version = shared.current.version();
         let is_watcher = shared.fleet.watch_role(WATCHERS, began).is_some();
-        if version > 0 && !is_watcher {
+        if version > 0 && shared.cordon.is_known() && !is_watcher {
             Timer::after(CHECK_INTERVAL).await;
             continue;
         }
         // The history since an older position contains all versions that peers have sent meanwhile.
-        let after = shared.current.newest_until();
+        let after = watch_position(&shared);
         let reading = match after {
+            None if shared.cordon.is_enabled() => store.operator_keys().await,
             None => store.configuration().await,
             Some(position) => {
                 let plain_bytes = shared.current.size_bytes();
@@ -61,6 +65,10 @@
             Ok(reading) => decode_reading(reading).await,
             Err(failure) => Err(failure),
         };
+        let result = match result {
+            Ok(response) => apply_cordon(&shared, response).await,
+            Err(failure) => Err(failure),
+        };
         match result {
             Ok(response) => {
                 backoff.reset();
@@ -99,6 +107,36 @@
     }
 }
 
+/// Returns the position to watch from; `None` if the values must be read.
+///
+/// If data centres may be cordoned, it is the older of the positions of the configuration and of the
+/// set of these.
+fn watch_position(shared: &Shared) -> Option<Position> {
+    let newest_until = shared.current.newest_until()?;
+    if !shared.cordon.is_enabled() {
+        return Some(newest_until);
+    }
+    shared.cordon.position().map(|set| set.min(newest_until))
+}
+
+/// Puts the cordon in a response in force, and reports it to peers if it has changed.
+///
+/// # Errors
+/// Returns a failure if the response lacks what the set needs, or if the configuration in it is not
+/// valid.
+async fn apply_cordon(shared: &Shared, response: Response) -> Result<Applicable, Failure> {
+    let Versioned { position, value } = response;
+    let outcome = cordon::apply(shared, value.cordon, position.revision);
+    if outcome == cordon::Outcome::Changed {
+        reports::send_now(shared, true).await;
+    }
+    let value = value.configuration?;
+    if outcome == cordon::Outcome::Incomplete {
+        return Err(Failure::Compacted);
+    }
+    Ok(Versioned { position, value })
+}
+
 /// Takes over from a VM that watches the store how long the configuration in force is the newest.
 ///
 /// This VM then needs no read of the whole value if it has to watch the store itself.
@@ -187,14 +225,12 @@
         Ok(reading) => decode_reading(reading).await,
         Err(failure) => Err(failure),
     };
+    let result = result.and_then(|response| response.value.configuration);
     match result {
-        Ok(Versioned {
-            value: Some(snapshot),
-            ..
-        }) => {
+        Ok(Some(snapshot)) => {
             apply(&shared, snapshot, STORE_SOURCE).await;
         }
-        Ok(Versioned { value: None, .. }) => {
+        Ok(None) => {
             log::warn!(target: "store", of = "configuration"; "the store has no configuration though peers have one");
         }
         Err(failure) => {
@@ -217,13 +253,33 @@
     true
 }
 
+/// A decoded response of the store.
+type Response = Versioned<Values>;
+/// The configuration in a response of the store, if there is one.
+type Applicable = Versioned<Option<Snapshot>>;
+
+/// What a response says about the operator's keys.
+struct Values {
+    configuration: Result<Option<Snapshot>, Failure>,
+    cordon: Cordoned,
+}
+
 /// Decodes a response of the store.
-async fn decode_reading(reading: Reading) -> Result<Versioned<Option<Snapshot>>, Failure> {
+async fn decode_reading(reading: Reading) -> Result<Response, Failure> {
     let is_large = reading.len() > LARGE_BYTES;
     let decode = move || {
         let Versioned { position, value } = reading.decode()?;
-        let value = value.map(encode_published).transpose()?;
-        Ok(Versioned { position, value })
+        let configuration = value.configuration;
+        let configuration =
+            configuration.and_then(|published| published.map(encode_published).transpose());
+        let cordon = value.cordon;
+        Ok(Versioned {
+            position,
+            value: Values {
+                configuration,
+                cordon,
+            },
+        })
     };
     run_off_thread(is_large, decode).await
 }
--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -425,6 +425,7 @@
         data_centre: description.data_centre.as_str().into(),
         slots: description.slots,
         is_leaving: description.is_leaving,
+        is_cordoned: false,
         started_ms: description.started_ms,
         release: description.release.as_str().into(),
     }
--- a/crates/gateway/src/control/inquiry.rs
+++ b/crates/gateway/src/control/inquiry.rs
@@ -54,7 +54,7 @@
     }
 }
 
-/// Returns the engines of the data centre that are not known to be leaving.
+/// Returns the engines of the data centre that are not known to be leaving, unless it is cordoned.
 fn local_engines(shared: &Shared) -> Vec<Target> {
     let Some(published) = shared.current.load() else {
         return Vec::new();
@@ -63,7 +63,7 @@
     let is_candidate = |target: &Target| {
         let service = published.configuration.service(target.service);
         let is_engine = service.is_some_and(|service| service.engine.is_some());
-        is_engine && !target.is_leaving && target.data_centre == data_centre
+        is_engine && target.is_usable() && target.data_centre == data_centre
     };
     let all = shared.directory.all().into_iter();
     all.filter(is_candidate).collect()
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Shared,
-        control::{configuration, discovery, origins, quarantine},
+        control::{configuration, cordon, discovery, origins, quarantine},
     },
     base::key,
     dispatch::{
@@ -393,6 +393,7 @@
             shared.now(),
         ),
         is_isolated: shared.reach.is_isolated(),
+        cordon: shared.cordon.report(),
         failing: shared
             .dispatcher
             .failing_targets(shared.now())
@@ -443,6 +444,10 @@
     let now = shared.now();
     let address = Ipv4Addr::from(report.address);
     let version = report.configuration_version;
+    if let Some(message) = &report.cordon {
+        // Also of a report that is not the sender's newest one, as sets have positions of their own.
+        cordon::receive(shared, message);
+    }
     let update = shared
         .fleet
         .peers()
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -7,6 +7,7 @@
         control::{
             admin, configuration,
             confirmation::Confirmation,
+            cordon::Cordon,
             current::Current,
             discovery,
             drain::Drain,
@@ -126,7 +127,8 @@
         Ok(Self { shared })
     }
 
-    /// Applies reloaded settings; the bound addresses and the thread count stay as they are.
+    /// Applies reloaded settings; the bound addresses, the thread count and whether data
+    /// centres may be cordoned stay as they are.
     pub fn reload(&self, settings: Gateway) {
         log::info!(target: "reload", seeds = settings.seeds.len(); "settings reloaded");
         self.shared.settings.store(Arc::new(settings));
@@ -196,6 +198,7 @@
         ),
         runtime,
         current: Current::default(),
+        cordon: Cordon::new(promises.cordon.is_some()),
         sender: transfer::Sender::default(),
         directory: Directory::default(),
         history: History::default(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -58,6 +58,7 @@
     tunnels: Gauge<u64>,
     tunnelled: Counter<u64>,
     quarantined: Gauge<u64>,
+    cordoned: Gauge<u64>,
     targets: Gauge<u64>,
     log_dropped: Gauge<u64>,
     log_queue: OnceLock<logs::Queue>,
@@ -231,6 +232,10 @@
                 "mastictrail.gateway.quarantined",
                 "Requests and parts of prompts that are refused because targets crash on them",
             ),
+            cordoned: gauge(
+                "mastictrail.gateway.cordoned",
+                "Data centres that the operator has cordoned",
+            ),
             targets: gauge(
                 "mastictrail.gateway.targets",
                 "Known targets, by whether they leave",
@@ -299,6 +304,8 @@
         self.isolated.record(shared.reach.is_isolated().into(), &[]);
         self.tunnels.record(shared.tunnels.served() as u64, &[]);
         self.quarantined.record(shared.quarantine.len() as u64, &[]);
+        self.cordoned
+            .record(shared.cordon.names().len() as u64, &[]);
         for (is_leaving, count) in shared.directory.counts() {
             let is_leaving = KeyValue::new("leaving", is_leaving);
             self.targets.record(count, &[is_leaving]);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,8 +4,9 @@
     crate::{
         clients::buffer::Budget,
         control::{
-            confirmation::Confirmation, current::Current, drain::Drain, fleet::Fleet,
-            history::History, quarantine::Quarantine, reach::Reach, reports, transfer,
+            confirmation::Confirmation, cordon::Cordon, current::Current, drain::Drain,
+            fleet::Fleet, history::History, quarantine::Quarantine, reach::Reach, reports,
+            transfer,
         },
         metrics::Metrics,
         targets::{client::Client, directory::Directory, dispatcher::Dispatcher},
@@ -30,6 +31,8 @@
     pub runtime: Runtime,
     /// Configuration in force.
     pub current: Current,
+    /// Data centres that the operator has taken out of service.
+    pub cordon: Cordon,
     /// Configurations that are being sent to peers.
     pub sender: transfer::Sender,
     /// Known targets.
@@ -85,8 +88,12 @@
 
     /// Returns whether the VM reports that it is ready for new connections.
     ///
-    /// It needs a configuration and a list of targets and must not be draining.
+    /// It needs a configuration, a list of targets and, if data centres may be cordoned, the set of
+    /// these, and must not be draining.
     pub fn is_ready(&self) -> bool {
-        !self.drain.is_draining() && self.current.load().is_some() && self.directory.has_list()
+        !self.drain.is_draining()
+            && self.current.load().is_some()
+            && self.directory.has_list()
+            && self.cordon.is_known()
     }
 }
--- a/crates/gateway/src/targets/directory.rs
+++ b/crates/gateway/src/targets/directory.rs
@@ -54,6 +54,26 @@
         self.get(target).is_some_and(|target| !target.is_leaving)
     }
 
+    /// Returns whether a target is known and takes new requests.
+    pub fn is_usable(&self, target: key::Target) -> bool {
+        self.get(target).is_some_and(|target| target.is_usable())
+    }
+
+    /// Returns whether a target is known and its data centre is cordoned.
+    pub fn is_cordoned(&self, target: key::Target) -> bool {
+        self.get(target).is_some_and(|target| target.is_cordoned)
+    }
+
+    /// Returns whether a service has targets that stay, all of them in cordoned data centres.
+    pub fn is_service_cordoned(&self, service: key::Service) -> bool {
+        let targets = self.targets_of(service);
+        let mut staying = targets
+            .iter()
+            .filter(|target| !target.is_leaving)
+            .peekable();
+        staying.peek().is_some() && staying.all(|target| target.is_cordoned)
+    }
+
     /// Returns the leaving targets, with the starts of their processes, if known.
     pub fn leaving_targets(&self) -> Vec<(key::Target, Option<u64>)> {
         let by_service = self.by_service.load();
--- a/crates/gateway/src/targets/dispatcher.rs
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -116,7 +116,7 @@
                 .filter(|target| brittle.contains(&target.key));
             // A brittle target is sent nothing that might have to wait.
             closed.extend(brittle.filter_map(|target| {
-                let runs = state.placement.run_count(std::slice::from_ref(target));
+                let runs = state.placement.run_count([target]);
                 (runs >= target.slots).then_some(target.key)
             }));
         }
@@ -208,7 +208,7 @@
     /// Returns the time until any of the targets takes a request; `None` if one does now.
     pub fn limit_delay(&self, targets: &[Target], now: Instant) -> Option<Duration> {
         let state = self.lock();
-        let usable = targets.iter().filter(|target| !target.is_leaving);
+        let usable = targets.iter().filter(|target| target.is_usable());
         let delays = usable.map(|target| state.limits.delay(target.key, now));
         delays.min().filter(|delay| !delay.is_zero())
     }
@@ -323,6 +323,8 @@
         targets: &[Target],
     ) -> Result<QueueEntry, Duration> {
         let mut state = self.lock();
+        // A run that ends at a cordoned target makes no room.
+        let targets = targets.iter().filter(|target| !target.is_cordoned);
         let demand = Demand {
             runs: state.placement.run_count(targets),
             remote_waiters: state.queues.remote_count(service, now),
--- a/crates/gateway/src/targets/path.rs
+++ b/crates/gateway/src/targets/path.rs
@@ -35,6 +35,8 @@
     pub attempt: &'a str,
     /// Whether the target may be leaving, as one that holds the run.
     pub may_leave: bool,
+    /// Whether the target may be cordoned, as for a call that moves a run away from it.
+    pub is_control: bool,
 }
 
 /// An open connection on which nothing has been sent.
@@ -93,7 +95,7 @@
         }
     }
     // Boxed, as most requests need no tunnel.
-    let tunnel = opener::open(shared, target, purpose.attempt, purpose.may_leave);
+    let tunnel = opener::open(shared, target, purpose);
     let (peer, tunnel) = Box::pin(tunnel).await?;
     Ok(path(Stream::Tunnel(Box::new(tunnel)), Some(peer)))
 }
@@ -169,6 +171,7 @@
         let purpose = Purpose {
             attempt,
             may_leave: true,
+            is_control: true,
         };
         let path = open(shared, &target, purpose).await?;
         buffer(path.send(shared, request).await?).await
--- a/crates/gateway/src/tunnel/frame.rs
+++ b/crates/gateway/src/tunnel/frame.rs
@@ -52,6 +52,9 @@
     /// Whether a target that leaves will do, as for a run that it holds.
     #[prost(bool, tag = "3")]
     pub may_leave: bool,
+    /// Whether a cordoned target will do, as for a call that moves a run away from it.
+    #[prost(bool, tag = "4")]
+    pub is_control: bool,
 }
 
 /// A query for targets that the receiver has reached.
--- a/crates/gateway/src/tunnel/listener.rs
+++ b/crates/gateway/src/tunnel/listener.rs
@@ -103,7 +103,10 @@
         match shared.reach.reaches(target, since) {
             Some(true) => reached.push(raw),
             Some(false) => {}
-            None => unknown.extend(shared.directory.get(target)),
+            None => {
+                let known = shared.directory.get(target);
+                unknown.extend(known.filter(|target| !target.is_cordoned));
+            }
         }
     }
     unknown.truncate(MAX_PROBES);
@@ -156,7 +159,8 @@
     if shared.drain.is_draining() || shared.reach.needs_tunnel(key) {
         return Err(Outcome::Unavailable);
     }
-    if target.is_leaving && !open.may_leave {
+    let is_refused = target.is_leaving && !open.may_leave || target.is_cordoned && !open.is_control;
+    if is_refused {
         return Err(Outcome::NoTarget);
     }
     let now = shared.now();
--- a/crates/gateway/src/tunnel/opener.rs
+++ b/crates/gateway/src/tunnel/opener.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         Shared,
-        targets::client::Failure,
+        targets::{client::Failure, path::Purpose},
         tunnel::{
             frame::{Frame, Hello, Open, Outcome, Pause, Query, decode, encode, split},
             stream::Stream,
@@ -33,23 +33,24 @@
 
 /// Opens a tunnel to a target.
 ///
-/// A target that leaves will do if `may_leave` is set.
+/// Which targets will do depends on the `purpose`.
 ///
 /// # Errors
 /// Nothing was sent to the target. The failure is local if no peer could be used.
 pub async fn open(
     shared: &Arc<Shared>,
     target: &Target,
-    attempt: &str,
-    may_leave: bool,
+    purpose: Purpose<'_>,
 ) -> Result<(Ipv4Addr, Stream), Failure> {
+    let attempt = purpose.attempt;
     let mut unreachable = 0;
     let peers = candidates(shared);
     for peer in peers.into_iter().take(MAX_PEERS) {
         let request = Open {
             target: target.key.raw(),
             attempt: attempt.into(),
-            may_leave,
+            may_leave: purpose.may_leave,
+            is_control: purpose.is_control,
         };
         let opened = with_timeout(OPEN_TIMEOUT, request_tunnel(shared, peer, request)).await;
         let opened = opened.unwrap_or_else(|| Err(ErrorKind::TimedOut.into()));
@@ -91,6 +92,7 @@
         target: target.key.raw(),
         attempt: attempt.into(),
         may_leave: true,
+        is_control: false,
     };
     let opened = with_timeout(OPEN_TIMEOUT, request_tunnel(shared, peer, request)).await;
     matches!(
