feat(dispatch): limit what all VMs send to cold targets

A target that has just started crashes at a rate of requests that it bears later. When a data centre comes back, its targets are idle and cold at the same moment, and the placement of every VM prefers them.

Each VM now computes its share from the VMs known in the last 30 s: the first K by rendezvous hashing may each send P requests in 1.1 s to a cold target. A VM that doesn't know its peers uses cold targets as a last resort only. Continuations count, but are not blocked. ColdRemainingMs becomes a point in time when an entry is applied, travels between VMs as Description tag 10, and is no change if it has only run on. Without a service with ColdPerS > 0, nothing is computed.

--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -69,6 +69,15 @@
     pub tokens_per_event: u32,
 }
 
+/// How the targets of a service warm up.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// Time for which a target is cold after its start.
+    pub duration: Duration,
+    /// Requests per second that a cold target takes from all VMs together.
+    pub rate: f64,
+}
+
 /// A group of interchangeable targets.
 #[derive(Clone, Debug)]
 pub struct Service {
@@ -76,6 +85,8 @@
     pub name: Box<str>,
     /// Properties of its targets if they are engines; `None` for a plain service.
     pub engine: Option<Engine>,
+    /// How its targets warm up; `None` if they take all requests at once.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Limits on what clients may send.
@@ -180,6 +191,17 @@
         self.services.get(&service)
     }
 
+    /// Returns how the targets of a service warm up; `None` if they take all requests at once.
+    pub fn cold_start(&self, service: key::Service) -> Option<ColdStart> {
+        self.services.get(&service)?.cold_start
+    }
+
+    /// Returns whether the targets of any service have to warm up.
+    pub fn has_cold_starts(&self) -> bool {
+        let mut services = self.services.values();
+        services.any(|service| service.cold_start.is_some())
+    }
+
     /// Finds the route of a request: the one of its host with the longest matching path prefix.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let indexes = self.by_host.get(host).or_else(|| {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod budget;
 pub mod catch_up;
+pub mod cold;
 pub mod configuration;
 pub mod drain;
 pub mod duration;
@@ -27,7 +28,7 @@
 pub mod watch;
 
 pub use {
-    budget::Budget, catch_up::CatchUp, configuration::Configuration, drain::Drain,
+    budget::Budget, catch_up::CatchUp, cold::Cold, configuration::Configuration, drain::Drain,
     duration::Durations, frame::Splitter, length::Lengths, limit::Limits, listing::Listing,
     load::Load, origin::Origins, peers::Peers, placement::Placement, quarantine::Quarantine,
     reach::Reach, replication::Replication, request::Generation, revision::Position,
--- a/crates/dispatch/src/listing.rs
+++ b/crates/dispatch/src/listing.rs
@@ -28,6 +28,53 @@
 /// Without a sign of life, the store removes such an entry after three heartbeats of the target.
 const RESTORED_ENTRY_DELAY: Duration = Duration::from_secs(6);
 
+/// Longest time for which a target is believed to be cold.
+pub const MAX_COLD_REMAINING: Duration = Duration::from_secs(60);
+/// Difference up to which two statements name the same end of a warm-up: the time that an entry
+/// takes from the target through the store to this VM varies by less.
+const WARM_UP_TOLERANCE: Duration = Duration::from_millis(500);
+
+/// What a target has said of its warm-up.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct WarmUp {
+    /// Time for which it was still cold; `None` if it hasn't said so.
+    pub remaining: Option<Duration>,
+    /// When this VM learned of it; `None` until the entry is applied.
+    observed: Option<Instant>,
+}
+
+impl WarmUp {
+    /// Creates the statement of an entry that has not been applied yet.
+    pub fn new(remaining: Option<Duration>) -> Self {
+        Self {
+            remaining,
+            observed: None,
+        }
+    }
+
+    /// Returns when the target is warm; without a statement, it is cold for `duration`.
+    pub fn end(&self, duration: Duration, now: Instant) -> Instant {
+        self.observed.unwrap_or(now) + self.remaining.unwrap_or(duration)
+    }
+
+    /// Returns the time for which it is still cold, if it has said so.
+    pub fn remaining(&self, now: Instant) -> Option<Duration> {
+        let end = self.end(Duration::ZERO, now);
+        self.remaining.map(|_| end.since(now))
+    }
+
+    /// Returns whether a later statement of the same process adds nothing to this one.
+    fn covers(&self, later: &Self, now: Instant) -> bool {
+        let (Some(_), Some(remaining)) = (self.remaining, later.remaining) else {
+            return later.remaining.is_none();
+        };
+        let known = self.end(Duration::ZERO, now);
+        let end = now + remaining;
+        let is_warm = remaining.is_zero() && known <= now;
+        is_warm || end.since(known).max(known.since(end)) <= WARM_UP_TOLERANCE
+    }
+}
+
 /// A target as it is registered in the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Target {
@@ -49,6 +96,8 @@
     pub started_ms: Option<u64>,
     /// Release of the software that it runs; empty if a peer described it without one.
     pub release: Box<str>,
+    /// What it has said of its warm-up.
+    pub warm_up: WarmUp,
 }
 
 impl Target {
@@ -112,7 +161,17 @@
 
 impl Listing {
     /// Adds or replaces a target; returns whether anything changed.
-    pub fn put(&mut self, target: Target, now: Instant) -> bool {
+    ///
+    /// That the time until it is warm has run on is no change.
+    pub fn put(&mut self, mut target: Target, now: Instant) -> bool {
+        let before = self.targets.get(&target.key);
+        if target.warm_up.observed.is_none() {
+            let same = before.filter(|before| before.started_ms == target.started_ms);
+            let known = same.map(|before| before.warm_up);
+            let known = known.filter(|known| known.covers(&target.warm_up, now));
+            target.warm_up.observed = Some(now);
+            target.warm_up = known.unwrap_or(target.warm_up);
+        }
         self.pending_removals.remove(&target.key);
         let was_excluded = self.restored.remove(&target.key).is_some();
         let before = self.targets.get(&target.key);
@@ -198,6 +257,14 @@
         if self.has_synced() && position.era > self.revisions.position().era {
             self.begin_era(&mut listed, now);
         }
+        // An entry that was applied already says nothing of its target's present warm-up.
+        let is_same_era = position.era == self.revisions.position().era;
+        for (revision, target) in &mut listed {
+            let is_applied = is_same_era && self.revisions.has(target.key, *revision);
+            if let Some(known) = self.targets.get(&target.key).filter(|_| is_applied) {
+                target.warm_up = known.warm_up;
+            }
+        }
         let revisions = listed
             .iter()
             .map(|(revision, target)| (target.key, *revision));
@@ -298,6 +365,27 @@
         is_new && is_known && !is_noticed
     }
 
+    /// Records that a target has said in an answer for how long it is still cold.
+    ///
+    /// An answer may be older than the entry, so it can't end a warm-up that the entry names.
+    /// Returns whether anything changed.
+    pub fn mark_cold(&mut self, target: key::Target, remaining: Duration, now: Instant) -> bool {
+        let Some(target) = self.targets.get_mut(&target) else {
+            return false;
+        };
+        let told = WarmUp {
+            remaining: Some(remaining),
+            observed: Some(now),
+        };
+        let known = target.warm_up.remaining(now);
+        let is_news = !target.warm_up.covers(&told, now);
+        let is_change = is_news && known.is_none_or(|known| remaining > known);
+        if is_change {
+            target.warm_up = told;
+        }
+        is_change
+    }
+
     /// Applies due removals and drops expired notices; returns whether anything changed.
     pub fn expire(&mut self, now: Instant) -> bool {
         let before = self.leaving_notices.len();
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -195,6 +195,17 @@
             .map(|(address, peer)| (*address, &peer.report))
     }
 
+    /// Returns the VMs known in the last 30 s, silent ones and those only introduced included.
+    pub fn known(&self, now: Instant) -> impl Iterator<Item = Ipv4Addr> {
+        let is_recent = move |at: Instant| now.since(at) < ADDRESS_LIFETIME;
+        let reporting = self.reporting.iter();
+        let reporting = reporting.filter(move |(_, peer)| is_recent(peer.received));
+        let introduced = self.introduced.iter();
+        let introduced = introduced.filter(move |(_, introduced)| is_recent(**introduced));
+        let introduced = introduced.map(|(address, _)| *address);
+        reporting.map(|(address, _)| *address).chain(introduced)
+    }
+
     /// Returns the addresses of the live peers in a data centre.
     pub fn live_in(&self, data_centre: u64, now: Instant) -> HashSet<Ipv4Addr> {
         let live = self.live(now);
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -5,7 +5,7 @@
 //! choosing the same one of several nearly equal targets.
 
 use {
-    crate::{Load, configuration::Engine, listing::Target},
+    crate::{Load, cold::Access, configuration::Engine, listing::Target},
     base::{Instant, key, rendezvous},
     derive_more::Debug,
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -120,6 +120,8 @@
     pub is_urgent: bool,
     /// For an urgent copy: data centre of the run; moving it to another one takes twice as long.
     pub run_data_centre: Option<&'a str>,
+    /// How it may use cold targets; `None` if the service's targets take all requests at once.
+    pub cold_access: Option<Access>,
     /// For other copies: whether the run is in this VM's data centre.
     pub is_run_local: bool,
 }
@@ -137,6 +139,7 @@
             queued_ahead: 0,
             is_urgent: false,
             run_data_centre: None,
+            cold_access: None,
             is_run_local: false,
         }
     }
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        Load, origin,
+        Load, listing, origin,
         quarantine::{Feature, Kind},
         revision::{Position, State},
         waiting::Waiter,
@@ -329,6 +329,17 @@
     /// Release of the software that it runs.
     #[prost(string, tag = "9")]
     pub release: String,
+    /// Milliseconds for which it is still cold, if known.
+    #[prost(uint32, optional, tag = "10")]
+    pub cold_remaining_ms: Option<u32>,
+}
+
+impl Description {
+    /// Returns the time for which the target is still cold; `None` if that can't be true.
+    pub fn cold_remaining(&self) -> Option<Duration> {
+        let remaining = Duration::from_millis(self.cold_remaining_ms?.into());
+        (remaining <= listing::MAX_COLD_REMAINING).then_some(remaining)
+    }
 }
 
 /// Changes of the list of targets, sent to all peers by a VM that watches the store.
--- a/crates/dispatch/src/revision.rs
+++ b/crates/dispatch/src/revision.rs
@@ -86,6 +86,12 @@
         }
     }
 
+    /// Returns whether a listed entry is known in the state that it had at a revision.
+    pub fn has(&self, target: key::Target, revision: u64) -> bool {
+        let known = self.changes.get(&target);
+        revision > 0 && known.is_some_and(|known| known.is_listed && known.revision == revision)
+    }
+
     /// Records a change of an entry; returns whether it is newer than the known one.
     ///
     /// A change without a revision always is.
--- a/crates/dispatch/tests/listing.rs
+++ b/crates/dispatch/tests/listing.rs
@@ -3,8 +3,8 @@
 use {
     base::{Instant, key},
     mastictrail_dispatch::{
-        Listing,
-        listing::{Past, Target},
+        Listing, Position,
+        listing::{Past, Target, WarmUp},
     },
     std::time::Duration,
 };
@@ -20,6 +20,7 @@
         is_leaving,
         started_ms: Some(started_ms),
         release: "v1".into(),
+        warm_up: WarmUp::default(),
     }
 }
 
@@ -221,3 +222,68 @@
     listing.put(target("a", false, 2), at(2));
     assert!(listing.targets().all(|target| !target.is_leaving));
 }
+
+fn cold(remaining_ms: u64) -> Target {
+    Target {
+        warm_up: WarmUp::new(Some(Duration::from_millis(remaining_ms))),
+        ..target("a", false, 1)
+    }
+}
+
+/// Returns the milliseconds for which the only listed target is still cold.
+fn cold_ms(listing: &Listing, now: Instant) -> u128 {
+    let target = listing.targets().next().expect("a target is listed");
+    let remaining = target.warm_up.remaining(now);
+    remaining.expect("its entry says so").as_millis()
+}
+
+/// Each heartbeat of a cold target writes its entry again; that must not rebuild the directory.
+#[test]
+fn a_count_down_alone_is_no_change() {
+    let mut listing = Listing::default();
+    assert!(listing.put(cold(8_000), at(1_000)));
+    assert!(!listing.put(cold(6_000), at(3_100)));
+    assert!(!listing.put(cold(4_000), at(4_900)));
+    assert!(!listing.put(cold(0), at(9_300)));
+    assert!(!listing.put(cold(0), at(20_000)));
+    assert_eq!(cold_ms(&listing, at(5_000)), 4_000);
+    // It is cold again, or warm sooner than it said.
+    assert!(listing.put(cold(8_000), at(30_000)));
+    assert_eq!(cold_ms(&listing, at(30_000)), 8_000);
+    assert!(listing.put(cold(0), at(31_000)));
+    assert_eq!(cold_ms(&listing, at(31_000)), 0);
+}
+
+/// A list that is read later has entries with the time that was left when they were written.
+#[test]
+fn an_entry_that_is_read_again_does_not_make_its_target_cold_again() {
+    let mut listing = Listing::default();
+    let position = |revision| Position { era: 1, revision };
+    listing.replace_at(position(5), vec![(4, cold(8_000))], at(1_000));
+    listing.replace_at(position(9), vec![(4, cold(8_000))], at(7_000));
+    assert_eq!(cold_ms(&listing, at(7_000)), 2_000);
+    // The list has an older state of the entry than a peer has sent.
+    let key = key::Target::of("a");
+    assert!(listing.record(key, 12, true));
+    listing.put(cold(8_000), at(20_000));
+    listing.replace_at(position(11), vec![(10, cold(100))], at(21_000));
+    assert_eq!(cold_ms(&listing, at(21_000)), 7_000);
+    // The entry was written again.
+    listing.replace_at(position(14), vec![(13, cold(9_000))], at(22_000));
+    assert_eq!(cold_ms(&listing, at(22_000)), 9_000);
+}
+
+/// Answers overtake entries and are overtaken by them.
+#[test]
+fn an_answer_makes_a_target_cold_but_does_not_end_what_its_entry_says() {
+    let mut listing = Listing::default();
+    let key = key::Target::of("a");
+    assert!(!listing.mark_cold(key, Duration::from_secs(8), at(500)));
+    listing.put(target("a", false, 1), at(1_000));
+    assert!(listing.mark_cold(key, Duration::ZERO, at(1_500)));
+    assert_eq!(cold_ms(&listing, at(1_500)), 0);
+    assert!(listing.mark_cold(key, Duration::from_secs(8), at(2_000)));
+    assert!(!listing.mark_cold(key, Duration::from_secs(7), at(3_100)));
+    assert!(!listing.mark_cold(key, Duration::ZERO, at(3_200)));
+    assert_eq!(cold_ms(&listing, at(4_000)), 6_000);
+}
--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -13,7 +13,7 @@
         waiting::Waiter,
     },
     prost::Message,
-    std::{net::Ipv4Addr, time::Duration},
+    std::{collections::HashSet, net::Ipv4Addr, time::Duration},
 };
 
 const OWN: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
@@ -207,6 +207,7 @@
             is_leaving: false,
             started_ms: Some(1_750_000_000_000),
             release: "v1.2.3".into(),
+            cold_remaining_ms: Some(8_000),
         }),
     };
     let entries: Vec<_> = (0..600).map(entry).collect();
@@ -500,3 +501,25 @@
         assert!(part.is_err() || part.is_ok_and(|part| part.origin().is_none()));
     }
 }
+
+/// A partition must not change which VMs may use a cold target, so its other side stays known.
+#[test]
+fn silent_and_introduced_vms_are_known_for_30_s() {
+    let mut peers = Peers::default();
+    let introduction = Report {
+        introductions: vec![Ipv4Addr::new(10, 0, 0, 3).into(), OWN.into()],
+        ..report(2, 1)
+    };
+    peers.receive_report(introduction, OWN, at(0));
+    peers.receive_report(report(4, 1), OWN, at(20_000));
+    let known = |now| {
+        let known: HashSet<_> = peers
+            .known(now)
+            .map(|address| address.octets()[3])
+            .collect();
+        known
+    };
+    assert_eq!(known(at(29_999)), HashSet::from([2, 3, 4]));
+    assert_eq!(known(at(30_000)), HashSet::from([4]));
+    assert!(known(at(50_000)).is_empty());
+}
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -5,7 +5,7 @@
     mastictrail_dispatch::{
         Load, Placement,
         configuration::Engine,
-        listing::Target,
+        listing::{Target, WarmUp},
         placement::{Query, RunId},
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -38,6 +38,7 @@
             is_leaving: false,
             started_ms: None,
             release: "v1".into(),
+            warm_up: WarmUp::default(),
         })
         .collect()
 }
--- a/crates/dispatch/tests/reach.rs
+++ b/crates/dispatch/tests/reach.rs
@@ -4,7 +4,7 @@
     base::{Instant, key},
     mastictrail_dispatch::{
         Reach,
-        listing::Target,
+        listing::{Target, WarmUp},
         reach::{Change, Check},
     },
     std::net::Ipv4Addr,
@@ -29,6 +29,7 @@
             is_leaving: false,
             started_ms: None,
             release: "v1".into(),
+            warm_up: WarmUp::default(),
         })
         .collect()
 }
--- a/crates/dispatch/tests/revision.rs
+++ b/crates/dispatch/tests/revision.rs
@@ -2,7 +2,11 @@
 
 use {
     base::{Instant, key},
-    mastictrail_dispatch::{Listing, Position, listing::Target, revision::Revisions},
+    mastictrail_dispatch::{
+        Listing, Position,
+        listing::{Target, WarmUp},
+        revision::Revisions,
+    },
     std::time::Duration,
 };
 
@@ -25,6 +29,7 @@
         is_leaving,
         started_ms: Some(started_ms),
         release: "v1".into(),
+        warm_up: WarmUp::default(),
     }
 }
 
--- a/crates/dispatch/tests/waiting.rs
+++ b/crates/dispatch/tests/waiting.rs
@@ -5,7 +5,7 @@
     mastictrail_dispatch::{
         Load, Placement, Queues,
         configuration::Engine,
-        listing::Target,
+        listing::{Target, WarmUp},
         placement::{Query, prefill_tokens},
         waiting::{Demand, Position, Waiter},
     },
@@ -182,6 +182,7 @@
         is_leaving: false,
         started_ms: None,
         release: "v1".into(),
+        warm_up: WarmUp::default(),
     }];
     let mut random = SmallRng::seed_from_u64(seed);
     let demand = Demand {
--- a/crates/gateway/src/clients/exchange.rs
+++ b/crates/gateway/src/clients/exchange.rs
@@ -14,7 +14,7 @@
     base::{Instant, Reason, Refusal, Verdict, key},
     bytes::Bytes,
     dispatch::{
-        configuration::{RetryPolicy, Route},
+        configuration::{ColdStart, RetryPolicy, Route},
         listing::Target,
         origin::Origin,
         quarantine::{Admission, Feature, Kind},
@@ -120,6 +120,11 @@
         request
     }
 
+    /// Returns how the service's targets warm up; `None` if they take all requests at once.
+    pub fn cold_start(&self) -> Option<ColdStart> {
+        self.published.configuration.cold_start(self.service)
+    }
+
     /// Returns where the client's stream began, if it has begun and that is known.
     pub fn origin(&self) -> Option<&Origin> {
         self.origin.get()
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -20,6 +20,7 @@
     bytes::Bytes,
     dispatch::{
         Generation, Load,
+        cold::Access,
         configuration::{Engine, RetryPolicy},
         listing::Target,
         placement::{Query, prefill_time, prefill_tokens},
@@ -208,7 +209,9 @@
     let prefill_budget = prefill_budget.saturating_sub(prefill_time(plan.generation.prompt_tokens));
     let wait_deadline = exchange.arrived + prefill_budget;
     let targets = shared.directory.targets_of(service);
-    if let Some(delay) = shared.dispatcher.limit_delay(&targets, now)
+    if let Some(delay) = shared
+        .dispatcher
+        .limit_delay(&targets, exchange.cold_start(), now)
         && now + delay > wait_deadline
     {
         let message = "all engines get as many requests as they take";
@@ -253,6 +256,21 @@
     })
 }
 
+/// Reserves capacity for a run that goes on, if need be at a cold engine that has had its share.
+pub fn reserve_continuation(
+    exchange: &Exchange,
+    plan: &Plan,
+    excluded: &[key::Target],
+    now: Instant,
+) -> Option<(Target, Reservation)> {
+    reserve_with(exchange, plan.run_load(), plan, now, |query| {
+        query.excluded = excluded;
+        query.release = exchange.origin().map(|origin| &*origin.release);
+        query.max_pending_prefill = max_pending_prefill(exchange, plan, now);
+        query.cold_access = exchange.cold_start().map(Access::Continuation);
+    })
+}
+
 /// Returns how many prompt tokens an engine may process ahead of this request without delaying its
 /// first event beyond the objective.
 fn max_pending_prefill(exchange: &Exchange, plan: &Plan, now: Instant) -> u32 {
@@ -315,6 +333,7 @@
     let mut query = Query {
         load,
         engine: plan.engine,
+        cold_access: exchange.cold_start().map(Access::Limited),
         is_remote_stale: shared.dispatcher.live_vms() > reports::MAX_FULL_MESH_VMS,
         ..Query::default()
     };
--- a/crates/gateway/src/clients/plain.rs
+++ b/crates/gateway/src/clients/plain.rs
@@ -11,7 +11,7 @@
     },
     base::{Instant, Reason, Refusal, Verdict, key},
     bytes::Bytes,
-    dispatch::{Load, configuration::RetryPolicy, listing::Target, placement::Query},
+    dispatch::{Load, cold::Access, configuration::RetryPolicy, listing::Target, placement::Query},
     entry::runtime::with_timeout,
     futures_util::future::{Either, select},
     hyper::{Response, http::response::Parts},
@@ -171,7 +171,11 @@
 fn no_target(exchange: &Exchange) -> Refusal {
     let shared = &exchange.shared;
     let targets = shared.directory.targets_of(exchange.service);
-    match shared.dispatcher.limit_delay(&targets, shared.now()) {
+    let cold_start = exchange.cold_start();
+    match shared
+        .dispatcher
+        .limit_delay(&targets, cold_start, shared.now())
+    {
         Some(delay) => {
             let message = "all targets get as many requests as they take";
             Refusal::not_run(Reason::Overloaded, message).retry_after(delay.max(BUSY_RETRY_AFTER))
@@ -251,6 +255,7 @@
             ..Load::default()
         },
         excluded,
+        cold_access: exchange.cold_start().map(Access::Limited),
         data_centre: &settings.vm.data_centre,
         ..Query::default()
     };
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -11,7 +11,7 @@
             answer::BodyError,
             evacuation::Evacuation,
             exchange::Exchange,
-            generation::{Item, Plan, reserve, reserve_copy},
+            generation::{Item, Plan, reserve_continuation, reserve_copy},
         },
         metrics::Outcome,
         targets::{
@@ -605,7 +605,8 @@
         let copy = self.source.copy.as_ref();
         let target = copy.map(|copy| std::slice::from_ref(&copy.target));
         let dispatcher = &self.exchange.shared.dispatcher;
-        let delay = target.and_then(|target| dispatcher.limit_delay(target, now));
+        // A cold engine takes a stream that goes on.
+        let delay = target.and_then(|target| dispatcher.limit_delay(target, None, now));
         delay.unwrap_or_default()
     }
 
@@ -699,9 +700,8 @@
             return false;
         }
         let (target, origin, handle) = (copy.target.clone(), copy.origin, copy.handle.clone());
-        let reservation = shared
-            .dispatcher
-            .reserve_at(target.key, self.plan.run_load(), now);
+        let (load, cold_start) = (self.plan.run_load(), exchange.cold_start());
+        let reservation = shared.dispatcher.reserve_at(&target, load, cold_start, now);
         reservation.finish_prefill();
         reservation.set_tokens(self.plan.generation.prompt_tokens, self.tokens());
         let copy_target = target.key;
@@ -739,7 +739,7 @@
         }
         let now = shared.now();
         let excluded = [&*self.failed_targets, &[failed_target]].concat();
-        let reserved = reserve(&exchange, &self.plan, &excluded, 0, now);
+        let reserved = reserve_continuation(&exchange, &self.plan, &excluded, now);
         let Some(reserved) = reserved else {
             return false;
         };
--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -13,7 +13,7 @@
     dispatch::{
         CatchUp, Position,
         catch_up::Step,
-        listing::{Past, Target},
+        listing::{Past, Target, WarmUp},
         peers::{MAX_SMALL_FLEET, WatchRole},
         report::{Changes, Description, Entry, Watch},
     },
@@ -333,8 +333,9 @@
                 Kind::Put(target) => {
                     let entry = encode_entry(change.revision, &target);
                     let (key, is_leaving) = (target.key, target.is_leaving);
+                    let cold_ms = cold_remaining_ms(&target).unwrap_or_default();
                     let is_change = is_news && listing.put(target, now);
-                    log::info!(target: "target", target_key:% = key, is_leaving, revision = change.revision, is_change; "target listed by the store");
+                    log::info!(target: "target", target_key:% = key, is_leaving, cold_ms, revision = change.revision, is_change; "target listed by the store");
                     (entry, is_change)
                 }
                 Kind::Removed(key) => {
@@ -411,10 +412,17 @@
             is_leaving: target.is_leaving,
             started_ms: target.started_ms,
             release: target.release.to_string(),
+            cold_remaining_ms: cold_remaining_ms(target),
         }),
     }
 }
 
+/// Returns the time for which an entry that was just read calls its target cold, rounded up.
+fn cold_remaining_ms(target: &Target) -> Option<u32> {
+    let remaining = target.warm_up.remaining?;
+    u32::try_from(remaining.as_micros().div_ceil(1_000)).ok()
+}
+
 fn decode_target(key: key::Target, description: &Description) -> Target {
     let address = Ipv4Addr::from(description.address);
     Target {
@@ -427,5 +435,6 @@
         is_leaving: description.is_leaving,
         started_ms: description.started_ms,
         release: description.release.as_str().into(),
+        warm_up: WarmUp::new(description.cold_remaining()),
     }
 }
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -324,7 +324,7 @@
         broadcast(shared, &evidence_datagram(evidence), addresses.clone()).await;
     }
     let is_known = |target| shared.directory.get(target).is_some();
-    shared.dispatcher.retain_limits(is_known);
+    shared.dispatcher.retain_limits(is_known, shared.now());
     for limits in shared.dispatcher.limits(shared.now()) {
         broadcast(shared, &limits_datagram(limits), addresses.clone()).await;
     }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -22,7 +22,7 @@
         tunnel::{self, Tunnels},
     },
     arc_swap::ArcSwap,
-    base::{Instant, clock, key},
+    base::{Clock as _, Instant, clock, key},
     config::Gateway,
     dispatch::budget::Policy,
     entry::{Error, logs, runtime::Runtime},
@@ -180,6 +180,13 @@
     let socket = UdpSocket::bind(peers).and_then(Async::new);
     let socket = socket.map_err(|error| Error::listen(peers, error))?;
     let incarnation = rand::random();
+    let own = u64::from(u32::from(*own_address.ip()));
+    let has_seeds = settings
+        .seeds
+        .iter()
+        .any(|seed| seed.ip() != *own_address.ip());
+    let clock = clock::System::new();
+    let cold = dispatch::Cold::new(own, has_seeds, clock.now());
     let runtime = Runtime::start(settings.limits.threads);
     let promises = &settings.promises;
     let budget_policy = Policy {
@@ -188,7 +195,7 @@
         window: promises.retry_window,
     };
     Ok(Shared {
-        clock: Arc::new(clock::System::new()),
+        clock: Arc::new(clock),
         client: Client::new(
             runtime.clone(),
             settings.limits.connect_timeout,
@@ -200,7 +207,7 @@
         directory: Directory::default(),
         history: History::default(),
         confirmation: Confirmation::default(),
-        dispatcher: Dispatcher::new(incarnation, budget_policy),
+        dispatcher: Dispatcher::new(incarnation, budget_policy, cold),
         fleet: Fleet::new(
             socket,
             SocketAddrV4::new(*own_address.ip(), own_address.port()),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -54,6 +54,7 @@
     vms: Gauge<u64>,
     origins: Gauge<u64>,
     limited: Gauge<u64>,
+    cold: Gauge<u64>,
     isolated: Gauge<u64>,
     tunnels: Gauge<u64>,
     tunnelled: Counter<u64>,
@@ -215,6 +216,10 @@
                 "mastictrail.gateway.limited",
                 "Targets that name a number of requests per second that they take",
             ),
+            cold: gauge(
+                "mastictrail.gateway.cold",
+                "Targets that are warming up, so that few requests are sent to them",
+            ),
             isolated: gauge(
                 "mastictrail.gateway.isolated",
                 "1 if the VM reaches no target while others do",
@@ -296,6 +301,7 @@
         self.origins.record(shared.origins().len() as u64, &[]);
         self.limited
             .record(shared.dispatcher.limited_targets() as u64, &[]);
+        self.cold.record(shared.cold_targets() as u64, &[]);
         self.isolated.record(shared.reach.is_isolated().into(), &[]);
         self.tunnels.record(shared.tunnels.served() as u64, &[]);
         self.quarantined.record(shared.quarantine.len() as u64, &[]);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -81,6 +81,27 @@
         let local_data_centre = (peers.live(now).count() >= reports::MAX_FULL_MESH_VMS)
             .then(|| self.fleet.data_centre());
         self.dispatcher.update_peers(&peers, local_data_centre, now);
+        let configuration = self.current.load();
+        if configuration.is_some_and(|current| current.configuration.has_cold_starts()) {
+            self.dispatcher.set_known_vms(peers.known(now));
+        }
+    }
+
+    /// Returns the number of targets that are warming up.
+    pub fn cold_targets(&self) -> usize {
+        let Some(current) = self.current.load() else {
+            return 0;
+        };
+        if !current.configuration.has_cold_starts() {
+            return 0;
+        }
+        let now = self.now();
+        let targets = self.directory.all().into_iter();
+        let cold = targets.filter(|target| {
+            let start = current.configuration.cold_start(target.service);
+            start.is_some_and(|start| self.dispatcher.is_cold(target, &start, now))
+        });
+        cold.count()
     }
 
     /// Returns whether the VM reports that it is ready for new connections.
--- a/crates/gateway/src/targets/directory.rs
+++ b/crates/gateway/src/targets/directory.rs
@@ -136,6 +136,16 @@
         true
     }
 
+    /// Records that a target has said in an answer for how long it is still cold; returns whether
+    /// that changes anything.
+    pub fn mark_cold(&self, target: &Target, remaining: Duration, now: Instant) -> bool {
+        // Most answers say what the snapshot that the request was sent by has already.
+        if remaining.is_zero() && target.warm_up.remaining.is_some() {
+            return false;
+        }
+        self.update(|listing| listing.mark_cold(target.key, remaining, now))
+    }
+
     /// Marks a target as leaving by its own answer; returns whether it was not marked before.
     pub fn mark_announced_leaving(&self, target: key::Target) -> bool {
         let mut is_new = false;
--- a/crates/gateway/src/targets/dispatcher.rs
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -4,10 +4,12 @@
     base::{Clock, Instant, key},
     derive_more::Debug,
     dispatch::{
-        Budget, Durations, Generation, Lengths, Limits, Load, Peers, Placement,
+        Budget, Cold, Durations, Generation, Lengths, Limits, Load, Peers, Placement,
         budget::Policy,
+        cold::Access,
+        configuration::ColdStart,
         listing::Target,
-        placement::{Basis, Query, RunId},
+        placement::{Basis, Choice, Query, RunId},
         report,
         waiting::{Demand, Position, Queues, Waiter},
     },
@@ -15,6 +17,7 @@
     smol::channel::{Receiver, Sender, bounded},
     std::{
         collections::HashMap,
+        net::Ipv4Addr,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicUsize, Ordering},
@@ -36,6 +39,37 @@
     budgets: HashMap<key::Service, Budget>,
     queues: Queues,
     limits: Limits,
+    cold: Cold,
+}
+
+impl State {
+    /// Chooses a target, of the cold ones only those that may get a request of this VM now.
+    fn choose<'a>(
+        &mut self,
+        now: Instant,
+        targets: &'a [Target],
+        query: &Query<'_>,
+    ) -> Option<Choice<'a>> {
+        // A copy of a run is no request.
+        let Some(access) = query.cold_access.filter(|_| query.load.runs > 0) else {
+            return self.placement.choose(now, targets, query);
+        };
+        let mut closed = self.cold.closed(targets, access.cold_start(), now);
+        if closed.is_empty() {
+            return self.placement.choose(now, targets, query);
+        }
+        closed.extend(query.excluded);
+        let open = Query {
+            excluded: &closed,
+            ..*query
+        };
+        let choice = self.placement.choose(now, targets, &open);
+        let is_continuation = matches!(access, Access::Continuation(_));
+        if choice.is_none() && (is_continuation || self.cold.is_last_resort(now)) {
+            return self.placement.choose(now, targets, query);
+        }
+        choice
+    }
 }
 
 /// Tracks the load on the targets and decides which requests are admitted, placed and retried.
@@ -75,7 +109,7 @@
 
 impl Dispatcher {
     /// Creates a dispatcher without load; `seed` makes placement reproducible.
-    pub fn new(seed: u64, budget_policy: Policy) -> Self {
+    pub fn new(seed: u64, budget_policy: Policy, cold: Cold) -> Self {
         let (notifier, wakeups) = bounded(1);
         let (limit_notifier, limit_wakeups) = bounded(1);
         Self {
@@ -86,6 +120,7 @@
                 budgets: HashMap::new(),
                 queues: Queues::default(),
                 limits: Limits::new(seed),
+                cold,
             })),
             budget_policy,
             live_vms: AtomicUsize::new(1),
@@ -125,10 +160,15 @@
             excluded: &excluded,
             ..*query
         };
-        let choice = state.placement.choose(now, targets, query)?;
+        let choice = state.choose(now, targets, query)?;
         let (target, basis) = (choice.target.clone(), choice.basis);
         let run = state.placement.start_run(target.key, query.load);
-        let is_announced = query.load.runs > 0 && state.limits.record_sent(target.key, now);
+        let is_request = query.load.runs > 0;
+        let is_announced = is_request && state.limits.record_sent(target.key, now);
+        if let Some(access) = query.cold_access.filter(|_| is_request) {
+            let start = access.cold_start();
+            state.cold.record_sent(&target, start, now);
+        }
         drop(state);
         if is_announced {
             self.limit_notifier.notify();
@@ -140,10 +180,19 @@
     }
 
     /// Reserves capacity at a given target, whether or not it has any.
-    pub fn reserve_at(&self, target: key::Target, load: Load, now: Instant) -> Reservation {
+    pub fn reserve_at(
+        &self,
+        target: &Target,
+        load: Load,
+        cold_start: Option<ColdStart>,
+        now: Instant,
+    ) -> Reservation {
         let mut state = self.lock();
-        let run = state.placement.start_run(target, load);
-        let is_announced = state.limits.record_sent(target, now);
+        let run = state.placement.start_run(target.key, load);
+        let is_announced = state.limits.record_sent(target.key, now);
+        if let Some(start) = cold_start {
+            state.cold.record_sent(target, &start, now);
+        }
         drop(state);
         if is_announced {
             self.limit_notifier.notify();
@@ -206,10 +255,21 @@
     }
 
     /// Returns the time until any of the targets takes a request; `None` if one does now.
-    pub fn limit_delay(&self, targets: &[Target], now: Instant) -> Option<Duration> {
-        let state = self.lock();
+    ///
+    /// `cold_start` is how they warm up, if they have to.
+    pub fn limit_delay(
+        &self,
+        targets: &[Target],
+        cold_start: Option<ColdStart>,
+        now: Instant,
+    ) -> Option<Duration> {
+        let state = &mut *self.lock();
         let usable = targets.iter().filter(|target| !target.is_leaving);
-        let delays = usable.map(|target| state.limits.delay(target.key, now));
+        let delays = usable.map(|target| {
+            let limit_delay = state.limits.delay(target.key, now);
+            let cold_delay = cold_start.map(|start| state.cold.delay(target, &start, now));
+            limit_delay.max(cold_delay.unwrap_or_default())
+        });
         delays.min().filter(|delay| !delay.is_zero())
     }
 
@@ -229,8 +289,21 @@
     }
 
     /// Removes the limits of targets that are no longer listed.
-    pub fn retain_limits(&self, is_known: impl Fn(key::Target) -> bool) {
-        self.lock().limits.retain(is_known);
+    pub fn retain_limits(&self, is_known: impl Fn(key::Target) -> bool, now: Instant) {
+        let mut state = self.lock();
+        state.limits.retain(is_known);
+        state.cold.forget_old_sends(now);
+    }
+
+    /// Returns whether a target is warming up.
+    pub fn is_cold(&self, target: &Target, start: &ColdStart, now: Instant) -> bool {
+        self.lock().cold.is_cold(target, start, now)
+    }
+
+    /// Replaces the other VMs among which the requests to cold targets are divided.
+    pub fn set_known_vms(&self, others: impl Iterator<Item = Ipv4Addr>) {
+        let others = others.map(|address| u64::from(u32::from(address)));
+        self.lock().cold.set_vms(others);
     }
 
     /// Waits until the other VMs lack a limit or a request to a target with one, and returns these.
--- a/crates/gateway/src/targets/notice.rs
+++ b/crates/gateway/src/targets/notice.rs
@@ -53,6 +53,14 @@
             shared.runtime.spawn(message).detach();
         }
     }
+    let cold_remaining = notice.cold_remaining;
+    if cold_remaining.is_some_and(|remaining| shared.directory.mark_cold(target, remaining, now)) {
+        log::info!(
+            target: "limit", instance:% = target.instance,
+            cold_ms = cold_remaining.unwrap_or_default().as_millis() as u64;
+            "target says for how long it is still cold"
+        );
+    }
     if notice.is_leaving && shared.directory.mark_announced_leaving(target.key) {
         log::info!(target: "target", target_key:% = target.key, instance:% = target.instance; "target says that it is leaving");
         let sender = Arc::clone(shared);
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -94,8 +94,13 @@
     })
 }
 
-/// Returns the largest number of requests that a target received in a window after a time.
+/// Returns the largest number of requests that a target received in [`COUNT_WINDOW`] after a time.
 fn most_in_window(target: &Target, from: Instant) -> usize {
+    most_in(target, from, COUNT_WINDOW)
+}
+
+/// Returns the largest number of requests that a target received in a window after a time.
+fn most_in(target: &Target, from: Instant, window: Duration) -> usize {
     let received = target.received();
     let times: Vec<_> = received
         .iter()
@@ -105,7 +110,7 @@
     let counts = times.iter().map(|start| {
         let in_window = times
             .iter()
-            .filter(|at| **at >= *start && **at < *start + COUNT_WINDOW);
+            .filter(|at| **at >= *start && **at < *start + window);
         in_window.count()
     });
     counts.max().unwrap_or_default()
@@ -367,3 +372,77 @@
     assert!(falls <= 2, "{falls} falls, {served} requests run");
     assert!(served >= 10, "{served} requests run");
 }
+
+/// A cold target crashes at a rate that a warm one bears. No VM knows what the others send to it.
+#[test]
+fn a_cold_target_gets_no_more_than_it_bears_from_all_vms_together() {
+    const VMS: usize = 4;
+    /// Requests per second that the cold target takes.
+    const RATE: usize = 3;
+    /// Requests that it bears in a second: 1.5 times that and 5.
+    const BOUND: usize = 9;
+    let site = Site::start(1, SERVICES, VMS);
+    site.wait_for_peers();
+    site.publish(2, |document| {
+        document["Services"][1]["ColdStartS"] = 8.into();
+        document["Services"][1]["ColdPerS"] = RATE.into();
+    });
+    let all = |name, value| (0..VMS).all(|vm| site.metric(vm, name) == value);
+    wait_until("all gateways have the configuration", || {
+        all("configuration_version", 2)
+    });
+    // The entries say that their targets are warm, so nothing is limited.
+    assert!(all("cold", 0));
+    let cold = &site.services[0];
+    site.put_cold_entry(cold, Duration::from_secs(12));
+    wait_until("all gateways know that the target is cold", || {
+        all("cold", 1)
+    });
+    let begun = Instant::now();
+    let exchanges = load(&site, Duration::from_secs(6), plain_path);
+    let most = most_in(cold, begun, Duration::from_secs(1));
+    assert!(most <= BOUND, "{most} requests in a second");
+    let received = cold.received();
+    let count = received.iter().filter(|request| request.at >= begun);
+    let count = count.count();
+    // It is used. How much depends on placement, which prefers targets whose latency it knows.
+    assert!(count > 0);
+    // The warm ones serve the rest.
+    let served = exchanges
+        .iter()
+        .filter(|exchange| exchange.status == Some(StatusCode::OK));
+    assert_eq!(served.count(), exchanges.len());
+    wait_until("the target is warm", || all("cold", 0));
+    let warm = Instant::now();
+    load(&site, Duration::from_secs(3), plain_path);
+    let most = most_in(cold, warm, Duration::from_secs(1));
+    assert!(most > BOUND, "{most} requests in a second while it is warm");
+}
+
+/// All targets of the service are cold, so requests beyond their rate can't be served.
+#[test]
+fn requests_beyond_what_cold_targets_bear_are_refused_with_the_time_to_come_back() {
+    let site = Site::start(1, 1, 2);
+    site.wait_for_peers();
+    site.publish(2, |document| {
+        document["Services"][1]["ColdStartS"] = 30.into();
+        document["Services"][1]["ColdPerS"] = 4.into();
+    });
+    site.put_cold_entry(&site.services[0], Duration::from_secs(30));
+    wait_until("all gateways know that the target is cold", || {
+        (0..2).all(|vm| site.metric(vm, "cold") == 1)
+    });
+    let begun = Instant::now();
+    let exchanges = load(&site, Duration::from_secs(4), plain_path);
+    let most = most_in(&site.services[0], begun, Duration::from_secs(1));
+    assert!(most <= 11, "{most} requests in a second");
+    let (served, refused): (Vec<_>, Vec<_>) = exchanges
+        .iter()
+        .partition(|exchange| exchange.status == Some(StatusCode::OK));
+    assert!(served.len() >= 4 * 4 / 2, "{} served", served.len());
+    assert!(!refused.is_empty());
+    for exchange in refused {
+        assert_eq!(exchange.status, Some(StatusCode::SERVICE_UNAVAILABLE));
+        assert!(exchange.has_retry_after);
+    }
+}
--- a/tests/support/site.rs
+++ b/tests/support/site.rs
@@ -225,6 +225,17 @@
             .put(&format!("servers/{}", target.instance), &entry.to_string());
     }
 
+    /// Writes the entry of a plain service's target that is still cold for a time.
+    pub fn put_cold_entry(&self, target: &Target, remaining: Duration) {
+        let entry = json!({
+            "Service": "ledger", "Address": target.address, "Zone": "dc-1", "Version": RELEASE,
+            "Slots": 8, "State": "ready", "ColdRemainingMs": remaining.as_millis() as u64,
+            "Sequence": 2, "born": 1,
+        });
+        self.store
+            .put(&format!("servers/{}", target.instance), &entry.to_string());
+    }
+
     /// Publishes a version of the default configuration, modified by `change`.
     pub fn publish(&self, version: u64, change: impl FnOnce(&mut serde_json::Value)) {
         let route = |name: &str, kind: &str, service: &str, settings: serde_json::Value| {
