--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -299,7 +299,7 @@
     pub description: Option<Description>,
 }
 
-/// A [`listing::Target`](crate::listing::Target) without its key.
+/// A [`listing::Target`] without its key.
 #[derive(Clone, Eq, PartialEq, prost::Message)]
 pub struct Description {
     /// Name of the target's instance.
