feat(dispatch): place requests by the pace of targets

Cause: placement assumed one speed for all engines. On some deployments a third of them takes 2.4 times as long for everything, and a sixth is slowed by 2.5 for 0.6 s at a time.

Change: `dispatch::pace` computes a factor per target from the fourth figure of `X-Server-Load` (valid for 300 ms) and from measurements of streams and first events that VMs share in heartbeats and full summaries. The cost of an engine, the limit of pending prompts and the expected wait use it. Services whose responses don't carry the figure are neither measured nor placed differently.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod listing;
 pub mod load;
 pub mod origin;
+pub mod pace;
 pub mod peers;
 pub mod placement;
 pub mod quarantine;
@@ -29,7 +30,7 @@
 pub use {
     budget::Budget, catch_up::CatchUp, configuration::Configuration, drain::Drain,
     duration::Durations, frame::Splitter, length::Lengths, limit::Limits, listing::Listing,
-    load::Load, origin::Origins, peers::Peers, placement::Placement, quarantine::Quarantine,
-    reach::Reach, replication::Replication, request::Generation, revision::Position,
-    waiting::Queues, watch::Watches,
+    load::Load, origin::Origins, pace::Paces, peers::Peers, placement::Placement,
+    quarantine::Quarantine, reach::Reach, replication::Replication, request::Generation,
+    revision::Position, waiting::Queues, watch::Watches,
 };
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -37,4 +37,15 @@
     pub running: u32,
     /// Requests that are queued at the target for a slot or for memory.
     pub waiting: u32,
+    /// Time that work takes on the target's host at this moment, in percent of the normal time.
+    pub pace_percent: Option<u32>,
+}
+
+/// Time that work takes at a target, as measured by one or more VMs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Pace {
+    /// Time relative to the expected one, in percent.
+    pub percent: u32,
+    /// Number of recent samples.
+    pub weight: u32,
 }
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -6,6 +6,7 @@
 use {
     crate::{
         Load,
+        load::Pace,
         report::{Report, Summary, TargetLoad, Watch},
         revision::State,
         waiting::Waiter,
@@ -40,6 +41,8 @@
 /// Number of VMs of each data centre that are asked where a stream began: one more than are told,
 /// as the VMs that are live may have changed since.
 const ORIGIN_CANDIDATES: usize = LOCAL_ORIGIN_HOLDERS + 1;
+/// Time after which a pace that a peer measured is forgotten.
+const PACE_LIFETIME: Duration = Duration::from_secs(60);
 /// Key of the rendezvous hash that chooses the VMs that watch the store.
 const WATCH_KEY: u64 = 1;
 
@@ -56,8 +59,13 @@
 struct Peer {
     report: Report,
     received: Instant,
+    /// Paces that it measured, with the time at which each was received; not in every report.
+    paces: HashMap<u64, (Pace, Instant)>,
 }
 
+/// Paces of targets that several VMs measured, with the times at which they were received.
+pub type Readings = HashMap<key::Target, Vec<(Pace, Instant)>>;
+
 /// The other VMs, and the load and versions that they have reported.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -161,11 +169,19 @@
             }
         }
         let leaving = report.leaving_targets();
+        let previous = self.reporting.remove(&address);
+        let mut paces = previous.map(|previous| previous.paces).unwrap_or_default();
+        for load in &report.loads {
+            if let Some(pace) = load.pace() {
+                paces.insert(load.target, (pace, now));
+            }
+        }
         self.reporting.insert(
             address,
             Peer {
                 report,
                 received: now,
+                paces,
             },
         );
         self.last_received = now;
@@ -176,6 +192,10 @@
     pub fn expire(&mut self, now: Instant) {
         self.reporting
             .retain(|_, peer| now.since(peer.received) < ADDRESS_LIFETIME);
+        for peer in self.reporting.values_mut() {
+            peer.paces
+                .retain(|_, (_, received)| now.since(*received) < PACE_LIFETIME);
+        }
         self.introduced
             .retain(|_, introduced| now.since(*introduced) < ADDRESS_LIFETIME);
         self.watches.expire(ADDRESS_LIFETIME, now);
@@ -408,6 +428,33 @@
         total
     }
 
+    /// Returns the paces that the live peers in a data centre have measured.
+    pub fn paces_in(&self, data_centre: u64, now: Instant) -> Readings {
+        let peers = self.live_peers(now);
+        let peers = peers.filter(|peer| peer.report.data_centre == data_centre);
+        collect_paces(peers.flat_map(|peer| &peer.paces))
+    }
+
+    /// Returns the paces that all live peers have measured.
+    ///
+    /// Those of a data centre with recent summaries come from these, as the load does.
+    pub fn paces(&self, now: Instant) -> Readings {
+        let summarized = self.summarized_data_centres(now);
+        let peers = self.live_peers(now).filter(|peer| {
+            !summarized.contains(&key::DataCentre::from_raw(peer.report.data_centre))
+        });
+        let mut paces = collect_paces(peers.flat_map(|peer| &peer.paces));
+        for (_, summarized) in self.fresh_summaries(now) {
+            for (load, received) in summarized.loads.values() {
+                if let Some(pace) = load.pace() {
+                    let target = key::Target::from_raw(load.target);
+                    paces.entry(target).or_default().push((pace, *received));
+                }
+            }
+        }
+        paces
+    }
+
     fn fresh_summaries(&self, now: Instant) -> impl Iterator<Item = (&u64, &SummarizedLoad)> {
         let summaries = self.summaries.iter();
         summaries.filter(move |(_, summarized)| now.since(summarized.updated) <= SUMMARY_TIMEOUT)
@@ -524,6 +571,15 @@
     }
 }
 
+fn collect_paces<'a>(measured: impl Iterator<Item = (&'a u64, &'a (Pace, Instant))>) -> Readings {
+    let mut paces = Readings::new();
+    for (&target, &reading) in measured {
+        let target = key::Target::from_raw(target);
+        paces.entry(target).or_default().push(reading);
+    }
+    paces
+}
+
 /// Adds reported loads of a given age to the total of each target.
 fn add_loads(total: &mut HashMap<key::Target, Load>, loads: &[TargetLoad], age: Duration) {
     for load in loads {
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -5,7 +5,7 @@
 //! choosing the same one of several nearly equal targets.
 
 use {
-    crate::{Load, configuration::Engine, listing::Target},
+    crate::{Load, Paces, configuration::Engine, listing::Target},
     base::{Instant, key, rendezvous},
     derive_more::Debug,
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -122,6 +122,8 @@
     pub run_data_centre: Option<&'a str>,
     /// For other copies: whether the run is in this VM's data centre.
     pub is_run_local: bool,
+    /// How long work takes at the targets; `None` if all are assumed to be equally fast.
+    pub paces: Option<&'a Paces>,
 }
 
 impl Default for Query<'_> {
@@ -138,6 +140,7 @@
             is_urgent: false,
             run_data_centre: None,
             is_run_local: false,
+            paces: None,
         }
     }
 }
@@ -151,6 +154,8 @@
     pub load: Load,
     /// Number of targets that were considered.
     pub candidates: usize,
+    /// Time that work takes at the target relative to the median one.
+    pub factor: f64,
 }
 
 /// A chosen target.
@@ -171,6 +176,8 @@
     fixed_cost: f64,
     /// Mean latency; used for plain services only.
     latency_ms: f64,
+    /// Time that work takes there relative to the median target.
+    factor: f64,
     /// Total cost as last computed, in milliseconds.
     cost: f64,
 }
@@ -269,6 +276,7 @@
                 cost: best.cost,
                 load: best.load,
                 candidates: count,
+                factor: best.factor,
             },
         })
     }
@@ -309,6 +317,7 @@
         });
         let candidates = usable.filter_map(|target| {
             let load = self.total_load(target.key, local);
+            let factor = factor(target.key, query, now);
             let mut fixed_cost = 0.0;
             if self.is_unreachable(&target.data_centre, now) {
                 fixed_cost += UNREACHABLE_COST_MS;
@@ -324,13 +333,14 @@
                 // Require capacity for one more request, as a peer may have placed one meanwhile.
                 let mut busier = load;
                 busier += query.load;
-                cost(target, busier, query, 0.0)?;
+                cost(target, busier, query, 0.0, factor)?;
             }
             Some(Candidate {
                 target,
                 load,
                 fixed_cost,
                 latency_ms: self.latency(target.key, now),
+                factor,
                 cost: 0.0,
             })
         });
@@ -427,6 +437,26 @@
             .sum()
     }
 
+    /// Returns the number of runs on the given targets, each counted by the speed of its target.
+    ///
+    /// As many runs end in a given time as at that number of runs on targets of normal speed.
+    pub fn paced_run_count(&self, targets: &[Target], paces: &Paces, now: Instant) -> u32 {
+        let counts = targets.iter().map(|target| {
+            let runs = self.load_on(target.key).runs;
+            f64::from(runs) / paces.factor(target.key, now)
+        });
+        counts.sum::<f64>().round() as u32
+    }
+
+    /// Returns the load of this VM and its peers on a target.
+    pub fn load_on(&self, target: key::Target) -> Load {
+        let mut load = self.peer_loads.get(&target).copied().unwrap_or_default();
+        for run in self.runs.values().filter(|run| run.target == target) {
+            load += run.load;
+        }
+        load
+    }
+
     /// Returns the load of this VM on each target.
     pub fn local_load(&self) -> HashMap<key::Target, Load> {
         let mut local: HashMap<key::Target, Load> = HashMap::new();
@@ -542,6 +572,7 @@
             candidate.load,
             query,
             candidate.latency_ms,
+            candidate.factor,
         )?;
         candidate.cost = cost + candidate.fixed_cost + jitter();
         Some(candidate)
@@ -559,8 +590,30 @@
     f64::from(load.used_memory) + share * growth + f64::from(load.copy_memory)
 }
 
+/// Returns the time that work takes at a target relative to the median one.
+///
+/// The mean latency of a plain service's target already contains the long-term factor.
+fn factor(target: key::Target, query: &Query<'_>, now: Instant) -> f64 {
+    let Some(paces) = query.paces else {
+        return 1.0;
+    };
+    if query.engine.is_some() {
+        paces.factor(target, now)
+    } else {
+        paces.momentary_factor(target, now)
+    }
+}
+
 /// Returns the cost of a request on a target in milliseconds; `None` if it lacks capacity.
-fn cost(target: &Target, load: Load, query: &Query<'_>, latency_ms: f64) -> Option<f64> {
+///
+/// `factor` is the time that work takes at the target relative to the median one.
+fn cost(
+    target: &Target,
+    load: Load,
+    query: &Query<'_>,
+    latency_ms: f64,
+    factor: f64,
+) -> Option<f64> {
     let is_local = *target.data_centre == *query.data_centre;
     let remote_cost = |cost| if is_local { 0.0 } else { cost };
     let Some(engine) = query.engine else {
@@ -568,7 +621,7 @@
         let used_share = f64::from(load.runs) / slots;
         return Some(
             remote_cost(PLAIN_REMOTE_COST_MS)
-                + latency_ms * (1.0 + FULL_SLOTS_COST_FACTOR * used_share),
+                + factor * latency_ms * (1.0 + FULL_SLOTS_COST_FACTOR * used_share),
         );
     };
     let is_copy = query.load.runs == 0;
@@ -605,14 +658,19 @@
         let copy_share = f64::from(load.copy_memory) / f64::from(engine.kv_capacity.max(1));
         return Some(data_centre_cost + memory + COPY_CONCENTRATION_COST_MS * copy_share);
     }
-    if load.pending_prefill > query.max_pending_prefill {
+    // The request's own prefill at normal speed is the same at all targets, so only the difference
+    // counts, here and in `max_pending_prefill`.
+    let own_excess = f64::from(query.load.pending_prefill) * (factor - 1.0);
+    let prefill_tokens = f64::from(load.pending_prefill) * factor + own_excess;
+    // An engine without pending prompts takes any request: none would be faster there by waiting.
+    if load.pending_prefill > 0 && prefill_tokens > f64::from(query.max_pending_prefill) {
         return None;
     }
-    let prefill = f64::from(load.pending_prefill) / PREFILL_TOKENS_PER_MS;
+    let prefill = prefill_tokens / PREFILL_TOKENS_PER_MS;
     let output = query
         .load
         .peak_memory
         .saturating_sub(query.load.used_memory);
     let remote = remote_cost(REMOTE_COST_MS + REMOTE_TOKEN_COST_MS * f64::from(output));
-    Some(remote + prefill + RUN_COST_MS * f64::from(load.runs) + memory)
+    Some(remote + prefill + RUN_COST_MS * factor * f64::from(load.runs) + memory)
 }
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -2,20 +2,25 @@
 
 use {
     crate::{
-        Load, origin,
+        Load,
+        load::Pace,
+        origin,
         quarantine::{Feature, Kind},
         revision::{Position, State},
         waiting::Waiter,
     },
     base::{Instant, key},
     prost::Message as _,
-    std::time::Duration,
+    std::{
+        collections::{BTreeMap, HashMap},
+        time::Duration,
+    },
 };
 
 /// Tokens by which the memory of a run grows per second, to extrapolate reported loads: a decode
 /// step of a busy engine takes about 11 ms.
 const GROWTH_TOKENS_PER_SECOND: f64 = 90.0;
-/// Maximum number of targets in a summary; each takes about 40 bytes.
+/// Maximum number of targets in a summary; each takes at most 46 bytes.
 const MAX_SUMMARY_TARGETS: usize = 150;
 /// Maximum size of the entries in a message about changes of the list of targets, in bytes.
 ///
@@ -23,6 +28,8 @@
 const MAX_CHANGES_BYTES: usize = 6 << 10;
 /// Maximum number of queued requests in a report.
 const MAX_QUEUED: usize = 16;
+/// Maximum number of targets without load in a report whose pace the sender has measured.
+const MAX_UNLOADED_PACES: usize = 16;
 
 /// [`Load`] of one target in a message.
 #[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
@@ -45,6 +52,12 @@
     /// Memory that the runs use now, in tokens.
     #[prost(uint32, tag = "6")]
     pub used_memory: u32,
+    /// Time that work takes there relative to the expected one, in percent; 0 if it is not known.
+    #[prost(uint32, tag = "7")]
+    pub pace_percent: u32,
+    /// Number of recent samples of the pace.
+    #[prost(uint32, tag = "8")]
+    pub pace_weight: u32,
 }
 
 impl TargetLoad {
@@ -57,7 +70,52 @@
             pending_prefill: load.pending_prefill,
             copy_memory: load.copy_memory,
             used_memory: load.used_memory,
+            pace_percent: 0,
+            pace_weight: 0,
+        }
+    }
+
+    /// Adds the measured pace of the target, if there is any.
+    #[must_use]
+    pub fn with_pace(self, pace: Option<Pace>) -> Self {
+        match pace {
+            Some(pace) => Self {
+                pace_percent: pace.percent,
+                pace_weight: pace.weight,
+                ..self
+            },
+            None => self,
+        }
+    }
+
+    /// Adds measured paces to the loads of a report.
+    ///
+    /// Those of targets without load take entries of their own. Their number is limited, so that the
+    /// size of a report doesn't grow with the number of targets; successive `round`s cover all.
+    pub fn add_paces(loads: &mut Vec<Self>, paces: &HashMap<key::Target, Pace>, round: u64) {
+        let mut unloaded: BTreeMap<u64, Pace> = paces
+            .iter()
+            .map(|(target, pace)| (target.raw(), *pace))
+            .collect();
+        for load in &mut *loads {
+            *load = load.with_pace(unloaded.remove(&load.target));
         }
+        let start = (round as usize).wrapping_mul(MAX_UNLOADED_PACES) % unloaded.len().max(1);
+        let entries = unloaded.iter().cycle().skip(start);
+        let entries = entries.take(unloaded.len().min(MAX_UNLOADED_PACES));
+        loads.extend(entries.map(|(target, pace)| {
+            let target = key::Target::from_raw(*target);
+            Self::new(target, Load::default()).with_pace(Some(*pace))
+        }));
+    }
+
+    /// Returns the measured pace of the target, if there is a valid one.
+    pub fn pace(&self) -> Option<Pace> {
+        let is_valid = self.pace_percent > 0 && (1..=255).contains(&self.pace_weight);
+        is_valid.then_some(Pace {
+            percent: self.pace_percent,
+            weight: self.pace_weight,
+        })
     }
 
     /// Returns the load with the expected growth of its runs during `age`.
--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -42,6 +42,7 @@
             pending_prefill: 10,
             copy_memory: 5,
             used_memory: 90,
+            ..TargetLoad::default()
         }],
         ..Report::default()
     }
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -456,7 +456,7 @@
         data_centre:% = source.target().data_centre,
         backup = source.backup().map_or("", |backup| &*backup.instance), outcome, detail,
         runs = basis.load.runs, memory = basis.load.peak_memory, copies = basis.load.copy_memory,
-        prefill = basis.load.pending_prefill, told = occupancy,
+        prefill = basis.load.pending_prefill, factor = basis.factor, told = occupancy,
         limit = parse_limit(headers).unwrap_or_default(), waited_ms = waited.as_millis() as u64,
         candidates = basis.candidates, cost_ms = basis.cost as u64,
         vms = exchange.shared.dispatcher.live_vms(), parts = exchange.shared_parts(), fingerprint:% = exchange.fingerprint,
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -25,7 +25,7 @@
     },
     base::{Instant, Verdict, key},
     bytes::{Bytes, BytesMut},
-    dispatch::{Splitter, configuration::RetryPolicy, listing::Target},
+    dispatch::{Splitter, configuration::RetryPolicy, listing::Target, pace::Window},
     entry::runtime::with_timeout,
     http_body_util::BodyExt,
     hyper::{
@@ -73,6 +73,9 @@
 const CLIENT_PATIENCE: u32 = 4;
 /// Maximum number of migrations of one stream.
 const MAX_MIGRATIONS: u32 = 8;
+/// Minimum time for which the VM must have waited for an event that is used to measure the pace of its
+/// engine; one that comes sooner may have arrived before.
+const MIN_EVENT_WAIT: Duration = Duration::from_millis(1);
 
 /// A copy of a run's KV cache at another engine.
 #[derive(Debug)]
@@ -170,6 +173,10 @@
     paused_at: u64,
     last_received: Instant,
     last_probe: Instant,
+    /// How long the VM waited for what it received last.
+    waited: Duration,
+    /// Measures the pace of the current engine.
+    window: Window,
     /// Whether the current engine is silent, but may go on.
     is_suspected: bool,
     /// Engines that were asked in vain to continue the stream.
@@ -283,6 +290,8 @@
         Self {
             last_received: now,
             last_probe: now,
+            waited: Duration::ZERO,
+            window: Window::default(),
             is_suspected: false,
             failed_targets: Vec::new(),
             last_suspicion: None,
@@ -375,6 +384,7 @@
     async fn read(&mut self) -> Read {
         let shared = Arc::clone(&self.exchange.shared);
         let target = self.source.target.clone();
+        let began = shared.now();
         loop {
             let Some(Upstream { body, via, .. }) = self.upstream.as_mut() else {
                 return Read::End;
@@ -387,6 +397,7 @@
             match with_timeout(remaining.min(PROBE_DELAY), body.frame()).await {
                 Some(read) => {
                     self.last_received = shared.now();
+                    self.waited = self.last_received.since(began);
                     return classify(read);
                 }
                 None if remaining <= PROBE_DELAY => return Read::Lost("the time is over".into()),
@@ -420,6 +431,7 @@
             match smol::future::or(async { Ok(body.frame().await) }, probe).await {
                 Ok(read) => {
                     self.last_received = shared.now();
+                    self.waited = self.last_received.since(began);
                     return classify(read);
                 }
                 Err(true) => {}
@@ -442,6 +454,7 @@
 
     fn next_events(&mut self) -> Option<Bytes> {
         let mut events = BytesMut::new();
+        let events_before = self.events;
         while let Some(event) = self.splitter.next_event() {
             if let (Some(id), Some(last)) = (event.id, self.last_event_id)
                 && id <= last
@@ -459,6 +472,12 @@
         let prompt = self.plan.generation.prompt_tokens;
         self.source.reservation.set_tokens(prompt, self.tokens());
         let now = self.exchange.shared.now();
+        let delivered = (self.events - events_before) as u32;
+        let tokens = delivered.saturating_mul(self.tokens_per_event());
+        let is_prompt = self.waited >= MIN_EVENT_WAIT && delivered == 1;
+        self.source
+            .reservation
+            .record_delivery(&mut self.window, tokens, is_prompt, now);
         if self.first_event_at.is_some() {
             let pause = now.since(self.last_delivery);
             self.exchange
@@ -479,6 +498,7 @@
             self.first_event_at = Some(now);
             self.exchange.record_release(&self.source.target.release);
             self.source.reservation.finish_prefill();
+            self.source.reservation.record_first_event(prompt, now);
             let route = &self.exchange.route.name;
             self.exchange
                 .shared
@@ -504,9 +524,12 @@
 
     /// Returns the number of tokens forwarded to the client.
     fn tokens(&self) -> u32 {
-        let tokens_per_event = self.plan.engine.map_or(1, |engine| engine.tokens_per_event);
         let events = u32::try_from(self.events).unwrap_or(u32::MAX);
-        events.saturating_mul(tokens_per_event)
+        events.saturating_mul(self.tokens_per_event())
+    }
+
+    fn tokens_per_event(&self) -> u32 {
+        self.plan.engine.map_or(1, |engine| engine.tokens_per_event)
     }
 
     fn finish(&mut self) -> Option<Item> {
@@ -522,7 +545,7 @@
         exchange
             .shared
             .dispatcher
-            .record_run(exchange.service, time);
+            .record_run(exchange.service, self.source.target.key, time);
         self.outcome = Some((Outcome::Served, "whole".into()));
         let rest = self.splitter.take_rest();
         (!rest.is_empty()).then_some(Ok(rest))
@@ -841,6 +864,7 @@
             self.last_received = self.exchange.shared.now();
             self.attached_at = self.last_received;
             self.begun_at = None;
+            self.window = Window::default();
             self.has_survived = false;
             self.last_suspicion = None;
         }
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -8,6 +8,7 @@
     base::key,
     dispatch::{
         Load,
+        load::Pace,
         peers::MAX_SMALL_FLEET,
         report::{
             Changes, Datagram, Evidence, Limits, Origin, QueuedRequest, Report, Summary,
@@ -88,7 +89,7 @@
                     {
                         // Each VM replies with randomly chosen introductions, so together they
                         // introduce the whole fleet to a VM that has just started.
-                        let reply = build_report(&shared, rand::random());
+                        let reply = build_report(&shared, rand::random(), true);
                         broadcast(&shared, &reply, HashSet::from([new_peer])).await;
                         send_state(&shared, HashSet::from([new_peer])).await;
                     }
@@ -132,6 +133,7 @@
 pub async fn send_summaries(shared: Arc<Shared>) {
     let mut recipients = HashSet::new();
     let mut sent = HashMap::new();
+    let mut paces = HashMap::new();
     let mut full_sent_at = shared.now();
     loop {
         Timer::after(SUMMARY_INTERVAL).await;
@@ -140,18 +142,21 @@
         if is_full {
             full_sent_at = now;
             recipients = summary_recipients(&shared);
+            paces = data_centre_paces(&shared);
         }
         if recipients.is_empty() {
             continue;
         }
         let load = data_centre_load(&shared);
-        let changed: Vec<_> = if is_full {
-            load.iter()
-                .map(|(target, load)| TargetLoad::new(*target, *load))
-                .collect()
+        let mut changed = if is_full {
+            full_load(&load, &paces)
         } else {
             changed_load(&sent, &load)
         };
+        for load in &mut changed {
+            let target = key::Target::from_raw(load.target);
+            *load = load.with_pace(paces.get(&target).copied());
+        }
         sent = load;
         let data_centre = shared.fleet.data_centre();
         for summary in Summary::split(data_centre, &changed, is_full) {
@@ -183,9 +188,31 @@
     load
 }
 
+/// Returns the pace of targets that the VMs of the data centre have measured.
+fn data_centre_paces(shared: &Shared) -> HashMap<key::Target, Pace> {
+    let now = shared.now();
+    let data_centre = shared.fleet.data_centre();
+    let readings = shared.fleet.peers().paces_in(data_centre, now);
+    shared.dispatcher.summarize_paces(&readings, now)
+}
+
+/// Returns the load of all targets that have any or whose pace is known.
+fn full_load(
+    load: &HashMap<key::Target, Load>,
+    paces: &HashMap<key::Target, Pace>,
+) -> Vec<TargetLoad> {
+    let unloaded = paces.keys().filter(|target| !load.contains_key(*target));
+    let unloaded = unloaded.map(|target| TargetLoad::new(*target, Load::default()));
+    load.iter()
+        .map(|(target, load)| TargetLoad::new(*target, *load))
+        .chain(unloaded)
+        .collect()
+}
+
 /// Returns the load of targets where it differs from what was sent.
 ///
-/// Memory growth alone is not sent because the receivers extrapolate it.
+/// Memory growth alone is not sent because the receivers extrapolate it, and neither is another pace,
+/// which changes slowly.
 fn changed_load(
     sent: &HashMap<key::Target, Load>,
     load: &HashMap<key::Target, Load>,
@@ -360,14 +387,16 @@
         addresses.extend(seed_addresses(shared));
         send_state(shared, addresses.clone()).await;
     }
-    let mut datagram = build_report(shared, round);
+    let mut datagram = build_report(shared, round, is_for_all_peers);
     // Half of the interval leaves room for a report to come before the announcement itself.
     datagram.watch = due_watch(shared, announcement_interval(shared) / 2);
     broadcast(shared, &datagram, addresses).await;
 }
 
 /// Builds a report; `round` selects the peers that it introduces.
-fn build_report(shared: &Shared, round: u64) -> Datagram {
+///
+/// The measured paces of targets change slowly, so only heartbeats carry them.
+fn build_report(shared: &Shared, round: u64, has_paces: bool) -> Datagram {
     let leaving = shared.directory.leaving_targets();
     let report = Report {
         address: shared.fleet.own_address().into(),
@@ -378,7 +407,7 @@
         configuration_transfer_bytes: shared.current.deflated_bytes(),
         link_mbps: shared.fleet.link_mbps(),
         targets_revision: shared.directory.changed_position().revision,
-        loads: local_loads(shared),
+        loads: local_loads(shared, has_paces.then_some(round)),
         leaving: leaving.iter().map(|(key, _)| key.raw()).collect(),
         leaving_started_ms: leaving
             .iter()
@@ -420,11 +449,17 @@
     }
 }
 
-fn local_loads(shared: &Shared) -> Vec<TargetLoad> {
+/// Returns this VM's load on each target, with paces of `pace_round` if that is given.
+fn local_loads(shared: &Shared, pace_round: Option<u64>) -> Vec<TargetLoad> {
     let loads = shared.dispatcher.local_load().into_iter();
-    loads
+    let mut loads = loads
         .map(|(target, load)| TargetLoad::new(target, load))
-        .collect()
+        .collect();
+    if let Some(round) = pace_round {
+        let paces = shared.dispatcher.local_paces(shared.now());
+        TargetLoad::add_paces(&mut loads, &paces, round);
+    }
+    loads
 }
 
 fn seed_addresses(shared: &Shared) -> Vec<Ipv4Addr> {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -54,6 +54,7 @@
     vms: Gauge<u64>,
     origins: Gauge<u64>,
     limited: Gauge<u64>,
+    pace: Gauge<f64>,
     isolated: Gauge<u64>,
     tunnels: Gauge<u64>,
     tunnelled: Counter<u64>,
@@ -215,6 +216,7 @@
                 "mastictrail.gateway.limited",
                 "Targets that name a number of requests per second that they take",
             ),
+            pace: pace_gauge(&meter),
             isolated: gauge(
                 "mastictrail.gateway.isolated",
                 "1 if the VM reaches no target while others do",
@@ -282,6 +284,21 @@
         self.tunnelled.add(1, &[KeyValue::new("opened", is_open)]);
     }
 
+    fn record_paces(&self, shared: &Shared) {
+        let Some(published) = shared.current.load() else {
+            return;
+        };
+        for spread in shared.dispatcher.pace_spreads() {
+            let Some(service) = published.configuration.service(spread.service) else {
+                continue;
+            };
+            let service = KeyValue::new("service", service.name.to_string());
+            let of = |target: &'static str| [service.clone(), KeyValue::new("of", target)];
+            self.pace.record(spread.slowest, &of("slowest"));
+            self.pace.record(spread.median, &of("median"));
+        }
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     ///
     /// # Errors
@@ -296,6 +313,7 @@
         self.origins.record(shared.origins().len() as u64, &[]);
         self.limited
             .record(shared.dispatcher.limited_targets() as u64, &[]);
+        self.record_paces(shared);
         self.isolated.record(shared.reach.is_isolated().into(), &[]);
         self.tunnels.record(shared.tunnels.served() as u64, &[]);
         self.quarantined.record(shared.quarantine.len() as u64, &[]);
@@ -312,3 +330,12 @@
         Ok(text)
     }
 }
+
+fn pace_gauge(meter: &Meter) -> Gauge<f64> {
+    let description = "Time that work takes at targets: at the slowest one of a service relative to \
+                       the median one, and at that relative to the expected time";
+    meter
+        .f64_gauge("mastictrail.gateway.pace")
+        .with_description(description)
+        .build()
+}
--- a/crates/gateway/src/targets/dispatcher.rs
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -4,10 +4,13 @@
     base::{Clock, Instant, key},
     derive_more::Debug,
     dispatch::{
-        Budget, Durations, Generation, Lengths, Limits, Load, Peers, Placement,
+        Budget, Durations, Generation, Lengths, Limits, Load, Paces, Peers, Placement,
         budget::Policy,
         listing::Target,
-        placement::{Basis, Query, RunId},
+        load::{Occupancy, Pace},
+        pace::{self, Spread, Window},
+        peers::Readings,
+        placement::{self, Basis, Query, RunId},
         report,
         waiting::{Demand, Position, Queues, Waiter},
     },
@@ -36,6 +39,7 @@
     budgets: HashMap<key::Service, Budget>,
     queues: Queues,
     limits: Limits,
+    paces: Paces,
 }
 
 /// Tracks the load on the targets and decides which requests are admitted, placed and retried.
@@ -67,7 +71,10 @@
 pub struct Reservation {
     state: Arc<Mutex<State>>,
     run: RunId,
+    target: key::Target,
     basis: Basis,
+    /// When it was chosen; `None` if it was reserved whatever the load there.
+    chosen: Option<Instant>,
     notifier: Notifier,
     /// Whether changes of the load are reported to peers immediately.
     notifies_peers: bool,
@@ -86,6 +93,7 @@
                 budgets: HashMap::new(),
                 queues: Queues::default(),
                 limits: Limits::new(seed),
+                paces: Paces::default(),
             })),
             budget_policy,
             live_vms: AtomicUsize::new(1),
@@ -103,7 +111,11 @@
         targets: &[Target],
         query: &Query<'_>,
     ) -> Option<(Target, Reservation)> {
-        let mut state = self.lock();
+        let mut guard = self.lock();
+        let state = &mut *guard;
+        if let Some(first) = targets.first() {
+            state.paces.refresh(first.service, targets, now);
+        }
         // A copy of a run is no request.
         let mut closed = Vec::new();
         let mut is_brittle = false;
@@ -123,20 +135,20 @@
         let excluded: Vec<_> = query.excluded.iter().copied().chain(closed).collect();
         let query = &Query {
             excluded: &excluded,
+            paces: Some(&state.paces),
             ..*query
         };
         let choice = state.placement.choose(now, targets, query)?;
         let (target, basis) = (choice.target.clone(), choice.basis);
         let run = state.placement.start_run(target.key, query.load);
         let is_announced = query.load.runs > 0 && state.limits.record_sent(target.key, now);
-        drop(state);
+        let notifies_peers = query.engine.is_some() || is_brittle;
+        drop(guard);
         if is_announced {
             self.limit_notifier.notify();
         }
-        Some((
-            target,
-            self.new_reservation(run, basis, query.engine.is_some() || is_brittle),
-        ))
+        let reservation = self.new_reservation((run, target.key), basis, Some(now), notifies_peers);
+        Some((target, reservation))
     }
 
     /// Reserves capacity at a given target, whether or not it has any.
@@ -148,7 +160,7 @@
         if is_announced {
             self.limit_notifier.notify();
         }
-        self.new_reservation(run, Basis::default(), true)
+        self.new_reservation((run, target), Basis::default(), None, true)
     }
 
     /// Records the limit that an answer names, or that it names none; returns whether that is new.
@@ -288,6 +300,9 @@
         self.live_vms
             .store(peers.live(now).count() + 1, Ordering::Relaxed);
         let mut state = self.lock();
+        if state.paces.needs_readings(now) {
+            state.paces.set_readings(peers.paces(now), now);
+        }
         state.placement.set_peer_load(peers.load(now));
         state
             .placement
@@ -324,7 +339,7 @@
     ) -> Result<QueueEntry, Duration> {
         let mut state = self.lock();
         let demand = Demand {
-            runs: state.placement.run_count(targets),
+            runs: state.placement.paced_run_count(targets, &state.paces, now),
             remote_waiters: state.queues.remote_count(service, now),
         };
         let position = state
@@ -356,9 +371,33 @@
         self.lock().queues.local_waiters().collect()
     }
 
-    /// Records the duration of a completed run.
-    pub fn record_run(&self, service: key::Service, time: Duration) {
-        self.lock().queues.record_run_time(service, time);
+    /// Records the duration of a completed run at a target, as it would be at the median one.
+    pub fn record_run(&self, service: key::Service, target: key::Target, time: Duration) {
+        let mut state = self.lock();
+        let factor = state.paces.usual_factor(target);
+        state.queues.record_run_time(service, time.div_f64(factor));
+    }
+
+    /// Records what a response reports of its target's load.
+    ///
+    /// Returns whether it is the first one of the service that reports the pace of the host.
+    pub fn record_occupancy(&self, target: &Target, occupancy: Occupancy, now: Instant) -> bool {
+        self.lock().paces.record_occupancy(target, occupancy, now)
+    }
+
+    /// Returns the paces of targets that this VM has measured.
+    pub fn local_paces(&self, now: Instant) -> HashMap<key::Target, Pace> {
+        self.lock().paces.local(now)
+    }
+
+    /// Returns the paces that the VMs of the data centre have measured, given those of the peers.
+    pub fn summarize_paces(&self, readings: &Readings, now: Instant) -> HashMap<key::Target, Pace> {
+        self.lock().paces.summarize(readings, now)
+    }
+
+    /// Returns the spread of the factors of each service whose pace is measured.
+    pub fn pace_spreads(&self) -> Vec<Spread> {
+        self.lock().paces.spreads().collect()
     }
 
     /// Returns the number of live VMs, including this one.
@@ -421,11 +460,19 @@
         let _ = self.wakeups.recv().await;
     }
 
-    fn new_reservation(&self, run: RunId, basis: Basis, notifies_peers: bool) -> Reservation {
+    fn new_reservation(
+        &self,
+        (run, target): (RunId, key::Target),
+        basis: Basis,
+        chosen: Option<Instant>,
+        notifies_peers: bool,
+    ) -> Reservation {
         let reservation = Reservation {
             state: Arc::clone(&self.state),
             run,
+            target,
             basis,
+            chosen,
             notifier: self.notifier.clone(),
             notifies_peers,
         };
@@ -480,6 +527,37 @@
         self.notify();
     }
 
+    /// Measures the target's pace by the time to the first event of a request.
+    pub fn record_first_event(&self, prompt_tokens: u32, now: Instant) {
+        let Some(chosen) = self.chosen else {
+            return;
+        };
+        let load = self.basis.load;
+        let mut prefill = placement::prefill_time(load.pending_prefill + prompt_tokens);
+        if load.runs == 0 {
+            // An engine that decodes nothing meanwhile takes half the time.
+            prefill /= 2;
+        }
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state
+            .paces
+            .record_first_event(self.target, prefill, chosen, now);
+    }
+
+    /// Measures the target's pace by a delivery of tokens of its stream.
+    ///
+    /// `is_prompt` states whether the delivery was waited for and is a single event.
+    pub fn record_delivery(&self, window: &mut Window, tokens: u32, is_prompt: bool, now: Instant) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        if !state.paces.is_measured(self.target) {
+            return;
+        }
+        let step_ms = pace::step_ms(state.placement.load_on(self.target));
+        if let Some(ratio) = window.record(tokens, step_ms, is_prompt, now) {
+            state.paces.record_sample(self.target, ratio, now);
+        }
+    }
+
     /// Updates the number of tokens generated so far.
     pub fn set_tokens(&self, prompt: u32, tokens: u32) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/gateway/src/targets/notice.rs
+++ b/crates/gateway/src/targets/notice.rs
@@ -5,13 +5,15 @@
     base::Instant,
     dispatch::listing::Target,
     hyper::{HeaderMap, StatusCode},
-    platform::request::parse_notice,
+    platform::request::{parse_notice, parse_occupancy},
     std::{net::Ipv4Addr, sync::Arc},
 };
 
-/// Applies what an answer says of its target: its limit, that it leaves, or that it wants a pause.
+/// Applies what an answer says of its target: its limit and load, that it leaves, or that it wants a
+/// pause.
 ///
-/// `sent` is when the request was sent, and `via` the peer through which. The other VMs learn of it.
+/// `sent` is when the request was sent, and `via` the peer through which. The other VMs learn of it,
+/// except of the load.
 pub fn apply(
     shared: &Arc<Shared>,
     target: &Target,
@@ -31,6 +33,14 @@
             "target changed the number of requests per second that it takes"
         );
     }
+    if let Some(occupancy) = parse_occupancy(headers)
+        && shared.dispatcher.record_occupancy(target, occupancy, now)
+    {
+        log::info!(
+            target: "pace", instance:% = target.instance;
+            "targets of the service report how long work takes on their hosts"
+        );
+    }
     let max_refusals = notice.max_refusals;
     if shared
         .dispatcher
