test: share the pace of engines between gateways

Change: a test with two gateways and three engines, of which one sends events four times as slowly; the gateway whose clients leave at once must learn the factor from the other. Without the header there is no factor at either.

Result: the test fails if heartbeats carry no paces (timed out).

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1536,3 +1536,60 @@
     assert_eq!(status().unwrap(), StatusCode::SERVICE_UNAVAILABLE);
     assert!(!is_ready(&site.gateways[0]));
 }
+
+/// Each gateway sees an engine only now and then, so one that measured a slow engine must tell the
+/// others; a deployment whose engines don't report the pace of their hosts must see no change.
+#[test]
+fn gateways_share_the_pace_of_engines_that_report_their_hosts() {
+    let factor = |site: &Site, gateway: usize| {
+        let text = site.metrics(gateway);
+        let prefix = "mastictrail_gateway_pace{of=\"slowest\",service=\"engines\"} ";
+        let mut values = text.lines().filter_map(|line| line.strip_prefix(prefix));
+        values
+            .next()
+            .map(|value| value.parse::<f64>().expect("a number"))
+    };
+    let open = |site: &Site, gateway: usize, attempt: &str| {
+        let headers = [("x-attempt-id", attempt), ("x-token-usage", "100,300")];
+        site.send(gateway, &Method::POST, STREAM_PATH, &headers)
+    };
+    for reports_pace in [false, true] {
+        let site = Site::start(3, 1, 2);
+        site.wait_for_peers();
+        for (index, engine) in site.engines.iter().enumerate() {
+            let load = if reports_pace { "1,0,8,100" } else { "1,0,8" };
+            let interval = if index == 0 { 100 } else { 25 };
+            engine.set_behaviour(Behaviour {
+                events: 6_000 / interval,
+                event_interval: Duration::from_millis(interval),
+                notices: vec![("x-server-load", load.to_owned())],
+                ..Behaviour::default()
+            });
+        }
+        let mut streams: Vec<_> = (0..15)
+            .map(|index| open(&site, 0, &format!("a-{index}")))
+            .collect();
+        // The first response shows gateway 1 that the engines report the pace of their hosts.
+        drop(open(&site, 1, "b-0"));
+        if !reports_pace {
+            std::thread::sleep(Duration::from_secs(4));
+            streams.push(open(&site, 0, "a-last"));
+            assert_eq!((factor(&site, 0), factor(&site, 1)), (None, None));
+            continue;
+        }
+        for gateway in 0..2 {
+            let mut count = 0;
+            wait_until("the gateway knows of the slow engine", || {
+                count += 1;
+                // Factors are computed as requests are placed. Gateway 1 measures none itself, as its
+                // clients leave too soon.
+                let stream = open(&site, gateway, &format!("c-{gateway}-{count}"));
+                if gateway == 0 {
+                    streams.push(stream);
+                }
+                std::thread::sleep(Duration::from_millis(300));
+                factor(&site, gateway).is_some_and(|factor| factor > 2.0)
+            });
+        }
+    }
+}
