feat(gateway): bound the bodies of a VM by its memory

Cause: request bodies were not bounded together, and responses only until they were received. A body of 4 MiB took 12 MB: the received frames, the whole body copied from them, and the HTTP library's copy of the frame that it sends. 20 uploads of 4 MiB at a time took a process to 258 MB (17 MB idle, debug build).

A request takes its announced length before its body is read, waits up to 0.5 s for it, and is refused with 503, Retry-After and a message otherwise. The rest of a refused body is read and dropped for up to 5 s, because a client that is still sending loses the response if the connection is closed. Refusals for `overloaded` and `too_large` carry their message.

--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -98,6 +98,8 @@
     pub connect_timeout: Duration,
     /// Rate of the VM's network link in Mbit/s; 0 if it is not known.
     pub link_mbps: f64,
+    /// Memory that the process may use in MB of 2^20 bytes; 0 if it is not known.
+    pub memory_mb: f64,
 }
 
 impl Default for Limits {
@@ -106,6 +108,7 @@
             threads: 1,
             connect_timeout: Duration::from_millis(250),
             link_mbps: 0.0,
+            memory_mb: 0.0,
         }
     }
 }
@@ -258,7 +261,8 @@
             &mut self.connect_timeout,
             value::duration,
         );
-        reader.update("link_mbps", &mut self.link_mbps, rate);
+        reader.update("link_mbps", &mut self.link_mbps, optional_amount);
+        reader.update("memory_mb", &mut self.memory_mb, optional_amount);
     }
 }
 
@@ -292,8 +296,8 @@
     address.map(Some).map_err(|_error| "an IPv4 address")
 }
 
-/// Parses the rate of a link; without a value, it is not known.
-fn rate(value: &str) -> Result<f64, &'static str> {
+/// Parses an amount; without a value, it is 0, which means that it is not known.
+fn optional_amount(value: &str) -> Result<f64, &'static str> {
     if value.is_empty() {
         return Ok(0.0);
     }
--- a/crates/config/tests/gateway.rs
+++ b/crates/config/tests/gateway.rs
@@ -7,8 +7,8 @@
     clients = 10.1.0.19:8740\nreadiness = 10.1.0.19:8749\ncontrol = 10.1.0.19:8748\n\
     peers = 10.1.0.19:7200\nmetrics = 10.1.0.19:7201\n\n[platform]\naddress = 10.200.1.7:8742\n\
     history = 20s\n\n\
-    [peers]\nseeds = 10.1.0.19:8748,10.2.0.13:8748\n\n[limits]\nthreads = 1\nlink_mbps = 10.0\n\n[promises]\n\
-    grace = 8s\nretry_ratio = 0.2\nretry_extra = 122\nretry_window = 10s\n";
+    [peers]\nseeds = 10.1.0.19:8748,10.2.0.13:8748\n\n[limits]\nthreads = 1\nlink_mbps = 10.0\nmemory_mb = 96\n\n\
+    [promises]\ngrace = 8s\nretry_ratio = 0.2\nretry_extra = 122\nretry_window = 10s\n";
 
 fn faults(text: &str) -> Vec<String> {
     let faults = gateway::parse("gateway.ini", text).unwrap_err();
@@ -26,6 +26,7 @@
     assert_eq!(settings.promises.grace, Duration::from_secs(8));
     assert!((settings.promises.retry_extra - 122.0).abs() < f64::EPSILON);
     assert!((settings.limits.link_mbps - 10.0).abs() < f64::EPSILON);
+    assert!((settings.limits.memory_mb - 96.0).abs() < f64::EPSILON);
 }
 
 /// The platform renders nothing for a field that it doesn't have.
@@ -40,6 +41,18 @@
     assert_eq!(faults(&text), ["limits link_mbps: `fast` is not permitted"]);
 }
 
+/// The platform renders nothing for a field that it doesn't have.
+#[test]
+fn memory_of_unknown_size_is_valid() {
+    for text in ["", "memory_mb =", "memory_mb = 0"] {
+        let text = RENDERED.replace("memory_mb = 96", text);
+        let settings = gateway::parse("gateway.ini", &text).unwrap();
+        assert!(settings.limits.memory_mb.abs() < f64::EPSILON);
+    }
+    let text = RENDERED.replace("memory_mb = 96", "memory_mb = much");
+    assert_eq!(faults(&text), ["limits memory_mb: `much` is not permitted"]);
+}
+
 #[test]
 fn template_has_the_keys_of_the_rendered_text() {
     let template = include_str!("../../../deploy/gateway.ini");
--- a/crates/gateway/src/clients/answer.rs
+++ b/crates/gateway/src/clients/answer.rs
@@ -1,16 +1,16 @@
 //! Responses to clients.
 
 use {
-    crate::clients::buffer::Budget,
+    crate::clients::buffer::{Budget, Sliced},
     base::{Reason, Refusal, Verdict},
     bytes::Bytes,
     derive_more::{Debug, Display, Error},
-    http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody},
+    http_body_util::{BodyExt, combinators::UnsyncBoxBody},
     hyper::{
         Response, StatusCode,
         header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
     },
-    std::convert::Infallible,
+    std::{convert::Infallible, sync::Arc},
 };
 
 /// Body of a response.
@@ -26,7 +26,7 @@
 
 /// Creates a body from a buffer.
 pub fn full(bytes: Bytes) -> Body {
-    Full::new(bytes)
+    Sliced::new(bytes)
         .map_err(|never: Infallible| match never {})
         .boxed_unsync()
 }
@@ -36,7 +36,7 @@
 /// A client that knows no chunks can't tell a broken body without a length from a whole one.
 pub async fn buffered(
     response: Response<Body>,
-    buffers: &Budget,
+    buffers: &Arc<Budget>,
     attempt_id: &str,
 ) -> Response<Body> {
     let (parts, body) = response.into_parts();
@@ -51,8 +51,13 @@
 
 /// Creates the response for a refusal.
 pub fn refusal(refusal: &Refusal) -> Response<Body> {
+    // Clients can act on limits; other messages may name what is inside the deployment.
+    let message = match refusal.reason {
+        Reason::Overloaded | Reason::TooLarge => format!(",\"message\":{:?}", refusal.message),
+        _ => String::new(),
+    };
     let text = format!(
-        "{{\"reason\":\"{}\",\"verdict\":\"{}\"}}\n",
+        "{{\"reason\":\"{}\",\"verdict\":\"{}\"{message}}}\n",
         refusal.reason, refusal.verdict
     );
     let mut response = Response::new(full(text.into()));
--- a/crates/gateway/src/clients/exchange.rs
+++ b/crates/gateway/src/clients/exchange.rs
@@ -5,6 +5,7 @@
         Shared,
         clients::{
             answer::{self, Body},
+            buffer::{Shortfall, Sliced},
             generation, plain, resumption,
         },
         control::{current::Snapshot, drain::Guard, origins, quarantine},
@@ -21,10 +22,11 @@
         quarantine::Admission,
     },
     entry::runtime::with_timeout,
-    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
+    http_body_util::BodyExt,
     hyper::{
-        HeaderMap, Method, Request, Response, StatusCode, Uri, Version, body::Incoming,
-        header::HOST,
+        HeaderMap, Method, Request, Response, StatusCode, Uri, Version,
+        body::Incoming,
+        header::{EXPECT, HOST},
     },
     platform::request::{GatewayFields, Head, forwarded_headers},
     rand::Rng,
@@ -44,6 +46,19 @@
 /// Retry delay sent when a request times out before it was sent to a target.
 const TIMEOUT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Retry delay sent when large bodies take the VM's memory: about the duration of an upload of 4 MiB
+/// beside others.
+const BODY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Maximum time that a request with a large body waits for memory before its body is read.
+const MAX_BODY_WAIT: Duration = Duration::from_millis(500);
+/// Share of its time that such a request may wait; the rest is for the upload and the response.
+const BODY_WAIT_SHARE: f64 = 0.1;
+/// Maximum time for which the rest of a refused body is read and dropped.
+///
+/// Most clients read the response only once they have sent the body, and lose it if the connection
+/// is closed before.
+const MAX_DISCARD_TIME: Duration = Duration::from_secs(5);
+
 /// Maximum number of targets that may be lost as they begin to answer one request.
 ///
 /// The second one may be lost to another request; a third is not risked.
@@ -107,14 +122,14 @@
     }
 
     /// Builds the request that is forwarded to a target.
-    pub fn request(&self, target: &Target, fields: &GatewayFields<'_>) -> Request<Full<Bytes>> {
+    pub fn request(&self, target: &Target, fields: &GatewayFields<'_>) -> Request<Sliced> {
         let fields = GatewayFields {
             deadline: self.remaining(),
             instance: &target.instance,
             customer: self.customer.as_deref(),
             ..*fields
         };
-        let mut request = Request::new(Full::new(self.body.clone()));
+        let mut request = Request::new(Sliced::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = forwarded_headers(&self.headers, &fields);
@@ -425,17 +440,9 @@
     let timeout = head
         .deadline
         .map_or(route.timeout, |deadline| deadline.min(route.timeout));
-    let body = with_timeout(
-        timeout,
-        read_body(body, configuration.limits().max_body_bytes),
-    )
-    .await;
-    let body = body.unwrap_or_else(|| {
-        Err(Refusal::not_run(
-            Reason::BadRequest,
-            "the body did not come in time",
-        ))
-    })?;
+    let expects_continue = parts.headers.contains_key(EXPECT);
+    let max_bytes = configuration.limits().max_body_bytes;
+    let body = read_body(shared, body, max_bytes, timeout, expects_continue).await?;
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     let uri = path.parse();
     let uri = uri.map_err(|_error| Refusal::not_run(Reason::BadRequest, "the path is no path"))?;
@@ -480,15 +487,47 @@
     parts.chain([request]).collect()
 }
 
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Refusal> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
+/// Receives the body of a request within the memory for bodies.
+async fn read_body(
+    shared: &Arc<Shared>,
+    mut body: Incoming,
+    max_bytes: usize,
+    timeout: Duration,
+    expects_continue: bool,
+) -> Result<Bytes, Refusal> {
+    let max_wait = MAX_BODY_WAIT.min(timeout.mul_f64(BODY_WAIT_SHARE));
+    let received = shared.buffers.receive(&mut body, max_bytes, max_wait);
+    let shortfall = match with_timeout(timeout, received).await {
+        Some(Ok(body)) => return Ok(body),
+        Some(Err(shortfall)) => shortfall,
+        None => Shortfall::Broken("the body did not come in time".into()),
+    };
+    let refusal = match shortfall {
+        Shortfall::Broken(message) => return Err(Refusal::not_run(Reason::BadRequest, message)),
+        Shortfall::TooLong(max_bytes) => {
             let message = format!("the body is longer than {max_bytes} bytes");
-            Err(Refusal::not_run(Reason::TooLarge, message))
+            Refusal::not_run(Reason::TooLarge, message)
         }
-        Err(error) => Err(Refusal::not_run(Reason::BadRequest, error.to_string())),
+        Shortfall::NoRoom => {
+            let message = "large bodies of other requests take the memory of this VM";
+            Refusal::not_run(Reason::Overloaded, message).retry_after(BODY_RETRY_AFTER)
+        }
+    };
+    // A client that expects a status before the body sends none after the refusal.
+    if !expects_continue {
+        shared
+            .runtime
+            .spawn(discard(Arc::clone(shared), body))
+            .detach();
     }
+    Err(refusal)
+}
+
+/// Reads and drops the rest of a body while its connection stays open.
+async fn discard(shared: Arc<Shared>, mut body: Incoming) {
+    let rest = async { while let Some(Ok(_)) = body.frame().await {} };
+    let discarded = smol::future::or(rest, shared.drain.wait_for_close());
+    with_timeout(MAX_DISCARD_TIME, discarded).await;
 }
 
 async fn respond(exchange: Arc<Exchange>) -> Response<Body> {
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -218,7 +218,7 @@
             },
             incarnation,
         )),
-        buffers: Budget::default(),
+        buffers: Arc::new(Budget::new(settings.limits.memory_mb)),
         drain: Arc::new(Drain::default()),
         metrics: Metrics::new(&settings.vm.name)?,
         settings: ArcSwap::from_pointee(settings),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -54,8 +54,8 @@
     pub drain: Arc<Drain>,
     /// HTTP client for targets, the store and peers.
     pub client: Client,
-    /// Bodies that are being received.
-    pub buffers: Budget,
+    /// Room for the bodies that the process holds.
+    pub buffers: Arc<Budget>,
     /// Metric instruments.
     pub metrics: Metrics,
 }
--- a/crates/gateway/src/targets/client.rs
+++ b/crates/gateway/src/targets/client.rs
@@ -17,7 +17,7 @@
     http_body_util::{BodyExt, Full, Limited},
     hyper::{
         HeaderMap, Method, Request, Response, StatusCode,
-        body::{Body as _, Incoming},
+        body::{Body, Incoming},
         client::conn::http1,
         header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, TRANSFER_ENCODING},
     },
@@ -26,6 +26,7 @@
     smol_hyper::rt::FuturesIo,
     socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive},
     std::{
+        convert::Infallible,
         error::Error as _,
         io,
         net::{Ipv4Addr, SocketAddr},
@@ -228,13 +229,10 @@
     ///
     /// # Errors
     /// The request may have run.
-    pub async fn exchange<S>(
-        &self,
-        stream: S,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Answer, Failure>
+    pub async fn exchange<S, B>(&self, stream: S, request: Request<B>) -> Result<Answer, Failure>
     where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+        B: Body<Data = Bytes, Error = Infallible> + Send + 'static,
     {
         let allowance = Allowance::new(MAX_HEAD_BYTES);
         let stream = Metered::new(stream, allowance.clone());
--- a/crates/gateway/src/targets/path.rs
+++ b/crates/gateway/src/targets/path.rs
@@ -12,10 +12,10 @@
     dispatch::listing::Target,
     entry::runtime::with_timeout,
     futures_lite::{AsyncRead, AsyncWrite},
-    http_body_util::Full,
-    hyper::{Method, Request, StatusCode},
+    hyper::{Method, Request, StatusCode, body::Body},
     smol::net::TcpStream,
     std::{
+        convert::Infallible,
         io,
         net::{Ipv4Addr, SocketAddr},
         pin::Pin,
@@ -103,11 +103,10 @@
     ///
     /// # Errors
     /// The request may have run.
-    pub async fn send(
-        self,
-        shared: &Arc<Shared>,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Answer, Failure> {
+    pub async fn send<B>(self, shared: &Arc<Shared>, request: Request<B>) -> Result<Answer, Failure>
+    where
+        B: Body<Data = Bytes, Error = Infallible> + Send + 'static,
+    {
         let result = shared.client.exchange(self.stream, request).await;
         if self.via.is_none() {
             match &result {
