--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -98,6 +98,8 @@
     pub connect_timeout: Duration,
     /// Rate of the VM's network link in Mbit/s; 0 if it is not known.
     pub link_mbps: f64,
+    /// Memory that the process may use in MB of 2^20 bytes; 0 if it is not known.
+    pub memory_mb: f64,
 }
 
 impl Default for Limits {
@@ -106,6 +108,7 @@
             threads: 1,
             connect_timeout: Duration::from_millis(250),
             link_mbps: 0.0,
+            memory_mb: 0.0,
         }
     }
 }
@@ -121,6 +124,9 @@
     pub retry_extra: f64,
     /// Length of the window for retries.
     pub retry_window: Duration,
+    /// Time after which no request may reach a data centre that the operator has cordoned; `None`
+    /// if operators can't cordon any.
+    pub cordon: Option<Duration>,
 }
 
 impl Default for Promises {
@@ -130,6 +136,7 @@
             retry_ratio: 0.2,
             retry_extra: 10.0,
             retry_window: Duration::from_secs(10),
+            cordon: None,
         }
     }
 }
@@ -258,7 +265,8 @@
             &mut self.connect_timeout,
             value::duration,
         );
-        reader.update("link_mbps", &mut self.link_mbps, rate);
+        reader.update("link_mbps", &mut self.link_mbps, optional_amount);
+        reader.update("memory_mb", &mut self.memory_mb, optional_amount);
     }
 }
 
@@ -268,6 +276,7 @@
         reader.update("retry_ratio", &mut self.retry_ratio, amount);
         reader.update("retry_extra", &mut self.retry_extra, amount);
         reader.update("retry_window", &mut self.retry_window, seconds);
+        reader.update("cordon", &mut self.cordon, optional_seconds);
     }
 }
 
@@ -292,8 +301,8 @@
     address.map(Some).map_err(|_error| "an IPv4 address")
 }
 
-/// Parses the rate of a link; without a value, it is not known.
-fn rate(value: &str) -> Result<f64, &'static str> {
+/// Parses an amount; without a value, it is 0, which means that it is not known.
+fn optional_amount(value: &str) -> Result<f64, &'static str> {
     if value.is_empty() {
         return Ok(0.0);
     }
@@ -307,6 +316,14 @@
         .ok_or("a number from 0")
 }
 
+/// Parses a duration; without a value, there is none.
+fn optional_seconds(value: &str) -> Result<Option<Duration>, Box<str>> {
+    if value.is_empty() {
+        return Ok(None);
+    }
+    seconds(value).map(Some)
+}
+
 /// Parses a duration; a number of seconds may have a fraction.
 fn seconds(value: &str) -> Result<Duration, Box<str>> {
     let number = value.strip_suffix('s').and_then(|text| text.parse().ok());
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,7 +6,9 @@
 
 pub mod budget;
 pub mod catch_up;
+pub mod cold;
 pub mod configuration;
+pub mod cordon;
 pub mod drain;
 pub mod duration;
 pub mod feature;
@@ -16,6 +18,7 @@
 pub mod listing;
 pub mod load;
 pub mod origin;
+pub mod pace;
 pub mod peers;
 pub mod placement;
 pub mod quarantine;
@@ -28,9 +31,9 @@
 pub mod watch;
 
 pub use {
-    budget::Budget, catch_up::CatchUp, configuration::Configuration, drain::Drain,
-    duration::Durations, frame::Splitter, length::Lengths, limit::Limits, listing::Listing,
-    load::Load, origin::Origins, peers::Peers, placement::Placement, quarantine::Quarantine,
-    reach::Reach, replication::Replication, request::Generation, revision::Position,
-    waiting::Queues, watch::Watches,
+    budget::Budget, catch_up::CatchUp, cold::Cold, configuration::Configuration, cordon::Cordon,
+    drain::Drain, duration::Durations, frame::Splitter, length::Lengths, limit::Limits,
+    listing::Listing, load::Load, origin::Origins, pace::Paces, peers::Peers, placement::Placement,
+    quarantine::Quarantine, reach::Reach, replication::Replication, request::Generation,
+    revision::Position, waiting::Queues, watch::Watches,
 };
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -5,7 +5,7 @@
 //! choosing the same one of several nearly equal targets.
 
 use {
-    crate::{Load, configuration::Engine, listing::Target},
+    crate::{Load, Paces, cold::Access, configuration::Engine, listing::Target},
     base::{Instant, key, rendezvous},
     derive_more::Debug,
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -63,6 +63,11 @@
 /// The same for the copy of a run whose engine is leaving: the VMs of all its runs choose at the same
 /// moment, from the same load.
 const MAX_EVACUATION_JITTER_MS: f64 = 400.0;
+/// Time over which the copies of all runs of engines that leave together are ordered.
+///
+/// A VM learns of the others' copies in its data centre after some milliseconds. An engine sends one
+/// copy after the other, so the delay costs little of its notice.
+const EVACUATION_SPREAD: Duration = Duration::from_millis(200);
 /// Cost of a plain service target with all slots in use, as a multiple of its mean latency.
 const FULL_SLOTS_COST_FACTOR: f64 = 3.0;
 /// Cost of a remote data centre for a plain request.
@@ -148,8 +153,12 @@
     pub is_urgent: bool,
     /// For an urgent copy: data centre of the run; moving it to another one takes twice as long.
     pub run_data_centre: Option<&'a str>,
+    /// How it may use cold targets; `None` if the service's targets take all requests at once.
+    pub cold_access: Option<Access>,
     /// For other copies: whether the run is in this VM's data centre.
     pub is_run_local: bool,
+    /// How long work takes at the targets; `None` if all are assumed to be equally fast.
+    pub paces: Option<&'a Paces>,
 }
 
 impl Default for Query<'_> {
@@ -165,7 +174,9 @@
             queued_ahead: 0,
             is_urgent: false,
             run_data_centre: None,
+            cold_access: None,
             is_run_local: false,
+            paces: None,
         }
     }
 }
@@ -179,6 +190,8 @@
     pub load: Load,
     /// Number of targets that were considered.
     pub candidates: usize,
+    /// Time that work takes at the target relative to the median one.
+    pub factor: f64,
 }
 
 /// A chosen target.
@@ -199,6 +212,8 @@
     fixed_cost: f64,
     /// Mean latency; used for plain services only.
     latency_ms: f64,
+    /// Time that work takes there relative to the median target.
+    factor: f64,
     /// Total cost as last computed, in milliseconds.
     cost: f64,
 }
@@ -226,6 +241,15 @@
     prefill_time(pending_prefill) * OVERDUE_FACTOR + OVERDUE_MARGIN
 }
 
+/// Returns the delay after which the copy of a run is ordered whose engine gives notice.
+///
+/// Engines leave several at a time, and the VMs of all their runs would choose from the same load.
+/// The delay is random by the run, so that each VM knows most of the copies before its own.
+pub fn evacuation_delay(run: key::Request) -> Duration {
+    let random = rendezvous::weight(run.raw(), 0) as f64 / u64::MAX as f64;
+    EVACUATION_SPREAD.mul_f64(random)
+}
+
 /// Chooses targets by the load and the failures that are known of them.
 #[derive(Debug)]
 pub struct Placement {
@@ -270,7 +294,7 @@
     ) -> Option<Choice<'a>> {
         let usable: Vec<_> = targets
             .iter()
-            .filter(|target| !target.is_leaving && !query.excluded.contains(&target.key))
+            .filter(|target| target.is_usable() && !query.excluded.contains(&target.key))
             .filter(|target| {
                 query
                     .release
@@ -303,6 +327,7 @@
                 cost: best.cost,
                 load: best.load,
                 candidates: count,
+                factor: best.factor,
             },
         })
     }
@@ -343,6 +368,7 @@
         });
         let candidates = usable.filter_map(|target| {
             let load = self.total_load(target.key, local);
+            let factor = factor(target.key, query, now);
             let mut fixed_cost = 0.0;
             if self.is_unreachable(&target.data_centre, now) {
                 fixed_cost += UNREACHABLE_COST_MS;
@@ -356,13 +382,14 @@
                 // Require capacity for one more request, as a peer may have placed one meanwhile.
                 let mut busier = load;
                 busier += query.load;
-                cost(target, busier, query, 0.0)?;
+                cost(target, busier, query, 0.0, factor)?;
             }
             Some(Candidate {
                 target,
                 load,
                 fixed_cost,
                 latency_ms: self.latency(target.key, now),
+                factor,
                 cost: 0.0,
             })
         });
@@ -485,17 +512,42 @@
     }
 
     /// Returns the number of runs of this VM and its peers on the given targets.
-    pub fn run_count(&self, targets: &[Target]) -> u32 {
+    pub fn run_count<'a>(&self, targets: impl IntoIterator<Item = &'a Target>) -> u32 {
         let local = self.local_load();
         let runs = |loads: &HashMap<key::Target, Load>, target: &Target| {
             loads.get(&target.key).map_or(0, |load| load.runs)
         };
-        let targets = targets.iter();
+        let targets = targets.into_iter();
         targets
             .map(|target| runs(&local, target) + runs(&self.peer_loads, target))
             .sum()
     }
 
+    /// Returns the number of runs on the given targets, each counted by the speed of its target.
+    ///
+    /// As many runs end in a given time as at that number of runs on targets of normal speed.
+    pub fn paced_run_count<'a>(
+        &self,
+        targets: impl IntoIterator<Item = &'a Target>,
+        paces: &Paces,
+        now: Instant,
+    ) -> u32 {
+        let counts = targets.into_iter().map(|target| {
+            let runs = self.load_on(target.key).runs;
+            f64::from(runs) / paces.factor(target.key, now)
+        });
+        counts.sum::<f64>().round() as u32
+    }
+
+    /// Returns the load of this VM and its peers on a target.
+    pub fn load_on(&self, target: key::Target) -> Load {
+        let mut load = self.peer_loads.get(&target).copied().unwrap_or_default();
+        for run in self.runs.values().filter(|run| run.target == target) {
+            load += run.load;
+        }
+        load
+    }
+
     /// Returns the load of this VM on each target.
     pub fn local_load(&self) -> HashMap<key::Target, Load> {
         let mut local: HashMap<key::Target, Load> = HashMap::new();
@@ -617,6 +669,7 @@
             candidate.load,
             query,
             candidate.latency_ms,
+            candidate.factor,
         )?;
         candidate.cost = cost + candidate.fixed_cost + jitter();
         Some(candidate)
@@ -634,8 +687,30 @@
     f64::from(load.used_memory) + share * growth + f64::from(load.copy_memory)
 }
 
+/// Returns the time that work takes at a target relative to the median one.
+///
+/// The mean latency of a plain service's target already contains the long-term factor.
+fn factor(target: key::Target, query: &Query<'_>, now: Instant) -> f64 {
+    let Some(paces) = query.paces else {
+        return 1.0;
+    };
+    if query.engine.is_some() {
+        paces.factor(target, now)
+    } else {
+        paces.momentary_factor(target, now)
+    }
+}
+
 /// Returns the cost of a request on a target in milliseconds; `None` if it lacks capacity.
-fn cost(target: &Target, load: Load, query: &Query<'_>, latency_ms: f64) -> Option<f64> {
+///
+/// `factor` is the time that work takes at the target relative to the median one.
+fn cost(
+    target: &Target,
+    load: Load,
+    query: &Query<'_>,
+    latency_ms: f64,
+    factor: f64,
+) -> Option<f64> {
     let is_local = *target.data_centre == *query.data_centre;
     let remote_cost = |cost| if is_local { 0.0 } else { cost };
     let Some(engine) = query.engine else {
@@ -643,7 +718,7 @@
         let used_share = f64::from(load.runs) / slots;
         return Some(
             remote_cost(PLAIN_REMOTE_COST_MS)
-                + latency_ms * (1.0 + FULL_SLOTS_COST_FACTOR * used_share),
+                + factor * latency_ms * (1.0 + FULL_SLOTS_COST_FACTOR * used_share),
         );
     };
     let is_copy = query.load.runs == 0;
@@ -680,14 +755,19 @@
         let copy_share = f64::from(load.copy_memory) / f64::from(engine.kv_capacity.max(1));
         return Some(data_centre_cost + memory + COPY_CONCENTRATION_COST_MS * copy_share);
     }
-    if load.pending_prefill > query.max_pending_prefill {
+    // The request's own prefill at normal speed is the same at all targets, so only the difference
+    // counts, here and in `max_pending_prefill`.
+    let own_excess = f64::from(query.load.pending_prefill) * (factor - 1.0);
+    let prefill_tokens = f64::from(load.pending_prefill) * factor + own_excess;
+    // An engine without pending prompts takes any request: none would be faster there by waiting.
+    if load.pending_prefill > 0 && prefill_tokens > f64::from(query.max_pending_prefill) {
         return None;
     }
-    let prefill = f64::from(load.pending_prefill) / PREFILL_TOKENS_PER_MS;
+    let prefill = prefill_tokens / PREFILL_TOKENS_PER_MS;
     let output = query
         .load
         .peak_memory
         .saturating_sub(query.load.used_memory);
     let remote = remote_cost(REMOTE_COST_MS + REMOTE_TOKEN_COST_MS * f64::from(output));
-    Some(remote + prefill + RUN_COST_MS * f64::from(load.runs) + memory)
+    Some(remote + prefill + RUN_COST_MS * factor * f64::from(load.runs) + memory)
 }
--- a/crates/dispatch/tests/reach.rs
+++ b/crates/dispatch/tests/reach.rs
@@ -4,7 +4,7 @@
     base::{Instant, key},
     mastictrail_dispatch::{
         Reach,
-        listing::Target,
+        listing::{Target, WarmUp},
         reach::{Change, Check},
     },
     std::net::Ipv4Addr,
@@ -27,8 +27,10 @@
             data_centre: format!("dc-{}", index % 2).into(),
             slots: 8,
             is_leaving: false,
+            is_cordoned: false,
             started_ms: None,
             release: "v1".into(),
+            warm_up: WarmUp::default(),
         })
         .collect()
 }
--- a/crates/dispatch/tests/revision.rs
+++ b/crates/dispatch/tests/revision.rs
@@ -2,7 +2,11 @@
 
 use {
     base::{Instant, key},
-    mastictrail_dispatch::{Listing, Position, listing::Target, revision::Revisions},
+    mastictrail_dispatch::{
+        Listing, Position,
+        listing::{Target, WarmUp},
+        revision::Revisions,
+    },
     std::time::Duration,
 };
 
@@ -23,8 +27,10 @@
         data_centre: "dc-1".into(),
         slots: 8,
         is_leaving,
+        is_cordoned: false,
         started_ms: Some(started_ms),
         release: "v1".into(),
+        warm_up: WarmUp::default(),
     }
 }
 
--- a/crates/dispatch/tests/waiting.rs
+++ b/crates/dispatch/tests/waiting.rs
@@ -5,7 +5,7 @@
     mastictrail_dispatch::{
         Load, Placement, Queues,
         configuration::Engine,
-        listing::Target,
+        listing::{Target, WarmUp},
         placement::{Query, prefill_tokens},
         waiting::{Demand, Position, Waiter},
     },
@@ -180,8 +180,10 @@
         data_centre: "dc-0".into(),
         slots: 24,
         is_leaving: false,
+        is_cordoned: false,
         started_ms: None,
         release: "v1".into(),
+        warm_up: WarmUp::default(),
     }];
     let mut random = SmallRng::seed_from_u64(seed);
     let demand = Demand {
--- a/crates/gateway/src/clients/evacuation.rs
+++ b/crates/gateway/src/clients/evacuation.rs
@@ -2,7 +2,8 @@
 //!
 //! The engine that stores the copy of a run may leave before the engine that runs it. When the
 //! running engine announces its departure as well, the run is copied again, repeatedly until that
-//! engine is gone, so that little has to be recomputed where the run resumes.
+//! engine is gone, so that little has to be recomputed where the run resumes. A copy in a cordoned
+//! data centre can't be used, so its run is copied again like one without a copy.
 
 use {
     crate::{
@@ -16,7 +17,7 @@
     },
     base::{Instant, key},
     bytes::Bytes,
-    dispatch::listing::Target,
+    dispatch::{listing::Target, placement::evacuation_delay},
     entry::runtime::with_timeout,
     hyper::Method,
     platform::engine,
@@ -46,6 +47,8 @@
     /// Engines where a copy failed.
     failed_targets: Vec<key::Target>,
     next_poll: Instant,
+    /// When the first copy may be ordered; `None` unless the source engine gave notice.
+    begins: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -88,9 +91,17 @@
         if self.pending.is_some() || shared.directory.is_active(source.key) {
             return;
         }
+        let run = key::Request::of(&exchange.head.attempt_id);
+        let begins = *self
+            .begins
+            .get_or_insert_with(|| now + evacuation_delay(run));
+        if now < begins {
+            self.next_poll = begins;
+            return;
+        }
         let has_copy = copy
             .as_ref()
-            .is_some_and(|copy| shared.directory.is_active(copy.target.key));
+            .is_some_and(|copy| shared.directory.is_usable(copy.target.key));
         let (target, reservation) = match (&self.copied_to, has_copy) {
             (Some(target), true) => (target.clone(), None),
             (None, true) => return,
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -20,6 +20,7 @@
     bytes::Bytes,
     dispatch::{
         Generation, Load,
+        cold::Access,
         configuration::{Engine, RetryPolicy},
         listing::Target,
         placement::{Query, overdue_delay, prefill_time, prefill_tokens},
@@ -102,6 +103,7 @@
 pub async fn serve(exchange: &Arc<Exchange>) -> Result<Response<Body>, Refusal> {
     let plan = plan(exchange);
     exchange.check_drain(plan.duration)?;
+    exchange.check_cordon()?;
     resumption::check(exchange)?;
     exchange.check_quarantine()?;
     let mut excluded = Vec::new();
@@ -198,6 +200,7 @@
 ) -> Result<(Target, Reservation), Refusal> {
     let shared = &exchange.shared;
     let service = exchange.service;
+    exchange.check_cordon()?;
     let priority = exchange.route.priority;
     let now = shared.now();
     let ahead = shared.dispatcher.ahead_of_arrival(service, priority, now);
@@ -208,7 +211,9 @@
     let prefill_budget = prefill_budget.saturating_sub(prefill_time(plan.generation.prompt_tokens));
     let wait_deadline = exchange.arrived + prefill_budget;
     let targets = shared.directory.targets_of(service);
-    if let Some(delay) = shared.dispatcher.limit_delay(&targets, now)
+    if let Some(delay) = shared
+        .dispatcher
+        .limit_delay(&targets, exchange.cold_start(), now)
         && now + delay > wait_deadline
     {
         let message = "all engines get as many requests as they take";
@@ -229,6 +234,7 @@
         {
             return Ok(reserved);
         }
+        exchange.check_cordon()?;
         if now >= wait_deadline || exchange.outlasts_drain(plan.duration) {
             let delay = shared.dispatcher.retry_delay(service);
             return Err(Refusal::not_run(Reason::NoTarget, "no engine had room").retry_after(delay));
@@ -253,6 +259,21 @@
     })
 }
 
+/// Reserves capacity for a run that goes on, if need be at a cold engine that has had its share.
+pub fn reserve_continuation(
+    exchange: &Exchange,
+    plan: &Plan,
+    excluded: &[key::Target],
+    now: Instant,
+) -> Option<(Target, Reservation)> {
+    reserve_with(exchange, plan.run_load(), plan, now, |query| {
+        query.excluded = excluded;
+        query.release = exchange.origin().map(|origin| &*origin.release);
+        query.max_pending_prefill = max_pending_prefill(exchange, plan, now);
+        query.cold_access = exchange.cold_start().map(Access::Continuation);
+    })
+}
+
 /// Returns how many prompt tokens an engine may process ahead of this request without delaying its
 /// first event beyond the objective.
 fn max_pending_prefill(exchange: &Exchange, plan: &Plan, now: Instant) -> u32 {
@@ -315,6 +336,7 @@
     let mut query = Query {
         load,
         engine: plan.engine,
+        cold_access: exchange.cold_start().map(Access::Limited),
         is_remote_stale: shared.dispatcher.live_vms() > reports::MAX_FULL_MESH_VMS,
         ..Query::default()
     };
@@ -473,7 +495,7 @@
         data_centre:% = source.target().data_centre,
         backup = source.backup().map_or("", |backup| &*backup.instance), outcome, detail,
         runs = basis.load.runs, memory = basis.load.peak_memory, copies = basis.load.copy_memory,
-        prefill = basis.load.pending_prefill, told = occupancy,
+        prefill = basis.load.pending_prefill, factor = basis.factor, told = occupancy,
         limit = parse_limit(headers).unwrap_or_default(), waited_ms = waited.as_millis() as u64,
         candidates = basis.candidates, cost_ms = basis.cost as u64,
         vms = exchange.shared.dispatcher.live_vms(), parts = exchange.shared_parts(), fingerprint:% = exchange.fingerprint,
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -11,7 +11,7 @@
             answer::BodyError,
             evacuation::Evacuation,
             exchange::Exchange,
-            generation::{Item, Plan, reserve, reserve_copy},
+            generation::{Item, Plan, reserve_continuation, reserve_copy},
         },
         metrics::Outcome,
         targets::{
@@ -25,7 +25,7 @@
     },
     base::{Instant, Verdict, key},
     bytes::{Bytes, BytesMut},
-    dispatch::{Splitter, configuration::RetryPolicy, listing::Target},
+    dispatch::{Splitter, configuration::RetryPolicy, listing::Target, pace::Window},
     entry::runtime::with_timeout,
     http_body_util::BodyExt,
     hyper::{
@@ -47,7 +47,8 @@
 ///
 /// This is twice the usual interval between two events while the engine processes other prompts.
 const PROBE_DELAY: Duration = Duration::from_millis(85);
-/// Time without an event after which a stream counts as lost whose engine this VM doesn't reach.
+/// Time without an event after which a stream counts as lost whose engine this VM doesn't reach, or
+/// must not probe.
 const CUT_SILENCE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Connect timeout of a probe; the network latency is a few milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(55);
@@ -73,6 +74,9 @@
 const CLIENT_PATIENCE: u32 = 4;
 /// Maximum number of migrations of one stream.
 const MAX_MIGRATIONS: u32 = 8;
+/// Minimum time for which the VM must have waited for an event that is used to measure the pace of its
+/// engine; one that comes sooner may have arrived before.
+const MIN_EVENT_WAIT: Duration = Duration::from_millis(1);
 
 /// A copy of a run's KV cache at another engine.
 #[derive(Debug)]
@@ -170,6 +174,10 @@
     paused_at: u64,
     last_received: Instant,
     last_probe: Instant,
+    /// How long the VM waited for what it received last.
+    waited: Duration,
+    /// Measures the pace of the current engine.
+    window: Window,
     /// Whether the current engine is silent, but may go on.
     is_suspected: bool,
     /// Engines that were asked in vain to continue the stream.
@@ -283,6 +291,8 @@
         Self {
             last_received: now,
             last_probe: now,
+            waited: Duration::ZERO,
+            window: Window::default(),
             is_suspected: false,
             failed_targets: Vec::new(),
             last_suspicion: None,
@@ -375,6 +385,7 @@
     async fn read(&mut self) -> Read {
         let shared = Arc::clone(&self.exchange.shared);
         let target = self.source.target.clone();
+        let began = shared.now();
         loop {
             let Some(Upstream { body, via, .. }) = self.upstream.as_mut() else {
                 return Read::End;
@@ -387,6 +398,7 @@
             match with_timeout(remaining.min(PROBE_DELAY), body.frame()).await {
                 Some(read) => {
                     self.last_received = shared.now();
+                    self.waited = self.last_received.since(began);
                     return classify(read);
                 }
                 None if remaining <= PROBE_DELAY => return Read::Lost("the time is over".into()),
@@ -406,6 +418,13 @@
             if self.first_event_at.is_none() || now.since(self.last_probe) < MIN_PROBE_INTERVAL {
                 continue;
             }
+            if shared.directory.is_cordoned(target.key) {
+                // No probe is sent there.
+                if now.since(self.last_received) < CUT_SILENCE_TIMEOUT {
+                    continue;
+                }
+                return Read::Suspected("silent, and its data centre is cordoned".into());
+            }
             if is_cut {
                 // Other connections may live on, so this one counts as lost only if it is silent.
                 if now.since(self.last_received) < CUT_SILENCE_TIMEOUT {
@@ -420,6 +439,7 @@
             match smol::future::or(async { Ok(body.frame().await) }, probe).await {
                 Ok(read) => {
                     self.last_received = shared.now();
+                    self.waited = self.last_received.since(began);
                     return classify(read);
                 }
                 Err(true) => {}
@@ -442,6 +462,7 @@
 
     fn next_events(&mut self) -> Option<Bytes> {
         let mut events = BytesMut::new();
+        let events_before = self.events;
         while let Some(event) = self.splitter.next_event() {
             if let (Some(id), Some(last)) = (event.id, self.last_event_id)
                 && id <= last
@@ -459,6 +480,12 @@
         let prompt = self.plan.generation.prompt_tokens;
         self.source.reservation.set_tokens(prompt, self.tokens());
         let now = self.exchange.shared.now();
+        let delivered = (self.events - events_before) as u32;
+        let tokens = delivered.saturating_mul(self.tokens_per_event());
+        let is_prompt = self.waited >= MIN_EVENT_WAIT && delivered == 1;
+        self.source
+            .reservation
+            .record_delivery(&mut self.window, tokens, is_prompt, now);
         if self.first_event_at.is_some() {
             let pause = now.since(self.last_delivery);
             self.exchange
@@ -479,6 +506,7 @@
             self.first_event_at = Some(now);
             self.exchange.record_release(&self.source.target.release);
             self.source.reservation.finish_prefill();
+            self.source.reservation.record_first_event(prompt, now);
             let route = &self.exchange.route.name;
             self.exchange
                 .shared
@@ -504,9 +532,12 @@
 
     /// Returns the number of tokens forwarded to the client.
     fn tokens(&self) -> u32 {
-        let tokens_per_event = self.plan.engine.map_or(1, |engine| engine.tokens_per_event);
         let events = u32::try_from(self.events).unwrap_or(u32::MAX);
-        events.saturating_mul(tokens_per_event)
+        events.saturating_mul(self.tokens_per_event())
+    }
+
+    fn tokens_per_event(&self) -> u32 {
+        self.plan.engine.map_or(1, |engine| engine.tokens_per_event)
     }
 
     fn finish(&mut self) -> Option<Item> {
@@ -522,7 +553,7 @@
         exchange
             .shared
             .dispatcher
-            .record_run(exchange.service, time);
+            .record_run(exchange.service, self.source.target.key, time);
         self.outcome = Some((Outcome::Served, "whole".into()));
         let rest = self.splitter.take_rest();
         (!rest.is_empty()).then_some(Ok(rest))
@@ -580,10 +611,16 @@
     fn can_continue(&self) -> bool {
         let is_resumable = self.exchange.route.retry_policy == RetryPolicy::Resumable;
         self.migrations < MAX_MIGRATIONS
-            && (self.source.copy.is_some() || is_resumable && self.exchange.may_run_again())
+            && (self.has_usable_copy() || is_resumable && self.exchange.may_run_again())
             && self.is_admitted()
     }
 
+    /// Returns whether there is a copy in a data centre that is not cordoned.
+    fn has_usable_copy(&self) -> bool {
+        let copy = self.source.copy.as_ref();
+        copy.is_some_and(|copy| !self.exchange.shared.directory.is_cordoned(copy.target.key))
+    }
+
     /// Returns whether the request is not one that engines are lost to.
     fn is_admitted(&self) -> bool {
         if self.is_proven {
@@ -605,7 +642,8 @@
         let copy = self.source.copy.as_ref();
         let target = copy.map(|copy| std::slice::from_ref(&copy.target));
         let dispatcher = &self.exchange.shared.dispatcher;
-        let delay = target.and_then(|target| dispatcher.limit_delay(target, now));
+        // A cold engine takes a stream that goes on.
+        let delay = target.and_then(|target| dispatcher.limit_delay(target, None, now));
         delay.unwrap_or_default()
     }
 
@@ -694,14 +732,16 @@
         let Some(copy) = &mut self.source.copy else {
             return false;
         };
+        if shared.directory.is_cordoned(copy.target.key) {
+            return false;
+        }
         let is_repeated = std::mem::replace(&mut copy.was_asked, true);
         if is_repeated && !shared.dispatcher.take_retry(exchange.service, now) {
             return false;
         }
         let (target, origin, handle) = (copy.target.clone(), copy.origin, copy.handle.clone());
-        let reservation = shared
-            .dispatcher
-            .reserve_at(target.key, self.plan.run_load(), now);
+        let (load, cold_start) = (self.plan.run_load(), exchange.cold_start());
+        let reservation = shared.dispatcher.reserve_at(&target, load, cold_start, now);
         reservation.finish_prefill();
         reservation.set_tokens(self.plan.generation.prompt_tokens, self.tokens());
         let copy_target = target.key;
@@ -739,7 +779,7 @@
         }
         let now = shared.now();
         let excluded = [&*self.failed_targets, &[failed_target]].concat();
-        let reserved = reserve(&exchange, &self.plan, &excluded, 0, now);
+        let reserved = reserve_continuation(&exchange, &self.plan, &excluded, now);
         let Some(reserved) = reserved else {
             return false;
         };
@@ -841,6 +881,7 @@
             self.last_received = self.exchange.shared.now();
             self.attached_at = self.last_received;
             self.begun_at = None;
+            self.window = Window::default();
             self.has_survived = false;
             self.last_suspicion = None;
         }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -7,6 +7,7 @@
         control::{
             admin, configuration,
             confirmation::Confirmation,
+            cordon::Cordon,
             current::Current,
             discovery,
             drain::Drain,
@@ -22,7 +23,7 @@
         tunnel::{self, Tunnels},
     },
     arc_swap::ArcSwap,
-    base::{Instant, clock, key},
+    base::{Clock as _, Instant, clock, key},
     config::Gateway,
     dispatch::budget::Policy,
     entry::{Error, logs, runtime::Runtime},
@@ -126,7 +127,8 @@
         Ok(Self { shared })
     }
 
-    /// Applies reloaded settings; the bound addresses and the thread count stay as they are.
+    /// Applies reloaded settings; the bound addresses, the thread count and whether data
+    /// centres may be cordoned stay as they are.
     pub fn reload(&self, settings: Gateway) {
         log::info!(target: "reload", seeds = settings.seeds.len(); "settings reloaded");
         self.shared.settings.store(Arc::new(settings));
@@ -180,6 +182,13 @@
     let socket = UdpSocket::bind(peers).and_then(Async::new);
     let socket = socket.map_err(|error| Error::listen(peers, error))?;
     let incarnation = rand::random();
+    let own = u64::from(u32::from(*own_address.ip()));
+    let has_seeds = settings
+        .seeds
+        .iter()
+        .any(|seed| seed.ip() != *own_address.ip());
+    let clock = clock::System::new();
+    let cold = dispatch::Cold::new(own, has_seeds, clock.now());
     let runtime = Runtime::start(settings.limits.threads);
     let promises = &settings.promises;
     let budget_policy = Policy {
@@ -188,7 +197,7 @@
         window: promises.retry_window,
     };
     Ok(Shared {
-        clock: Arc::new(clock::System::new()),
+        clock: Arc::new(clock),
         client: Client::new(
             runtime.clone(),
             settings.limits.connect_timeout,
@@ -196,11 +205,12 @@
         ),
         runtime,
         current: Current::default(),
+        cordon: Cordon::new(promises.cordon.is_some()),
         sender: transfer::Sender::default(),
         directory: Directory::default(),
         history: History::default(),
         confirmation: Confirmation::default(),
-        dispatcher: Dispatcher::new(incarnation, budget_policy),
+        dispatcher: Dispatcher::new(incarnation, budget_policy, cold),
         fleet: Fleet::new(
             socket,
             SocketAddrV4::new(*own_address.ip(), own_address.port()),
@@ -218,7 +228,7 @@
             },
             incarnation,
         )),
-        buffers: Budget::default(),
+        buffers: Arc::new(Budget::new(settings.limits.memory_mb)),
         drain: Arc::new(Drain::default()),
         metrics: Metrics::new(&settings.vm.name)?,
         settings: ArcSwap::from_pointee(settings),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -54,11 +54,11 @@
     ready: Gauge<u64>,
     vms: Gauge<u64>,
     origins: Gauge<u64>,
-    limited: Gauge<u64>,
+    restrictions: Restrictions,
+    pace: Gauge<f64>,
     isolated: Gauge<u64>,
     tunnels: Gauge<u64>,
     tunnelled: Counter<u64>,
-    quarantined: Gauge<u64>,
     targets: Gauge<u64>,
     log_dropped: Gauge<u64>,
     log_queue: OnceLock<logs::Queue>,
@@ -143,6 +143,50 @@
     }
 }
 
+/// Instruments of what keeps requests from targets that would take them otherwise.
+#[derive(Debug)]
+struct Restrictions {
+    limited: Gauge<u64>,
+    cold: Gauge<u64>,
+    quarantined: Gauge<u64>,
+    cordoned: Gauge<u64>,
+}
+
+impl Restrictions {
+    fn new(meter: &Meter) -> Self {
+        let gauge = |name: &'static str, description: &'static str| {
+            meter.u64_gauge(name).with_description(description).build()
+        };
+        Self {
+            limited: gauge(
+                "mastictrail.gateway.limited",
+                "Targets that name a number of requests per second that they take",
+            ),
+            cold: gauge(
+                "mastictrail.gateway.cold",
+                "Targets that are warming up, so that few requests are sent to them",
+            ),
+            quarantined: gauge(
+                "mastictrail.gateway.quarantined",
+                "Requests and parts of prompts that are refused because targets crash on them",
+            ),
+            cordoned: gauge(
+                "mastictrail.gateway.cordoned",
+                "Data centres that the operator has cordoned",
+            ),
+        }
+    }
+
+    fn record(&self, shared: &Shared) {
+        self.limited
+            .record(shared.dispatcher.limited_targets() as u64, &[]);
+        self.cold.record(shared.cold_targets() as u64, &[]);
+        self.quarantined.record(shared.quarantine.len() as u64, &[]);
+        self.cordoned
+            .record(shared.cordon.names().len() as u64, &[]);
+    }
+}
+
 impl Metrics {
     /// Creates the instruments; `vm` identifies this instance.
     ///
@@ -216,10 +260,8 @@
                 "mastictrail.gateway.origins",
                 "Resumable streams of which the VM knows where they began",
             ),
-            limited: gauge(
-                "mastictrail.gateway.limited",
-                "Targets that name a number of requests per second that they take",
-            ),
+            restrictions: Restrictions::new(&meter),
+            pace: pace_gauge(&meter),
             isolated: gauge(
                 "mastictrail.gateway.isolated",
                 "1 if the VM reaches no target while others do",
@@ -232,10 +274,6 @@
                 "mastictrail.gateway.tunnelled",
                 "Requests that were to go through another VM, by whether one took them",
             ),
-            quarantined: gauge(
-                "mastictrail.gateway.quarantined",
-                "Requests and parts of prompts that are refused because targets crash on them",
-            ),
             targets: gauge(
                 "mastictrail.gateway.targets",
                 "Known targets, by whether they leave",
@@ -292,6 +330,21 @@
         self.tunnelled.add(1, &[KeyValue::new("opened", is_open)]);
     }
 
+    fn record_paces(&self, shared: &Shared) {
+        let Some(published) = shared.current.load() else {
+            return;
+        };
+        for spread in shared.dispatcher.pace_spreads() {
+            let Some(service) = published.configuration.service(spread.service) else {
+                continue;
+            };
+            let service = KeyValue::new("service", service.name.to_string());
+            let of = |target: &'static str| [service.clone(), KeyValue::new("of", target)];
+            self.pace.record(spread.slowest, &of("slowest"));
+            self.pace.record(spread.median, &of("median"));
+        }
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     ///
     /// # Errors
@@ -304,11 +357,10 @@
         self.vms
             .record(shared.fleet.live_vms(shared.now()) as u64, &[]);
         self.origins.record(shared.origins().len() as u64, &[]);
-        self.limited
-            .record(shared.dispatcher.limited_targets() as u64, &[]);
+        self.restrictions.record(shared);
+        self.record_paces(shared);
         self.isolated.record(shared.reach.is_isolated().into(), &[]);
         self.tunnels.record(shared.tunnels.served() as u64, &[]);
-        self.quarantined.record(shared.quarantine.len() as u64, &[]);
         for (is_leaving, count) in shared.directory.counts() {
             let is_leaving = KeyValue::new("leaving", is_leaving);
             self.targets.record(count, &[is_leaving]);
@@ -322,3 +374,12 @@
         Ok(text)
     }
 }
+
+fn pace_gauge(meter: &Meter) -> Gauge<f64> {
+    let description = "Time that work takes at targets: at the slowest one of a service relative to \
+                       the median one, and at that relative to the expected time";
+    meter
+        .f64_gauge("mastictrail.gateway.pace")
+        .with_description(description)
+        .build()
+}
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,8 +4,9 @@
     crate::{
         clients::buffer::Budget,
         control::{
-            confirmation::Confirmation, current::Current, drain::Drain, fleet::Fleet,
-            history::History, quarantine::Quarantine, reach::Reach, reports, transfer,
+            confirmation::Confirmation, cordon::Cordon, current::Current, drain::Drain,
+            fleet::Fleet, history::History, quarantine::Quarantine, reach::Reach, reports,
+            transfer,
         },
         metrics::Metrics,
         targets::{client::Client, directory::Directory, dispatcher::Dispatcher},
@@ -30,6 +31,8 @@
     pub runtime: Runtime,
     /// Configuration in force.
     pub current: Current,
+    /// Data centres that the operator has taken out of service.
+    pub cordon: Cordon,
     /// Configurations that are being sent to peers.
     pub sender: transfer::Sender,
     /// Known targets.
@@ -54,8 +57,8 @@
     pub drain: Arc<Drain>,
     /// HTTP client for targets, the store and peers.
     pub client: Client,
-    /// Bodies that are being received.
-    pub buffers: Budget,
+    /// Room for the bodies that the process holds.
+    pub buffers: Arc<Budget>,
     /// Metric instruments.
     pub metrics: Metrics,
 }
@@ -81,12 +84,37 @@
         let local_data_centre = (peers.live(now).count() >= reports::MAX_FULL_MESH_VMS)
             .then(|| self.fleet.data_centre());
         self.dispatcher.update_peers(&peers, local_data_centre, now);
+        let configuration = self.current.load();
+        if configuration.is_some_and(|current| current.configuration.has_cold_starts()) {
+            self.dispatcher.set_known_vms(peers.known(now));
+        }
+    }
+
+    /// Returns the number of targets that are warming up.
+    pub fn cold_targets(&self) -> usize {
+        let Some(current) = self.current.load() else {
+            return 0;
+        };
+        if !current.configuration.has_cold_starts() {
+            return 0;
+        }
+        let now = self.now();
+        let targets = self.directory.all().into_iter();
+        let cold = targets.filter(|target| {
+            let start = current.configuration.cold_start(target.service);
+            start.is_some_and(|start| self.dispatcher.is_cold(target, &start, now))
+        });
+        cold.count()
     }
 
     /// Returns whether the VM reports that it is ready for new connections.
     ///
-    /// It needs a configuration and a list of targets and must not be draining.
+    /// It needs a configuration, a list of targets and, if data centres may be cordoned, the set of
+    /// these, and must not be draining.
     pub fn is_ready(&self) -> bool {
-        !self.drain.is_draining() && self.current.load().is_some() && self.directory.has_list()
+        !self.drain.is_draining()
+            && self.current.load().is_some()
+            && self.directory.has_list()
+            && self.cordon.is_known()
     }
 }
--- a/crates/gateway/src/targets/directory.rs
+++ b/crates/gateway/src/targets/directory.rs
@@ -54,6 +54,26 @@
         self.get(target).is_some_and(|target| !target.is_leaving)
     }
 
+    /// Returns whether a target is known and takes new requests.
+    pub fn is_usable(&self, target: key::Target) -> bool {
+        self.get(target).is_some_and(|target| target.is_usable())
+    }
+
+    /// Returns whether a target is known and its data centre is cordoned.
+    pub fn is_cordoned(&self, target: key::Target) -> bool {
+        self.get(target).is_some_and(|target| target.is_cordoned)
+    }
+
+    /// Returns whether a service has targets that stay, all of them in cordoned data centres.
+    pub fn is_service_cordoned(&self, service: key::Service) -> bool {
+        let targets = self.targets_of(service);
+        let mut staying = targets
+            .iter()
+            .filter(|target| !target.is_leaving)
+            .peekable();
+        staying.peek().is_some() && staying.all(|target| target.is_cordoned)
+    }
+
     /// Returns the leaving targets, with the starts of their processes, if known.
     pub fn leaving_targets(&self) -> Vec<(key::Target, Option<u64>)> {
         let by_service = self.by_service.load();
@@ -136,6 +156,16 @@
         true
     }
 
+    /// Records that a target has said in an answer for how long it is still cold; returns whether
+    /// that changes anything.
+    pub fn mark_cold(&self, target: &Target, remaining: Duration, now: Instant) -> bool {
+        // Most answers say what the snapshot that the request was sent by has already.
+        if remaining.is_zero() && target.warm_up.remaining.is_some() {
+            return false;
+        }
+        self.update(|listing| listing.mark_cold(target.key, remaining, now))
+    }
+
     /// Marks a target as leaving by its own answer; returns whether it was not marked before.
     pub fn mark_announced_leaving(&self, target: key::Target) -> bool {
         let mut is_new = false;
--- a/crates/gateway/src/targets/dispatcher.rs
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -4,10 +4,15 @@
     base::{Clock, Instant, key},
     derive_more::Debug,
     dispatch::{
-        Budget, Durations, Generation, Lengths, Limits, Load, Peers, Placement,
+        Budget, Cold, Durations, Generation, Lengths, Limits, Load, Paces, Peers, Placement,
         budget::Policy,
+        cold::Access,
+        configuration::ColdStart,
         listing::Target,
-        placement::{Basis, Query, RunId, overdue_delay},
+        load::{Occupancy, Pace},
+        pace::{self, Spread, Window},
+        peers::Readings,
+        placement::{self, Basis, Choice, Query, RunId, overdue_delay},
         report,
         waiting::{Demand, Position, Queues, Waiter},
     },
@@ -15,6 +20,7 @@
     smol::channel::{Receiver, Sender, bounded},
     std::{
         collections::HashMap,
+        net::Ipv4Addr,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicUsize, Ordering},
@@ -36,6 +42,36 @@
     budgets: HashMap<key::Service, Budget>,
     queues: Queues,
     limits: Limits,
+    cold: Cold,
+    paces: Paces,
+}
+
+/// Chooses a target, of the cold ones only those that may get a request of this VM now.
+fn choose<'a>(
+    (placement, cold): (&mut Placement, &mut Cold),
+    now: Instant,
+    targets: &'a [Target],
+    query: &Query<'_>,
+) -> Option<Choice<'a>> {
+    // A copy of a run is no request.
+    let Some(access) = query.cold_access.filter(|_| query.load.runs > 0) else {
+        return placement.choose(now, targets, query);
+    };
+    let mut closed = cold.closed(targets, access.cold_start(), now);
+    if closed.is_empty() {
+        return placement.choose(now, targets, query);
+    }
+    closed.extend(query.excluded);
+    let open = Query {
+        excluded: &closed,
+        ..*query
+    };
+    let choice = placement.choose(now, targets, &open);
+    let is_continuation = matches!(access, Access::Continuation(_));
+    if choice.is_none() && (is_continuation || cold.is_last_resort(now)) {
+        return placement.choose(now, targets, query);
+    }
+    choice
 }
 
 /// Tracks the load on the targets and decides which requests are admitted, placed and retried.
@@ -67,7 +103,10 @@
 pub struct Reservation {
     state: Arc<Mutex<State>>,
     run: RunId,
+    target: key::Target,
     basis: Basis,
+    /// When it was chosen; `None` if it was reserved whatever the load there.
+    chosen: Option<Instant>,
     notifier: Notifier,
     /// Whether changes of the load are reported to peers immediately.
     notifies_peers: bool,
@@ -75,7 +114,7 @@
 
 impl Dispatcher {
     /// Creates a dispatcher without load; `seed` makes placement reproducible.
-    pub fn new(seed: u64, budget_policy: Policy) -> Self {
+    pub fn new(seed: u64, budget_policy: Policy, cold: Cold) -> Self {
         let (notifier, wakeups) = bounded(1);
         let (limit_notifier, limit_wakeups) = bounded(1);
         Self {
@@ -86,6 +125,8 @@
                 budgets: HashMap::new(),
                 queues: Queues::default(),
                 limits: Limits::new(seed),
+                cold,
+                paces: Paces::default(),
             })),
             budget_policy,
             live_vms: AtomicUsize::new(1),
@@ -103,7 +144,11 @@
         targets: &[Target],
         query: &Query<'_>,
     ) -> Option<(Target, Reservation)> {
-        let mut state = self.lock();
+        let mut guard = self.lock();
+        let state = &mut *guard;
+        if let Some(first) = targets.first() {
+            state.paces.refresh(first.service, targets, now);
+        }
         // A copy of a run is no request.
         let mut closed = Vec::new();
         let mut is_brittle = false;
@@ -116,44 +161,58 @@
                 .filter(|target| brittle.contains(&target.key));
             // A brittle target is sent nothing that might have to wait.
             closed.extend(brittle.filter_map(|target| {
-                let runs = state.placement.run_count(std::slice::from_ref(target));
+                let runs = state.placement.run_count([target]);
                 (runs >= target.slots).then_some(target.key)
             }));
         }
         let excluded: Vec<_> = query.excluded.iter().copied().chain(closed).collect();
         let query = &Query {
             excluded: &excluded,
+            paces: Some(&state.paces),
             ..*query
         };
-        let choice = state.placement.choose(now, targets, query)?;
+        let choice = choose((&mut state.placement, &mut state.cold), now, targets, query)?;
         let (target, basis) = (choice.target.clone(), choice.basis);
         let run = state.placement.start_run(target.key, query.load);
-        if query.engine.is_some() && query.load.runs > 0 {
+        let is_request = query.load.runs > 0;
+        if query.engine.is_some() && is_request {
             let pending_prefill = basis.load.pending_prefill + query.load.pending_prefill;
             let due = now + overdue_delay(pending_prefill);
             state.placement.set_due(run, due);
         }
-        let is_announced = query.load.runs > 0 && state.limits.record_sent(target.key, now);
-        drop(state);
+        let is_announced = is_request && state.limits.record_sent(target.key, now);
+        if let Some(access) = query.cold_access.filter(|_| is_request) {
+            let start = access.cold_start();
+            state.cold.record_sent(&target, start, now);
+        }
+        let notifies_peers = query.engine.is_some() || is_brittle;
+        drop(guard);
         if is_announced {
             self.limit_notifier.notify();
         }
-        Some((
-            target,
-            self.new_reservation(run, basis, query.engine.is_some() || is_brittle),
-        ))
+        let reservation = self.new_reservation((run, target.key), basis, Some(now), notifies_peers);
+        Some((target, reservation))
     }
 
     /// Reserves capacity at a given target, whether or not it has any.
-    pub fn reserve_at(&self, target: key::Target, load: Load, now: Instant) -> Reservation {
+    pub fn reserve_at(
+        &self,
+        target: &Target,
+        load: Load,
+        cold_start: Option<ColdStart>,
+        now: Instant,
+    ) -> Reservation {
         let mut state = self.lock();
-        let run = state.placement.start_run(target, load);
-        let is_announced = state.limits.record_sent(target, now);
+        let run = state.placement.start_run(target.key, load);
+        let is_announced = state.limits.record_sent(target.key, now);
+        if let Some(start) = cold_start {
+            state.cold.record_sent(target, &start, now);
+        }
         drop(state);
         if is_announced {
             self.limit_notifier.notify();
         }
-        self.new_reservation(run, Basis::default(), true)
+        self.new_reservation((run, target.key), Basis::default(), None, true)
     }
 
     /// Records the limit that an answer names, or that it names none; returns whether that is new.
@@ -211,10 +270,21 @@
     }
 
     /// Returns the time until any of the targets takes a request; `None` if one does now.
-    pub fn limit_delay(&self, targets: &[Target], now: Instant) -> Option<Duration> {
-        let state = self.lock();
-        let usable = targets.iter().filter(|target| !target.is_leaving);
-        let delays = usable.map(|target| state.limits.delay(target.key, now));
+    ///
+    /// `cold_start` is how they warm up, if they have to.
+    pub fn limit_delay(
+        &self,
+        targets: &[Target],
+        cold_start: Option<ColdStart>,
+        now: Instant,
+    ) -> Option<Duration> {
+        let state = &mut *self.lock();
+        let usable = targets.iter().filter(|target| target.is_usable());
+        let delays = usable.map(|target| {
+            let limit_delay = state.limits.delay(target.key, now);
+            let cold_delay = cold_start.map(|start| state.cold.delay(target, &start, now));
+            limit_delay.max(cold_delay.unwrap_or_default())
+        });
         delays.min().filter(|delay| !delay.is_zero())
     }
 
@@ -234,8 +304,21 @@
     }
 
     /// Removes the limits of targets that are no longer listed.
-    pub fn retain_limits(&self, is_known: impl Fn(key::Target) -> bool) {
-        self.lock().limits.retain(is_known);
+    pub fn retain_limits(&self, is_known: impl Fn(key::Target) -> bool, now: Instant) {
+        let mut state = self.lock();
+        state.limits.retain(is_known);
+        state.cold.forget_old_sends(now);
+    }
+
+    /// Returns whether a target is warming up.
+    pub fn is_cold(&self, target: &Target, start: &ColdStart, now: Instant) -> bool {
+        self.lock().cold.is_cold(target, start, now)
+    }
+
+    /// Replaces the other VMs among which the requests to cold targets are divided.
+    pub fn set_known_vms(&self, others: impl Iterator<Item = Ipv4Addr>) {
+        let others = others.map(|address| u64::from(u32::from(address)));
+        self.lock().cold.set_vms(others);
     }
 
     /// Waits until the other VMs lack a limit or a request to a target with one, and returns these.
@@ -293,6 +376,9 @@
         self.live_vms
             .store(peers.live(now).count() + 1, Ordering::Relaxed);
         let mut state = self.lock();
+        if state.paces.needs_readings(now) {
+            state.paces.set_readings(peers.paces(now), now);
+        }
         state.placement.set_peer_load(peers.load(now));
         state
             .placement
@@ -328,8 +414,10 @@
         targets: &[Target],
     ) -> Result<QueueEntry, Duration> {
         let mut state = self.lock();
+        // A run that ends at a cordoned target makes no room.
+        let targets = targets.iter().filter(|target| !target.is_cordoned);
         let demand = Demand {
-            runs: state.placement.run_count(targets),
+            runs: state.placement.paced_run_count(targets, &state.paces, now),
             remote_waiters: state.queues.remote_count(service, now),
         };
         let position = state
@@ -361,9 +449,33 @@
         self.lock().queues.local_waiters().collect()
     }
 
-    /// Records the duration of a completed run.
-    pub fn record_run(&self, service: key::Service, time: Duration) {
-        self.lock().queues.record_run_time(service, time);
+    /// Records the duration of a completed run at a target, as it would be at the median one.
+    pub fn record_run(&self, service: key::Service, target: key::Target, time: Duration) {
+        let mut state = self.lock();
+        let factor = state.paces.usual_factor(target);
+        state.queues.record_run_time(service, time.div_f64(factor));
+    }
+
+    /// Records what a response reports of its target's load.
+    ///
+    /// Returns whether it is the first one of the service that reports the pace of the host.
+    pub fn record_occupancy(&self, target: &Target, occupancy: Occupancy, now: Instant) -> bool {
+        self.lock().paces.record_occupancy(target, occupancy, now)
+    }
+
+    /// Returns the paces of targets that this VM has measured.
+    pub fn local_paces(&self, now: Instant) -> HashMap<key::Target, Pace> {
+        self.lock().paces.local(now)
+    }
+
+    /// Returns the paces that the VMs of the data centre have measured, given those of the peers.
+    pub fn summarize_paces(&self, readings: &Readings, now: Instant) -> HashMap<key::Target, Pace> {
+        self.lock().paces.summarize(readings, now)
+    }
+
+    /// Returns the spread of the factors of each service whose pace is measured.
+    pub fn pace_spreads(&self) -> Vec<Spread> {
+        self.lock().paces.spreads().collect()
     }
 
     /// Returns the number of live VMs, including this one.
@@ -431,11 +543,19 @@
         let _ = self.wakeups.recv().await;
     }
 
-    fn new_reservation(&self, run: RunId, basis: Basis, notifies_peers: bool) -> Reservation {
+    fn new_reservation(
+        &self,
+        (run, target): (RunId, key::Target),
+        basis: Basis,
+        chosen: Option<Instant>,
+        notifies_peers: bool,
+    ) -> Reservation {
         let reservation = Reservation {
             state: Arc::clone(&self.state),
             run,
+            target,
             basis,
+            chosen,
             notifier: self.notifier.clone(),
             notifies_peers,
         };
@@ -490,6 +610,37 @@
         self.notify();
     }
 
+    /// Measures the target's pace by the time to the first event of a request.
+    pub fn record_first_event(&self, prompt_tokens: u32, now: Instant) {
+        let Some(chosen) = self.chosen else {
+            return;
+        };
+        let load = self.basis.load;
+        let mut prefill = placement::prefill_time(load.pending_prefill + prompt_tokens);
+        if load.runs == 0 {
+            // An engine that decodes nothing meanwhile takes half the time.
+            prefill /= 2;
+        }
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state
+            .paces
+            .record_first_event(self.target, prefill, chosen, now);
+    }
+
+    /// Measures the target's pace by a delivery of tokens of its stream.
+    ///
+    /// `is_prompt` states whether the delivery was waited for and is a single event.
+    pub fn record_delivery(&self, window: &mut Window, tokens: u32, is_prompt: bool, now: Instant) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        if !state.paces.is_measured(self.target) {
+            return;
+        }
+        let step_ms = pace::step_ms(state.placement.load_on(self.target));
+        if let Some(ratio) = window.record(tokens, step_ms, is_prompt, now) {
+            state.paces.record_sample(self.target, ratio, now);
+        }
+    }
+
     /// Updates the number of tokens generated so far.
     pub fn set_tokens(&self, prompt: u32, tokens: u32) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/gateway/src/targets/path.rs
+++ b/crates/gateway/src/targets/path.rs
@@ -12,10 +12,10 @@
     dispatch::listing::Target,
     entry::runtime::with_timeout,
     futures_lite::{AsyncRead, AsyncWrite},
-    http_body_util::Full,
-    hyper::{Method, Request, StatusCode},
+    hyper::{Method, Request, StatusCode, body::Body},
     smol::net::TcpStream,
     std::{
+        convert::Infallible,
         io,
         net::{Ipv4Addr, SocketAddr},
         pin::Pin,
@@ -35,6 +35,8 @@
     pub attempt: &'a str,
     /// Whether the target may be leaving, as one that holds the run.
     pub may_leave: bool,
+    /// Whether the target may be cordoned, as for a call that moves a run away from it.
+    pub is_control: bool,
 }
 
 /// An open connection on which nothing has been sent.
@@ -93,7 +95,7 @@
         }
     }
     // Boxed, as most requests need no tunnel.
-    let tunnel = opener::open(shared, target, purpose.attempt, purpose.may_leave);
+    let tunnel = opener::open(shared, target, purpose);
     let (peer, tunnel) = Box::pin(tunnel).await?;
     Ok(path(Stream::Tunnel(Box::new(tunnel)), Some(peer)))
 }
@@ -103,11 +105,10 @@
     ///
     /// # Errors
     /// The request may have run.
-    pub async fn send(
-        self,
-        shared: &Arc<Shared>,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Answer, Failure> {
+    pub async fn send<B>(self, shared: &Arc<Shared>, request: Request<B>) -> Result<Answer, Failure>
+    where
+        B: Body<Data = Bytes, Error = Infallible> + Send + 'static,
+    {
         let result = shared.client.exchange(self.stream, request).await;
         if self.via.is_none() {
             match &result {
@@ -169,6 +170,7 @@
         let purpose = Purpose {
             attempt,
             may_leave: true,
+            is_control: true,
         };
         let path = open(shared, &target, purpose).await?;
         buffer(path.send(shared, request).await?).await
