fix(gateway): check the cordon where connections are opened

Found by reading the merged code, not seen by callers.

Cause: a copy at a target that is no longer listed did not count as cordoned, so a run could go on there; a cordon that came between the choice of a target and its connection was not seen. A response with an invalid configuration hid that the set of cordons must be read as a whole. A copy in a cordoned data centre that was replaced was never freed.

Change: opening a connection checks the name of the data centre before and after it connects, except for calls that copy runs. The check of the set comes before that of the configuration. Replaced copies are freed.

The tests of cordons, restores and the decoder pass; these orders of events have no tests of their own.

--- a/crates/gateway/src/clients/evacuation.rs
+++ b/crates/gateway/src/clients/evacuation.rs
@@ -203,13 +203,19 @@
             return;
         };
         if let Some(reservation) = reservation {
-            *copy = Some(Copy {
+            let replaced = copy.replace(Copy {
                 target: target.clone(),
                 reservation,
                 origin: source.address,
                 handle,
                 was_asked: false,
             });
+            // The engine before may stay, as one in a cordoned data centre does.
+            if let Some(replaced) = replaced {
+                let shared = Arc::clone(&exchange.shared);
+                let free = free_copy(Arc::clone(&shared), replaced);
+                shared.runtime.spawn(free).detach();
+            }
         } else if let Some(copy) = copy {
             copy.handle = handle;
         }
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -418,7 +418,7 @@
             if self.first_event_at.is_none() || now.since(self.last_probe) < MIN_PROBE_INTERVAL {
                 continue;
             }
-            if shared.directory.is_cordoned(target.key) {
+            if shared.cordon.contains(&target.data_centre) {
                 // No probe is sent there.
                 if now.since(self.last_received) < CUT_SILENCE_TIMEOUT {
                     continue;
@@ -618,7 +618,8 @@
     /// Returns whether there is a copy in a data centre that is not cordoned.
     fn has_usable_copy(&self) -> bool {
         let copy = self.source.copy.as_ref();
-        copy.is_some_and(|copy| !self.exchange.shared.directory.is_cordoned(copy.target.key))
+        let cordon = &self.exchange.shared.cordon;
+        copy.is_some_and(|copy| !cordon.contains(&copy.target.data_centre))
     }
 
     /// Returns whether the request is not one that engines are lost to.
@@ -732,7 +733,7 @@
         let Some(copy) = &mut self.source.copy else {
             return false;
         };
-        if shared.directory.is_cordoned(copy.target.key) {
+        if shared.cordon.contains(&copy.target.data_centre) {
             return false;
         }
         let is_repeated = std::mem::replace(&mut copy.was_asked, true);
--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -130,10 +130,11 @@
     if outcome == cordon::Outcome::Changed {
         reports::send_now(shared, true).await;
     }
-    let value = value.configuration?;
+    // Checked first: an invalid configuration must not keep a cordon from being read as a whole.
     if outcome == cordon::Outcome::Incomplete {
         return Err(Failure::Compacted);
     }
+    let value = value.configuration?;
     Ok(Versioned { position, value })
 }
 
--- a/crates/gateway/src/control/cordon.rs
+++ b/crates/gateway/src/control/cordon.rs
@@ -71,6 +71,18 @@
         self.lock().cordon.set().map(Set::position)
     }
 
+    /// Returns whether a data centre is cordoned.
+    ///
+    /// This also holds for targets that are no longer listed.
+    pub fn contains(&self, data_centre: &str) -> bool {
+        if !self.is_enabled {
+            return false;
+        }
+        let state = self.lock();
+        let set = state.cordon.set();
+        set.is_some_and(|set| set.names().contains(data_centre))
+    }
+
     /// Returns the names of the cordoned data centres.
     pub fn names(&self) -> BTreeSet<Box<str>> {
         let state = self.lock();
--- a/crates/gateway/src/targets/directory.rs
+++ b/crates/gateway/src/targets/directory.rs
@@ -59,11 +59,6 @@
         self.get(target).is_some_and(|target| target.is_usable())
     }
 
-    /// Returns whether a target is known and its data centre is cordoned.
-    pub fn is_cordoned(&self, target: key::Target) -> bool {
-        self.get(target).is_some_and(|target| target.is_cordoned)
-    }
-
     /// Returns whether a service has targets that stay, all of them in cordoned data centres.
     pub fn is_service_cordoned(&self, service: key::Service) -> bool {
         let targets = self.targets_of(service);
--- a/crates/gateway/src/targets/path.rs
+++ b/crates/gateway/src/targets/path.rs
@@ -84,9 +84,23 @@
         began,
         via,
     };
+    // Also after the target was connected, as that takes time.
+    let check = || {
+        let is_cordoned = !purpose.is_control && shared.cordon.contains(&target.data_centre);
+        let message = "the target's data centre is cordoned";
+        let failure = Failure {
+            is_local: true,
+            ..Failure::not_run(message)
+        };
+        (!is_cordoned).then_some(()).ok_or(failure)
+    };
+    check()?;
     if !shared.reach.needs_tunnel(target.key) {
         let failure = match shared.client.connect(target.address).await {
-            Ok(stream) => return Ok(path(Stream::Direct(stream), None)),
+            Ok(stream) => {
+                check()?;
+                return Ok(path(Stream::Direct(stream), None));
+            }
             Err(failure) => failure,
         };
         reach::record_unreached(shared, target, began);
@@ -97,6 +111,7 @@
     // Boxed, as most requests need no tunnel.
     let tunnel = opener::open(shared, target, purpose);
     let (peer, tunnel) = Box::pin(tunnel).await?;
+    check()?;
     Ok(path(Stream::Tunnel(Box::new(tunnel)), Some(peer)))
 }
 
