fix(dispatch): don't report slow or resumed engines as failing

Found by reading the merged code.

The expected time to the first event ignored the pace of the engine, and an engine on hardware that takes 2.4 times as long counted as failing. The factor of an engine that is sampled often decayed to 1 elsewhere, as its weight no longer grew. Sums of what peers report could overflow.

Change: the first event of each engine clears its due time; the expected time is multiplied by the engine's factor; a weight at its bound counts as sampled; sums saturate.

--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -21,11 +21,12 @@
 
 impl AddAssign for Load {
     fn add_assign(&mut self, rhs: Self) {
-        self.runs += rhs.runs;
-        self.peak_memory += rhs.peak_memory;
-        self.used_memory += rhs.used_memory;
-        self.pending_prefill += rhs.pending_prefill;
-        self.copy_memory += rhs.copy_memory;
+        // Peers may report any numbers.
+        self.runs = self.runs.saturating_add(rhs.runs);
+        self.peak_memory = self.peak_memory.saturating_add(rhs.peak_memory);
+        self.used_memory = self.used_memory.saturating_add(rhs.used_memory);
+        self.pending_prefill = self.pending_prefill.saturating_add(rhs.pending_prefill);
+        self.copy_memory = self.copy_memory.saturating_add(rhs.copy_memory);
     }
 }
 
--- a/crates/dispatch/src/pace.rs
+++ b/crates/dispatch/src/pace.rs
@@ -217,7 +217,11 @@
             .iter()
             .filter(|(_, received)| *received >= valid_from);
         let remote_weight = valid.map(|(pace, _)| pace.weight).sum();
-        if remote_weight > self.remote_weight {
+        // A weight that has reached its bound no longer grows with new samples.
+        let is_saturated = readings.iter().any(|(pace, received)| {
+            f64::from(pace.weight) >= MAX_WEIGHT && now.since(*received) < RESTART_DELAY
+        });
+        if remote_weight > self.remote_weight || is_saturated {
             self.sampled = now;
         }
         self.remote_weight = remote_weight;
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -448,9 +448,11 @@
 
 /// Tells peers that the engine doesn't answer once its response is overdue; never returns.
 async fn report_overdue<T>(exchange: &Exchange, source: &Source) -> T {
-    let load = &source.reservation().basis().load;
+    let basis = source.reservation().basis();
+    let load = &basis.load;
     let prompt_tokens = exchange.head.generation.unwrap_or_default().prompt_tokens;
-    Timer::after(overdue_delay(load.pending_prefill + prompt_tokens)).await;
+    let delay = overdue_delay(load.pending_prefill.saturating_add(prompt_tokens));
+    Timer::after(delay.mul_f64(basis.factor.max(1.0))).await;
     let shared = &exchange.shared;
     shared.dispatcher.notify_peers();
     shared.metrics.record_overdue();
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -498,6 +498,10 @@
             }
         }
         self.last_delivery = now;
+        if self.begun_at.is_none() {
+            // Also at an engine where the stream went on.
+            self.source.reservation.finish_prefill();
+        }
         let begun_at = *self.begun_at.get_or_insert(now);
         if now.since(begun_at) >= SURVIVAL_DELAY {
             self.record_survival();
@@ -505,7 +509,6 @@
         if self.first_event_at.is_none() {
             self.first_event_at = Some(now);
             self.exchange.record_release(&self.source.target.release);
-            self.source.reservation.finish_prefill();
             self.source.reservation.record_first_event(prompt, now);
             let route = &self.exchange.route.name;
             self.exchange
--- a/crates/gateway/src/targets/dispatcher.rs
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -177,7 +177,7 @@
         let is_request = query.load.runs > 0;
         if query.engine.is_some() && is_request {
             let pending_prefill = basis.load.pending_prefill + query.load.pending_prefill;
-            let due = now + overdue_delay(pending_prefill);
+            let due = now + overdue_delay(pending_prefill).mul_f64(basis.factor.max(1.0));
             state.placement.set_due(run, due);
         }
         let is_announced = is_request && state.limits.record_sent(target.key, now);
