--- a/crates/gateway/src/control/cordon.rs
+++ b/crates/gateway/src/control/cordon.rs
@@ -85,13 +85,7 @@
 
     /// Returns the names of the cordoned data centres.
     pub fn names(&self) -> BTreeSet<Box<str>> {
-        let state = self.lock();
-        state
-            .cordon
-            .set()
-            .map(Set::names)
-            .cloned()
-            .unwrap_or_default()
+        names(&self.lock())
     }
 
     /// Returns the set for the reports to peers.
