feat(status): show the state of a gateway

Cause: an operator could read a gateway's cordons, cold targets, paces and queues only as numbers in the metrics, without the names of data centres and targets, and `mastictrail status` worked for entry VMs alone. Change: the metrics listener serves `/status`: the version of the configuration, the cordoned data centres with the position of the store, cold targets with the remaining time, targets with a pace outside 0.8 to 1.25, and queued requests by service; 64 entries per list, those that stand out most, with the total. The listeners for the load balancer and for peers don't serve it. `mastictrail status` prints it; for another address it names the HTTP status or the connection error and says which address it needs, with exit code 1. It prints `none` for an empty list. The lists of probation and kept places are left out, as neither exists yet.

--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -1,4 +1,4 @@
-//! `status`: shows the state of one entry VM as it reports it.
+//! `status`: shows the state of one entry VM or gateway as it reports it.
 
 use {
     crate::{
@@ -13,26 +13,32 @@
     std::{net::SocketAddr, process::ExitCode, time::Duration},
 };
 
-const EXAMPLES: &str = "ADDRESS is the admin address in the settings of the VM.
+const EXAMPLES: &str = "ADDRESS is the admin address in the settings of an entry VM, or the metrics address of a gateway.
 
 Examples:
   mastictrail status 10.20.1.11:8082
+  mastictrail status 10.20.1.12:7201
   mastictrail status --json 10.20.1.11:8082";
 
 /// Longest wait for the response.
 const TIMEOUT: Duration = Duration::from_secs(5);
+/// Hint for a response that is no status.
+const WRONG_ADDRESS: &str =
+    "is this the admin address of an entry VM or the metrics address of a gateway?";
 /// Columns per level of indentation.
 const INDENT_COLUMNS: usize = 2;
 
 /// Defines the subcommand and its arguments.
 pub fn command() -> Command {
     Command::new("status")
-        .about("Shows the state of one entry VM: version, members, targets, queues")
+        .about("Shows the state of one entry VM or gateway: version, targets, queues")
         .after_help(EXAMPLES)
         .arg(
             Arg::new("address")
                 .value_name("ADDRESS")
-                .help("IP address and port of the VM's admin listener")
+                .help(
+                    "IP address and port of the admin listener, or of a gateway's metrics listener",
+                )
                 .required(true)
                 .value_parser(value_parser!(SocketAddr)),
         )
@@ -63,11 +69,15 @@
 }
 
 async fn fetch_status(address: SocketAddr) -> Result<Value, BoxError> {
-    let response = client::get(address, "/status").await?;
+    let response = client::get(address, "/status")
+        .await
+        .map_err(|error| format!("no response: {error}"))?;
     if response.status != StatusCode::OK {
-        return Err(format!("responded with HTTP status {}", response.status).into());
+        let status = response.status;
+        return Err(format!("responded with HTTP status {status}; {WRONG_ADDRESS}").into());
     }
-    Ok(serde_json::from_slice(&response.body)?)
+    let status = serde_json::from_slice(&response.body);
+    status.map_err(|error| format!("responded without JSON ({error}); {WRONG_ADDRESS}").into())
 }
 
 /// Appends the fields or items of a value as indented lines.
@@ -91,8 +101,9 @@
     text.push_str(&" ".repeat(depth * INDENT_COLUMNS));
     text.push_str(key);
     if output::is_flat(value) {
+        let inline = output::format_inline(value);
         text.push(' ');
-        text.push_str(&output::format_inline(value));
+        text.push_str(if inline.is_empty() { "none" } else { &inline });
         text.push('\n');
         return;
     }
--- a/crates/dispatch/src/cold.rs
+++ b/crates/dispatch/src/cold.rs
@@ -122,6 +122,14 @@
             || target.warm_up.remaining.is_none() && !self.is_settled(now)
     }
 
+    /// Returns the time for which a target is still expected to be cold; `None` if it isn't cold.
+    ///
+    /// It is zero for a target that is cold only until the peers are known.
+    pub fn remaining(&self, target: &Target, start: &ColdStart, now: Instant) -> Option<Duration> {
+        let end = target.warm_up.end(start.duration, now);
+        self.is_cold(target, start, now).then(|| end.since(now))
+    }
+
     /// Returns the time until this VM may send a request to a target; zero if it may now.
     pub fn delay(&mut self, target: &Target, start: &ColdStart, now: Instant) -> Duration {
         if !self.is_cold(target, start, now) {
--- a/crates/dispatch/src/pace.rs
+++ b/crates/dispatch/src/pace.rs
@@ -238,6 +238,15 @@
     }
 }
 
+/// Factors of one target, for operators.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Factors {
+    /// Time that work takes there now, relative to the median target.
+    pub current: f64,
+    /// Time that work takes there in the long run, relative to the median target.
+    pub usual: f64,
+}
+
 /// Factors of a service's targets, for operators.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Spread {
@@ -433,6 +442,14 @@
         self.targets.get(&target).map_or(1.0, |known| known.factor)
     }
 
+    /// Returns the factors of a target, for operators.
+    pub fn factors(&self, target: key::Target, now: Instant) -> Factors {
+        Factors {
+            current: self.factor(target, now),
+            usual: self.usual_factor(target),
+        }
+    }
+
     /// Returns this VM's measurements, for its reports.
     pub fn local(&self, now: Instant) -> HashMap<key::Target, Pace> {
         let targets = self.targets.iter();
--- a/crates/dispatch/src/waiting.rs
+++ b/crates/dispatch/src/waiting.rs
@@ -65,6 +65,17 @@
     pub deadline: Instant,
 }
 
+/// Number of requests that are queued for one service, for operators.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Count {
+    /// Service whose capacity they need.
+    pub service: key::Service,
+    /// Requests that are queued at this VM.
+    pub local: usize,
+    /// Requests that are queued at other VMs and have not timed out, as far as these report them.
+    pub remote: usize,
+}
+
 /// Demand for one service beyond this VM's queue.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Demand {
@@ -169,6 +180,26 @@
         }
     }
 
+    /// Returns the number of queued requests of each service that has any.
+    pub fn counts(&self, now: Instant) -> impl Iterator<Item = Count> {
+        let mut counts: HashMap<key::Service, (usize, usize)> = HashMap::new();
+        for (service, queue) in &self.by_service {
+            if !queue.positions.is_empty() {
+                counts.entry(*service).or_default().0 = queue.positions.len();
+            }
+        }
+        let remote = self.remote_waiters.iter();
+        for waiter in remote.filter(|waiter| waiter.deadline > now) {
+            counts.entry(waiter.service).or_default().1 += 1;
+        }
+        let counts = counts.into_iter();
+        counts.map(|(service, (local, remote))| Count {
+            service,
+            local,
+            remote,
+        })
+    }
+
     /// Returns the requests that are queued at this VM.
     pub fn local_waiters(&self) -> impl Iterator<Item = Waiter> {
         self.by_service.iter().flat_map(|(service, queue)| {
--- a/crates/dispatch/tests/waiting.rs
+++ b/crates/dispatch/tests/waiting.rs
@@ -268,3 +268,32 @@
         );
     }
 }
+
+/// A service whose requests wait at other VMs only is overloaded as well.
+#[test]
+fn queued_requests_are_counted_by_service_and_by_vm() {
+    let mut queues = Queues::default();
+    let other = key::Service::of("other");
+    let waiter = |deadline| Waiter {
+        service: other,
+        priority: 1,
+        arrived: at(0),
+        deadline: at(deadline),
+    };
+    queues.set_remote_waiters(vec![waiter(50), waiter(200), waiter(300)]);
+    let demand = Demand {
+        runs: 100,
+        ..Demand::default()
+    };
+    let position = queues.enqueue(service(), 1, at(0), at(1_000), demand);
+    let position = position.expect("capacity is expected in time");
+    let counts = |queues: &Queues| {
+        let counts = queues.counts(at(100));
+        let counts = counts.map(|count| (count.service, (count.local, count.remote)));
+        counts.collect::<HashMap<_, _>>()
+    };
+    let expected = HashMap::from([(service(), (1, 0)), (other, (0, 2))]);
+    assert_eq!(counts(&queues), expected);
+    queues.remove(service(), position);
+    assert_eq!(counts(&queues), HashMap::from([(other, (0, 2))]));
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -16,4 +16,5 @@
 pub mod quarantine;
 pub mod reach;
 pub mod reports;
+pub mod status;
 pub mod transfer;
--- a/crates/gateway/src/control/admin.rs
+++ b/crates/gateway/src/control/admin.rs
@@ -3,12 +3,19 @@
 use {
     crate::{
         Shared,
-        control::{origins, transfer},
+        control::{
+            origins,
+            status::{self, Report},
+            transfer,
+        },
     },
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
-        Method, Request, Response, StatusCode, body::Incoming, server::conn::http1,
+        Method, Request, Response, StatusCode,
+        body::Incoming,
+        header::{CONTENT_TYPE, HeaderValue},
+        server::conn::http1,
         service::service_fn,
     },
     smol::net::{TcpListener, TcpStream},
@@ -22,20 +29,31 @@
 
 /// Path of the metrics endpoint.
 pub const METRICS_PATH: &str = "/metrics";
+/// Media type of the status.
+const JSON_TYPE: HeaderValue = HeaderValue::from_static("application/json");
 /// Maximum idle time of a connection between two requests.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Delay after a failed `accept` call.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Who connects to an address; decides which endpoints it serves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Audience {
+    /// The load balancer or the other VMs.
+    Machines,
+    /// Operators, who also get the status.
+    Operators,
+}
+
 /// Serves the endpoints on one address until the process exits.
-pub async fn listen(shared: Arc<Shared>, listener: TcpListener) {
+pub async fn listen(shared: Arc<Shared>, listener: TcpListener, audience: Audience) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let connection_shared = Arc::clone(&shared);
                 shared
                     .runtime
-                    .spawn(serve(connection_shared, stream))
+                    .spawn(serve(connection_shared, stream, audience))
                     .detach();
             }
             Err(error) => {
@@ -46,7 +64,7 @@
     }
 }
 
-async fn serve(shared: Arc<Shared>, stream: TcpStream) {
+async fn serve(shared: Arc<Shared>, stream: TcpStream, audience: Audience) {
     // Held until the connection ends, when a configuration has been received by the peer.
     let place = Mutex::new(None);
     let service = service_fn(|request: Request<Incoming>| {
@@ -56,7 +74,7 @@
             *place.lock().unwrap_or_else(PoisonError::into_inner) = taken;
             response
         } else {
-            answer(&shared, &request)
+            answer(&shared, &request, audience)
         };
         async move { Ok::<_, Infallible>(response) }
     });
@@ -70,7 +88,15 @@
     }
 }
 
-fn answer(shared: &Shared, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+fn answer(
+    shared: &Shared,
+    request: &Request<Incoming>,
+    audience: Audience,
+) -> Response<Full<Bytes>> {
+    let is_status = request.method() == Method::GET && request.uri().path() == status::PATH;
+    if is_status && audience == Audience::Operators {
+        return status(shared);
+    }
     let (status, body) = match (request.method(), request.uri().path()) {
         (&Method::GET, platform::READINESS_PATH) if shared.is_ready() => {
             (StatusCode::OK, Bytes::new())
@@ -91,3 +117,18 @@
     *response.status_mut() = status;
     response
 }
+
+fn status(shared: &Shared) -> Response<Full<Bytes>> {
+    match serde_json::to_vec(&Report::collect(shared)) {
+        Ok(text) => {
+            let mut response = Response::new(Full::new(text.into()));
+            response.headers_mut().insert(CONTENT_TYPE, JSON_TYPE);
+            response
+        }
+        Err(error) => {
+            let mut response = Response::new(Full::new(error.to_string().into()));
+            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            response
+        }
+    }
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -5,7 +5,8 @@
         Shared,
         clients::{buffer::Budget, listener},
         control::{
-            admin, configuration,
+            admin::{self, Audience},
+            configuration,
             confirmation::Confirmation,
             cordon::Cordon,
             current::Current,
@@ -66,8 +67,12 @@
         let listen = settings.listen.clone();
         let clients = bind(listen.clients).await?;
         let mut admin_listeners = Vec::new();
-        for address in [listen.readiness, listen.control, listen.metrics] {
-            admin_listeners.push(bind(address).await?);
+        for (address, audience) in [
+            (listen.readiness, Audience::Machines),
+            (listen.control, Audience::Machines),
+            (listen.metrics, Audience::Operators),
+        ] {
+            admin_listeners.push((bind(address).await?, audience));
         }
         let tunnels = bind(listen.peers).await?;
         let store_address = settings.platform.address;
@@ -75,9 +80,9 @@
         shared.metrics.watch_log(log);
         let store = Arc::new(Store::new(store_address, Box::new(shared.client.clone())));
         let runtime = &shared.runtime;
-        for listener in admin_listeners {
+        for (listener, audience) in admin_listeners {
             runtime
-                .spawn(admin::listen(Arc::clone(&shared), listener))
+                .spawn(admin::listen(Arc::clone(&shared), listener, audience))
                 .detach();
         }
         runtime
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -180,7 +180,7 @@
     fn record(&self, shared: &Shared) {
         self.limited
             .record(shared.dispatcher.limited_targets() as u64, &[]);
-        self.cold.record(shared.cold_targets() as u64, &[]);
+        self.cold.record(shared.cold_targets().len() as u64, &[]);
         self.quarantined.record(shared.quarantine.len() as u64, &[]);
         self.cordoned
             .record(shared.cordon.names().len() as u64, &[]);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -15,9 +15,12 @@
     arc_swap::ArcSwap,
     base::{Clock, Instant},
     config::Gateway,
-    dispatch::Origins,
+    dispatch::{Origins, listing::Target},
     entry::runtime::Runtime,
-    std::sync::{Arc, Mutex, MutexGuard, PoisonError},
+    std::{
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
 };
 
 /// The components of a process; none refers to another, except that the client holds the runtime.
@@ -90,21 +93,22 @@
         }
     }
 
-    /// Returns the number of targets that are warming up.
-    pub fn cold_targets(&self) -> usize {
+    /// Returns the targets that are warming up, with the time for which they still are.
+    pub fn cold_targets(&self) -> Vec<(Target, Duration)> {
         let Some(current) = self.current.load() else {
-            return 0;
+            return Vec::new();
         };
         if !current.configuration.has_cold_starts() {
-            return 0;
+            return Vec::new();
         }
         let now = self.now();
         let targets = self.directory.all().into_iter();
-        let cold = targets.filter(|target| {
-            let start = current.configuration.cold_start(target.service);
-            start.is_some_and(|start| self.dispatcher.is_cold(target, &start, now))
+        let cold = targets.filter_map(|target| {
+            let start = current.configuration.cold_start(target.service)?;
+            let remaining = self.dispatcher.cold_remaining(&target, &start, now)?;
+            Some((target, remaining))
         });
-        cold.count()
+        cold.collect()
     }
 
     /// Returns whether the VM reports that it is ready for new connections.
--- a/crates/gateway/src/targets/dispatcher.rs
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -10,11 +10,11 @@
         configuration::ColdStart,
         listing::Target,
         load::{Occupancy, Pace},
-        pace::{self, Spread, Window},
+        pace::{self, Factors, Spread, Window},
         peers::Readings,
         placement::{self, Basis, Choice, Query, RunId, overdue_delay},
         report,
-        waiting::{Demand, Position, Queues, Waiter},
+        waiting::{Count, Demand, Position, Queues, Waiter},
     },
     rand::Rng,
     smol::channel::{Receiver, Sender, bounded},
@@ -310,9 +310,14 @@
         state.cold.forget_old_sends(now);
     }
 
-    /// Returns whether a target is warming up.
-    pub fn is_cold(&self, target: &Target, start: &ColdStart, now: Instant) -> bool {
-        self.lock().cold.is_cold(target, start, now)
+    /// Returns the time for which a target is still warming up; `None` if it isn't.
+    pub fn cold_remaining(
+        &self,
+        target: &Target,
+        start: &ColdStart,
+        now: Instant,
+    ) -> Option<Duration> {
+        self.lock().cold.remaining(target, start, now)
     }
 
     /// Replaces the other VMs among which the requests to cold targets are divided.
@@ -449,6 +454,11 @@
         self.lock().queues.local_waiters().collect()
     }
 
+    /// Returns the number of queued requests of each service that has any.
+    pub fn queued_counts(&self, now: Instant) -> Vec<Count> {
+        self.lock().queues.counts(now).collect()
+    }
+
     /// Records the duration of a completed run at a target, as it would be at the median one.
     pub fn record_run(&self, service: key::Service, target: key::Target, time: Duration) {
         let mut state = self.lock();
@@ -478,6 +488,15 @@
         self.lock().paces.spreads().collect()
     }
 
+    /// Returns the factors of targets, in their order.
+    pub fn factors(&self, targets: &[Target], now: Instant) -> Vec<Factors> {
+        let state = self.lock();
+        let factors = targets
+            .iter()
+            .map(|target| state.paces.factors(target.key, now));
+        factors.collect()
+    }
+
     /// Returns the number of live VMs, including this one.
     pub fn live_vms(&self) -> usize {
         self.live_vms.load(Ordering::Relaxed)
