feat(dispatch): keep the places of rejected clients

Cause: a burst of 2.5 times the drafts leaves an excess that no engine has memory for. Change: a VM keeps the places of the clients that it rejects and tells the VMs of its data centre. A client that comes back at its time may wait for longer. The wait is estimated from the runs in progress and from the queues that are known.

--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -89,6 +89,9 @@
     pub source: Option<Ipv4Addr>,
 }
 
+/// Maximum of `kept_places`: a place takes 40 bytes, and each arrival may look at all of them.
+const MAX_KEPT_PLACES: u32 = 4_096;
+
 /// `[limits]`: resource limits of the process.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -100,6 +103,8 @@
     pub link_mbps: f64,
     /// Memory that the process may use in MB of 2^20 bytes; 0 if it is not known.
     pub memory_mb: f64,
+    /// Number of rejected requests whose clients keep a place for their return; 0 for none.
+    pub kept_places: u32,
 }
 
 impl Default for Limits {
@@ -109,6 +114,7 @@
             connect_timeout: Duration::from_millis(250),
             link_mbps: 0.0,
             memory_mb: 0.0,
+            kept_places: 0,
         }
     }
 }
@@ -267,6 +273,7 @@
         );
         reader.update("link_mbps", &mut self.link_mbps, optional_amount);
         reader.update("memory_mb", &mut self.memory_mb, optional_amount);
+        reader.update("kept_places", &mut self.kept_places, optional_count);
     }
 }
 
@@ -309,6 +316,17 @@
     amount(value)
 }
 
+/// Parses a number of places; without a value, it is 0.
+fn optional_count(value: &str) -> Result<u32, &'static str> {
+    if value.is_empty() {
+        return Ok(0);
+    }
+    let count = value.parse().ok();
+    count
+        .filter(|count| *count <= MAX_KEPT_PLACES)
+        .ok_or("a whole number from 0 to 4096")
+}
+
 fn amount(value: &str) -> Result<f64, &'static str> {
     let number = value.parse::<f64>().ok();
     number
--- a/crates/config/tests/gateway.rs
+++ b/crates/config/tests/gateway.rs
@@ -7,7 +7,7 @@
     clients = 10.1.0.19:8740\nreadiness = 10.1.0.19:8749\ncontrol = 10.1.0.19:8748\n\
     peers = 10.1.0.19:7200\nmetrics = 10.1.0.19:7201\n\n[platform]\naddress = 10.200.1.7:8742\n\
     history = 20s\n\n\
-    [peers]\nseeds = 10.1.0.19:8748,10.2.0.13:8748\n\n[limits]\nthreads = 1\nlink_mbps = 10.0\nmemory_mb = 96\n\n\
+    [peers]\nseeds = 10.1.0.19:8748,10.2.0.13:8748\n\n[limits]\nthreads = 1\nlink_mbps = 10.0\nmemory_mb = 96\nkept_places = 256\n\n\
     [promises]\ngrace = 8s\nretry_ratio = 0.2\nretry_extra = 122\nretry_window = 10s\ncordon = 5000ms\n";
 
 fn faults(text: &str) -> Vec<String> {
@@ -67,13 +67,31 @@
     assert_eq!(faults(&text), ["limits memory_mb: `much` is not permitted"]);
 }
 
+/// Most deployments keep no places, so the template renders nothing or an empty line.
+#[test]
+fn a_deployment_without_kept_places_is_valid() {
+    let settings = gateway::parse("gateway.ini", RENDERED).unwrap();
+    assert_eq!(settings.limits.kept_places, 256);
+    for text in ["", "kept_places =", "kept_places = 0"] {
+        let text = RENDERED.replace("kept_places = 256", text);
+        let settings = gateway::parse("gateway.ini", &text).unwrap();
+        assert_eq!(settings.limits.kept_places, 0);
+    }
+    for value in ["-1", "4097", "many"] {
+        let text = RENDERED.replace("kept_places = 256", &format!("kept_places = {value}"));
+        let message = format!("limits kept_places: `{value}` is not permitted");
+        assert_eq!(faults(&text), [message]);
+    }
+}
+
 #[test]
 fn template_has_the_keys_of_the_rendered_text() {
-    let template = include_str!("../../../deploy/gateway.ini");
+    let mut template = include_str!("../../../deploy/gateway.ini").to_owned();
     // A section of the template is rendered if its value is present.
-    let section = "Bounds.EvacuateMs";
-    let template = template.replace(&format!("{{{{#{section}}}}}"), "");
-    let template = template.replace(&format!("{{{{/{section}}}}}"), "");
+    for section in ["Bounds.EvacuateMs", "Bounds.ColdSlack"] {
+        template = template.replace(&format!("{{{{#{section}}}}}"), "");
+        template = template.replace(&format!("{{{{/{section}}}}}"), "");
+    }
     let keys = |text: &str| -> Vec<String> {
         let lines = text
             .lines()
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -7,6 +7,7 @@
         listing,
         load::Pace,
         origin,
+        returning::{Place, Places},
         revision::{Position, State},
         waiting::Waiter,
     },
@@ -33,6 +34,10 @@
 const MAX_FAILING: usize = 64;
 /// Maximum number of queued requests in a report.
 const MAX_QUEUED: usize = 16;
+/// Maximum number of places in a report.
+const MAX_PLACES: usize = 32;
+/// Longest time that a client of a place may have left, in milliseconds; no route permits an hour.
+const MAX_REMAINING_MS: u32 = 3_600_000;
 /// Maximum number of targets without load in a report whose pace the sender has measured.
 const MAX_UNLOADED_PACES: usize = 16;
 
@@ -199,6 +204,54 @@
     /// Cordoned data centres; absent if the sender doesn't know or need them.
     #[prost(message, optional, tag = "19")]
     pub cordon: Option<Cordon>,
+    /// Places of requests that the sender rejected, the newest ones.
+    #[prost(message, repeated, tag = "20")]
+    pub places: Vec<KeptPlace>,
+}
+
+/// A [`Place`]; ages replace times, as the VMs' clocks differ.
+#[derive(Clone, Copy, Eq, PartialEq, prost::Message)]
+pub struct KeptPlace {
+    /// Fingerprint of the request.
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    /// Milliseconds since the client sent it for the first time.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+    /// Milliseconds until the client stops waiting.
+    #[prost(uint32, tag = "3")]
+    pub remaining_ms: u32,
+    /// Milliseconds until the client may return.
+    #[prost(uint32, tag = "4")]
+    pub return_ms: u32,
+}
+
+impl KeptPlace {
+    /// Encodes the newest places of requests that this VM rejected.
+    pub fn newest(places: &Places, now: Instant) -> Vec<Self> {
+        let places = places.local(MAX_PLACES, now).map(|place| Self {
+            fingerprint: place.fingerprint.raw(),
+            age_ms: now.since(place.arrived).as_millis() as u32,
+            remaining_ms: place.deadline.since(now).as_millis() as u32,
+            return_ms: place.returns.since(now).as_millis() as u32,
+        });
+        places.collect()
+    }
+
+    /// Decodes the place with times on the clock of the VM that received it at `received`.
+    ///
+    /// A place whose times don't fit together is ignored.
+    pub fn to_place(&self, received: Instant) -> Option<Place> {
+        let age_micros = u64::from(self.age_ms) * 1_000;
+        (self.return_ms <= self.remaining_ms && self.remaining_ms <= MAX_REMAINING_MS).then(|| {
+            Place {
+                fingerprint: key::Fingerprint::from_raw(self.fingerprint),
+                arrived: Instant::from_micros(received.as_micros().saturating_sub(age_micros)),
+                deadline: received + Duration::from_millis(self.remaining_ms.into()),
+                returns: received + Duration::from_millis(self.return_ms.into()),
+            }
+        })
+    }
 }
 
 /// The cordoned data centres as of a position of the store.
@@ -297,19 +350,23 @@
     /// Milliseconds until it stops waiting.
     #[prost(uint32, tag = "5")]
     pub remaining_ms: u32,
+    /// Milliseconds until its turn, for which later requests go first; 0 once it has come.
+    #[prost(uint32, tag = "6")]
+    pub turn_ms: u32,
 }
 
 impl QueuedRequest {
     /// Encodes the requests that are served first, as many as fit in a report.
     pub fn most_urgent(waiters: impl Iterator<Item = Waiter>, now: Instant) -> Vec<Self> {
         let mut waiters: Vec<_> = waiters.collect();
-        waiters.sort_unstable_by_key(|waiter| (waiter.priority, waiter.arrived));
+        waiters.sort_unstable_by_key(|waiter| (waiter.priority, waiter.turn));
         let first = waiters.into_iter().take(MAX_QUEUED);
         let queued = first.map(|waiter| Self {
             service: waiter.service.raw(),
             priority: waiter.priority,
-            age_ms: now.since(waiter.arrived).as_millis() as u32,
+            age_ms: now.since(waiter.turn).as_millis() as u32,
             remaining_ms: waiter.deadline.since(now).as_millis() as u32,
+            turn_ms: waiter.turn.since(now).as_millis() as u32,
         });
         queued.collect()
     }
@@ -320,7 +377,8 @@
         Waiter {
             service: key::Service::from_raw(self.service),
             priority: self.priority,
-            arrived: Instant::from_micros(received.as_micros().saturating_sub(age_micros)),
+            turn: Instant::from_micros(received.as_micros().saturating_sub(age_micros))
+                + Duration::from_millis(self.turn_ms.into()),
             deadline: received + Duration::from_millis(self.remaining_ms.into()),
         }
     }
--- a/crates/dispatch/src/waiting.rs
+++ b/crates/dispatch/src/waiting.rs
@@ -27,11 +27,11 @@
 /// Lower bound of all retry delays.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// A position in a queue, ordered by priority and then by arrival.
+/// A position in a queue, ordered by priority and then by turn.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Position {
     priority: u32,
-    arrived: Instant,
+    turn: Instant,
     sequence: u64,
 }
 
@@ -41,6 +41,32 @@
     /// Deadline of each position.
     positions: BTreeMap<Position, Instant>,
     mean_run_duration: Duration,
+    /// Moving average of the squares of the durations, in seconds squared.
+    mean_square: f64,
+}
+
+impl Queue {
+    /// Returns the mean duration of the runs that are in progress at a moment.
+    ///
+    /// Most of these are long ones, as short ones are over soon.
+    fn mean_duration_in_progress(&self) -> Duration {
+        let mean = self.mean_run_duration.as_secs_f64();
+        Duration::from_secs_f64(self.mean_square / mean.max(1e-3))
+    }
+
+    /// Returns the expected time until a request with `before` others ahead at this VM gets capacity.
+    ///
+    /// Each run that ends frees capacity for one request, and the VMs' queues advance in parallel.
+    fn expected_wait(&self, before: usize, demand: Demand) -> Duration {
+        let ahead = before as f64 + f64::from(demand.remote_waiters) + 0.5;
+        let runs = f64::from(demand.runs.max(1));
+        let duration = if demand.counts_in_progress {
+            self.mean_duration_in_progress()
+        } else {
+            self.mean_run_duration
+        };
+        duration.mul_f64(ahead / runs)
+    }
 }
 
 impl Default for Queue {
@@ -48,6 +74,7 @@
         Self {
             positions: BTreeMap::new(),
             mean_run_duration: RUN_DURATION_PRIOR,
+            mean_square: RUN_DURATION_PRIOR.as_secs_f64().powi(2),
         }
     }
 }
@@ -59,8 +86,9 @@
     pub service: key::Service,
     /// Rank; 0 is served first.
     pub priority: u32,
-    /// Time of its arrival.
-    pub arrived: Instant,
+    /// Time of its arrival; that of a returning client's request is later by the time for which others
+    /// go first.
+    pub turn: Instant,
     /// Time at which it stops waiting.
     pub deadline: Instant,
 }
@@ -76,13 +104,52 @@
     pub remote: usize,
 }
 
+/// A request that arrives at this VM.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    /// Rank; 0 is served first.
+    priority: u32,
+    at: Instant,
+    /// Time of the arrivals among which it is ordered.
+    turn: Instant,
+}
+
+impl Arrival {
+    /// Creates the arrival of a new request.
+    pub fn new(priority: u32, now: Instant) -> Self {
+        Self {
+            priority,
+            at: now,
+            turn: now,
+        }
+    }
+
+    /// Lets requests that arrive before `turn` go first.
+    #[must_use]
+    pub fn with_turn(self, turn: Instant) -> Self {
+        Self { turn, ..self }
+    }
+
+    /// Returns the position after all that are queued by now and go first.
+    fn last(self) -> Position {
+        Position {
+            priority: self.priority,
+            turn: self.turn,
+            sequence: u64::MAX,
+        }
+    }
+}
+
 /// Demand for one service beyond this VM's queue.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Demand {
     /// Runs on the service's targets, of all VMs.
     pub runs: u32,
-    /// Requests that are queued at other VMs.
+    /// Requests that are queued at other VMs; with `counts_in_progress` only those that go first.
     pub remote_waiters: u32,
+    /// Whether the wait is estimated from the runs that are in progress rather than from those that
+    /// have ended.
+    pub counts_in_progress: bool,
 }
 
 /// The queues of one VM, one per service.
@@ -102,21 +169,24 @@
     pub fn enqueue(
         &mut self,
         service: key::Service,
-        priority: u32,
-        now: Instant,
+        arrival: Arrival,
         deadline: Instant,
         demand: Demand,
     ) -> Result<Position, Duration> {
         let queue = self.by_service.entry(service).or_default();
         let position = Position {
-            priority,
-            arrived: now,
+            priority: arrival.priority,
+            turn: arrival.turn,
             sequence: self.next_sequence,
         };
         let before = queue.positions.range(..position).count();
-        let expected = expected_wait(queue.mean_run_duration, before, demand);
-        if now + expected > deadline {
-            return Err(expected.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY));
+        let expected = queue.expected_wait(before, demand);
+        if arrival.at + expected > deadline {
+            return Err(if demand.counts_in_progress {
+                expected.max(MIN_RETRY_DELAY)
+            } else {
+                expected.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY)
+            });
         }
         self.next_sequence += 1;
         queue.positions.insert(position, deadline);
@@ -136,6 +206,11 @@
             .count() as u32
     }
 
+    /// Returns the number of requests that are queued at other VMs and go before one that arrives.
+    pub fn remote_ahead(&self, service: key::Service, arrival: Arrival) -> u32 {
+        self.remote_before(service, arrival.last(), arrival.at) as u32
+    }
+
     /// Returns the number of requests of this VM that go before a position.
     pub fn ahead_locally(&self, service: key::Service, position: Position) -> usize {
         let queue = self.by_service.get(&service);
@@ -144,23 +219,35 @@
 
     /// Returns the number of requests of all VMs that go before a position.
     pub fn ahead(&self, service: key::Service, position: Position, now: Instant) -> usize {
+        self.ahead_locally(service, position) + self.remote_before(service, position, now)
+    }
+
+    fn remote_before(&self, service: key::Service, position: Position, now: Instant) -> usize {
         let goes_first = |waiter: &&Waiter| {
             waiter.service == service
                 && waiter.deadline > now
-                && (waiter.priority, waiter.arrived) < (position.priority, position.arrived)
+                && (waiter.priority, waiter.turn) < (position.priority, position.turn)
         };
-        self.ahead_locally(service, position)
-            + self.remote_waiters.iter().filter(goes_first).count()
+        self.remote_waiters.iter().filter(goes_first).count()
     }
 
-    /// Returns the number of requests of all VMs that go before one that arrives now.
-    pub fn ahead_of_arrival(&self, service: key::Service, priority: u32, now: Instant) -> usize {
-        let newest = Position {
-            priority,
-            arrived: now,
-            sequence: u64::MAX,
-        };
-        self.ahead(service, newest, now)
+    /// Returns the number of requests of all VMs that go before one that arrives.
+    pub fn ahead_of_arrival(&self, service: key::Service, arrival: Arrival) -> usize {
+        self.ahead(service, arrival.last(), arrival.at)
+    }
+
+    /// Returns the expected time until a request that arrives gets capacity.
+    pub fn expected_wait(
+        &self,
+        service: key::Service,
+        arrival: Arrival,
+        demand: Demand,
+    ) -> Duration {
+        let queue = self.by_service.get(&service);
+        queue.map_or(Duration::ZERO, |queue| {
+            let before = queue.positions.range(..arrival.last()).count();
+            queue.expected_wait(before, demand)
+        })
     }
 
     /// Returns the retry delay for a request that timed out in the queue.
@@ -206,7 +293,7 @@
             queue.positions.iter().map(|(position, deadline)| Waiter {
                 service: *service,
                 priority: position.priority,
-                arrived: position.arrived,
+                turn: position.turn,
                 deadline: *deadline,
             })
         })
@@ -216,16 +303,9 @@
     pub fn record_run_time(&mut self, service: key::Service, time: Duration) {
         let queue = self.by_service.entry(service).or_default();
         let mean = queue.mean_run_duration.as_secs_f64();
+        let seconds = time.as_secs_f64();
         queue.mean_run_duration =
-            Duration::from_secs_f64(mean + RUN_SAMPLE_WEIGHT * (time.as_secs_f64() - mean));
+            Duration::from_secs_f64(mean + RUN_SAMPLE_WEIGHT * (seconds - mean));
+        queue.mean_square += RUN_SAMPLE_WEIGHT * (seconds.powi(2) - queue.mean_square);
     }
 }
-
-/// Returns the expected time until a request with `before` others ahead at this VM gets capacity.
-///
-/// Each run that ends frees capacity for one request, and the VMs' queues advance in parallel.
-fn expected_wait(mean_run_duration: Duration, before: usize, demand: Demand) -> Duration {
-    let ahead = before as f64 + f64::from(demand.remote_waiters) + 0.5;
-    let runs = f64::from(demand.runs.max(1));
-    mean_run_duration.mul_f64(ahead / runs)
-}
--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -414,7 +414,7 @@
     let waiter = |arrived, end| Waiter {
         service,
         priority: 1,
-        arrived: at(arrived),
+        turn: at(arrived),
         deadline: at(end),
     };
     let waiters = [waiter(100, 900), waiter(50, 400)].into_iter();
@@ -426,7 +426,7 @@
     // The clocks of the VMs differ, so reports contain ages and remaining times.
     peers.receive_report(queued, OWN, at(5_200));
     let mut known = peers.waiters(None, at(5_200));
-    known.sort_by_key(|waiter| waiter.arrived);
+    known.sort_by_key(|waiter| waiter.turn);
     assert_eq!(known, [waiter(5_050, 5_400), waiter(5_100, 5_900)]);
     assert_eq!(peers.waiters(None, at(5_500)).len(), 1);
     assert_eq!(peers.waiters(Some(9), at(5_200)).len(), 0);
--- a/crates/dispatch/tests/waiting.rs
+++ b/crates/dispatch/tests/waiting.rs
@@ -7,7 +7,7 @@
         configuration::Engine,
         listing::{Target, WarmUp},
         placement::{Query, prefill_tokens},
-        waiting::{Demand, Position, Waiter},
+        waiting::{Arrival, Demand, Position, Waiter},
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{collections::HashMap, time::Duration},
@@ -69,8 +69,14 @@
             let demand = Demand {
                 runs: running.len() as u32,
                 remote_waiters: 0,
+                ..Demand::default()
             };
-            match queues.enqueue(service(), 0, at(now), at(now) + MAX_WAIT, demand) {
+            match queues.enqueue(
+                service(),
+                Arrival::new(0, at(now)),
+                at(now) + MAX_WAIT,
+                demand,
+            ) {
                 Ok(position) => queue.push((now, position)),
                 Err(delay) => {
                     outcome.rejected += 1;
@@ -110,10 +116,16 @@
     let demand = Demand {
         runs: 100,
         remote_waiters: 0,
+        ..Demand::default()
     };
     let mut enqueue = |priority, now| {
         queues
-            .enqueue(service(), priority, at(now), at(now + 60_000), demand)
+            .enqueue(
+                service(),
+                Arrival::new(priority, at(now)),
+                at(now + 60_000),
+                demand,
+            )
             .expect("admitted")
     };
     let less_urgent = enqueue(1, 0);
@@ -132,10 +144,11 @@
     let demand = |others| Demand {
         runs: 10,
         remote_waiters: others,
+        ..Demand::default()
     };
-    let alone = queues.enqueue(service(), 0, at(0), at(1_000), demand(0));
+    let alone = queues.enqueue(service(), Arrival::new(0, at(0)), at(1_000), demand(0));
     queues.remove(service(), alone.expect("admitted"));
-    let rejected = queues.enqueue(service(), 0, at(0), at(1_000), demand(5));
+    let rejected = queues.enqueue(service(), Arrival::new(0, at(0)), at(1_000), demand(5));
     assert!(rejected.is_err_and(|delay| delay > Duration::from_secs(1)));
 }
 
@@ -189,13 +202,14 @@
     let demand = Demand {
         runs: 100,
         remote_waiters: 0,
+        ..Demand::default()
     };
     let mut vms: Vec<_> = (0..VMS)
         .map(|vm| {
             let arrived = random.random_range(0..500);
             let mut queues = Queues::default();
             let end = at(arrived) + MAX_WAIT;
-            let position = queues.enqueue(service(), 1, at(arrived), end, demand);
+            let position = queues.enqueue(service(), Arrival::new(1, at(arrived)), end, demand);
             Vm {
                 placement: Placement::new(seed + vm),
                 queues,
@@ -225,7 +239,7 @@
                     waiters.push(Waiter {
                         service: service(),
                         priority: 1,
-                        arrived: at(arrived),
+                        turn: at(arrived),
                         deadline: at(arrived) + MAX_WAIT,
                     });
                 }
@@ -277,7 +291,7 @@
     let waiter = |deadline| Waiter {
         service: other,
         priority: 1,
-        arrived: at(0),
+        turn: at(0),
         deadline: at(deadline),
     };
     queues.set_remote_waiters(vec![waiter(50), waiter(200), waiter(300)]);
@@ -285,7 +299,7 @@
         runs: 100,
         ..Demand::default()
     };
-    let position = queues.enqueue(service(), 1, at(0), at(1_000), demand);
+    let position = queues.enqueue(service(), Arrival::new(1, at(0)), at(1_000), demand);
     let position = position.expect("capacity is expected in time");
     let counts = |queues: &Queues| {
         let counts = queues.counts(at(100));
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -24,6 +24,8 @@
         configuration::{Engine, RetryPolicy},
         listing::Target,
         placement::{Query, overdue_delay, prefill_time, prefill_tokens},
+        returning::{self, Place},
+        waiting::Arrival,
     },
     futures_util::stream,
     http_body_util::{BodyExt, StreamBody},
@@ -51,6 +53,10 @@
 const PREFILL_SHARE: f64 = 0.85;
 /// Retry delay sent when no engine has capacity: roughly how often an engine completes a request.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Minimum time without an event after which clients leave.
+const MIN_CLIENT_PATIENCE: Duration = Duration::from_secs(2);
+/// Time without an event after which clients leave, in latency objectives.
+const CLIENT_PATIENCE: u32 = 4;
 /// Estimated output length above which a run's KV cache is copied to a second engine.
 ///
 /// Shorter runs are restarted instead.
@@ -67,6 +73,10 @@
     pub estimated_tokens: u32,
     /// Estimated duration at engines that are as fast as they should be.
     pub duration: Duration,
+    /// Time by which the request should have its first event.
+    pub first_event_deadline: Instant,
+    /// When the client sent the request for the first time.
+    pub first_arrived: Instant,
 }
 
 impl Plan {
@@ -172,6 +182,21 @@
 fn plan(exchange: &Exchange) -> Plan {
     let dispatcher = &exchange.shared.dispatcher;
     let route = &exchange.route;
+    let place = dispatcher.take_place(exchange.fingerprint, exchange.deadline, exchange.arrived);
+    let first_event_deadline = match place {
+        Some(place) => {
+            log::info!(
+                target: "returned", request:% = exchange.head.attempt_id, route:% = route.name,
+                age_ms = exchange.arrived.since(place.arrived).as_millis() as u64,
+                late_ms = exchange.arrived.since(place.returns).as_millis() as u64;
+                "a client came back to its place after a rejection"
+            );
+            exchange.shared.metrics.record_return();
+            let patience = client_patience(route.latency_objective).mul_f64(PREFILL_SHARE);
+            returning::first_event_deadline(exchange.arrived, exchange.deadline, patience)
+        }
+        None => exchange.arrived + route.latency_objective.mul_f64(PREFILL_SHARE),
+    };
     let generation = exchange.head.generation.unwrap_or_default();
     let service = exchange.published.configuration.service(exchange.service);
     let estimated_tokens = dispatcher.estimate_tokens(&route.name, &generation);
@@ -185,7 +210,47 @@
         generation,
         estimated_tokens,
         duration: route.latency_objective + TOKEN_INTERVAL * expected_tokens,
+        first_event_deadline,
+        first_arrived: place.map_or(exchange.arrived, |place| place.arrived),
+    }
+}
+
+/// Returns the time without an event after which clients give up.
+pub fn client_patience(latency_objective: Duration) -> Duration {
+    MIN_CLIENT_PATIENCE.max(latency_objective * CLIENT_PATIENCE)
+}
+
+/// Rejects a request that there is no capacity for, and keeps its place if its client may return.
+fn reject(exchange: &Exchange, plan: &Plan, refusal: Refusal, delay: Duration) -> Refusal {
+    let dispatcher = &exchange.shared.dispatcher;
+    if !dispatcher.keeps_places() {
+        return refusal.retry_after(delay);
     }
+    let now = exchange.shared.now();
+    let delay = returning::return_delay(delay, exchange.deadline.since(now));
+    let place = Place {
+        fingerprint: exchange.fingerprint,
+        arrived: plan.first_arrived,
+        deadline: exchange.deadline,
+        returns: now + delay,
+    };
+    dispatcher.keep_place(place, now);
+    refusal.retry_after(delay)
+}
+
+/// Returns the targets whose runs make room for requests that wait at this VM.
+///
+/// In a large fleet, requests that wait in other data centres are not known, so the runs there are
+/// left to these.
+fn targets_with_known_queues(exchange: &Exchange) -> Vec<Target> {
+    let shared = &exchange.shared;
+    let mut targets = shared.directory.targets_of(exchange.service).to_vec();
+    let dispatcher = &shared.dispatcher;
+    if dispatcher.keeps_places() && dispatcher.live_vms() > reports::MAX_FULL_MESH_VMS {
+        let settings = shared.settings.load();
+        targets.retain(|target| target.data_centre == settings.vm.data_centre);
+    }
+    targets
 }
 
 /// Queues the request until an engine has capacity or the objective can no longer be met.
@@ -201,15 +266,24 @@
     let shared = &exchange.shared;
     let service = exchange.service;
     exchange.check_cordon()?;
-    let priority = exchange.route.priority;
     let now = shared.now();
-    let ahead = shared.dispatcher.ahead_of_arrival(service, priority, now);
+    let prefill = prefill_time(plan.generation.prompt_tokens);
+    // The request's own prefill must be over by the time its first event is due.
+    let wait_deadline = exchange.arrived
+        + plan
+            .first_event_deadline
+            .since(exchange.arrived)
+            .saturating_sub(prefill);
+    let usual_wait = exchange.route.latency_objective.mul_f64(PREFILL_SHARE);
+    let turn = now
+        + plan
+            .first_event_deadline
+            .since(exchange.arrived + usual_wait);
+    let arrival = Arrival::new(exchange.route.priority, now).with_turn(turn);
+    let ahead = shared.dispatcher.ahead_of_arrival(service, arrival);
     if let Some(reserved) = reserve(exchange, plan, excluded, ahead, now) {
         return Ok(reserved);
     }
-    let prefill_budget = exchange.route.latency_objective.mul_f64(PREFILL_SHARE);
-    let prefill_budget = prefill_budget.saturating_sub(prefill_time(plan.generation.prompt_tokens));
-    let wait_deadline = exchange.arrived + prefill_budget;
     let targets = shared.directory.targets_of(service);
     if let Some(delay) = shared
         .dispatcher
@@ -217,14 +291,17 @@
         && now + delay > wait_deadline
     {
         let message = "all engines get as many requests as they take";
-        return Err(Refusal::not_run(Reason::Overloaded, message).retry_after(delay));
+        let refusal = Refusal::not_run(Reason::Overloaded, message);
+        return Err(reject(exchange, plan, refusal, delay));
     }
+    let targets = targets_with_known_queues(exchange);
     let entry = shared
         .dispatcher
-        .enqueue(service, priority, now, wait_deadline, &targets);
+        .enqueue(service, arrival, wait_deadline, &targets, now);
     let entry = entry.map_err(|delay| {
         let message = "no engine is expected to have room within the objective";
-        Refusal::not_run(Reason::Overloaded, message).retry_after(delay)
+        let refusal = Refusal::not_run(Reason::Overloaded, message);
+        reject(exchange, plan, refusal, delay)
     })?;
     loop {
         let now = shared.now();
@@ -236,8 +313,15 @@
         }
         exchange.check_cordon()?;
         if now >= wait_deadline || exchange.outlasts_drain(plan.duration) {
-            let delay = shared.dispatcher.retry_delay(service);
-            return Err(Refusal::not_run(Reason::NoTarget, "no engine had room").retry_after(delay));
+            let targets = targets_with_known_queues(exchange);
+            let delay = shared.dispatcher.retry_delay(
+                service,
+                Arrival::new(exchange.route.priority, now),
+                &targets,
+                now,
+            );
+            let refusal = Refusal::not_run(Reason::NoTarget, "no engine had room");
+            return Err(reject(exchange, plan, refusal, delay));
         }
         Timer::after(CAPACITY_POLL_INTERVAL).await;
     }
@@ -276,9 +360,13 @@
 
 /// Returns how many prompt tokens an engine may process ahead of this request without delaying its
 /// first event beyond the objective.
+///
+/// A returning request may wait for longer, but not at an engine: what awaits prefill there is lost if
+/// the engine leaves.
 fn max_pending_prefill(exchange: &Exchange, plan: &Plan, now: Instant) -> u32 {
-    let deadline = exchange.arrived + exchange.route.latency_objective.mul_f64(PREFILL_SHARE);
-    prefill_tokens(deadline.since(now)).saturating_sub(plan.generation.prompt_tokens)
+    let usual = exchange.route.latency_objective.mul_f64(PREFILL_SHARE);
+    let time = plan.first_event_deadline.since(now).min(usual);
+    prefill_tokens(time).saturating_sub(plan.generation.prompt_tokens)
 }
 
 /// Reserves capacity for a copy of a run, if the run is long enough to be copied.
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -11,7 +11,7 @@
             answer::BodyError,
             evacuation::Evacuation,
             exchange::Exchange,
-            generation::{Item, Plan, reserve_continuation, reserve_copy},
+            generation::{Item, Plan, client_patience, reserve_continuation, reserve_copy},
         },
         metrics::Outcome,
         targets::{
@@ -68,10 +68,6 @@
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Upper bound of the delay.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
-/// Minimum time without an event after which clients leave.
-const MIN_CLIENT_PATIENCE: Duration = Duration::from_secs(2);
-/// Time without an event after which clients leave, in latency objectives.
-const CLIENT_PATIENCE: u32 = 4;
 /// Maximum number of migrations of one stream.
 const MAX_MIGRATIONS: u32 = 8;
 /// Minimum time for which the VM must have waited for an event that is used to measure the pace of its
@@ -590,7 +586,7 @@
         evacuation
             .finish(&exchange, &failed_target, &mut self.source.copy)
             .await;
-        let wait = MIN_CLIENT_PATIENCE.max(exchange.route.latency_objective * CLIENT_PATIENCE);
+        let wait = client_patience(exchange.route.latency_objective);
         let give_up = (self.last_delivery + wait).min(exchange.deadline);
         let mut delay = MIN_RETRY_DELAY;
         while self.can_continue() {
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -450,6 +450,7 @@
         ),
         is_isolated: shared.reach.is_isolated(),
         cordon: shared.cordon.report(),
+        places: shared.dispatcher.reported_places(shared.now()),
         failing: shared
             .dispatcher
             .failing_targets(shared.now())
@@ -510,12 +511,19 @@
         // Also of a report that is not the sender's newest one, as sets have positions of their own.
         cordon::receive(shared, message);
     }
+    let places = if report.data_centre == shared.fleet.data_centre() {
+        report.places.clone()
+    } else {
+        // Clients return to their own data centre.
+        Vec::new()
+    };
     let update = shared
         .fleet
         .peers()
         .receive_report(report, shared.fleet.own_address(), now);
     let update = update?;
     shared.fleet.mark_changed();
+    shared.dispatcher.receive_places(&places, now);
     if update.is_new {
         log::info!(target: "peer", peer:% = address, vms = shared.fleet.live_vms(now); "discovered a peer");
     }
--- a/crates/gateway/src/control/status.rs
+++ b/crates/gateway/src/control/status.rs
@@ -37,6 +37,8 @@
     pub paces: List<Pace>,
     /// Services with queued requests, those with the most first.
     pub queued: List<Queue>,
+    /// Rejected requests whose clients are expected back.
+    pub kept_places: usize,
 }
 
 /// An entry of a list.
@@ -128,6 +130,7 @@
             cold_targets: cold_targets(shared, configuration),
             paces: paces(shared, configuration),
             queued: queued(shared, configuration),
+            kept_places: shared.dispatcher.kept_places(),
         }
     }
 }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -215,7 +215,12 @@
         directory: Directory::default(),
         history: History::default(),
         confirmation: Confirmation::default(),
-        dispatcher: Dispatcher::new(incarnation, budget_policy, cold),
+        dispatcher: Dispatcher::new(
+            incarnation,
+            budget_policy,
+            cold,
+            settings.limits.kept_places as usize,
+        ),
         fleet: Fleet::new(
             socket,
             SocketAddrV4::new(*own_address.ip(), own_address.port()),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -45,6 +45,7 @@
     requests: Counter<u64>,
     migrations: Counter<u64>,
     overdue: Counter<u64>,
+    returns: Counter<u64>,
     first_event: Histogram<f64>,
     pause: Histogram<f64>,
     duration: Histogram<f64>,
@@ -150,6 +151,7 @@
     cold: Gauge<u64>,
     quarantined: Gauge<u64>,
     cordoned: Gauge<u64>,
+    places: Gauge<u64>,
 }
 
 impl Restrictions {
@@ -174,6 +176,10 @@
                 "mastictrail.gateway.cordoned",
                 "Data centres that the operator has cordoned",
             ),
+            places: gauge(
+                "mastictrail.gateway.places",
+                "Rejected requests whose clients are expected back",
+            ),
         }
     }
 
@@ -184,6 +190,8 @@
         self.quarantined.record(shared.quarantine.len() as u64, &[]);
         self.cordoned
             .record(shared.cordon.names().len() as u64, &[]);
+        self.places
+            .record(shared.dispatcher.kept_places() as u64, &[]);
     }
 }
 
@@ -236,6 +244,10 @@
                 "mastictrail.gateway.overdue",
                 "Generations whose engine did not answer in the expected time",
             ),
+            returns: counter(
+                "mastictrail.gateway.returns",
+                "Clients that came back to their place after a rejection",
+            ),
             first_event: histogram(
                 "mastictrail.gateway.first_event",
                 "Time from a request's arrival to its first event",
@@ -325,6 +337,11 @@
         self.overdue.add(1, &[]);
     }
 
+    /// Records a client that came back to its place after a rejection.
+    pub fn record_return(&self) {
+        self.returns.add(1, &[]);
+    }
+
     /// Counts a request that was to go through another VM.
     pub fn record_tunnel(&self, is_open: bool) {
         self.tunnelled.add(1, &[KeyValue::new("opened", is_open)]);
--- a/crates/gateway/src/targets/dispatcher.rs
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -13,8 +13,9 @@
         pace::{self, Factors, Spread, Window},
         peers::Readings,
         placement::{self, Basis, Choice, Query, RunId, overdue_delay},
-        report,
-        waiting::{Count, Demand, Position, Queues, Waiter},
+        report::{self, KeptPlace},
+        returning::{Place, Places},
+        waiting::{Arrival, Count, Demand, Position, Queues, Waiter},
     },
     rand::Rng,
     smol::channel::{Receiver, Sender, bounded},
@@ -41,11 +42,37 @@
     durations: Durations,
     budgets: HashMap<key::Service, Budget>,
     queues: Queues,
+    places: Places,
     limits: Limits,
     cold: Cold,
     paces: Paces,
 }
 
+impl State {
+    /// Returns the demand for a service that goes before an arrival, given the targets whose runs make
+    /// room for it.
+    fn demand(
+        &self,
+        service: key::Service,
+        arrival: Arrival,
+        targets: &[Target],
+        now: Instant,
+    ) -> Demand {
+        let counts_in_progress = self.places.is_enabled();
+        // A run that ends at a cordoned target makes no room.
+        let targets = targets.iter().filter(|target| !target.is_cordoned);
+        Demand {
+            runs: self.placement.paced_run_count(targets, &self.paces, now),
+            remote_waiters: if counts_in_progress {
+                self.queues.remote_ahead(service, arrival)
+            } else {
+                self.queues.remote_count(service, now)
+            },
+            counts_in_progress,
+        }
+    }
+}
+
 /// Chooses a target, of the cold ones only those that may get a request of this VM now.
 fn choose<'a>(
     (placement, cold): (&mut Placement, &mut Cold),
@@ -114,7 +141,9 @@
 
 impl Dispatcher {
     /// Creates a dispatcher without load; `seed` makes placement reproducible.
-    pub fn new(seed: u64, budget_policy: Policy, cold: Cold) -> Self {
+    ///
+    /// At most `kept_places` places of rejected requests are kept; with 0 none are.
+    pub fn new(seed: u64, budget_policy: Policy, cold: Cold, kept_places: usize) -> Self {
         let (notifier, wakeups) = bounded(1);
         let (limit_notifier, limit_wakeups) = bounded(1);
         Self {
@@ -124,6 +153,7 @@
                 durations: Durations::default(),
                 budgets: HashMap::new(),
                 queues: Queues::default(),
+                places: Places::new(kept_places),
                 limits: Limits::new(seed),
                 cold,
                 paces: Paces::default(),
@@ -408,26 +438,23 @@
 
     /// Queues a request for a service if capacity is expected by `wait_deadline`.
     ///
+    /// `targets` are those whose runs make room for it.
+    ///
     /// # Errors
     /// Returns the expected time until capacity is available if that is later.
     pub fn enqueue(
         &self,
         service: key::Service,
-        priority: u32,
-        now: Instant,
+        arrival: Arrival,
         wait_deadline: Instant,
         targets: &[Target],
+        now: Instant,
     ) -> Result<QueueEntry, Duration> {
         let mut state = self.lock();
-        // A run that ends at a cordoned target makes no room.
-        let targets = targets.iter().filter(|target| !target.is_cordoned);
-        let demand = Demand {
-            runs: state.placement.paced_run_count(targets, &state.paces, now),
-            remote_waiters: state.queues.remote_count(service, now),
-        };
+        let demand = state.demand(service, arrival, targets, now);
         let position = state
             .queues
-            .enqueue(service, priority, now, wait_deadline, demand)?;
+            .enqueue(service, arrival, wait_deadline, demand)?;
         drop(state);
         self.notifier.notify();
         Ok(QueueEntry {
@@ -438,15 +465,71 @@
         })
     }
 
-    /// Returns how many queued requests of all VMs are ahead of one that arrives now.
-    pub fn ahead_of_arrival(&self, service: key::Service, priority: u32, now: Instant) -> usize {
-        self.lock().queues.ahead_of_arrival(service, priority, now)
+    /// Returns how many queued requests of all VMs are ahead of one that arrives.
+    pub fn ahead_of_arrival(&self, service: key::Service, arrival: Arrival) -> usize {
+        self.lock().queues.ahead_of_arrival(service, arrival)
     }
 
     /// Returns the retry delay for a request whose wait in the queue expired.
-    pub fn retry_delay(&self, service: key::Service) -> Duration {
+    ///
+    /// A client that keeps its place comes back when the queue of now has been served.
+    pub fn retry_delay(
+        &self,
+        service: key::Service,
+        arrival: Arrival,
+        targets: &[Target],
+        now: Instant,
+    ) -> Duration {
         let random = rand::rng().random_range(0.0..1.0);
-        self.lock().queues.retry_delay(service, random)
+        let state = self.lock();
+        let delay = state.queues.retry_delay(service, random);
+        if !state.places.is_enabled() {
+            return delay;
+        }
+        let demand = state.demand(service, arrival, targets, now);
+        delay.max(state.queues.expected_wait(service, arrival, demand))
+    }
+
+    /// Returns whether rejected requests keep their places.
+    pub fn keeps_places(&self) -> bool {
+        self.lock().places.is_enabled()
+    }
+
+    /// Returns the number of rejected requests whose clients are expected back.
+    pub fn kept_places(&self) -> usize {
+        self.lock().places.len()
+    }
+
+    /// Keeps the place of a request that this VM rejects, and tells the peers.
+    pub fn keep_place(&self, place: Place, now: Instant) {
+        self.lock().places.keep(place, now);
+        self.notifier.notify();
+    }
+
+    /// Uses the place of a request that was rejected before.
+    pub fn take_place(
+        &self,
+        fingerprint: key::Fingerprint,
+        deadline: Instant,
+        now: Instant,
+    ) -> Option<Place> {
+        self.lock().places.take(fingerprint, deadline, now)
+    }
+
+    /// Adds the places that another VM keeps.
+    pub fn receive_places(&self, places: &[KeptPlace], now: Instant) {
+        if places.is_empty() {
+            return;
+        }
+        let mut state = self.lock();
+        for place in places.iter().filter_map(|place| place.to_place(now)) {
+            state.places.receive(place, now);
+        }
+    }
+
+    /// Returns the newest places of requests that this VM rejected.
+    pub fn reported_places(&self, now: Instant) -> Vec<KeptPlace> {
+        KeptPlace::newest(&self.lock().places, now)
     }
 
     /// Returns the requests queued at this VM.
--- a/crates/gateway/tests/status.rs
+++ b/crates/gateway/tests/status.rs
@@ -69,6 +69,7 @@
         cold_targets: List::new([cold(1_500)]),
         paces: List::new(pace(2.504, 2.396)),
         queued: List::new([queue("engines", 4, 7)]),
+        kept_places: 3,
     };
     let expected = json!({
         "vm": "vm-0",
@@ -88,6 +89,7 @@
             "factor": 2.5, "usual_factor": 2.4,
         }]},
         "queued": {"total": 1, "entries": [{"service": "engines", "local": 4, "remote": 7}]},
+        "kept_places": 3,
     });
     assert_eq!(to_json(&report), expected);
 }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -395,7 +395,10 @@
         let mut site = lock(&soak.site);
         site.publish(1, add_cold_starts);
         site.data_centres = vec!["dc-1", "dc-2"];
-        site.settings = format!("cordon = {}s\n", CORDON_BOUND.as_secs());
+        site.settings = format!(
+            "cordon = {}s\n\n[limits]\nkept_places = 256\n",
+            CORDON_BOUND.as_secs()
+        );
         soak.proxy_command(&format!("tcp store {store} {}", site.store.address));
         let network = Network::default();
         site.network = Some(network.clone());
