feat(dispatch): put targets that failed a request on probation

A target that has failed a request gets only requests that may be repeated elsewhere, one at a time from each VM, until it has served one that the VM sent after the failure, or until nobody has named it for the time of the setting `probation` in `[promises]`. A request that must not be repeated goes there only where it would be rejected otherwise. Without the setting, nothing is recorded and placement is called as before. Continuations and copies are not restricted. The event `probation` and a gauge show it.

--- a/crates/config/src/gateway.rs
+++ b/crates/config/src/gateway.rs
@@ -127,6 +127,9 @@
     /// Time after which no request may reach a data centre that the operator has cordoned; `None`
     /// if operators can't cordon any.
     pub cordon: Option<Duration>,
+    /// Time for which a target that has failed a request is on probation, unless it serves one;
+    /// `None` if targets never are.
+    pub probation: Option<Duration>,
 }
 
 impl Default for Promises {
@@ -137,6 +140,7 @@
             retry_extra: 10.0,
             retry_window: Duration::from_secs(10),
             cordon: None,
+            probation: None,
         }
     }
 }
@@ -277,6 +281,7 @@
         reader.update("retry_extra", &mut self.retry_extra, amount);
         reader.update("retry_window", &mut self.retry_window, seconds);
         reader.update("cordon", &mut self.cordon, optional_seconds);
+        reader.update("probation", &mut self.probation, optional_seconds);
     }
 }
 
--- a/crates/config/tests/gateway.rs
+++ b/crates/config/tests/gateway.rs
@@ -8,7 +8,8 @@
     peers = 10.1.0.19:7200\nmetrics = 10.1.0.19:7201\n\n[platform]\naddress = 10.200.1.7:8742\n\
     history = 20s\n\n\
     [peers]\nseeds = 10.1.0.19:8748,10.2.0.13:8748\n\n[limits]\nthreads = 1\nlink_mbps = 10.0\nmemory_mb = 96\n\n\
-    [promises]\ngrace = 8s\nretry_ratio = 0.2\nretry_extra = 122\nretry_window = 10s\ncordon = 5000ms\n";
+    [promises]\ngrace = 8s\nretry_ratio = 0.2\nretry_extra = 122\nretry_window = 10s\ncordon = 5000ms\n\
+    probation = 10s\n";
 
 fn faults(text: &str) -> Vec<String> {
     let faults = gateway::parse("gateway.ini", text).unwrap_err();
@@ -55,6 +56,23 @@
     assert_eq!(faults(&text), ["promises cordon: `soon` is not permitted"]);
 }
 
+/// Most deployments have no bound for cold targets, so the template renders nothing for probation.
+#[test]
+fn a_deployment_without_probation_is_valid() {
+    let settings = gateway::parse("gateway.ini", RENDERED).unwrap();
+    assert_eq!(settings.promises.probation, Some(Duration::from_secs(10)));
+    for text in ["", "probation =", "probation = "] {
+        let text = RENDERED.replace("probation = 10s", text);
+        let settings = gateway::parse("gateway.ini", &text).unwrap();
+        assert_eq!(settings.promises.probation, None);
+    }
+    let text = RENDERED.replace("probation = 10s", "probation = soon");
+    assert_eq!(
+        faults(&text),
+        ["promises probation: `soon` is not permitted"]
+    );
+}
+
 /// The platform renders nothing for a field that it doesn't have.
 #[test]
 fn memory_of_unknown_size_is_valid() {
@@ -71,9 +89,11 @@
 fn template_has_the_keys_of_the_rendered_text() {
     let template = include_str!("../../../deploy/gateway.ini");
     // A section of the template is rendered if its value is present.
-    let section = "Bounds.EvacuateMs";
-    let template = template.replace(&format!("{{{{#{section}}}}}"), "");
-    let template = template.replace(&format!("{{{{/{section}}}}}"), "");
+    let mut template = template.to_owned();
+    for section in ["Bounds.EvacuateMs", "Bounds.ColdSlack"] {
+        template = template.replace(&format!("{{{{#{section}}}}}"), "");
+        template = template.replace(&format!("{{{{/{section}}}}}"), "");
+    }
     let keys = |text: &str| -> Vec<String> {
         let lines = text
             .lines()
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod pace;
 pub mod peers;
 pub mod placement;
+pub mod probation;
 pub mod quarantine;
 pub mod reach;
 pub mod replication;
@@ -34,6 +35,6 @@
     budget::Budget, catch_up::CatchUp, cold::Cold, configuration::Configuration, cordon::Cordon,
     drain::Drain, duration::Durations, frame::Splitter, length::Lengths, limit::Limits,
     listing::Listing, load::Load, origin::Origins, pace::Paces, peers::Peers, placement::Placement,
-    quarantine::Quarantine, reach::Reach, replication::Replication, request::Generation,
-    revision::Position, waiting::Queues, watch::Watches,
+    probation::Probation, quarantine::Quarantine, reach::Reach, replication::Replication,
+    request::Generation, revision::Position, waiting::Queues, watch::Watches,
 };
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -5,7 +5,7 @@
 //! choosing the same one of several nearly equal targets.
 
 use {
-    crate::{Load, Paces, cold::Access, configuration::Engine, listing::Target},
+    crate::{Load, Paces, cold::Access, configuration::Engine, listing::Target, probation},
     base::{Instant, key, rendezvous},
     derive_more::Debug,
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -155,6 +155,8 @@
     pub run_data_centre: Option<&'a str>,
     /// How it may use cold targets; `None` if the service's targets take all requests at once.
     pub cold_access: Option<Access>,
+    /// How it may use targets on probation; `None` if as any other target, as a stream that goes on.
+    pub probation: Option<probation::Access>,
     /// For other copies: whether the run is in this VM's data centre.
     pub is_run_local: bool,
     /// How long work takes at the targets; `None` if all are assumed to be equally fast.
@@ -175,12 +177,23 @@
             is_urgent: false,
             run_data_centre: None,
             cold_access: None,
+            probation: None,
             is_run_local: false,
             paces: None,
         }
     }
 }
 
+impl Query<'_> {
+    /// Returns whether the request may use a target, whatever the load and the failures there.
+    pub fn permits(&self, target: &Target) -> bool {
+        let runs_release = |release| target.runs_release(release);
+        target.is_usable()
+            && !self.excluded.contains(&target.key)
+            && self.release.is_none_or(runs_release)
+    }
+}
+
 /// Data on which a choice was based, for the log.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Basis {
@@ -294,12 +307,7 @@
     ) -> Option<Choice<'a>> {
         let usable: Vec<_> = targets
             .iter()
-            .filter(|target| target.is_usable() && !query.excluded.contains(&target.key))
-            .filter(|target| {
-                query
-                    .release
-                    .is_none_or(|release| target.runs_release(release))
-            })
+            .filter(|target| query.permits(target))
             .collect();
         let local = self.local_load();
         let is_advance_copy = query.engine.is_some() && query.load.runs == 0 && !query.is_urgent;
@@ -511,6 +519,12 @@
         runs.any(|run| run.target == target && run.is_overdue(now))
     }
 
+    /// Returns whether a request of this VM is in flight at a target.
+    pub fn has_request(&self, target: key::Target) -> bool {
+        let mut runs = self.runs.values();
+        runs.any(|run| run.target == target && run.load.runs > 0)
+    }
+
     /// Returns the number of runs of this VM and its peers on the given targets.
     pub fn run_count<'a>(&self, targets: impl IntoIterator<Item = &'a Target>) -> u32 {
         let local = self.local_load();
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -24,6 +24,7 @@
         configuration::{Engine, RetryPolicy},
         listing::Target,
         placement::{Query, overdue_delay, prefill_time, prefill_tokens},
+        probation,
     },
     futures_util::stream,
     http_body_util::{BodyExt, StreamBody},
@@ -114,7 +115,10 @@
             last_refusal.get_or_insert(refusal);
             break;
         }
-        let reserved = wait_for_capacity(exchange, &plan, &excluded).await;
+        let may_retry = exchange.route.retry_policy != RetryPolicy::AtMostOnce
+            && attempts + 1 < exchange.route.max_attempts;
+        let is_repeatable = may_retry && attempts + 1 < MAX_ATTEMPTS;
+        let reserved = wait_for_capacity(exchange, &plan, &excluded, is_repeatable).await;
         // Meanwhile this VM may have begun to stop.
         exchange.check_drain(plan.duration)?;
         let (target, reservation) = match reserved {
@@ -141,8 +145,6 @@
             break;
         }
         excluded.push(target.key);
-        let may_retry = exchange.route.retry_policy != RetryPolicy::AtMostOnce
-            && attempts + 1 < exchange.route.max_attempts;
         let backup = reserve_copy(exchange, &plan, &target, &excluded);
         let source = Source::new((target, reservation), backup, &exchange.head.attempt_id);
         let mut refusal = match send(exchange, source, plan, may_retry).await {
@@ -190,6 +192,9 @@
 
 /// Queues the request until an engine has capacity or the objective can no longer be met.
 ///
+/// Engines on probation don't count, unless the request may be repeated and is their only one. They
+/// get it as well if it would be refused otherwise.
+///
 /// # Errors
 /// Returns a refusal with a retry delay: immediately if no capacity is expected in time, otherwise
 /// when the wait has expired.
@@ -197,14 +202,24 @@
     exchange: &Exchange,
     plan: &Plan,
     excluded: &[key::Target],
+    is_repeatable: bool,
 ) -> Result<(Target, Reservation), Refusal> {
     let shared = &exchange.shared;
     let service = exchange.service;
     exchange.check_cordon()?;
     let priority = exchange.route.priority;
     let now = shared.now();
+    let access = probation::Access {
+        is_repeatable,
+        is_last_resort: false,
+    };
+    let last_resort = probation::Access {
+        is_last_resort: true,
+        ..access
+    };
+    let has_probation = shared.dispatcher.has_probation();
     let ahead = shared.dispatcher.ahead_of_arrival(service, priority, now);
-    if let Some(reserved) = reserve(exchange, plan, excluded, ahead, now) {
+    if let Some(reserved) = reserve(exchange, plan, excluded, access, ahead, now) {
         return Ok(reserved);
     }
     let prefill_budget = exchange.route.latency_objective.mul_f64(PREFILL_SHARE);
@@ -222,20 +237,30 @@
     let entry = shared
         .dispatcher
         .enqueue(service, priority, now, wait_deadline, &targets);
-    let entry = entry.map_err(|delay| {
-        let message = "no engine is expected to have room within the objective";
-        Refusal::not_run(Reason::Overloaded, message).retry_after(delay)
-    })?;
+    let entry = match entry {
+        Ok(entry) => entry,
+        Err(delay) => {
+            if has_probation
+                && let Some(reserved) = reserve(exchange, plan, excluded, last_resort, ahead, now)
+            {
+                return Ok(reserved);
+            }
+            let message = "no engine is expected to have room within the objective";
+            return Err(Refusal::not_run(Reason::Overloaded, message).retry_after(delay));
+        }
+    };
     loop {
         let now = shared.now();
         shared.refresh_peers();
+        let is_expired = now >= wait_deadline;
+        let access = if is_expired { last_resort } else { access };
         if let Some(ahead) = entry.ahead(now)
-            && let Some(reserved) = reserve(exchange, plan, excluded, ahead, now)
+            && let Some(reserved) = reserve(exchange, plan, excluded, access, ahead, now)
         {
             return Ok(reserved);
         }
         exchange.check_cordon()?;
-        if now >= wait_deadline || exchange.outlasts_drain(plan.duration) {
+        if is_expired || exchange.outlasts_drain(plan.duration) {
             let delay = shared.dispatcher.retry_delay(service);
             return Err(Refusal::not_run(Reason::NoTarget, "no engine had room").retry_after(delay));
         }
@@ -244,10 +269,11 @@
 }
 
 /// Reserves capacity for the run at an engine; `None` if no engine has any.
-pub fn reserve(
+fn reserve(
     exchange: &Exchange,
     plan: &Plan,
     excluded: &[key::Target],
+    probation: probation::Access,
     ahead: usize,
     now: Instant,
 ) -> Option<(Target, Reservation)> {
@@ -255,6 +281,7 @@
         query.excluded = excluded;
         query.release = exchange.origin().map(|origin| &*origin.release);
         query.queued_ahead = ahead;
+        query.probation = Some(probation);
         query.max_pending_prefill = max_pending_prefill(exchange, plan, now);
     })
 }
@@ -521,6 +548,10 @@
         let body = body.map_err(|error| {
             Refusal::may_have_run(Reason::TargetLost, format!("a broken answer: {error}"))
         })?;
+        if !parts.status.is_server_error() {
+            let now = exchange.shared.now();
+            source.reservation().record_served(now);
+        }
         exchange.log_error(parts.status);
         exchange.record_outcome(Outcome::Failed, parts.status.as_str());
         return Ok(response_with_head(&parts, answer::full(body)));
--- a/crates/gateway/src/clients/plain.rs
+++ b/crates/gateway/src/clients/plain.rs
@@ -11,7 +11,10 @@
     },
     base::{Instant, Reason, Refusal, Verdict, key},
     bytes::Bytes,
-    dispatch::{Load, cold::Access, configuration::RetryPolicy, listing::Target, placement::Query},
+    dispatch::{
+        Load, cold::Access, configuration::RetryPolicy, listing::Target, placement::Query,
+        probation,
+    },
     entry::runtime::with_timeout,
     futures_util::future::{Either, select},
     hyper::{Response, http::response::Parts},
@@ -114,8 +117,21 @@
     }
 
     /// Reserves a target for the next attempt; every attempt but the first takes a budgeted retry.
-    fn reserve_next(&mut self, exchange: &Exchange) -> Option<(Target, Reservation)> {
-        let reserved = reserve(exchange, &self.excluded)?;
+    ///
+    /// `is_hedge` states whether another attempt is in progress.
+    fn reserve_next(
+        &mut self,
+        exchange: &Exchange,
+        is_hedge: bool,
+    ) -> Option<(Target, Reservation)> {
+        let route = &exchange.route;
+        let probation = probation::Access {
+            is_repeatable: route.retry_policy == RetryPolicy::Idempotent
+                && self.runs + 1 < route.max_attempts
+                && self.sends + 1 < MAX_ATTEMPTS,
+            is_last_resort: !is_hedge,
+        };
+        let reserved = reserve(exchange, &self.excluded, probation)?;
         let shared = &exchange.shared;
         if self.sends > 0 && !shared.dispatcher.take_retry(exchange.service, shared.now()) {
             log::info!(target: "retry", request:% = exchange.head.attempt_id; "not retrying: the retry budget is exhausted");
@@ -142,7 +158,7 @@
             attempts.refusal.get_or_insert(refusal);
             break;
         }
-        let Some((target, reservation)) = attempts.reserve_next(exchange) else {
+        let Some((target, reservation)) = attempts.reserve_next(exchange, false) else {
             break;
         };
         if let Err(refusal) = exchange.check_quarantine() {
@@ -215,7 +231,7 @@
     let hedge = if exchange.is_suspect() {
         None
     } else {
-        attempts.reserve_next(exchange)
+        attempts.reserve_next(exchange, true)
     };
     let Some((target, reservation)) = hedge else {
         let attempt = first.await;
@@ -252,7 +268,11 @@
     attempts.record(attempt, exchange)
 }
 
-fn reserve(exchange: &Exchange, excluded: &[key::Target]) -> Option<(Target, Reservation)> {
+fn reserve(
+    exchange: &Exchange,
+    excluded: &[key::Target],
+    probation: probation::Access,
+) -> Option<(Target, Reservation)> {
     let shared = &exchange.shared;
     let settings = shared.settings.load();
     let query = Query {
@@ -262,6 +282,7 @@
         },
         excluded,
         cold_access: exchange.cold_start().map(Access::Limited),
+        probation: Some(probation),
         data_centre: &settings.vm.data_centre,
         ..Query::default()
     };
@@ -338,6 +359,7 @@
         }
         Attempt::Answered(parts, _) => {
             shared.dispatcher.record_success(target);
+            shared.dispatcher.record_served(target.key, started, now);
             shared
                 .dispatcher
                 .record_latency(target.key, now.since(started), now);
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -501,6 +501,7 @@
         if self.begun_at.is_none() {
             // Also at an engine where the stream went on.
             self.source.reservation.finish_prefill();
+            self.source.reservation.record_served(now);
         }
         let begun_at = *self.begun_at.get_or_insert(now);
         if now.since(begun_at) >= SURVIVAL_DELAY {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -13,6 +13,7 @@
 pub mod history;
 pub mod inquiry;
 pub mod origins;
+pub mod probation;
 pub mod quarantine;
 pub mod reach;
 pub mod reports;
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -13,7 +13,7 @@
             drain::Drain,
             fleet::Fleet,
             history::History,
-            inquiry,
+            inquiry, probation,
             quarantine::{self, Quarantine},
             reach::{self, Reach},
             reports, transfer,
@@ -107,6 +107,9 @@
             .spawn(tunnel::listener::listen(Arc::clone(&shared), tunnels))
             .detach();
         runtime.spawn(quarantine::run(Arc::clone(&shared))).detach();
+        if shared.dispatcher.has_probation() {
+            runtime.spawn(probation::run(Arc::clone(&shared))).detach();
+        }
         runtime
             .spawn(reports::receive(Arc::clone(&shared)))
             .detach();
@@ -127,8 +130,8 @@
         Ok(Self { shared })
     }
 
-    /// Applies reloaded settings; the bound addresses, the thread count and whether data
-    /// centres may be cordoned stay as they are.
+    /// Applies reloaded settings; the bound addresses, the thread count, whether data centres may
+    /// be cordoned and the time of probation stay as they are.
     pub fn reload(&self, settings: Gateway) {
         log::info!(target: "reload", seeds = settings.seeds.len(); "settings reloaded");
         self.shared.settings.store(Arc::new(settings));
@@ -196,6 +199,7 @@
         extra: promises.retry_extra,
         window: promises.retry_window,
     };
+    let probation = dispatch::Probation::new(promises.probation);
     Ok(Shared {
         clock: Arc::new(clock),
         client: Client::new(
@@ -210,7 +214,7 @@
         directory: Directory::default(),
         history: History::default(),
         confirmation: Confirmation::default(),
-        dispatcher: Dispatcher::new(incarnation, budget_policy, cold),
+        dispatcher: Dispatcher::new(incarnation, budget_policy, cold, probation),
         fleet: Fleet::new(
             socket,
             SocketAddrV4::new(*own_address.ip(), own_address.port()),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -148,6 +148,7 @@
 struct Restrictions {
     limited: Gauge<u64>,
     cold: Gauge<u64>,
+    probation: Gauge<u64>,
     quarantined: Gauge<u64>,
     cordoned: Gauge<u64>,
 }
@@ -166,6 +167,10 @@
                 "mastictrail.gateway.cold",
                 "Targets that are warming up, so that few requests are sent to them",
             ),
+            probation: gauge(
+                "mastictrail.gateway.probation",
+                "Targets that have failed a request and have not served one since",
+            ),
             quarantined: gauge(
                 "mastictrail.gateway.quarantined",
                 "Requests and parts of prompts that are refused because targets crash on them",
@@ -181,6 +186,8 @@
         self.limited
             .record(shared.dispatcher.limited_targets() as u64, &[]);
         self.cold.record(shared.cold_targets() as u64, &[]);
+        let probation = shared.dispatcher.targets_on_probation(shared.now());
+        self.probation.record(probation.len() as u64, &[]);
         self.quarantined.record(shared.quarantine.len() as u64, &[]);
         self.cordoned
             .record(shared.cordon.names().len() as u64, &[]);
--- a/crates/gateway/src/targets/dispatcher.rs
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -5,6 +5,7 @@
     derive_more::Debug,
     dispatch::{
         Budget, Cold, Durations, Generation, Lengths, Limits, Load, Paces, Peers, Placement,
+        Probation,
         budget::Policy,
         cold::Access,
         configuration::ColdStart,
@@ -13,6 +14,7 @@
         pace::{self, Spread, Window},
         peers::Readings,
         placement::{self, Basis, Choice, Query, RunId, overdue_delay},
+        probation::Changes,
         report,
         waiting::{Demand, Position, Queues, Waiter},
     },
@@ -44,6 +46,7 @@
     limits: Limits,
     cold: Cold,
     paces: Paces,
+    probation: Probation,
 }
 
 /// Chooses a target, of the cold ones only those that may get a request of this VM now.
@@ -74,6 +77,30 @@
     choice
 }
 
+/// Chooses a target that is not in `closed`, or any one as a last resort.
+fn choose_proven<'a>(
+    (placement, cold): (&mut Placement, &mut Cold),
+    now: Instant,
+    targets: &'a [Target],
+    query: &Query<'_>,
+    mut closed: Vec<key::Target>,
+) -> Option<Choice<'a>> {
+    if closed.is_empty() {
+        return choose((placement, cold), now, targets, query);
+    }
+    closed.extend(query.excluded);
+    let open = Query {
+        excluded: &closed,
+        ..*query
+    };
+    let choice = choose((placement, cold), now, targets, &open);
+    let is_last_resort = query.probation.is_some_and(|access| access.is_last_resort);
+    if choice.is_none() && is_last_resort {
+        return choose((placement, cold), now, targets, query);
+    }
+    choice
+}
+
 /// Tracks the load on the targets and decides which requests are admitted, placed and retried.
 #[derive(Debug)]
 pub struct Dispatcher {
@@ -107,6 +134,7 @@
     basis: Basis,
     /// When it was chosen; `None` if it was reserved whatever the load there.
     chosen: Option<Instant>,
+    reserved: Instant,
     notifier: Notifier,
     /// Whether changes of the load are reported to peers immediately.
     notifies_peers: bool,
@@ -114,7 +142,7 @@
 
 impl Dispatcher {
     /// Creates a dispatcher without load; `seed` makes placement reproducible.
-    pub fn new(seed: u64, budget_policy: Policy, cold: Cold) -> Self {
+    pub fn new(seed: u64, budget_policy: Policy, cold: Cold, probation: Probation) -> Self {
         let (notifier, wakeups) = bounded(1);
         let (limit_notifier, limit_wakeups) = bounded(1);
         Self {
@@ -127,6 +155,7 @@
                 limits: Limits::new(seed),
                 cold,
                 paces: Paces::default(),
+                probation,
             })),
             budget_policy,
             live_vms: AtomicUsize::new(1),
@@ -149,6 +178,12 @@
         if let Some(first) = targets.first() {
             state.paces.refresh(first.service, targets, now);
         }
+        // Without the limits, as a target that has had its share soon takes requests again.
+        let on_probation = query.probation.map_or_else(Vec::new, |access| {
+            let permitted = targets.iter().filter(|target| query.permits(target));
+            let is_busy = |target| state.placement.has_request(target);
+            state.probation.closed(permitted, access, is_busy, now)
+        });
         // A copy of a run is no request.
         let mut closed = Vec::new();
         let mut is_brittle = false;
@@ -171,7 +206,8 @@
             paces: Some(&state.paces),
             ..*query
         };
-        let choice = choose((&mut state.placement, &mut state.cold), now, targets, query)?;
+        let parts = (&mut state.placement, &mut state.cold);
+        let choice = choose_proven(parts, now, targets, query, on_probation)?;
         let (target, basis) = (choice.target.clone(), choice.basis);
         let run = state.placement.start_run(target.key, query.load);
         let is_request = query.load.runs > 0;
@@ -190,7 +226,8 @@
         if is_announced {
             self.limit_notifier.notify();
         }
-        let reservation = self.new_reservation((run, target.key), basis, Some(now), notifies_peers);
+        let reservation =
+            self.new_reservation((run, target.key), (basis, Some(now)), now, notifies_peers);
         Some((target, reservation))
     }
 
@@ -212,7 +249,7 @@
         if is_announced {
             self.limit_notifier.notify();
         }
-        self.new_reservation((run, target.key), Basis::default(), None, true)
+        self.new_reservation((run, target.key), (Basis::default(), None), now, true)
     }
 
     /// Records the limit that an answer names, or that it names none; returns whether that is new.
@@ -337,6 +374,26 @@
         self.lock().placement.record_success(target);
     }
 
+    /// Records a complete response of a target to a request that was sent at `sent`.
+    pub fn record_served(&self, target: key::Target, sent: Instant, now: Instant) {
+        self.lock().probation.record_served(target, sent, now);
+    }
+
+    /// Returns whether targets may be on probation.
+    pub fn has_probation(&self) -> bool {
+        self.lock().probation.is_enabled()
+    }
+
+    /// Returns the targets on probation.
+    pub fn targets_on_probation(&self, now: Instant) -> Vec<key::Target> {
+        self.lock().probation.targets(now).collect()
+    }
+
+    /// Returns which targets have begun or ended their probation since the last call.
+    pub fn take_probation_changes(&self, now: Instant) -> Changes {
+        self.lock().probation.take_changes(now)
+    }
+
     /// Records the latency of a plain service's target.
     pub fn record_latency(&self, target: key::Target, time: Duration, now: Instant) {
         self.lock().placement.record_latency(target, time, now);
@@ -354,7 +411,10 @@
 
     /// Records a request that failed at a target.
     pub fn record_failure(&self, target: key::Target, now: Instant) {
-        self.lock().placement.record_failure(target, now);
+        let mut state = self.lock();
+        state.placement.record_failure(target, now);
+        state.probation.record_failure(target, now);
+        drop(state);
         self.notifier.notify();
     }
 
@@ -383,9 +443,9 @@
         state
             .placement
             .set_summarized(peers.summarized_data_centres(now));
-        state
-            .placement
-            .set_failure_reports(&peers.failure_counts(now), now);
+        let failure_counts = peers.failure_counts(now);
+        state.probation.set_reporters(&failure_counts, now);
+        state.placement.set_failure_reports(&failure_counts, now);
         state
             .queues
             .set_remote_waiters(peers.waiters(local_data_centre, now));
@@ -546,8 +606,8 @@
     fn new_reservation(
         &self,
         (run, target): (RunId, key::Target),
-        basis: Basis,
-        chosen: Option<Instant>,
+        (basis, chosen): (Basis, Option<Instant>),
+        now: Instant,
         notifies_peers: bool,
     ) -> Reservation {
         let reservation = Reservation {
@@ -556,6 +616,7 @@
             target,
             basis,
             chosen,
+            reserved: now,
             notifier: self.notifier.clone(),
             notifies_peers,
         };
@@ -610,6 +671,13 @@
         self.notify();
     }
 
+    /// Records that the target has served the request: its first event or its whole response.
+    pub fn record_served(&self, now: Instant) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let sent = self.reserved;
+        state.probation.record_served(self.target, sent, now);
+    }
+
     /// Measures the target's pace by the time to the first event of a request.
     pub fn record_first_event(&self, prompt_tokens: u32, now: Instant) {
         let Some(chosen) = self.chosen else {
