feat(dispatch): keep targets that want a pause off probation

The failing targets in reports and summaries also contain those that asked a VM for a pause and those whose answer is overdue. A full engine would have been on probation at all VMs but the one that it asked, although rejection for lack of capacity isn't a failure.

Reports and summaries name these targets in a further optional field, only from VMs with the setting `probation`. Peers subtract them for probation alone; the costs of placement are unchanged. Older builds ignore the field, and what they report counts as before.

The new process test (two gateways, three engines, one of which refuses and asks for a pause of 5 s) fails if the field stays empty.

--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -52,6 +52,8 @@
     loads: HashMap<u64, (TargetLoad, Instant)>,
     /// Raw keys of the targets that fail requests there, once for each VM.
     failing: Vec<u64>,
+    /// Those of which they have failed no request.
+    delayed: Vec<u64>,
     updated: Instant,
 }
 
@@ -382,6 +384,7 @@
         }
         if let Some(failing) = summary.failing {
             summarized.failing = failing.targets;
+            summarized.delayed = failing.delayed;
         }
     }
 
@@ -504,6 +507,31 @@
     /// Those of a data centre with recent summaries come from these as well, as the reports of its
     /// VMs are rare and a failure may be over before the next one.
     pub fn failure_counts(&self, now: Instant) -> HashMap<key::Target, u32> {
+        self.named(now, |report| &report.failing, |load| &load.failing)
+    }
+
+    /// Returns the number of live peers of which each target has failed a request.
+    ///
+    /// Those that report it as failing because it wants a pause or is late don't count.
+    pub fn failed_counts(&self, now: Instant) -> HashMap<key::Target, u32> {
+        let mut counts = self.failure_counts(now);
+        let delayed = self.named(now, |report| &report.delayed, |load| &load.delayed);
+        for (target, delayed) in delayed {
+            if let Some(count) = counts.get_mut(&target) {
+                *count = count.saturating_sub(delayed);
+            }
+        }
+        counts.retain(|_, count| *count > 0);
+        counts
+    }
+
+    /// Counts the targets in a list of each report, or of each summary of its data centre.
+    fn named(
+        &self,
+        now: Instant,
+        in_report: fn(&Report) -> &Vec<u64>,
+        in_summary: fn(&SummarizedLoad) -> &Vec<u64>,
+    ) -> HashMap<key::Target, u32> {
         let mut total = HashMap::new();
         let summarized = self.summarized_data_centres(now);
         let is_reporting =
@@ -512,9 +540,9 @@
         let reaching = self.live(now).filter(|(_, report)| !report.is_isolated);
         let reported = reaching
             .filter(|(_, report)| is_reporting(report))
-            .flat_map(|(_, report)| &report.failing);
+            .flat_map(|(_, report)| in_report(report));
         let summaries = self.fresh_summaries(now);
-        let summarized = summaries.flat_map(|(_, summarized)| &summarized.failing);
+        let summarized = summaries.flat_map(|(_, summarized)| in_summary(summarized));
         for &target in reported.chain(summarized) {
             *total.entry(key::Target::from_raw(target)).or_default() += 1;
         }
@@ -523,10 +551,24 @@
 
     /// Returns the number of live peers of a data centre that report each target as failing.
     pub fn failure_counts_in(&self, data_centre: u64, now: Instant) -> HashMap<key::Target, u32> {
+        self.named_in(data_centre, now, |report| &report.failing)
+    }
+
+    /// Returns the number of those among these peers of which a target has failed no request.
+    pub fn delayed_counts_in(&self, data_centre: u64, now: Instant) -> HashMap<key::Target, u32> {
+        self.named_in(data_centre, now, |report| &report.delayed)
+    }
+
+    fn named_in(
+        &self,
+        data_centre: u64,
+        now: Instant,
+        in_report: fn(&Report) -> &Vec<u64>,
+    ) -> HashMap<key::Target, u32> {
         let mut total = HashMap::new();
         let reaching = self.live(now).filter(|(_, report)| !report.is_isolated);
         let local = reaching.filter(|(_, report)| report.data_centre == data_centre);
-        for &target in local.flat_map(|(_, report)| &report.failing) {
+        for &target in local.flat_map(|(_, report)| in_report(report)) {
             *total.entry(key::Target::from_raw(target)).or_default() += 1;
         }
         total
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -501,18 +501,21 @@
     /// Returns the targets that this VM currently avoids because they failed requests, and those where
     /// a run is overdue.
     pub fn failing(&self, now: Instant) -> Vec<key::Target> {
-        let failing = self.health.iter();
-        let failing = failing.filter(|(_, health)| health.is_failing && now < health.avoided_until);
+        let failing = self.health.keys().copied();
+        let failing = failing.filter(|target| self.has_failed(*target, now));
         let overdue = self.runs.values().filter(|run| run.is_overdue(now));
-        let mut targets: Vec<_> = failing
-            .map(|(target, _)| *target)
-            .chain(overdue.map(|run| run.target))
-            .collect();
+        let mut targets: Vec<_> = failing.chain(overdue.map(|run| run.target)).collect();
         targets.sort_unstable();
         targets.dedup();
         targets
     }
 
+    /// Returns whether this VM currently avoids a target because it failed requests.
+    pub fn has_failed(&self, target: key::Target, now: Instant) -> bool {
+        let health = self.health.get(&target);
+        health.is_some_and(|health| health.is_failing && now < health.avoided_until)
+    }
+
     /// Returns whether a run of this VM is overdue at a target.
     fn has_overdue_run(&self, target: key::Target, now: Instant) -> bool {
         let mut runs = self.runs.values();
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -199,6 +199,10 @@
     /// Cordoned data centres; absent if the sender doesn't know or need them.
     #[prost(message, optional, tag = "19")]
     pub cordon: Option<Cordon>,
+    /// Raw keys of targets in `failing` that have failed no request: they want a pause, or their
+    /// answer is overdue. Only from VMs that put failing targets on probation.
+    #[prost(fixed64, repeated, tag = "24")]
+    pub delayed: Vec<u64>,
 }
 
 /// The cordoned data centres as of a position of the store.
@@ -349,11 +353,38 @@
     /// Raw key of each target, once for each VM whose requests it fails.
     #[prost(fixed64, repeated, tag = "1")]
     pub targets: Vec<u64>,
+    /// Raw key of each of these targets, once for each of the VMs of which it has failed no request.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub delayed: Vec<u64>,
 }
 
 impl Failing {
     /// Encodes the number of VMs whose requests each target fails, as far as a datagram has room.
     pub fn new(counts: &HashMap<key::Target, u32>) -> Self {
+        Self {
+            targets: Self::encode(counts),
+            delayed: Vec::new(),
+        }
+    }
+
+    /// The same with the number of VMs among these of which each target has failed no request.
+    pub fn with_delayed(
+        counts: &HashMap<key::Target, u32>,
+        delayed: &HashMap<key::Target, u32>,
+    ) -> Self {
+        let encoded_delayed = delayed.iter().map(|(target, delayed)| {
+            // The difference of the two encoded numbers is to be that of VMs with failed requests.
+            let count = counts.get(target).copied().unwrap_or_default();
+            let failed = count.saturating_sub(*delayed);
+            (*target, count.min(MAX_FAILING_VMS).saturating_sub(failed))
+        });
+        Self {
+            targets: Self::encode(counts),
+            delayed: Self::encode(&encoded_delayed.collect()),
+        }
+    }
+
+    fn encode(counts: &HashMap<key::Target, u32>) -> Vec<u64> {
         let vms = |count: u32| count.min(MAX_FAILING_VMS) as usize;
         let mut targets: Vec<_> = counts
             .iter()
@@ -361,7 +392,7 @@
             .collect();
         targets.sort_unstable();
         targets.truncate(MAX_FAILING);
-        Self { targets }
+        targets
     }
 }
 
--- a/crates/dispatch/tests/peers.rs
+++ b/crates/dispatch/tests/peers.rs
@@ -390,6 +390,45 @@
     assert_eq!(count(&peers, 1_500), None, "the summary has expired");
 }
 
+/// A full target asks many VMs for a pause; it must not count as one that has failed requests.
+#[test]
+fn targets_that_want_a_pause_have_failed_nothing() {
+    let mut peers = two_data_centres(1);
+    let target = key::Target::of("t");
+    let counts = |peers: &Peers, now| {
+        let count = |counts: HashMap<_, _>| counts.get(&target).copied();
+        (
+            count(peers.failure_counts(at(now))),
+            count(peers.failed_counts(at(now))),
+        )
+    };
+    let summary = |count, delayed| Summary {
+        data_centre: 0,
+        failing: Some(Failing::with_delayed(
+            &HashMap::from([(target, count)]),
+            &HashMap::from([(target, delayed)]),
+        )),
+        ..Summary::default()
+    };
+    peers.receive_summary(summary(3, 0), at(20));
+    assert_eq!(counts(&peers, 30), (Some(3), Some(3)));
+    peers.receive_summary(summary(3, 2), at(40));
+    assert_eq!(counts(&peers, 50), (Some(3), Some(1)));
+    peers.receive_summary(summary(20, 20), at(60));
+    assert_eq!(counts(&peers, 70), (Some(8), None));
+    peers.receive_summary(summary(20, 18), at(80));
+    assert_eq!(counts(&peers, 90), (Some(8), Some(2)));
+    // A peer of this data centre, by its own report.
+    let report = Report {
+        data_centre: 1,
+        failing: vec![target.raw()],
+        delayed: vec![target.raw()],
+        ..report(3, 2)
+    };
+    peers.receive_report(report, Ipv4Addr::new(10, 0, 0, 1), at(100));
+    assert_eq!(counts(&peers, 110), (Some(9), Some(2)));
+}
+
 #[test]
 fn each_vm_gets_summaries_from_one_vm_of_every_other_data_centre() {
     let mut received = [0; 21];
--- a/crates/gateway/src/control/reports.rs
+++ b/crates/gateway/src/control/reports.rs
@@ -161,7 +161,8 @@
         sent = load;
         let data_centre = shared.fleet.data_centre();
         let mut summaries = Summary::split(data_centre, &changed, is_full);
-        let failing = Failing::new(&data_centre_failures(&shared));
+        let failing = data_centre_failures(&shared);
+        let failing = Failing::with_delayed(&failing, &data_centre_delays(&shared));
         if is_full || failing != sent_failing {
             sent_failing = failing.clone();
             let empty = Summary {
@@ -215,6 +216,19 @@
     failures
 }
 
+/// Returns the number of those VMs of which each of these targets has failed no request.
+fn data_centre_delays(shared: &Shared) -> HashMap<key::Target, u32> {
+    let now = shared.now();
+    let data_centre = shared.fleet.data_centre();
+    let mut delayed = shared.fleet.peers().delayed_counts_in(data_centre, now);
+    if !shared.reach.is_isolated() {
+        for target in shared.dispatcher.delayed_targets(now) {
+            *delayed.entry(target).or_default() += 1;
+        }
+    }
+    delayed
+}
+
 /// Returns the pace of targets that the VMs of the data centre have measured.
 fn data_centre_paces(shared: &Shared) -> HashMap<key::Target, Pace> {
     let now = shared.now();
@@ -456,6 +470,12 @@
             .iter()
             .map(|key| key.raw())
             .collect(),
+        delayed: shared
+            .dispatcher
+            .delayed_targets(shared.now())
+            .iter()
+            .map(|key| key.raw())
+            .collect(),
     };
     Datagram {
         report: Some(report),
--- a/crates/gateway/src/targets/dispatcher.rs
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -443,9 +443,13 @@
         state
             .placement
             .set_summarized(peers.summarized_data_centres(now));
-        let failure_counts = peers.failure_counts(now);
-        state.probation.set_reporters(&failure_counts, now);
-        state.placement.set_failure_reports(&failure_counts, now);
+        state
+            .placement
+            .set_failure_reports(&peers.failure_counts(now), now);
+        if state.probation.is_enabled() {
+            let failed_counts = peers.failed_counts(now);
+            state.probation.set_reporters(&failed_counts, now);
+        }
         state
             .queues
             .set_remote_waiters(peers.waiters(local_data_centre, now));
@@ -461,6 +465,17 @@
         failing
     }
 
+    /// Returns those of the failing targets that failed no request, if peers need the difference.
+    ///
+    /// They want a pause, or their answer is overdue.
+    pub fn delayed_targets(&self, now: Instant) -> Vec<key::Target> {
+        let mut failing = self.failing_targets(now);
+        let state = self.lock();
+        let is_enabled = state.probation.is_enabled();
+        failing.retain(|target| is_enabled && !state.placement.has_failed(*target, now));
+        failing
+    }
+
     /// Queues a request for a service if capacity is expected by `wait_deadline`.
     ///
     /// # Errors
--- a/tests/probations.rs
+++ b/tests/probations.rs
@@ -110,6 +110,31 @@
     fail_and_recover(&site, &site.services[0], hold, read);
 }
 
+/// Peers are told of a target that wants a pause as of one that fails, but it has failed nothing.
+#[test]
+fn an_engine_that_wants_a_pause_is_not_on_probation() {
+    let site = Site::start_with(&["v1"; 3], 0, 2, ENABLED);
+    site.wait_for_peers();
+    site.engines[0].set_behaviour(Behaviour {
+        refuses: true,
+        pauses: vec!["5"],
+        ..Behaviour::default()
+    });
+    let mut number = 0;
+    wait_until("the engine has asked for a pause", || {
+        number += 1;
+        let request = (&Method::POST, STREAM_PATH);
+        let status = send(&site, 0, request, &format!("draft-{number}"));
+        assert_eq!(status, StatusCode::OK);
+        received(&site.engines[0], STREAM_PATH) > 0
+    });
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_secs(2) {
+        assert!(has_on_probation(&site, 0));
+        thread::sleep(PAUSE);
+    }
+}
+
 /// A request that finds no room elsewhere must not be refused because of a failure that may be over.
 #[test]
 fn a_draft_without_room_elsewhere_goes_to_an_engine_on_probation() {
