--- a/crates/base/src/key.rs
+++ b/crates/base/src/key.rs
@@ -6,6 +6,7 @@
 use {
     derive_more::{Debug, Display},
     serde::{Deserialize, Serialize},
+    std::{collections::HashMap, hash::BuildHasherDefault},
     xxhash_rust::xxh3::{Xxh3, xxh3_64},
 };
 
@@ -60,6 +61,29 @@
     Fingerprint;
 }
 
+/// Hashes keys at no cost, as they are hashes themselves.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Hasher(u64);
+
+impl std::hash::Hasher for Hasher {
+    fn write(&mut self, bytes: &[u8]) {
+        for &byte in bytes {
+            self.0 = self.0.rotate_left(8) ^ u64::from(byte);
+        }
+    }
+
+    fn write_u64(&mut self, i: u64) {
+        self.0 = i;
+    }
+
+    fn finish(&self) -> u64 {
+        self.0
+    }
+}
+
+/// A map by keys whose names clients can't choose, such as those of targets.
+pub type Map<K, V> = HashMap<K, V, BuildHasherDefault<Hasher>>;
+
 impl Fingerprint {
     /// Returns the key of a request with these fields.
     pub fn of_fields(fields: &[&[u8]]) -> Self {
--- a/crates/dispatch/src/cold.rs
+++ b/crates/dispatch/src/cold.rs
@@ -10,10 +10,7 @@
 use {
     crate::{configuration::ColdStart, listing::Target},
     base::{Instant, key, rendezvous},
-    std::{
-        collections::{HashMap, VecDeque},
-        time::Duration,
-    },
+    std::{collections::VecDeque, time::Duration},
 };
 
 /// Time in which a VM sends no more than its share: a second, and the time by which the delays of
@@ -76,9 +73,9 @@
     /// The VMs known lately and this one, in ascending order.
     vms: Vec<u64>,
     /// How many known VMs come before this one at a target.
-    ranks: HashMap<key::Target, usize>,
+    ranks: key::Map<key::Target, usize>,
     /// When this VM sent requests in the last window, in ascending order.
-    sends: HashMap<key::Target, VecDeque<Instant>>,
+    sends: key::Map<key::Target, VecDeque<Instant>>,
     /// When this VM last sent a request to any cold target.
     last_sent: Option<Instant>,
 }
@@ -91,8 +88,8 @@
             has_seeds,
             started,
             vms: vec![own],
-            ranks: HashMap::new(),
-            sends: HashMap::new(),
+            ranks: key::Map::default(),
+            sends: key::Map::default(),
             last_sent: None,
         }
     }
@@ -151,8 +148,20 @@
         start: &ColdStart,
         now: Instant,
     ) -> Vec<key::Target> {
-        let is_settled = self.is_settled(now);
         let mut closed = Vec::new();
+        self.close(targets, start, now, &mut closed);
+        closed
+    }
+
+    /// Adds the targets of [`Cold::closed`] to a list, in the order in which they are given.
+    pub fn close(
+        &mut self,
+        targets: &[Target],
+        start: &ColdStart,
+        now: Instant,
+        closed: &mut Vec<key::Target>,
+    ) {
+        let is_settled = self.is_settled(now);
         for target in targets {
             let is_closed = if is_settled {
                 !self.delay(target, start, now).is_zero()
@@ -163,7 +172,6 @@
                 closed.push(target.key);
             }
         }
-        closed
     }
 
     /// Returns whether a closed target may get a request of this VM if no other one has room.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod report;
 pub mod request;
 pub mod revision;
+pub mod selection;
 pub mod waiting;
 pub mod watch;
 
@@ -35,5 +36,5 @@
     drain::Drain, duration::Durations, frame::Splitter, length::Lengths, limit::Limits,
     listing::Listing, load::Load, origin::Origins, pace::Paces, peers::Peers, placement::Placement,
     quarantine::Quarantine, reach::Reach, replication::Replication, request::Generation,
-    revision::Position, waiting::Queues, watch::Watches,
+    revision::Position, selection::Selection, waiting::Queues, watch::Watches,
 };
--- a/crates/dispatch/src/pace.rs
+++ b/crates/dispatch/src/pace.rs
@@ -14,11 +14,7 @@
         peers::Readings,
     },
     base::{Instant, key},
-    std::{
-        collections::HashMap,
-        hash::{BuildHasherDefault, Hasher},
-        time::Duration,
-    },
+    std::{collections::HashMap, time::Duration},
 };
 
 /// Time for which the pace that a response reports is valid; it changes several times a second.
@@ -258,32 +254,11 @@
     median: f64,
 }
 
-/// Hashes keys of targets, which are hashes themselves, at no cost: each decision looks up the factors
-/// of all targets.
-#[derive(Clone, Copy, Debug, Default)]
-struct KeyHasher(u64);
-
-impl Hasher for KeyHasher {
-    fn write(&mut self, bytes: &[u8]) {
-        for &byte in bytes {
-            self.0 = self.0.rotate_left(8) ^ u64::from(byte);
-        }
-    }
-
-    fn write_u64(&mut self, i: u64) {
-        self.0 = i;
-    }
-
-    fn finish(&self) -> u64 {
-        self.0
-    }
-}
-
 /// Paces of targets, as this VM and its peers have measured them and as responses report them.
 #[derive(Debug, Default)]
 pub struct Paces {
     services: HashMap<key::Service, Measured>,
-    targets: HashMap<key::Target, Known, BuildHasherDefault<KeyHasher>>,
+    targets: key::Map<key::Target, Known>,
     readings: Readings,
     received: Option<Instant>,
 }
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -11,6 +11,7 @@
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{
         collections::{HashMap, HashSet},
+        mem,
         time::Duration,
     },
 };
@@ -106,6 +107,51 @@
     }
 }
 
+/// Load of this VM's runs on one target.
+///
+/// Sums are wider than those of [`Load`], which saturate, so that runs can be subtracted again.
+#[derive(Clone, Copy, Debug, Default)]
+struct Total {
+    /// Number of runs, copies included.
+    count: usize,
+    runs: u64,
+    peak_memory: u64,
+    used_memory: u64,
+    pending_prefill: u64,
+    copy_memory: u64,
+}
+
+impl Total {
+    fn add(&mut self, load: Load) {
+        self.count += 1;
+        self.runs += u64::from(load.runs);
+        self.peak_memory += u64::from(load.peak_memory);
+        self.used_memory += u64::from(load.used_memory);
+        self.pending_prefill += u64::from(load.pending_prefill);
+        self.copy_memory += u64::from(load.copy_memory);
+    }
+
+    fn subtract(&mut self, load: Load) {
+        self.count -= 1;
+        self.runs -= u64::from(load.runs);
+        self.peak_memory -= u64::from(load.peak_memory);
+        self.used_memory -= u64::from(load.used_memory);
+        self.pending_prefill -= u64::from(load.pending_prefill);
+        self.copy_memory -= u64::from(load.copy_memory);
+    }
+
+    fn load(&self) -> Load {
+        let saturated = |sum| u32::try_from(sum).unwrap_or(u32::MAX);
+        Load {
+            runs: saturated(self.runs),
+            peak_memory: saturated(self.peak_memory),
+            used_memory: saturated(self.used_memory),
+            pending_prefill: saturated(self.pending_prefill),
+            copy_memory: saturated(self.copy_memory),
+        }
+    }
+}
+
 /// Identifies a run of this VM.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct RunId(u64);
@@ -203,19 +249,78 @@
     pub basis: Basis,
 }
 
+/// A data centre of targets that a request may use.
+#[derive(Clone, Copy, Debug)]
+struct Site {
+    key: key::DataCentre,
+    /// Whether its load is known with delay or not at all.
+    is_stale: bool,
+    /// Whether its load is known well enough to place requests there.
+    is_fresh: bool,
+    is_unreachable: bool,
+    /// Cost of the data centre for the query, in milliseconds.
+    cost: f64,
+}
+
 /// A target that is considered for a request.
 #[derive(Clone, Copy, Debug)]
-struct Candidate<'a> {
-    target: &'a Target,
+struct Candidate {
+    /// Index of the target in the given list.
+    index: usize,
+    slots: u32,
     load: Load,
+    /// Cost of its data centre, in milliseconds.
+    site_cost: f64,
     /// Cost that does not depend on its load, in milliseconds.
     fixed_cost: f64,
     /// Mean latency; used for plain services only.
     latency_ms: f64,
     /// Time that work takes there relative to the median target.
     factor: f64,
-    /// Total cost as last computed, in milliseconds.
-    cost: f64,
+}
+
+/// Memory of a decision, which is kept for the next one so that none is allocated.
+#[derive(Debug, Default)]
+struct Scratch {
+    /// Data centres of the usable targets.
+    sites: Vec<Site>,
+    /// Targets that the query permits: the index of each and that of its site.
+    usable: Vec<(usize, usize)>,
+    candidates: Vec<Candidate>,
+    /// Cost of each candidate without jitter, or [`NO_CAPACITY`].
+    costs: Vec<f64>,
+}
+
+/// Cost of a target that lacks capacity.
+const NO_CAPACITY: f64 = f64::INFINITY;
+
+/// The targets that a query excludes.
+///
+/// Those that are cold are listed in the order of the targets, so the search begins after the
+/// target that was found last.
+#[derive(Debug)]
+struct Exclusions<'a> {
+    keys: &'a [key::Target],
+    next: usize,
+}
+
+impl Exclusions<'_> {
+    #[expect(
+        clippy::needless_bitwise_bool,
+        reason = "a branch for each key would prevent vectorization"
+    )]
+    fn contains(&mut self, target: key::Target) -> bool {
+        if self.keys.get(self.next) == Some(&target) {
+            self.next += 1;
+            return true;
+        }
+        let keys = self.keys.iter();
+        let is_excluded = keys.fold(false, |found, key| found | (*key == target));
+        if is_excluded && let Some(index) = self.keys.iter().position(|key| *key == target) {
+            self.next = index + 1;
+        }
+        is_excluded
+    }
 }
 
 /// Moving average of the latency of a plain service's target.
@@ -255,18 +360,22 @@
 pub struct Placement {
     runs: HashMap<RunId, Run>,
     next_id: u64,
+    /// Load of this VM's runs on each target that has any.
+    local_loads: key::Map<key::Target, Total>,
     /// Load of the other VMs on each target.
-    peer_loads: HashMap<key::Target, Load>,
-    health: HashMap<key::Target, Health>,
-    latencies: HashMap<key::Target, Latency>,
+    peer_loads: key::Map<key::Target, Load>,
+    health: key::Map<key::Target, Health>,
+    latencies: key::Map<key::Target, Latency>,
     /// Data centres whose load is known with little delay.
     summarized: HashSet<key::DataCentre>,
     /// What peers report of failing targets.
-    failure_reports: HashMap<key::Target, FailureReports>,
+    failure_reports: key::Map<key::Target, FailureReports>,
     /// Time of the last failed connection attempt to a data centre, until a request succeeds.
     unreachable: HashMap<Box<str>, Instant>,
     #[debug(skip)]
     random: SmallRng,
+    #[debug(skip)]
+    scratch: Scratch,
 }
 
 impl Placement {
@@ -275,13 +384,15 @@
         Self {
             runs: HashMap::new(),
             next_id: 0,
-            peer_loads: HashMap::new(),
-            health: HashMap::new(),
-            latencies: HashMap::new(),
+            local_loads: key::Map::default(),
+            peer_loads: key::Map::default(),
+            health: key::Map::default(),
+            latencies: key::Map::default(),
             summarized: HashSet::new(),
-            failure_reports: HashMap::new(),
+            failure_reports: key::Map::default(),
             unreachable: HashMap::new(),
             random: SmallRng::seed_from_u64(seed),
+            scratch: Scratch::default(),
         }
     }
 
@@ -292,132 +403,178 @@
         targets: &'a [Target],
         query: &Query<'_>,
     ) -> Option<Choice<'a>> {
-        let usable: Vec<_> = targets
-            .iter()
-            .filter(|target| target.is_usable() && !query.excluded.contains(&target.key))
-            .filter(|target| {
-                query
-                    .release
-                    .is_none_or(|release| target.runs_release(release))
-            })
-            .collect();
-        let local = self.local_load();
+        let mut scratch = mem::take(&mut self.scratch);
+        let choice = self.choose_with(&mut scratch, now, targets, query);
+        self.scratch = scratch;
+        choice
+    }
+
+    fn choose_with<'a>(
+        &mut self,
+        scratch: &mut Scratch,
+        now: Instant,
+        targets: &'a [Target],
+        query: &Query<'_>,
+    ) -> Option<Choice<'a>> {
+        self.collect_usable(scratch, now, targets, query);
         let is_advance_copy = query.engine.is_some() && query.load.runs == 0 && !query.is_urgent;
-        if is_advance_copy && self.planned_share(&usable, &local, query) > MAX_COPY_FLEET_SHARE {
+        if is_advance_copy && self.planned_share(scratch, targets, query) > MAX_COPY_FLEET_SHARE {
             return None;
         }
-        let mut candidates = self.candidates(now, &usable, &local, query);
+        self.collect_candidates(scratch, now, targets, query);
+        let Scratch {
+            candidates, costs, ..
+        } = scratch;
         for _ in 0..query.queued_ahead {
-            let first = cheapest(&mut candidates, query, || 0.0)?;
-            first.load += query.load;
+            let (first, _) = cheapest(costs, || 0.0)?;
+            candidates[first].load += query.load;
+            costs[first] = candidates[first].cost(query);
         }
         let random = &mut self.random;
-        let count = candidates.len();
         let max_jitter = if query.is_urgent {
             MAX_EVACUATION_JITTER_MS
         } else {
             MAX_JITTER_MS
         };
-        let best = cheapest(&mut candidates, query, || {
-            random.random_range(0.0..max_jitter)
-        })?;
+        let (best, cost) = cheapest(costs, || random.random_range(0.0..max_jitter))?;
+        let best = candidates[best];
         Some(Choice {
-            target: best.target,
+            target: &targets[best.index],
             basis: Basis {
-                cost: best.cost,
+                cost,
                 load: best.load,
-                candidates: count,
+                candidates: candidates.len(),
                 factor: best.factor,
             },
         })
     }
 
-    /// Returns the targets that are considered for a request, with their load and fixed costs.
-    fn candidates<'a>(
+    /// Collects the targets that the query permits, and their data centres.
+    fn collect_usable(
         &self,
+        scratch: &mut Scratch,
         now: Instant,
-        usable: &[&'a Target],
-        local: &HashMap<key::Target, Load>,
+        targets: &[Target],
         query: &Query<'_>,
-    ) -> Vec<Candidate<'a>> {
-        let all_avoided = usable.iter().all(|target| self.is_avoided(target.key, now));
-        let is_local = |target: &Target| *target.data_centre == *query.data_centre;
-        let is_stale = |target: &Target| query.is_remote_stale && !is_local(target);
-        // An engine that seems idle by stale reports seems so to all VMs, and all would choose it.
-        let is_fresh = |target: &Target| {
-            !is_stale(target)
-                || self
-                    .summarized
-                    .contains(&key::DataCentre::of(&target.data_centre))
+    ) {
+        let Scratch { sites, usable, .. } = scratch;
+        sites.clear();
+        usable.clear();
+        let mut exclusions = Exclusions {
+            keys: query.excluded,
+            next: 0,
         };
-        let data_centres: HashSet<_> = usable
-            .iter()
-            .map(|target| key::DataCentre::of(&target.data_centre))
-            .collect();
+        for (index, target) in targets.iter().enumerate() {
+            let runs_release = |release| target.runs_release(release);
+            if !target.is_usable()
+                || exclusions.contains(target.key)
+                || !query.release.is_none_or(runs_release)
+            {
+                continue;
+            }
+            let key = key::DataCentre::of(&target.data_centre);
+            let known = sites.iter().position(|site| site.key == key);
+            let site = known.unwrap_or_else(|| {
+                sites.push(self.site(key, &target.data_centre, query, now));
+                sites.len() - 1
+            });
+            usable.push((index, site));
+        }
+    }
+
+    fn site(&self, key: key::DataCentre, name: &str, query: &Query<'_>, now: Instant) -> Site {
+        let is_local = *name == *query.data_centre;
+        let is_stale = query.is_remote_stale && !is_local;
+        Site {
+            key,
+            is_stale,
+            // An engine that seems idle by stale reports seems so to all VMs, and all would choose it.
+            is_fresh: !is_stale || self.summarized.contains(&key),
+            is_unreachable: self.is_unreachable(name, now),
+            cost: data_centre_cost(name, is_local, query),
+        }
+    }
+
+    /// Collects the targets that are considered for a request, with their load and costs.
+    fn collect_candidates(
+        &self,
+        scratch: &mut Scratch,
+        now: Instant,
+        targets: &[Target],
+        query: &Query<'_>,
+    ) {
+        let Scratch {
+            sites,
+            usable,
+            candidates,
+            costs,
+        } = scratch;
+        candidates.clear();
+        costs.clear();
+        let mut keys = usable.iter().map(|(index, _)| targets[*index].key);
+        let all_avoided = keys.all(|key| self.is_avoided(key, now));
         let local_data_centre = key::DataCentre::of(query.data_centre);
-        let must_be_fresh = query.load.runs > 0
-            && usable
-                .iter()
-                .any(|target| is_fresh(target) && !self.is_unreachable(&target.data_centre, now));
-        let usable = usable.iter().copied().filter(|target| {
-            let is_avoided = !all_avoided && self.is_avoided(target.key, now);
-            let is_accepted = query.load.runs == 0
-                || !is_stale(target)
-                || accepts_remote(target, local_data_centre, &data_centres);
-            !is_avoided && (!must_be_fresh || is_fresh(target) && is_accepted)
-        });
-        let candidates = usable.filter_map(|target| {
-            let load = self.total_load(target.key, local);
-            let factor = factor(target.key, query, now);
+        let is_request = query.load.runs > 0;
+        let mut fresh = sites.iter().filter(|site| site.is_fresh);
+        let must_be_fresh = is_request && fresh.any(|site| !site.is_unreachable);
+        let has_overdue_run = self.runs.values().any(|run| run.is_overdue(now));
+        for &(index, site) in &*usable {
+            let target = &targets[index];
+            let key = target.key;
+            let site = &sites[site];
+            if !all_avoided && self.is_avoided(key, now) {
+                continue;
+            }
+            let is_accepted =
+                || !site.is_stale || accepts_remote(key, site.key, local_data_centre, sites);
+            if must_be_fresh && !(site.is_fresh && is_accepted()) {
+                continue;
+            }
             let mut fixed_cost = 0.0;
-            if self.is_unreachable(&target.data_centre, now) {
+            if site.is_unreachable {
                 fixed_cost += UNREACHABLE_COST_MS;
             }
-            let reports = self.failure_reports.get(&target.key);
+            let reports = self.failure_reports.get(&key);
             let failure_reports = reports.map_or(0, |reports| reports.peers);
-            let own_report = u32::from(self.has_overdue_run(target.key, now));
+            let own_report = u32::from(has_overdue_run && self.has_overdue_run(key, now));
             fixed_cost += REPORTED_FAILURE_COST_MS * f64::from(failure_reports + own_report);
-            if is_stale(target) && query.load.runs > 0 {
+            let is_busy = site.is_stale && is_request;
+            if is_busy {
                 fixed_cost += STALE_LOAD_COST_MS;
-                // Require capacity for one more request, as a peer may have placed one meanwhile.
-                let mut busier = load;
-                busier += query.load;
-                cost(target, busier, query, 0.0, factor)?;
             }
-            Some(Candidate {
-                target,
-                load,
+            let is_plain = query.engine.is_none();
+            let candidate = Candidate {
+                index,
+                slots: target.slots,
+                load: self.load_on(key),
+                site_cost: site.cost,
                 fixed_cost,
-                latency_ms: self.latency(target.key, now),
-                factor,
-                cost: 0.0,
-            })
-        });
-        candidates.collect()
-    }
-
-    /// Returns the load of all VMs on a target, given that of this VM.
-    fn total_load(&self, target: key::Target, local: &HashMap<key::Target, Load>) -> Load {
-        let mut load = local.get(&target).copied().unwrap_or_default();
-        load += self.peer_loads.get(&target).copied().unwrap_or_default();
-        load
+                latency_ms: if is_plain {
+                    self.latency(key, now)
+                } else {
+                    0.0
+                },
+                factor: factor(key, query, now),
+            };
+            // Require capacity for one more request, as a peer may have placed one meanwhile.
+            if is_busy && candidate.with(query.load).cost(query) == NO_CAPACITY {
+                continue;
+            }
+            costs.push(candidate.cost(query));
+            candidates.push(candidate);
+        }
     }
 
     /// Returns the planned share of the engines' memory.
     ///
     /// Counts only the engines of this VM's data centre if the load of remote ones is stale.
-    fn planned_share(
-        &self,
-        targets: &[&Target],
-        local: &HashMap<key::Target, Load>,
-        query: &Query<'_>,
-    ) -> f64 {
-        let is_fresh =
-            |target: &&&Target| !query.is_remote_stale || *target.data_centre == *query.data_centre;
+    fn planned_share(&self, scratch: &Scratch, targets: &[Target], query: &Query<'_>) -> f64 {
         let (mut planned, mut capacity) = (0.0, 0.0);
-        for target in targets.iter().filter(is_fresh) {
-            planned += planned_memory(self.total_load(target.key, local));
-            capacity += f64::from(query.engine.map_or(0, |engine| engine.kv_capacity));
+        for (index, site) in &scratch.usable {
+            if !scratch.sites[*site].is_stale {
+                planned += planned_memory(self.load_on(targets[*index].key));
+                capacity += f64::from(query.engine.map_or(0, |engine| engine.kv_capacity));
+            }
         }
         planned / capacity.max(1.0)
     }
@@ -428,6 +585,7 @@
         self.next_id += 1;
         let due = None;
         self.runs.insert(id, Run { target, load, due });
+        self.local_loads.entry(target).or_default().add(load);
         id
     }
 
@@ -444,29 +602,51 @@
     /// Records that a run's prefill is complete.
     pub fn finish_prefill(&mut self, id: RunId) {
         if let Some(run) = self.runs.get_mut(&id) {
-            run.load.pending_prefill = 0;
             run.due = None;
         }
+        self.update_load(id, |load| load.pending_prefill = 0);
     }
 
     /// Records how many output tokens a run has produced.
     ///
     /// A run that outgrows its estimate is expected to produce a quarter more tokens than so far.
     pub fn update_tokens(&mut self, id: RunId, prompt: u32, tokens: u32) {
-        if let Some(run) = self.runs.get_mut(&id) {
-            run.load.used_memory = prompt + tokens;
-            run.load.peak_memory = run.load.peak_memory.max(prompt + tokens + tokens / 4);
+        self.update_load(id, |load| {
+            load.used_memory = prompt + tokens;
+            load.peak_memory = load.peak_memory.max(prompt + tokens + tokens / 4);
+        });
+    }
+
+    /// Changes the load of a run.
+    fn update_load(&mut self, id: RunId, update: impl FnOnce(&mut Load)) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        let before = run.load;
+        update(&mut run.load);
+        if let Some(total) = self.local_loads.get_mut(&run.target) {
+            total.subtract(before);
+            total.add(run.load);
         }
     }
 
     /// Removes the load of a run that has ended.
     pub fn end_run(&mut self, id: RunId) {
-        self.runs.remove(&id);
+        let Some(run) = self.runs.remove(&id) else {
+            return;
+        };
+        if let Some(total) = self.local_loads.get_mut(&run.target) {
+            total.subtract(run.load);
+            if total.count == 0 {
+                self.local_loads.remove(&run.target);
+            }
+        }
     }
 
     /// Replaces the load of the other VMs on each target.
     pub fn set_peer_load(&mut self, peer_loads: HashMap<key::Target, Load>) {
-        self.peer_loads = peer_loads;
+        self.peer_loads.clear();
+        self.peer_loads.extend(peer_loads);
     }
 
     /// Replaces the set of data centres whose load is known with little delay.
@@ -513,14 +693,15 @@
 
     /// Returns the number of runs of this VM and its peers on the given targets.
     pub fn run_count<'a>(&self, targets: impl IntoIterator<Item = &'a Target>) -> u32 {
-        let local = self.local_load();
-        let runs = |loads: &HashMap<key::Target, Load>, target: &Target| {
-            loads.get(&target.key).map_or(0, |load| load.runs)
-        };
-        let targets = targets.into_iter();
-        targets
-            .map(|target| runs(&local, target) + runs(&self.peer_loads, target))
-            .sum()
+        let counts = targets.into_iter().map(|target| {
+            let local = self
+                .local_loads
+                .get(&target.key)
+                .map_or(0, |total| total.load().runs);
+            let remote = self.peer_loads.get(&target.key).map_or(0, |load| load.runs);
+            local + remote
+        });
+        counts.sum()
     }
 
     /// Returns the number of runs on the given targets, each counted by the speed of its target.
@@ -542,19 +723,18 @@
     /// Returns the load of this VM and its peers on a target.
     pub fn load_on(&self, target: key::Target) -> Load {
         let mut load = self.peer_loads.get(&target).copied().unwrap_or_default();
-        for run in self.runs.values().filter(|run| run.target == target) {
-            load += run.load;
+        if let Some(total) = self.local_loads.get(&target) {
+            load += total.load();
         }
         load
     }
 
     /// Returns the load of this VM on each target.
     pub fn local_load(&self) -> HashMap<key::Target, Load> {
-        let mut local: HashMap<key::Target, Load> = HashMap::new();
-        for run in self.runs.values() {
-            *local.entry(run.target).or_default() += run.load;
-        }
-        local
+        let totals = self.local_loads.iter();
+        totals
+            .map(|(target, total)| (*target, total.load()))
+            .collect()
     }
 
     /// Records a successful response of a target, which clears its failures.
@@ -645,36 +825,32 @@
 /// It accepts those of only one, chosen by rendezvous hashing: VMs of two data centres that chose
 /// the same engine would learn of each other's choice too late.
 fn accepts_remote(
-    target: &Target,
+    target: key::Target,
+    data_centre: key::DataCentre,
     requester: key::DataCentre,
-    data_centres: &HashSet<key::DataCentre>,
+    sites: &[Site],
 ) -> bool {
-    let target_data_centre = key::DataCentre::of(&target.data_centre);
-    let candidates = data_centres.iter().chain([&requester]);
-    let candidates = candidates
-        .filter(|data_centre| **data_centre != target_data_centre)
-        .map(|data_centre| data_centre.raw());
-    rendezvous::choose(target.key.raw(), candidates) == Some(requester.raw())
+    let rank =
+        |other: key::DataCentre| (rendezvous::weight(target.raw(), other.raw()), other.raw());
+    let own = rank(requester);
+    let mut others = sites.iter().filter(|site| site.key != data_centre);
+    others.all(|other| rank(other.key) <= own)
 }
 
-/// Returns the candidate of least cost that has capacity; `jitter` is added to each cost.
-fn cheapest<'a, 'b>(
-    candidates: &'b mut [Candidate<'a>],
-    query: &Query<'_>,
-    mut jitter: impl FnMut() -> f64,
-) -> Option<&'b mut Candidate<'a>> {
-    let with_capacity = candidates.iter_mut().filter_map(|candidate| {
-        let cost = cost(
-            candidate.target,
-            candidate.load,
-            query,
-            candidate.latency_ms,
-            candidate.factor,
-        )?;
-        candidate.cost = cost + candidate.fixed_cost + jitter();
-        Some(candidate)
-    });
-    with_capacity.min_by(|one, other| one.cost.total_cmp(&other.cost))
+/// Returns the index of the least cost with its random `jitter`, and that cost.
+fn cheapest(costs: &[f64], mut jitter: impl FnMut() -> f64) -> Option<(usize, f64)> {
+    let mut best = None;
+    let mut least = NO_CAPACITY;
+    for (index, cost) in costs.iter().enumerate() {
+        if *cost < NO_CAPACITY {
+            let cost = cost + jitter();
+            if cost < least {
+                least = cost;
+                best = Some(index);
+            }
+        }
+    }
+    best.map(|index| (index, least))
 }
 
 /// Returns the peak memory that an engine's load is expected to need, in tokens.
@@ -701,73 +877,74 @@
     }
 }
 
-/// Returns the cost of a request on a target in milliseconds; `None` if it lacks capacity.
-///
-/// `factor` is the time that work takes at the target relative to the median one.
-fn cost(
-    target: &Target,
-    load: Load,
-    query: &Query<'_>,
-    latency_ms: f64,
-    factor: f64,
-) -> Option<f64> {
-    let is_local = *target.data_centre == *query.data_centre;
-    let remote_cost = |cost| if is_local { 0.0 } else { cost };
-    let Some(engine) = query.engine else {
-        let slots = f64::from(target.slots.max(1));
-        let used_share = f64::from(load.runs) / slots;
-        return Some(
-            remote_cost(PLAIN_REMOTE_COST_MS)
-                + factor * latency_ms * (1.0 + FULL_SLOTS_COST_FACTOR * used_share),
-        );
-    };
-    let is_copy = query.load.runs == 0;
-    if !is_copy && load.runs >= engine.slots {
-        return None;
-    }
-    let mut with_request = load;
-    with_request += query.load;
-    let used_share = planned_memory(with_request) / f64::from(engine.kv_capacity.max(1));
-    let limit = if is_copy && !query.is_urgent {
-        MAX_COPY_MEMORY_SHARE
+/// Returns the cost of a data centre for a query, in milliseconds.
+fn data_centre_cost(name: &str, is_local: bool, query: &Query<'_>) -> f64 {
+    let Query { load, .. } = query;
+    let (is_wrong, cost) = if query.engine.is_none() {
+        (!is_local, PLAIN_REMOTE_COST_MS)
+    } else if load.runs > 0 {
+        let output = load.peak_memory.saturating_sub(load.used_memory);
+        let cost = REMOTE_COST_MS + REMOTE_TOKEN_COST_MS * f64::from(output);
+        (!is_local, cost)
+    } else if let Some(run_data_centre) = query.run_data_centre {
+        (*name != *run_data_centre, EVACUATION_DATA_CENTRE_COST_MS)
     } else {
-        MAX_MEMORY_SHARE
+        (is_local == query.is_run_local, COPY_DATA_CENTRE_COST_MS)
     };
-    if used_share > limit {
-        return None;
-    }
-    let memory = FULL_MEMORY_COST_MS * used_share * used_share;
-    if is_copy {
-        let (is_wrong_data_centre, wrong_cost) = match query.run_data_centre {
-            Some(data_centre) => (
-                *target.data_centre != *data_centre,
-                EVACUATION_DATA_CENTRE_COST_MS,
-            ),
-            None => (is_local == query.is_run_local, COPY_DATA_CENTRE_COST_MS),
+    if is_wrong { cost } else { 0.0 }
+}
+
+impl Candidate {
+    /// Returns the same target with more load.
+    fn with(mut self, load: Load) -> Self {
+        self.load += load;
+        self
+    }
+
+    /// Returns the cost of a request on the target in milliseconds, or [`NO_CAPACITY`].
+    fn cost(&self, query: &Query<'_>) -> f64 {
+        let Self { load, factor, .. } = *self;
+        let Some(engine) = query.engine else {
+            let slots = f64::from(self.slots.max(1));
+            let used_share = f64::from(load.runs) / slots;
+            return self.site_cost
+                + factor * self.latency_ms * (1.0 + FULL_SLOTS_COST_FACTOR * used_share)
+                + self.fixed_cost;
         };
-        let data_centre_cost = if is_wrong_data_centre {
-            wrong_cost
+        let is_copy = query.load.runs == 0;
+        if !is_copy && load.runs >= engine.slots {
+            return NO_CAPACITY;
+        }
+        let mut with_request = load;
+        with_request += query.load;
+        let used_share = planned_memory(with_request) / f64::from(engine.kv_capacity.max(1));
+        let limit = if is_copy && !query.is_urgent {
+            MAX_COPY_MEMORY_SHARE
         } else {
-            0.0
+            MAX_MEMORY_SHARE
         };
-        // When an engine stops, all its runs continue on the engines with their copies at once, so
-        // copies are spread over engines.
-        let copy_share = f64::from(load.copy_memory) / f64::from(engine.kv_capacity.max(1));
-        return Some(data_centre_cost + memory + COPY_CONCENTRATION_COST_MS * copy_share);
-    }
-    // The request's own prefill at normal speed is the same at all targets, so only the difference
-    // counts, here and in `max_pending_prefill`.
-    let own_excess = f64::from(query.load.pending_prefill) * (factor - 1.0);
-    let prefill_tokens = f64::from(load.pending_prefill) * factor + own_excess;
-    // An engine without pending prompts takes any request: none would be faster there by waiting.
-    if load.pending_prefill > 0 && prefill_tokens > f64::from(query.max_pending_prefill) {
-        return None;
-    }
-    let prefill = prefill_tokens / PREFILL_TOKENS_PER_MS;
-    let output = query
-        .load
-        .peak_memory
-        .saturating_sub(query.load.used_memory);
-    let remote = remote_cost(REMOTE_COST_MS + REMOTE_TOKEN_COST_MS * f64::from(output));
-    Some(remote + prefill + RUN_COST_MS * factor * f64::from(load.runs) + memory)
+        if used_share > limit {
+            return NO_CAPACITY;
+        }
+        let memory = FULL_MEMORY_COST_MS * used_share * used_share;
+        if is_copy {
+            // When an engine stops, all its runs continue on the engines with their copies at once,
+            // so copies are spread over engines.
+            let copy_share = f64::from(load.copy_memory) / f64::from(engine.kv_capacity.max(1));
+            let concentration = COPY_CONCENTRATION_COST_MS * copy_share;
+            return self.site_cost + memory + concentration + self.fixed_cost;
+        }
+        // The request's own prefill at normal speed is the same at all targets, so only the
+        // difference counts, here and in `max_pending_prefill`.
+        let own_excess = f64::from(query.load.pending_prefill) * (factor - 1.0);
+        let prefill_tokens = f64::from(load.pending_prefill) * factor + own_excess;
+        // An engine without pending prompts takes any request: none would be faster there by
+        // waiting.
+        if load.pending_prefill > 0 && prefill_tokens > f64::from(query.max_pending_prefill) {
+            return NO_CAPACITY;
+        }
+        let prefill = prefill_tokens / PREFILL_TOKENS_PER_MS;
+        let runs = RUN_COST_MS * factor * f64::from(load.runs);
+        self.site_cost + prefill + runs + memory + self.fixed_cost
+    }
 }
--- a/crates/gateway/src/targets/dispatcher.rs
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -5,14 +5,14 @@
     derive_more::Debug,
     dispatch::{
         Budget, Cold, Durations, Generation, Lengths, Limits, Load, Paces, Peers, Placement,
+        Selection,
         budget::Policy,
-        cold::Access,
         configuration::ColdStart,
         listing::Target,
         load::{Occupancy, Pace},
         pace::{self, Spread, Window},
         peers::Readings,
-        placement::{self, Basis, Choice, Query, RunId, overdue_delay},
+        placement::{self, Basis, Query, RunId, overdue_delay},
         report,
         waiting::{Demand, Position, Queues, Waiter},
     },
@@ -44,34 +44,9 @@
     limits: Limits,
     cold: Cold,
     paces: Paces,
-}
-
-/// Chooses a target, of the cold ones only those that may get a request of this VM now.
-fn choose<'a>(
-    (placement, cold): (&mut Placement, &mut Cold),
-    now: Instant,
-    targets: &'a [Target],
-    query: &Query<'_>,
-) -> Option<Choice<'a>> {
-    // A copy of a run is no request.
-    let Some(access) = query.cold_access.filter(|_| query.load.runs > 0) else {
-        return placement.choose(now, targets, query);
-    };
-    let mut closed = cold.closed(targets, access.cold_start(), now);
-    if closed.is_empty() {
-        return placement.choose(now, targets, query);
-    }
-    closed.extend(query.excluded);
-    let open = Query {
-        excluded: &closed,
-        ..*query
-    };
-    let choice = placement.choose(now, targets, &open);
-    let is_continuation = matches!(access, Access::Continuation(_));
-    if choice.is_none() && (is_continuation || cold.is_last_resort(now)) {
-        return placement.choose(now, targets, query);
-    }
-    choice
+    selection: Selection,
+    /// Targets that the current request doesn't use; kept for its memory only.
+    excluded: Vec<key::Target>,
 }
 
 /// Tracks the load on the targets and decides which requests are admitted, placed and retried.
@@ -127,6 +102,8 @@
                 limits: Limits::new(seed),
                 cold,
                 paces: Paces::default(),
+                selection: Selection::default(),
+                excluded: Vec::new(),
             })),
             budget_policy,
             live_vms: AtomicUsize::new(1),
@@ -149,29 +126,31 @@
         if let Some(first) = targets.first() {
             state.paces.refresh(first.service, targets, now);
         }
+        let excluded = &mut state.excluded;
+        excluded.clear();
+        excluded.extend_from_slice(query.excluded);
         // A copy of a run is no request.
-        let mut closed = Vec::new();
         let mut is_brittle = false;
         if query.load.runs > 0 {
-            closed = state.limits.closed(now);
+            excluded.extend(state.limits.closed(now));
             let brittle: Vec<_> = state.limits.brittle(now).collect();
             is_brittle = !brittle.is_empty();
             let brittle = targets
                 .iter()
                 .filter(|target| brittle.contains(&target.key));
             // A brittle target is sent nothing that might have to wait.
-            closed.extend(brittle.filter_map(|target| {
+            excluded.extend(brittle.filter_map(|target| {
                 let runs = state.placement.run_count([target]);
                 (runs >= target.slots).then_some(target.key)
             }));
         }
-        let excluded: Vec<_> = query.excluded.iter().copied().chain(closed).collect();
         let query = &Query {
-            excluded: &excluded,
+            excluded,
             paces: Some(&state.paces),
             ..*query
         };
-        let choice = choose((&mut state.placement, &mut state.cold), now, targets, query)?;
+        let parts = (&mut state.placement, &mut state.cold);
+        let choice = state.selection.choose(parts, now, targets, query)?;
         let (target, basis) = (choice.target.clone(), choice.basis);
         let run = state.placement.start_run(target.key, query.load);
         let is_request = query.load.runs > 0;
