--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -15,6 +15,7 @@
     base::{Instant, key, rendezvous},
     std::{
         collections::{HashMap, HashSet},
+        hash::BuildHasher,
         net::Ipv4Addr,
         time::Duration,
     },
@@ -49,7 +50,7 @@
 #[derive(Debug, Default)]
 struct SummarizedLoad {
     /// Load of each target by its raw key, with the time at which it was received.
-    loads: HashMap<u64, (TargetLoad, Instant)>,
+    loads: key::Map<u64, (TargetLoad, Instant)>,
     /// Raw keys of the targets that fail requests there, once for each VM.
     failing: Vec<u64>,
     updated: Instant,
@@ -74,7 +75,7 @@
     /// Addresses from the introductions of reports, with the time of the latest one.
     introduced: HashMap<Ipv4Addr, Instant>,
     /// Load of other data centres by the hash of their name.
-    summaries: HashMap<u64, SummarizedLoad>,
+    summaries: key::Map<u64, SummarizedLoad>,
     /// When the latest report of any peer was received.
     last_received: Instant,
     watches: Watches,
@@ -432,21 +433,24 @@
     /// Returns the load of all live peers on each target.
     ///
     /// That of a data centre with recent summaries comes from these, not from its VMs' reports.
-    pub fn load(&self, now: Instant) -> HashMap<key::Target, Load> {
-        let mut total: HashMap<key::Target, Load> = HashMap::new();
-        let summarized = self.summarized_data_centres(now);
+    pub fn load(&self, now: Instant) -> key::Map<key::Target, Load> {
+        let mut total = key::Map::default();
+        self.add_load(&mut total, now);
+        total
+    }
+
+    /// Adds the loads of [`Peers::load`] to a map.
+    pub fn add_load(&self, total: &mut key::Map<key::Target, Load>, now: Instant) {
         for peer in self.live_peers(now) {
-            let data_centre = key::DataCentre::from_raw(peer.report.data_centre);
-            if !summarized.contains(&data_centre) {
-                add_loads(&mut total, &peer.report.loads, now.since(peer.received));
+            if !self.is_summarized(peer.report.data_centre, now) {
+                add_loads(total, &peer.report.loads, now.since(peer.received));
             }
         }
         for (_, summarized) in self.fresh_summaries(now) {
             for (load, received) in summarized.loads.values() {
-                add_loads(&mut total, &[*load], now.since(*received));
+                add_loads(total, &[*load], now.since(*received));
             }
         }
-        total
     }
 
     /// Returns the paces that the live peers in a data centre have measured.
@@ -460,10 +464,8 @@
     ///
     /// Those of a data centre with recent summaries come from these, as the load does.
     pub fn paces(&self, now: Instant) -> Readings {
-        let summarized = self.summarized_data_centres(now);
-        let peers = self.live_peers(now).filter(|peer| {
-            !summarized.contains(&key::DataCentre::from_raw(peer.report.data_centre))
-        });
+        let peers = self.live_peers(now);
+        let peers = peers.filter(|peer| !self.is_summarized(peer.report.data_centre, now));
         let mut paces = collect_paces(peers.flat_map(|peer| &peer.paces));
         for (_, summarized) in self.fresh_summaries(now) {
             for (load, received) in summarized.loads.values() {
@@ -481,6 +483,12 @@
         summaries.filter(move |(_, summarized)| now.since(summarized.updated) <= SUMMARY_TIMEOUT)
     }
 
+    /// Returns whether the summaries of a data centre are recent.
+    fn is_summarized(&self, data_centre: u64, now: Instant) -> bool {
+        let summarized = self.summaries.get(&data_centre);
+        summarized.is_some_and(|summarized| now.since(summarized.updated) <= SUMMARY_TIMEOUT)
+    }
+
     fn live_peers(&self, now: Instant) -> impl Iterator<Item = &Peer> {
         let peers = self.reporting.values();
         peers.filter(move |peer| now.since(peer.received) <= PEER_TIMEOUT)
@@ -503,15 +511,12 @@
     ///
     /// Those of a data centre with recent summaries come from these as well, as the reports of its
     /// VMs are rare and a failure may be over before the next one.
-    pub fn failure_counts(&self, now: Instant) -> HashMap<key::Target, u32> {
-        let mut total = HashMap::new();
-        let summarized = self.summarized_data_centres(now);
-        let is_reporting =
-            |report: &Report| !summarized.contains(&key::DataCentre::from_raw(report.data_centre));
+    pub fn failure_counts(&self, now: Instant) -> key::Map<key::Target, u32> {
+        let mut total = key::Map::default();
         // What fails at a VM without a path to targets is not the targets' fault.
         let reaching = self.live(now).filter(|(_, report)| !report.is_isolated);
         let reported = reaching
-            .filter(|(_, report)| is_reporting(report))
+            .filter(|(_, report)| !self.is_summarized(report.data_centre, now))
             .flat_map(|(_, report)| &report.failing);
         let summaries = self.fresh_summaries(now);
         let summarized = summaries.flat_map(|(_, summarized)| &summarized.failing);
@@ -622,7 +627,11 @@
 }
 
 /// Adds reported loads of a given age to the total of each target.
-fn add_loads(total: &mut HashMap<key::Target, Load>, loads: &[TargetLoad], age: Duration) {
+fn add_loads<S: BuildHasher>(
+    total: &mut HashMap<key::Target, Load, S>,
+    loads: &[TargetLoad],
+    age: Duration,
+) {
     for load in loads {
         *total.entry(key::Target::from_raw(load.target)).or_default() += load.load(age);
     }
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -11,6 +11,7 @@
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{
         collections::{HashMap, HashSet},
+        hash::BuildHasher,
         mem,
         time::Duration,
     },
@@ -645,8 +646,13 @@
 
     /// Replaces the load of the other VMs on each target.
     pub fn set_peer_load(&mut self, peer_loads: HashMap<key::Target, Load>) {
+        self.refill_peer_load(|loads| loads.extend(peer_loads));
+    }
+
+    /// Replaces the load of the other VMs by what is added to an empty map, whose memory is kept.
+    pub fn refill_peer_load(&mut self, fill: impl FnOnce(&mut key::Map<key::Target, Load>)) {
         self.peer_loads.clear();
-        self.peer_loads.extend(peer_loads);
+        fill(&mut self.peer_loads);
     }
 
     /// Replaces the set of data centres whose load is known with little delay.
@@ -655,7 +661,11 @@
     }
 
     /// Replaces the number of peers that report each target as failing.
-    pub fn set_failure_reports(&mut self, counts: &HashMap<key::Target, u32>, now: Instant) {
+    pub fn set_failure_reports<S: BuildHasher>(
+        &mut self,
+        counts: &HashMap<key::Target, u32, S>,
+        now: Instant,
+    ) {
         for (target, reports) in &mut self.failure_reports {
             reports.peers = counts.get(target).copied().unwrap_or_default();
         }
--- a/crates/gateway/src/targets/dispatcher.rs
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -358,7 +358,8 @@
         if state.paces.needs_readings(now) {
             state.paces.set_readings(peers.paces(now), now);
         }
-        state.placement.set_peer_load(peers.load(now));
+        let placement = &mut state.placement;
+        placement.refill_peer_load(|loads| peers.add_load(loads, now));
         state
             .placement
             .set_summarized(peers.summarized_data_centres(now));
