docs(capacity): name the measured decision that finds no capacity

Cause: with 60 of 60 targets cold and 10 requests queued ahead, the few targets that a VM may use are full, so the benchmark times a refusal. An assertion on a scratch copy of the benchmark showed it; all other cases up to that one choose a target.

--- a/crates/dispatch/benches/selection.rs
+++ b/crates/dispatch/benches/selection.rs
@@ -189,6 +189,7 @@
                 bencher.iter(|| {
                     let parts = (&mut *placement, &mut cold);
                     let choice = selection.choose(parts, now(), black_box(&targets), &query);
+                    // With 60 cold targets and 10 queued ahead, the open ones are full.
                     choice.map(|choice| choice.target.key)
                 });
             });
