feat(dispatch): order the copies of runs on leaving engines by what is lost

The requests were spread over 200 ms at random, and a refusal was noticed only with a later event of the stream, at least 100 ms after the check before.

Change: `dispatch::evacuation` takes over the delay. It decreases with the tokens that the run has produced; a fifth of the 200 ms is random. Runs that may be started again and are under 100 tokens long aren't copied. The task that requests a copy asks the next engine itself after a 503, at most four per notice. A copy is repeated after twice the time that the last one took, 100 to 400 ms, instead of 400 ms; a repeated copy that fails waits 400 ms as before. A notice is looked for every 40 ms instead of 100 ms. A stream whose engine is gone waits 20 ms instead of 50 ms for a pending copy if it has an earlier one.

`copies_of_runs_on_many_leaving_engines_rarely_find_no_room` now gives its runs 0 to 750 tokens, as the delay depends on them; its bounds are unchanged.

Not built: runs that end before their engine leaves. The length of the notice isn't known: `leaves_ms` is read as yes or no.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cordon;
 pub mod drain;
 pub mod duration;
+pub mod evacuation;
 pub mod feature;
 pub mod frame;
 pub mod length;
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -63,11 +63,6 @@
 /// The same for the copy of a run whose engine is leaving: the VMs of all its runs choose at the same
 /// moment, from the same load.
 const MAX_EVACUATION_JITTER_MS: f64 = 400.0;
-/// Time over which the copies of all runs of engines that leave together are ordered.
-///
-/// A VM learns of the others' copies in its data centre after some milliseconds. An engine sends one
-/// copy after the other, so the delay costs little of its notice.
-const EVACUATION_SPREAD: Duration = Duration::from_millis(200);
 /// Cost of a plain service target with all slots in use, as a multiple of its mean latency.
 const FULL_SLOTS_COST_FACTOR: f64 = 3.0;
 /// Cost of a remote data centre for a plain request.
@@ -241,15 +236,6 @@
     prefill_time(pending_prefill) * OVERDUE_FACTOR + OVERDUE_MARGIN
 }
 
-/// Returns the delay after which the copy of a run is ordered whose engine gives notice.
-///
-/// Engines leave several at a time, and the VMs of all their runs would choose from the same load.
-/// The delay is random by the run, so that each VM knows most of the copies before its own.
-pub fn evacuation_delay(run: key::Request) -> Duration {
-    let random = rendezvous::weight(run.raw(), 0) as f64 / u64::MAX as f64;
-    EVACUATION_SPREAD.mul_f64(random)
-}
-
 /// Chooses targets by the load and the failures that are known of them.
 #[derive(Debug)]
 pub struct Placement {
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -5,8 +5,9 @@
     mastictrail_dispatch::{
         Load, Placement,
         configuration::Engine,
+        evacuation,
         listing::{Target, WarmUp},
-        placement::{Query, RunId, evacuation_delay},
+        placement::{Query, RunId},
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{collections::HashMap, time::Duration},
@@ -705,8 +706,13 @@
             .collect();
         let mut runs: Vec<_> = (0..LEAVING * RUNS)
             .map(|run| {
-                let request = key::Request::of(&format!("{seed}-{run}"));
-                let delay = evacuation_delay(request).as_millis() as u64;
+                let leaving = evacuation::Run {
+                    key: key::Request::of(&format!("{seed}-{run}")),
+                    tokens: random.random_range(0..=750),
+                    estimated_tokens: 750,
+                    is_repeatable: false,
+                };
+                let delay = leaving.delay().as_millis() as u64;
                 (if is_delayed { delay } else { 0 }, run)
             })
             .collect();
--- a/crates/fakes/src/site/target.rs
+++ b/crates/fakes/src/site/target.rs
@@ -97,6 +97,8 @@
     pub answers_for: Option<Box<str>>,
     /// Reports the target as draining.
     pub leaves: bool,
+    /// Number of copies of runs, the first ones, that are refused as if the other engine were full.
+    pub copy_refusals: usize,
     /// Header fields that the target adds to all its responses.
     pub notices: Vec<(&'static str, String)>,
     /// Shared part of a prompt on which an engine crashes as it begins to answer.
@@ -129,6 +131,7 @@
             drops_response: false,
             answers_for: None,
             leaves: false,
+            copy_refusals: 0,
             notices: Vec::new(),
             crashes_on: None,
             crashes_on_request: None,
@@ -200,6 +203,8 @@
     active_streams: usize,
     /// Addresses to which runs were copied on request.
     copied_to: Vec<SocketAddr>,
+    /// Addresses to which copies were refused.
+    refused_copies: Vec<SocketAddr>,
     /// When the target crashed.
     crashes: Vec<Instant>,
     /// When it crashed on a request.
@@ -261,6 +266,7 @@
             cancelled: Vec::new(),
             active_streams: 0,
             copied_to: Vec::new(),
+            refused_copies: Vec::new(),
             crashes: Vec::new(),
             bad_crashes: Vec::new(),
             is_gone: false,
@@ -406,6 +412,11 @@
         lock(&self.state).copied_to.clone()
     }
 
+    /// Returns the addresses to which copies were refused.
+    pub fn refused_copies(&self) -> Vec<SocketAddr> {
+        lock(&self.state).refused_copies.clone()
+    }
+
     /// Returns the number of open streams.
     pub fn active_streams(&self) -> usize {
         lock(&self.state).active_streams
@@ -681,6 +692,10 @@
         Err(response) => return *response,
     };
     let mut state = lock(state);
+    if state.refused_copies.len() < state.behaviour.copy_refusals {
+        state.refused_copies.push(move_request.to);
+        return http::text(StatusCode::SERVICE_UNAVAILABLE, "full");
+    }
     state.copied_to.push(move_request.to);
     let handle = format!("h-{}", move_request.id);
     lock(&state.copies).insert((state.address, handle.as_str().into()));
--- a/crates/gateway/src/clients/evacuation.rs
+++ b/crates/gateway/src/clients/evacuation.rs
@@ -17,24 +17,37 @@
     },
     base::{Instant, key},
     bytes::Bytes,
-    dispatch::{listing::Target, placement::evacuation_delay},
+    derive_more::{Display, From},
+    dispatch::{
+        configuration::RetryPolicy,
+        evacuation::{self, Failures, Run},
+        listing::Target,
+    },
     entry::runtime::with_timeout,
-    hyper::Method,
+    hyper::{Method, StatusCode},
     platform::engine,
     smol::Task,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Weak},
+        time::Duration,
+    },
 };
 
-/// Interval between checks of the engines' state.
-const POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// Delay between two copies of the same run.
-const COPY_INTERVAL: Duration = Duration::from_millis(400);
+/// Minimum interval between checks of the engines' state: less than between two events, so that each
+/// event of a stream may reveal a notice.
+const POLL_INTERVAL: Duration = Duration::from_millis(40);
+/// Delay after a failed copy, unless another engine is asked immediately.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Timeout of a copy: the longest notice period of an engine, plus a margin.
 const COPY_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Timeout for freeing a copy; its memory stays reserved in the meantime.
 const FREE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time to wait for a copy's result after its source has failed, as it may still be in transit.
 const FINISH_TIMEOUT: Duration = Duration::from_millis(50);
+/// The same for a run that has an earlier copy: the stream pauses meanwhile, and a result that is in
+/// transit takes a few milliseconds.
+const REPLACEMENT_TIMEOUT: Duration = Duration::from_millis(20);
 
 /// State of the evacuation of one run.
 #[derive(Debug, Default)]
@@ -45,27 +58,54 @@
     /// Address of the engine that the run is copied from.
     source: Option<SocketAddr>,
     /// Engines where a copy failed.
-    failed_targets: Vec<key::Target>,
+    failures: Failures,
     next_poll: Instant,
-    /// When the first copy may be ordered; `None` unless the source engine gave notice.
+    /// When the first copy may be requested; `None` unless the source engine gave notice.
     begins: Option<Instant>,
 }
 
 #[derive(Debug)]
 struct PendingCopy {
-    task: Task<Result<Box<str>, Failure>>,
+    task: Task<Attempt>,
+    /// Whether it replaces an earlier copy, whose reservation is reused.
+    is_repeated: bool,
+}
+
+/// A finished attempt to copy a run.
+#[derive(Debug)]
+struct Attempt {
+    /// Engine that was asked last.
     target: Target,
     /// `None` if the previous copy's reservation is reused.
     reservation: Option<Reservation>,
+    result: Result<Box<str>, Error>,
+    failures: Failures,
+    /// When the last engine was asked.
+    requested: Instant,
+    finished: Instant,
+}
+
+/// Why a copy was not made.
+#[derive(Debug, Display, From)]
+enum Error {
+    /// The destination has no capacity.
+    #[display("the engine answered {}", StatusCode::SERVICE_UNAVAILABLE)]
+    Refused,
+    /// Any other failure.
+    #[from]
+    Failed(Failure),
 }
 
 impl Evacuation {
     /// Records a finished copy and starts the next one if it is needed.
+    ///
+    /// `tokens` is the number of tokens that the run has produced.
     pub fn poll(
         &mut self,
-        exchange: &Exchange,
+        exchange: &Arc<Exchange>,
         plan: &Plan,
         source: &Target,
+        tokens: u32,
         copy: &mut Option<Copy>,
     ) {
         let shared = &exchange.shared;
@@ -75,58 +115,66 @@
         }
         self.next_poll = now + POLL_INTERVAL;
         if let Some(pending) = self.pending.take_if(|pending| pending.task.is_finished()) {
-            let result = smol::future::block_on(pending.task);
-            self.complete(
-                exchange,
-                source,
-                (pending.target, pending.reservation),
-                result,
-                copy,
-            );
-            if self.copied_to.is_some() {
-                self.next_poll = now + COPY_INTERVAL;
+            let attempt = smol::future::block_on(pending.task);
+            let delay = match &attempt.result {
+                Ok(_) => evacuation::interval(attempt.finished.since(attempt.requested)),
+                Err(_) if pending.is_repeated => evacuation::MAX_INTERVAL,
+                Err(_) => RETRY_DELAY,
+            };
+            self.next_poll = attempt.finished + delay;
+            self.complete(exchange, source, attempt, copy);
+            if now < self.next_poll {
                 return;
             }
         }
         if self.pending.is_some() || shared.directory.is_active(source.key) {
             return;
         }
-        let run = key::Request::of(&exchange.head.attempt_id);
-        let begins = *self
-            .begins
-            .get_or_insert_with(|| now + evacuation_delay(run));
+        let has_copy = copy
+            .as_ref()
+            .is_some_and(|copy| shared.directory.is_usable(copy.target.key));
+        let run = Run {
+            key: key::Request::of(&exchange.head.attempt_id),
+            tokens,
+            estimated_tokens: plan.estimated_tokens,
+            is_repeatable: exchange.route.retry_policy == RetryPolicy::Resumable
+                && exchange.may_run_again(),
+        };
+        if !has_copy && !run.is_copied() {
+            return;
+        }
+        let begins = *self.begins.get_or_insert_with(|| now + run.delay());
         if now < begins {
             self.next_poll = begins;
             return;
         }
-        let has_copy = copy
-            .as_ref()
-            .is_some_and(|copy| shared.directory.is_usable(copy.target.key));
         let (target, reservation) = match (&self.copied_to, has_copy) {
             (Some(target), true) => (target.clone(), None),
             (None, true) => return,
             (_, false) => {
-                let excluded = [&*self.failed_targets, &[source.key]].concat();
                 let Some((target, reservation)) =
-                    reserve_evacuation(exchange, plan, source, &excluded)
+                    reserve_next(exchange, plan, source, &self.failures)
                 else {
-                    self.failed_targets.clear();
+                    self.failures.clear();
+                    self.next_poll = now + RETRY_DELAY;
                     return;
                 };
                 (target, Some(reservation))
             }
         };
-        let request = request_copy(
-            Arc::clone(shared),
-            source.address,
-            exchange.head.attempt_id.clone(),
-            target.address,
-        );
         self.source = Some(source.address);
+        let is_repeated = reservation.is_none();
+        let request = Request {
+            shared: Arc::clone(shared),
+            exchange: Arc::downgrade(exchange),
+            attempt_id: exchange.head.attempt_id.clone(),
+            plan: *plan,
+            source: source.clone(),
+        };
+        let attempt = request.run(target, reservation, self.failures.clone());
         self.pending = Some(PendingCopy {
-            task: shared.runtime.spawn(request),
-            target,
-            reservation,
+            task: shared.runtime.spawn(attempt),
+            is_repeated,
         });
     }
 
@@ -135,15 +183,17 @@
         let Some(pending) = self.pending.take() else {
             return;
         };
-        let result = with_timeout(FINISH_TIMEOUT, pending.task).await;
-        let result = result.unwrap_or_else(|| Err(Failure::may_have_run("no answer in time")));
-        self.complete(
-            exchange,
-            source,
-            (pending.target, pending.reservation),
-            result,
-            copy,
-        );
+        let timeout = if copy.is_some() && pending.is_repeated {
+            REPLACEMENT_TIMEOUT
+        } else {
+            FINISH_TIMEOUT
+        };
+        if let Some(attempt) = with_timeout(timeout, pending.task).await {
+            self.complete(exchange, source, attempt, copy);
+        } else {
+            let outcome = (false, "no answer in time");
+            log_result(&exchange.head.attempt_id, source, None, outcome);
+        }
     }
 
     /// Frees the copies of a run that has ended.
@@ -158,17 +208,19 @@
         }
         let Some(PendingCopy {
             task,
-            target,
-            reservation: Some(reservation),
+            is_repeated: false,
         }) = self.pending
         else {
             return;
         };
         let origin = self.source;
         let free = async move {
-            if let (Ok(handle), Some(origin)) = (task.await, origin) {
+            let attempt = task.await;
+            if let (Ok(handle), Some(reservation), Some(origin)) =
+                (attempt.result, attempt.reservation, origin)
+            {
                 let copy = Copy {
-                    target,
+                    target: attempt.target,
                     reservation,
                     origin,
                     handle,
@@ -180,31 +232,21 @@
         exchange.shared.runtime.spawn(free).detach();
     }
 
-    /// Logs the result of a copy and, if it succeeded, stores its handle.
+    /// Stores the handle of a copy that succeeded, and the engines where it failed.
     fn complete(
         &mut self,
         exchange: &Exchange,
         source: &Target,
-        (target, reservation): (Target, Option<Reservation>),
-        result: Result<Box<str>, Failure>,
+        attempt: Attempt,
         copy: &mut Option<Copy>,
     ) {
-        let (is_copied, detail) = match &result {
-            Ok(_) => (true, "complete".to_owned()),
-            Err(failure) => (false, failure.to_string()),
-        };
-        log::info!(
-            target: "copied", request:% = exchange.head.attempt_id, instance:% = source.instance,
-            to:% = target.instance, is_copied, detail;
-            "evacuation copy finished"
-        );
-        let Ok(handle) = result else {
-            self.failed_targets.push(target.key);
+        self.failures = attempt.failures;
+        let Ok(handle) = attempt.result else {
             return;
         };
-        if let Some(reservation) = reservation {
+        if let Some(reservation) = attempt.reservation {
             let replaced = copy.replace(Copy {
-                target: target.clone(),
+                target: attempt.target.clone(),
                 reservation,
                 origin: source.address,
                 handle,
@@ -219,31 +261,126 @@
         } else if let Some(copy) = copy {
             copy.handle = handle;
         }
-        self.copied_to = Some(target);
+        self.copied_to = Some(attempt.target);
     }
 }
 
+/// What is needed to copy a run from its engine.
+#[derive(Debug)]
+struct Request {
+    shared: Arc<Shared>,
+    /// No further engine is asked once the exchange has ended.
+    exchange: Weak<Exchange>,
+    attempt_id: Box<str>,
+    plan: Plan,
+    source: Target,
+}
+
+impl Request {
+    /// Copies the run to an engine; if a first copy is refused there, asks others immediately.
+    async fn run(
+        self,
+        mut target: Target,
+        mut reservation: Option<Reservation>,
+        mut failures: Failures,
+    ) -> Attempt {
+        loop {
+            let requested = self.shared.now();
+            let result = request_copy(
+                &self.shared,
+                self.source.address,
+                &self.attempt_id,
+                target.address,
+            );
+            let result = result.await;
+            let finished = self.shared.now();
+            let detail = match &result {
+                Ok(_) => "complete".to_owned(),
+                Err(error) => error.to_string(),
+            };
+            let outcome = (result.is_ok(), &*detail);
+            log_result(&self.attempt_id, &self.source, Some(&target), outcome);
+            match &result {
+                Ok(_) => {}
+                Err(Error::Refused) if reservation.is_some() => {
+                    if failures.record_refusal(target.key) {
+                        reservation = None;
+                        if let Some(next) = self.reserve_next(&mut failures) {
+                            (target, reservation) = (next.0, Some(next.1));
+                            continue;
+                        }
+                    }
+                }
+                Err(_) => failures.record_failure(target.key),
+            }
+            return Attempt {
+                target,
+                reservation,
+                result,
+                failures,
+                requested,
+                finished,
+            };
+        }
+    }
+
+    fn reserve_next(&self, failures: &mut Failures) -> Option<(Target, Reservation)> {
+        let exchange = self.exchange.upgrade()?;
+        let next = reserve_next(&exchange, &self.plan, &self.source, failures);
+        if next.is_none() {
+            failures.clear();
+        }
+        next
+    }
+}
+
+/// Reserves capacity for a copy at an engine where it has not failed.
+fn reserve_next(
+    exchange: &Exchange,
+    plan: &Plan,
+    source: &Target,
+    failures: &Failures,
+) -> Option<(Target, Reservation)> {
+    let excluded = [failures.engines(), &[source.key]].concat();
+    reserve_evacuation(exchange, plan, source, &excluded)
+}
+
+/// Logs the result of a copy to `target`, which is unknown if the copy was given up.
+fn log_result(
+    attempt_id: &str,
+    source: &Target,
+    target: Option<&Target>,
+    (is_copied, detail): (bool, &str),
+) {
+    log::info!(
+        target: "copied", request = attempt_id, instance:% = source.instance,
+        to = target.map_or("", |target| &*target.instance), is_copied, detail;
+        "evacuation copy finished"
+    );
+}
+
 /// Asks an engine to copy a run; returns the handle of the copy.
 async fn request_copy(
-    shared: Arc<Shared>,
+    shared: &Arc<Shared>,
     source: SocketAddr,
-    attempt_id: Box<str>,
+    attempt_id: &str,
     to: SocketAddr,
-) -> Result<Box<str>, Failure> {
-    let body = engine::move_request(&attempt_id, to, false);
+) -> Result<Box<str>, Error> {
+    let body = engine::move_request(attempt_id, to, false);
     let request = (Method::POST, engine::MOVE_PATH, body);
-    let call = path::call(&shared, source, &attempt_id, request, COPY_TIMEOUT);
-    let (status, body) = call.await?;
+    let (status, body) = path::call(shared, source, attempt_id, request, COPY_TIMEOUT).await?;
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        return Err(Error::Refused);
+    }
     if !status.is_success() {
-        return Err(Failure::may_have_run(format!(
-            "the engine answered {status}"
-        )));
+        return Err(Failure::may_have_run(format!("the engine answered {status}")).into());
     }
     let moved = engine::parse_move_response(&body)
         .map_err(|error| Failure::may_have_run(error.to_string()))?;
-    moved
+    let handle = moved
         .handle
-        .ok_or_else(|| Failure::may_have_run("the engine's response has no copy handle"))
+        .ok_or_else(|| Failure::may_have_run("the engine's response has no copy handle"))?;
+    Ok(handle)
 }
 
 /// Frees a copy at the engine that issued its handle or, failing that, at the one that stores it.
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -327,10 +327,12 @@
             if self.exchange.remaining().is_zero() {
                 return Some(Err(self.fail("the time is over")));
             }
+            let tokens = self.tokens();
             self.evacuation.poll(
                 &self.exchange,
                 &self.plan,
                 &self.source.target,
+                tokens,
                 &mut self.source.copy,
             );
             let mut read = match self.splitter.defect() {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -566,6 +566,48 @@
     assert_eq!(site.engines[1].run_count(), 1);
 }
 
+/// The engines that are asked first for a copy are full. A gateway that asks the next one only with the
+/// next event of the stream loses several hundred milliseconds of the notice.
+#[test]
+fn a_copy_that_full_engines_refuse_is_at_another_one_before_the_next_event() {
+    /// Less than the latency objective; no event comes between the refusals and the copy.
+    const EVENT_INTERVAL: Duration = Duration::from_secs(1);
+    let behaviour = Behaviour {
+        events: 8,
+        event_interval: EVENT_INTERVAL,
+        copy_refusals: 3,
+        ..Behaviour::default()
+    };
+    let mut site = Site::start(1, 1, 1);
+    site.set_engine_behaviour(&behaviour);
+    let stream = site.open_stream("a-1", 600);
+    wait_until("an engine runs the stream", || {
+        site.engines[0].active_streams() == 1
+    });
+    for index in 1..=4 {
+        site.add_engine(index, "dc-1");
+    }
+    site.set_engine_behaviour(&behaviour);
+    site.wait_for_targets(6, 0);
+    site.register(&site.engines[0], "engines", "dc-1", "draining");
+    wait_until("a copy is refused", || {
+        !site.engines[0].refused_copies().is_empty()
+    });
+    let refused = Instant::now();
+    wait_until("the run is copied", || site.copy_count() == 1);
+    let copied = refused.elapsed();
+    assert!(copied < EVENT_INTERVAL.mul_f64(0.9), "{copied:?}");
+    let mut asked = site.engines[0].refused_copies();
+    asked.extend(site.engines[0].copied_to().first());
+    asked.sort_unstable();
+    asked.dedup();
+    assert_eq!(asked.len(), 4, "each engine is asked once");
+    // The gateway learns of the copy when the call has ended.
+    thread::sleep(Duration::from_millis(200));
+    site.engines[0].crash();
+    assert_eq!(read_to_end(stream).body, Some(event_stream(8)));
+}
+
 /// The store is unavailable, so the gateway learns that the engine leaves from the engine itself.
 /// The stream must be copied before the engine crashes.
 #[test]
