fix(gateway): continue streams of leaving engines without another check

Cause: a stream that ended waited until it was known whose fault that was, by a target reached since or a check that began since. While any target fails, checks are 150 ms apart, so the stream of an engine that left as planned could wait 150 ms and more. Without a failing target the wait is 5 ms, as contacts of leaving targets are forgotten.

Change: for the end of a stream whose engine leaves, evidence of the 150 ms before counts too (`reach::evidence_start`). If no target was reached in that time, it waits as before. The verdict never decided whether the stream moves, only whom the loss is attributed to, so it still goes on only after its connection has ended. Other targets and requests are judged as before.

Not changed: the 100 ms before the engine with the copy is asked again after a refusal.

--- a/crates/dispatch/src/reach.rs
+++ b/crates/dispatch/src/reach.rs
@@ -107,6 +107,19 @@
     Recovered,
 }
 
+/// Returns since when this VM must have reached a target for a connection that was lost at `lost` not to
+/// be its own fault.
+///
+/// A target that leaves breaks off its streams as planned. So the latest check counts for it too: while
+/// other targets fail, the next one may begin only 150 ms later, and the stream would pause meanwhile.
+pub fn evidence_start(lost: Instant, is_leaving: bool) -> Instant {
+    if !is_leaving {
+        return lost;
+    }
+    let interval = CHECK_INTERVAL.as_micros() as u64;
+    Instant::from_micros(lost.as_micros().saturating_sub(interval))
+}
+
 /// Decides which targets this VM reaches by itself.
 #[derive(Debug)]
 pub struct Reach {
--- a/crates/dispatch/tests/reach.rs
+++ b/crates/dispatch/tests/reach.rs
@@ -5,7 +5,7 @@
     mastictrail_dispatch::{
         Reach,
         listing::{Target, WarmUp},
-        reach::{Change, Check},
+        reach::{Change, Check, evidence_start},
     },
     std::net::Ipv4Addr,
 };
@@ -263,3 +263,37 @@
     assert_eq!(reach.next_check(at(60_000)), None);
     assert!(!reach.needs_tunnel(targets[0].key));
 }
+
+/// While another target fails, the end of a stream waited up to 150 ms for the next check, although its
+/// engine left as planned.
+#[test]
+fn the_latest_check_counts_for_a_target_that_leaves_but_not_for_others() {
+    for (is_leaving, is_suspected) in [(true, false), (false, true)] {
+        let mut targets = targets();
+        let mut reach = Reach::new(1);
+        reach.record_unreached(&targets[7], at(1_000), at(1_000));
+        let check = reach
+            .check(&targets, at(1_000))
+            .expect("a failure is checked");
+        run_check(&mut reach, &check, &targets[..7], at(1_010));
+        targets[0].is_leaving = is_leaving;
+        let lost = at(1_149);
+        let since = evidence_start(lost, is_leaving);
+        reach.record_unreached(&targets[0], since, lost);
+        assert!(reach.check(&targets, lost).is_none(), "no check is due");
+        let is_open = reach.is_suspected() && !reach.has_reached_since(since);
+        assert_eq!(is_open, is_suspected, "is leaving: {is_leaving}");
+    }
+}
+
+/// Evidence from before a cut must not blame a leaving target for it.
+#[test]
+fn an_older_check_does_not_count_for_a_target_that_leaves() {
+    let mut targets = targets();
+    targets[0].is_leaving = true;
+    let mut reach = Reach::new(1);
+    reach.record_reached(&targets[1], at(1_000));
+    let since = evidence_start(at(1_151), true);
+    reach.record_unreached(&targets[0], since, at(1_151));
+    assert!(reach.is_suspected() && !reach.has_reached_since(since));
+}
--- a/crates/gateway/src/clients/exchange.rs
+++ b/crates/gateway/src/clients/exchange.rs
@@ -232,8 +232,18 @@
     ///
     /// One that was closed by the other side or became silent may have been cut off from this VM.
     pub async fn is_targets_fault(&self, target: &Target, is_closed: bool) -> bool {
-        let lost = self.shared.now();
-        let is_targets_fault = path::is_targets_fault(&self.shared, target, lost).await;
+        let now = self.shared.now();
+        self.is_targets_fault_since(target, is_closed, now).await
+    }
+
+    /// Does the same with evidence since an earlier time.
+    pub async fn is_targets_fault_since(
+        &self,
+        target: &Target,
+        is_closed: bool,
+        since: Instant,
+    ) -> bool {
+        let is_targets_fault = path::is_targets_fault(&self.shared, target, since).await;
         if !is_targets_fault {
             log::info!(
                 target: "path", request:% = self.head.attempt_id, instance:% = target.instance, is_closed;
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -25,7 +25,9 @@
     },
     base::{Instant, Verdict, key},
     bytes::{Bytes, BytesMut},
-    dispatch::{Splitter, configuration::RetryPolicy, listing::Target, pace::Window},
+    dispatch::{
+        Splitter, configuration::RetryPolicy, listing::Target, pace::Window, reach::evidence_start,
+    },
     entry::runtime::with_timeout,
     http_body_util::BodyExt,
     hyper::{
@@ -362,10 +364,14 @@
                 }
                 Read::Closed(reason) => {
                     let is_beginning = self.is_beginning();
-                    let target = &self.source.target;
-                    let is_targets_fault = self.exchange.is_targets_fault(target, true).await;
+                    let (exchange, target) = (&self.exchange, &self.source.target);
+                    let shared = &exchange.shared;
+                    let is_leaving = !shared.directory.is_active(target.key);
+                    let since = evidence_start(shared.now(), is_leaving);
+                    let fault = exchange.is_targets_fault_since(target, true, since);
+                    let is_targets_fault = fault.await;
                     if is_beginning && is_targets_fault {
-                        self.exchange.record_loss(target);
+                        exchange.record_loss(target);
                     }
                     (reason, is_targets_fault)
                 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -608,6 +608,51 @@
     assert_eq!(read_to_end(stream).body, Some(event_stream(8)));
 }
 
+/// While another target fails, checks of this VM's connections are 150 ms apart. The stream of an engine
+/// that leaves as planned waited for one that began after its end.
+#[test]
+fn a_draft_whose_engine_leaves_soon_after_another_target_failed_goes_on_in_time() {
+    /// Longest permitted gap between two events.
+    const MAX_GAP: Duration = Duration::from_millis(180);
+    let behaviour = Behaviour {
+        // Usual time to the first event of an engine that goes on with a stream.
+        delay: Duration::from_millis(63),
+        events: 200,
+        ..Behaviour::default()
+    };
+    let mut site = Site::start(1, 1, 1);
+    site.set_engine_behaviour(&behaviour);
+    let stream = site.open_stream("a-1", 600);
+    wait_until("an engine runs the stream", || {
+        site.engines[0].active_streams() == 1
+    });
+    site.add_engine(1, "dc-1");
+    site.set_engine_behaviour(&behaviour);
+    site.wait_for_targets(3, 0);
+    site.register(&site.engines[0], "engines", "dc-1", "draining");
+    wait_until("the run is copied", || site.copy_count() == 1);
+    thread::sleep(Duration::from_millis(200));
+    site.services[0].set_behaviour(Behaviour {
+        drops_response: true,
+        ..Behaviour::default()
+    });
+    let received = thread::scope(|scope| {
+        scope.spawn(|| {
+            site.fetch(&Method::POST, UNSAFE_PATH, &[("x-attempt-id", "a-2")]);
+            // The check that this causes takes some 15 ms.
+            thread::sleep(Duration::from_millis(10));
+            site.engines[0].crash();
+        });
+        read_to_end(stream)
+    });
+    assert_eq!(received.body, Some(event_stream(200)));
+    assert!(
+        received.longest_pause < MAX_GAP,
+        "{:?}",
+        received.longest_pause
+    );
+}
+
 /// The store is unavailable, so the gateway learns that the engine leaves from the engine itself.
 /// The stream must be copied before the engine crashes.
 #[test]
