--- a/crates/dispatch/benches/cold.rs
+++ b/crates/dispatch/benches/cold.rs
@@ -75,6 +75,7 @@
             supports_migration: true,
             supports_backup: false,
             tokens_per_event: 4,
+            copy_ms_per_token: 0.0,
         }),
         data_centre: "dc-0",
         ..Query::default()
--- a/crates/dispatch/src/configuration.rs
+++ b/crates/dispatch/src/configuration.rs
@@ -67,6 +67,9 @@
     pub supports_backup: bool,
     /// Number of tokens that each event of a stream carries.
     pub tokens_per_event: u32,
+    /// Time that the link of an engine takes for one token of a run's KV cache, in milliseconds; 0 if
+    /// it is not known.
+    pub copy_ms_per_token: f64,
 }
 
 /// How the targets of a service warm up.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cordon;
 pub mod drain;
 pub mod duration;
+pub mod evacuation;
 pub mod feature;
 pub mod frame;
 pub mod length;
@@ -21,6 +22,7 @@
 pub mod pace;
 pub mod peers;
 pub mod placement;
+pub mod probation;
 pub mod quarantine;
 pub mod reach;
 pub mod replication;
@@ -28,6 +30,7 @@
 pub mod request;
 pub mod returning;
 pub mod revision;
+pub mod selection;
 pub mod waiting;
 pub mod watch;
 
@@ -35,6 +38,7 @@
     budget::Budget, catch_up::CatchUp, cold::Cold, configuration::Configuration, cordon::Cordon,
     drain::Drain, duration::Durations, frame::Splitter, length::Lengths, limit::Limits,
     listing::Listing, load::Load, origin::Origins, pace::Paces, peers::Peers, placement::Placement,
-    quarantine::Quarantine, reach::Reach, replication::Replication, request::Generation,
-    returning::Places, revision::Position, waiting::Queues, watch::Watches,
+    probation::Probation, quarantine::Quarantine, reach::Reach, replication::Replication,
+    request::Generation, returning::Places, revision::Position, selection::Selection,
+    waiting::Queues, watch::Watches,
 };
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -15,6 +15,7 @@
     base::{Instant, key, rendezvous},
     std::{
         collections::{HashMap, HashSet},
+        hash::BuildHasher,
         net::Ipv4Addr,
         time::Duration,
     },
@@ -49,9 +50,11 @@
 #[derive(Debug, Default)]
 struct SummarizedLoad {
     /// Load of each target by its raw key, with the time at which it was received.
-    loads: HashMap<u64, (TargetLoad, Instant)>,
+    loads: key::Map<u64, (TargetLoad, Instant)>,
     /// Raw keys of the targets that fail requests there, once for each VM.
     failing: Vec<u64>,
+    /// Those of which they have failed no request.
+    delayed: Vec<u64>,
     updated: Instant,
 }
 
@@ -74,7 +77,7 @@
     /// Addresses from the introductions of reports, with the time of the latest one.
     introduced: HashMap<Ipv4Addr, Instant>,
     /// Load of other data centres by the hash of their name.
-    summaries: HashMap<u64, SummarizedLoad>,
+    summaries: key::Map<u64, SummarizedLoad>,
     /// When the latest report of any peer was received.
     last_received: Instant,
     watches: Watches,
@@ -382,6 +385,7 @@
         }
         if let Some(failing) = summary.failing {
             summarized.failing = failing.targets;
+            summarized.delayed = failing.delayed;
         }
     }
 
@@ -432,21 +436,24 @@
     /// Returns the load of all live peers on each target.
     ///
     /// That of a data centre with recent summaries comes from these, not from its VMs' reports.
-    pub fn load(&self, now: Instant) -> HashMap<key::Target, Load> {
-        let mut total: HashMap<key::Target, Load> = HashMap::new();
-        let summarized = self.summarized_data_centres(now);
+    pub fn load(&self, now: Instant) -> key::Map<key::Target, Load> {
+        let mut total = key::Map::default();
+        self.add_load(&mut total, now);
+        total
+    }
+
+    /// Adds the loads of [`Peers::load`] to a map.
+    pub fn add_load(&self, total: &mut key::Map<key::Target, Load>, now: Instant) {
         for peer in self.live_peers(now) {
-            let data_centre = key::DataCentre::from_raw(peer.report.data_centre);
-            if !summarized.contains(&data_centre) {
-                add_loads(&mut total, &peer.report.loads, now.since(peer.received));
+            if !self.is_summarized(peer.report.data_centre, now) {
+                add_loads(total, &peer.report.loads, now.since(peer.received));
             }
         }
         for (_, summarized) in self.fresh_summaries(now) {
             for (load, received) in summarized.loads.values() {
-                add_loads(&mut total, &[*load], now.since(*received));
+                add_loads(total, &[*load], now.since(*received));
             }
         }
-        total
     }
 
     /// Returns the paces that the live peers in a data centre have measured.
@@ -460,10 +467,8 @@
     ///
     /// Those of a data centre with recent summaries come from these, as the load does.
     pub fn paces(&self, now: Instant) -> Readings {
-        let summarized = self.summarized_data_centres(now);
-        let peers = self.live_peers(now).filter(|peer| {
-            !summarized.contains(&key::DataCentre::from_raw(peer.report.data_centre))
-        });
+        let peers = self.live_peers(now);
+        let peers = peers.filter(|peer| !self.is_summarized(peer.report.data_centre, now));
         let mut paces = collect_paces(peers.flat_map(|peer| &peer.paces));
         for (_, summarized) in self.fresh_summaries(now) {
             for (load, received) in summarized.loads.values() {
@@ -481,6 +486,12 @@
         summaries.filter(move |(_, summarized)| now.since(summarized.updated) <= SUMMARY_TIMEOUT)
     }
 
+    /// Returns whether the summaries of a data centre are recent.
+    fn is_summarized(&self, data_centre: u64, now: Instant) -> bool {
+        let summarized = self.summaries.get(&data_centre);
+        summarized.is_some_and(|summarized| now.since(summarized.updated) <= SUMMARY_TIMEOUT)
+    }
+
     fn live_peers(&self, now: Instant) -> impl Iterator<Item = &Peer> {
         let peers = self.reporting.values();
         peers.filter(move |peer| now.since(peer.received) <= PEER_TIMEOUT)
@@ -503,18 +514,40 @@
     ///
     /// Those of a data centre with recent summaries come from these as well, as the reports of its
     /// VMs are rare and a failure may be over before the next one.
-    pub fn failure_counts(&self, now: Instant) -> HashMap<key::Target, u32> {
-        let mut total = HashMap::new();
-        let summarized = self.summarized_data_centres(now);
-        let is_reporting =
-            |report: &Report| !summarized.contains(&key::DataCentre::from_raw(report.data_centre));
+    pub fn failure_counts(&self, now: Instant) -> key::Map<key::Target, u32> {
+        self.named(now, |report| &report.failing, |load| &load.failing)
+    }
+
+    /// Returns the number of live peers of which each target has failed a request.
+    ///
+    /// Those that report it as failing because it wants a pause or is late don't count.
+    pub fn failed_counts(&self, now: Instant) -> key::Map<key::Target, u32> {
+        let mut counts = self.failure_counts(now);
+        let delayed = self.named(now, |report| &report.delayed, |load| &load.delayed);
+        for (target, delayed) in delayed {
+            if let Some(count) = counts.get_mut(&target) {
+                *count = count.saturating_sub(delayed);
+            }
+        }
+        counts.retain(|_, count| *count > 0);
+        counts
+    }
+
+    /// Counts the targets in a list of each report, or of each summary of its data centre.
+    fn named(
+        &self,
+        now: Instant,
+        in_report: fn(&Report) -> &Vec<u64>,
+        in_summary: fn(&SummarizedLoad) -> &Vec<u64>,
+    ) -> key::Map<key::Target, u32> {
+        let mut total = key::Map::default();
         // What fails at a VM without a path to targets is not the targets' fault.
         let reaching = self.live(now).filter(|(_, report)| !report.is_isolated);
         let reported = reaching
-            .filter(|(_, report)| is_reporting(report))
-            .flat_map(|(_, report)| &report.failing);
+            .filter(|(_, report)| !self.is_summarized(report.data_centre, now))
+            .flat_map(|(_, report)| in_report(report));
         let summaries = self.fresh_summaries(now);
-        let summarized = summaries.flat_map(|(_, summarized)| &summarized.failing);
+        let summarized = summaries.flat_map(|(_, summarized)| in_summary(summarized));
         for &target in reported.chain(summarized) {
             *total.entry(key::Target::from_raw(target)).or_default() += 1;
         }
@@ -523,10 +556,24 @@
 
     /// Returns the number of live peers of a data centre that report each target as failing.
     pub fn failure_counts_in(&self, data_centre: u64, now: Instant) -> HashMap<key::Target, u32> {
+        self.named_in(data_centre, now, |report| &report.failing)
+    }
+
+    /// Returns the number of those among these peers of which a target has failed no request.
+    pub fn delayed_counts_in(&self, data_centre: u64, now: Instant) -> HashMap<key::Target, u32> {
+        self.named_in(data_centre, now, |report| &report.delayed)
+    }
+
+    fn named_in(
+        &self,
+        data_centre: u64,
+        now: Instant,
+        in_report: fn(&Report) -> &Vec<u64>,
+    ) -> HashMap<key::Target, u32> {
         let mut total = HashMap::new();
         let reaching = self.live(now).filter(|(_, report)| !report.is_isolated);
         let local = reaching.filter(|(_, report)| report.data_centre == data_centre);
-        for &target in local.flat_map(|(_, report)| &report.failing) {
+        for &target in local.flat_map(|(_, report)| in_report(report)) {
             *total.entry(key::Target::from_raw(target)).or_default() += 1;
         }
         total
@@ -622,7 +669,11 @@
 }
 
 /// Adds reported loads of a given age to the total of each target.
-fn add_loads(total: &mut HashMap<key::Target, Load>, loads: &[TargetLoad], age: Duration) {
+fn add_loads<S: BuildHasher>(
+    total: &mut HashMap<key::Target, Load, S>,
+    loads: &[TargetLoad],
+    age: Duration,
+) {
     for load in loads {
         *total.entry(key::Target::from_raw(load.target)).or_default() += load.load(age);
     }
--- a/crates/dispatch/tests/cold.rs
+++ b/crates/dispatch/tests/cold.rs
@@ -38,6 +38,7 @@
     supports_migration: true,
     supports_backup: false,
     tokens_per_event: 4,
+    copy_ms_per_token: 0.0,
 };
 /// Load of a check.
 const LOAD: Load = Load {
--- a/crates/dispatch/tests/pace.rs
+++ b/crates/dispatch/tests/pace.rs
@@ -27,6 +27,7 @@
     supports_migration: false,
     supports_backup: false,
     tokens_per_event: 4,
+    copy_ms_per_token: 0.0,
 };
 
 fn at(milliseconds: u64) -> Instant {
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -5,8 +5,9 @@
     mastictrail_dispatch::{
         Load, Placement,
         configuration::Engine,
+        evacuation,
         listing::{Target, WarmUp},
-        placement::{Query, RunId, evacuation_delay},
+        placement::{Query, RunId},
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{collections::HashMap, time::Duration},
@@ -18,6 +19,7 @@
     supports_migration: true,
     supports_backup: true,
     tokens_per_event: 4,
+    copy_ms_per_token: 0.0,
 };
 
 fn at(milliseconds: u64) -> Instant {
@@ -458,6 +460,95 @@
     assert!(share < 0.05, "{share} of the copies find no room");
 }
 
+/// Returns how many of 50 copies are complete when ten engines leave after a notice of 1.5 s.
+///
+/// The links of both engines carry one copy after the other, and a VM learns of the copies of others
+/// 10 ms after they were ordered.
+fn complete_copies(copy_ms_per_token: f64, seed: u64) -> usize {
+    const LEAVING: usize = 10;
+    const RUNS: usize = 5;
+    const COPY_TOKENS: u32 = 3_400;
+    const NOTICE_MS: f64 = 1_500.0;
+    const REPORT_MS: u64 = 10;
+    let transfer_ms = f64::from(COPY_TOKENS) * LINK_MS_PER_TOKEN;
+    let engine = Engine {
+        copy_ms_per_token,
+        ..ENGINE
+    };
+    let targets = targets(50, 1);
+    let mut random = SmallRng::seed_from_u64(seed);
+    // A few engines have just started and are nearly empty.
+    let loads: HashMap<_, _> = targets
+        .iter()
+        .enumerate()
+        .map(|(index, target)| {
+            let share = if index < 14 { 0.1 } else { 0.6 };
+            let used = f64::from(ENGINE.kv_capacity) * (share + random.random_range(0.0..0.2));
+            let load = Load {
+                runs: 5,
+                used_memory: used as u32,
+                peak_memory: used as u32 + 1_000,
+                ..Load::default()
+            };
+            (target.key, load)
+        })
+        .collect();
+    let mut orders: Vec<_> = (0..LEAVING * RUNS)
+        .map(|run| (random.random_range(0..200_u64), run))
+        .collect();
+    orders.sort_unstable();
+    let leaving: Vec<_> = targets[40..].iter().map(|target| target.key).collect();
+    let mut ordered: Vec<(u64, key::Target)> = Vec::new();
+    let mut free_at: HashMap<key::Target, f64> = HashMap::new();
+    let mut complete = 0;
+    for (now, run) in orders {
+        let copy = Load {
+            copy_memory: COPY_TOKENS,
+            ..Load::default()
+        };
+        let mut known = loads.clone();
+        for (_, target) in ordered.iter().filter(|(at, _)| at + REPORT_MS <= now) {
+            *known.entry(*target).or_default() += copy;
+        }
+        let mut placement = Placement::new(seed * 1_000 + run as u64);
+        placement.set_peer_load(known);
+        let query = Query {
+            engine: Some(engine),
+            excluded: &leaving,
+            run_data_centre: Some(&targets[0].data_centre),
+            is_urgent: true,
+            ..query(copy)
+        };
+        let choice = placement.choose(at(now), &targets, &query);
+        let target = choice.expect("a target has capacity").target.key;
+        ordered.push((now, target));
+        let source = leaving[run % LEAVING];
+        let is_free = |link| free_at.get(&link).copied().unwrap_or_default();
+        let end = is_free(source).max(is_free(target)).max(now as f64) + transfer_ms;
+        free_at.insert(source, end);
+        free_at.insert(target, end);
+        complete += usize::from(end <= NOTICE_MS);
+    }
+    complete
+}
+
+/// Time that a link of 24 Gbit/s takes for a token of 164 kB.
+const LINK_MS_PER_TOKEN: f64 = 0.0546;
+
+/// Copies that gather at the emptiest engines wait for their links, and for those of their sources
+/// meanwhile, until the sources have left.
+#[test]
+fn copies_on_notice_go_where_the_link_is_free() {
+    let complete = |copy_ms_per_token| -> usize {
+        (1..=20)
+            .map(|seed| complete_copies(copy_ms_per_token, seed))
+            .sum()
+    };
+    let (without, with) = (complete(0.0), complete(LINK_MS_PER_TOKEN));
+    assert!(with > without, "{with} copies in time, {without} without");
+    assert!(with * 10 >= 20 * 50 * 9, "{with} of 1,000 copies in time");
+}
+
 /// Long and short generations over data centres of which one is cut off from the others.
 mod partition {
     use super::*;
@@ -705,8 +796,13 @@
             .collect();
         let mut runs: Vec<_> = (0..LEAVING * RUNS)
             .map(|run| {
-                let request = key::Request::of(&format!("{seed}-{run}"));
-                let delay = evacuation_delay(request).as_millis() as u64;
+                let leaving = evacuation::Run {
+                    key: key::Request::of(&format!("{seed}-{run}")),
+                    tokens: random.random_range(0..=750),
+                    estimated_tokens: 750,
+                    is_repeatable: false,
+                };
+                let delay = leaving.delay().as_millis() as u64;
                 (if is_delayed { delay } else { 0 }, run)
             })
             .collect();
--- a/crates/dispatch/tests/waiting.rs
+++ b/crates/dispatch/tests/waiting.rs
@@ -177,6 +177,7 @@
         supports_migration: true,
         supports_backup: true,
         tokens_per_event: 4,
+        copy_ms_per_token: 0.0,
     };
     let load = Load {
         runs: 1,
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -24,6 +24,7 @@
         configuration::{Engine, RetryPolicy},
         listing::Target,
         placement::{Query, overdue_delay, prefill_time, prefill_tokens},
+        probation,
         returning::{self, Place},
         waiting::Arrival,
     },
@@ -53,6 +54,8 @@
 const PREFILL_SHARE: f64 = 0.85;
 /// Retry delay sent when no engine has capacity: roughly how often an engine completes a request.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Number of new requests for which a returning one leaves capacity (trunk reservation).
+const RETURN_HEADROOM: usize = 8;
 /// Minimum time without an event after which clients leave.
 const MIN_CLIENT_PATIENCE: Duration = Duration::from_secs(2);
 /// Time without an event after which clients leave, in latency objectives.
@@ -77,9 +80,35 @@
     pub first_event_deadline: Instant,
     /// When the client sent the request for the first time.
     pub first_arrived: Instant,
+    /// Whether the client has come back to its place after a rejection.
+    pub is_returning: bool,
 }
 
 impl Plan {
+    /// Returns how the request is ordered among those that wait.
+    ///
+    /// The objective of a returning request has passed, and those that can still meet theirs go first.
+    fn arrival(&self, priority: u32, now: Instant) -> Arrival {
+        let arrival = Arrival::new(priority, now);
+        if self.is_returning {
+            arrival.with_turn(self.first_event_deadline)
+        } else {
+            arrival
+        }
+    }
+
+    /// Returns the number of further requests for which capacity has to be left.
+    ///
+    /// Each request whose objective has passed would otherwise fill the last capacity just before one
+    /// arrives that can still meet its objective.
+    fn headroom(&self) -> usize {
+        if self.is_returning {
+            RETURN_HEADROOM
+        } else {
+            0
+        }
+    }
+
     /// Returns the load that the entire run adds to its engine.
     pub fn run_load(&self) -> Load {
         Load {
@@ -124,7 +153,10 @@
             last_refusal.get_or_insert(refusal);
             break;
         }
-        let reserved = wait_for_capacity(exchange, &plan, &excluded).await;
+        let may_retry = exchange.route.retry_policy != RetryPolicy::AtMostOnce
+            && attempts + 1 < exchange.route.max_attempts;
+        let is_repeatable = may_retry && attempts + 1 < MAX_ATTEMPTS;
+        let reserved = wait_for_capacity(exchange, &plan, &excluded, is_repeatable).await;
         // Meanwhile this VM may have begun to stop.
         exchange.check_drain(plan.duration)?;
         let (target, reservation) = match reserved {
@@ -151,8 +183,6 @@
             break;
         }
         excluded.push(target.key);
-        let may_retry = exchange.route.retry_policy != RetryPolicy::AtMostOnce
-            && attempts + 1 < exchange.route.max_attempts;
         let backup = reserve_copy(exchange, &plan, &target, &excluded);
         let source = Source::new((target, reservation), backup, &exchange.head.attempt_id);
         let mut refusal = match send(exchange, source, plan, may_retry).await {
@@ -212,6 +242,7 @@
         duration: route.latency_objective + TOKEN_INTERVAL * expected_tokens,
         first_event_deadline,
         first_arrived: place.map_or(exchange.arrived, |place| place.arrived),
+        is_returning: place.is_some(),
     }
 }
 
@@ -255,6 +286,9 @@
 
 /// Queues the request until an engine has capacity or the objective can no longer be met.
 ///
+/// Engines on probation don't count, unless the request may be repeated and is their only one. They
+/// get it as well if it would be refused otherwise and its client keeps no place.
+///
 /// # Errors
 /// Returns a refusal with a retry delay: immediately if no capacity is expected in time, otherwise
 /// when the wait has expired.
@@ -262,11 +296,24 @@
     exchange: &Exchange,
     plan: &Plan,
     excluded: &[key::Target],
+    is_repeatable: bool,
 ) -> Result<(Target, Reservation), Refusal> {
     let shared = &exchange.shared;
     let service = exchange.service;
     exchange.check_cordon()?;
     let now = shared.now();
+    let access = probation::Access {
+        is_repeatable,
+        is_last_resort: false,
+    };
+    let last_resort = probation::Access {
+        is_last_resort: true,
+        ..access
+    };
+    let dispatcher = &shared.dispatcher;
+    // A client that keeps its place comes back rather than lose its only run at a failing engine.
+    let has_last_resort =
+        dispatcher.has_probation() && (is_repeatable || !dispatcher.keeps_places());
     let prefill = prefill_time(plan.generation.prompt_tokens);
     // The request's own prefill must be over by the time its first event is due.
     let wait_deadline = exchange.arrived
@@ -274,14 +321,9 @@
             .first_event_deadline
             .since(exchange.arrived)
             .saturating_sub(prefill);
-    let usual_wait = exchange.route.latency_objective.mul_f64(PREFILL_SHARE);
-    let turn = now
-        + plan
-            .first_event_deadline
-            .since(exchange.arrived + usual_wait);
-    let arrival = Arrival::new(exchange.route.priority, now).with_turn(turn);
+    let arrival = plan.arrival(exchange.route.priority, now);
     let ahead = shared.dispatcher.ahead_of_arrival(service, arrival);
-    if let Some(reserved) = reserve(exchange, plan, excluded, ahead, now) {
+    if let Some(reserved) = reserve(exchange, plan, excluded, access, ahead, now) {
         return Ok(reserved);
     }
     let targets = shared.directory.targets_of(service);
@@ -298,21 +340,35 @@
     let entry = shared
         .dispatcher
         .enqueue(service, arrival, wait_deadline, &targets, now);
-    let entry = entry.map_err(|delay| {
-        let message = "no engine is expected to have room within the objective";
-        let refusal = Refusal::not_run(Reason::Overloaded, message);
-        reject(exchange, plan, refusal, delay)
-    })?;
+    let entry = match entry {
+        Ok(entry) => entry,
+        Err(delay) => {
+            if has_last_resort
+                && let Some(reserved) = reserve(exchange, plan, excluded, last_resort, ahead, now)
+            {
+                return Ok(reserved);
+            }
+            let message = "no engine is expected to have room within the objective";
+            let refusal = Refusal::not_run(Reason::Overloaded, message);
+            return Err(reject(exchange, plan, refusal, delay));
+        }
+    };
     loop {
         let now = shared.now();
         shared.refresh_peers();
+        let is_expired = now >= wait_deadline;
+        let access = if is_expired && has_last_resort {
+            last_resort
+        } else {
+            access
+        };
         if let Some(ahead) = entry.ahead(now)
-            && let Some(reserved) = reserve(exchange, plan, excluded, ahead, now)
+            && let Some(reserved) = reserve(exchange, plan, excluded, access, ahead, now)
         {
             return Ok(reserved);
         }
         exchange.check_cordon()?;
-        if now >= wait_deadline || exchange.outlasts_drain(plan.duration) {
+        if is_expired || exchange.outlasts_drain(plan.duration) {
             let targets = targets_with_known_queues(exchange);
             let delay = shared.dispatcher.retry_delay(
                 service,
@@ -328,17 +384,19 @@
 }
 
 /// Reserves capacity for the run at an engine; `None` if no engine has any.
-pub fn reserve(
+fn reserve(
     exchange: &Exchange,
     plan: &Plan,
     excluded: &[key::Target],
+    probation: probation::Access,
     ahead: usize,
     now: Instant,
 ) -> Option<(Target, Reservation)> {
     reserve_with(exchange, plan.run_load(), plan, now, |query| {
         query.excluded = excluded;
         query.release = exchange.origin().map(|origin| &*origin.release);
-        query.queued_ahead = ahead;
+        query.queued_ahead = ahead + plan.headroom();
+        query.probation = Some(probation);
         query.max_pending_prefill = max_pending_prefill(exchange, plan, now);
     })
 }
@@ -609,6 +667,10 @@
         let body = body.map_err(|error| {
             Refusal::may_have_run(Reason::TargetLost, format!("a broken answer: {error}"))
         })?;
+        if !parts.status.is_server_error() {
+            let now = exchange.shared.now();
+            source.reservation().record_served(now);
+        }
         exchange.log_error(parts.status);
         exchange.record_outcome(Outcome::Failed, parts.status.as_str());
         return Ok(response_with_head(&parts, answer::full(body)));
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -25,7 +25,9 @@
     },
     base::{Instant, Verdict, key},
     bytes::{Bytes, BytesMut},
-    dispatch::{Splitter, configuration::RetryPolicy, listing::Target, pace::Window},
+    dispatch::{
+        Splitter, configuration::RetryPolicy, listing::Target, pace::Window, reach::evidence_start,
+    },
     entry::runtime::with_timeout,
     http_body_util::BodyExt,
     hyper::{
@@ -323,10 +325,12 @@
             if self.exchange.remaining().is_zero() {
                 return Some(Err(self.fail("the time is over")));
             }
+            let tokens = self.tokens();
             self.evacuation.poll(
                 &self.exchange,
                 &self.plan,
                 &self.source.target,
+                tokens,
                 &mut self.source.copy,
             );
             let mut read = match self.splitter.defect() {
@@ -356,10 +360,14 @@
                 }
                 Read::Closed(reason) => {
                     let is_beginning = self.is_beginning();
-                    let target = &self.source.target;
-                    let is_targets_fault = self.exchange.is_targets_fault(target, true).await;
+                    let (exchange, target) = (&self.exchange, &self.source.target);
+                    let shared = &exchange.shared;
+                    let is_leaving = !shared.directory.is_active(target.key);
+                    let since = evidence_start(shared.now(), is_leaving);
+                    let fault = exchange.is_targets_fault_since(target, true, since);
+                    let is_targets_fault = fault.await;
                     if is_beginning && is_targets_fault {
-                        self.exchange.record_loss(target);
+                        exchange.record_loss(target);
                     }
                     (reason, is_targets_fault)
                 }
@@ -497,6 +505,7 @@
         if self.begun_at.is_none() {
             // Also at an engine where the stream went on.
             self.source.reservation.finish_prefill();
+            self.source.reservation.record_served(now);
         }
         let begun_at = *self.begun_at.get_or_insert(now);
         if now.since(begun_at) >= SURVIVAL_DELAY {
--- a/crates/gateway/src/targets/dispatcher.rs
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -5,14 +5,15 @@
     derive_more::Debug,
     dispatch::{
         Budget, Cold, Durations, Generation, Lengths, Limits, Load, Paces, Peers, Placement,
+        Probation, Selection,
         budget::Policy,
-        cold::Access,
         configuration::ColdStart,
         listing::Target,
         load::{Occupancy, Pace},
         pace::{self, Factors, Spread, Window},
         peers::Readings,
         placement::{self, Basis, Choice, Query, RunId, overdue_delay},
+        probation::Changes,
         report::{self, KeptPlace},
         returning::{Place, Places},
         waiting::{Arrival, Count, Demand, Position, Queues, Waiter},
@@ -46,6 +47,10 @@
     limits: Limits,
     cold: Cold,
     paces: Paces,
+    probation: Probation,
+    selection: Selection,
+    /// Targets that the current request doesn't use; kept for its memory only.
+    excluded: Vec<key::Target>,
 }
 
 impl State {
@@ -73,30 +78,26 @@
     }
 }
 
-/// Chooses a target, of the cold ones only those that may get a request of this VM now.
-fn choose<'a>(
-    (placement, cold): (&mut Placement, &mut Cold),
+/// Chooses a target that is not in `closed`, or any one as a last resort.
+fn choose_proven<'a>(
+    (selection, placement, cold): (&mut Selection, &mut Placement, &mut Cold),
     now: Instant,
     targets: &'a [Target],
     query: &Query<'_>,
+    mut closed: Vec<key::Target>,
 ) -> Option<Choice<'a>> {
-    // A copy of a run is no request.
-    let Some(access) = query.cold_access.filter(|_| query.load.runs > 0) else {
-        return placement.choose(now, targets, query);
-    };
-    let mut closed = cold.closed(targets, access.cold_start(), now);
     if closed.is_empty() {
-        return placement.choose(now, targets, query);
+        return selection.choose((placement, cold), now, targets, query);
     }
     closed.extend(query.excluded);
     let open = Query {
         excluded: &closed,
         ..*query
     };
-    let choice = placement.choose(now, targets, &open);
-    let is_continuation = matches!(access, Access::Continuation(_));
-    if choice.is_none() && (is_continuation || cold.is_last_resort(now)) {
-        return placement.choose(now, targets, query);
+    let choice = selection.choose((&mut *placement, &mut *cold), now, targets, &open);
+    let is_last_resort = query.probation.is_some_and(|access| access.is_last_resort);
+    if choice.is_none() && is_last_resort {
+        return selection.choose((placement, cold), now, targets, query);
     }
     choice
 }
@@ -134,6 +135,7 @@
     basis: Basis,
     /// When it was chosen; `None` if it was reserved whatever the load there.
     chosen: Option<Instant>,
+    reserved: Instant,
     notifier: Notifier,
     /// Whether changes of the load are reported to peers immediately.
     notifies_peers: bool,
@@ -143,7 +145,13 @@
     /// Creates a dispatcher without load; `seed` makes placement reproducible.
     ///
     /// At most `kept_places` places of rejected requests are kept; with 0 none are.
-    pub fn new(seed: u64, budget_policy: Policy, cold: Cold, kept_places: usize) -> Self {
+    pub fn new(
+        seed: u64,
+        budget_policy: Policy,
+        cold: Cold,
+        probation: Probation,
+        kept_places: usize,
+    ) -> Self {
         let (notifier, wakeups) = bounded(1);
         let (limit_notifier, limit_wakeups) = bounded(1);
         Self {
@@ -157,6 +165,9 @@
                 limits: Limits::new(seed),
                 cold,
                 paces: Paces::default(),
+                probation,
+                selection: Selection::default(),
+                excluded: Vec::new(),
             })),
             budget_policy,
             live_vms: AtomicUsize::new(1),
@@ -179,29 +190,37 @@
         if let Some(first) = targets.first() {
             state.paces.refresh(first.service, targets, now);
         }
+        // Without the limits, as a target that has had its share soon takes requests again.
+        let on_probation = query.probation.map_or_else(Vec::new, |access| {
+            let permitted = targets.iter().filter(|target| query.permits(target));
+            let is_busy = |target| state.placement.has_request(target);
+            state.probation.closed(permitted, access, is_busy, now)
+        });
+        let excluded = &mut state.excluded;
+        excluded.clear();
+        excluded.extend_from_slice(query.excluded);
         // A copy of a run is no request.
-        let mut closed = Vec::new();
         let mut is_brittle = false;
         if query.load.runs > 0 {
-            closed = state.limits.closed(now);
+            excluded.extend(state.limits.closed(now));
             let brittle: Vec<_> = state.limits.brittle(now).collect();
             is_brittle = !brittle.is_empty();
             let brittle = targets
                 .iter()
                 .filter(|target| brittle.contains(&target.key));
             // A brittle target is sent nothing that might have to wait.
-            closed.extend(brittle.filter_map(|target| {
+            excluded.extend(brittle.filter_map(|target| {
                 let runs = state.placement.run_count([target]);
                 (runs >= target.slots).then_some(target.key)
             }));
         }
-        let excluded: Vec<_> = query.excluded.iter().copied().chain(closed).collect();
         let query = &Query {
-            excluded: &excluded,
+            excluded,
             paces: Some(&state.paces),
             ..*query
         };
-        let choice = choose((&mut state.placement, &mut state.cold), now, targets, query)?;
+        let parts = (&mut state.selection, &mut state.placement, &mut state.cold);
+        let choice = choose_proven(parts, now, targets, query, on_probation)?;
         let (target, basis) = (choice.target.clone(), choice.basis);
         let run = state.placement.start_run(target.key, query.load);
         let is_request = query.load.runs > 0;
@@ -220,7 +239,8 @@
         if is_announced {
             self.limit_notifier.notify();
         }
-        let reservation = self.new_reservation((run, target.key), basis, Some(now), notifies_peers);
+        let reservation =
+            self.new_reservation((run, target.key), (basis, Some(now)), now, notifies_peers);
         Some((target, reservation))
     }
 
@@ -242,7 +262,7 @@
         if is_announced {
             self.limit_notifier.notify();
         }
-        self.new_reservation((run, target.key), Basis::default(), None, true)
+        self.new_reservation((run, target.key), (Basis::default(), None), now, true)
     }
 
     /// Records the limit that an answer names, or that it names none; returns whether that is new.
@@ -372,6 +392,26 @@
         self.lock().placement.record_success(target);
     }
 
+    /// Records a complete response of a target to a request that was sent at `sent`.
+    pub fn record_served(&self, target: key::Target, sent: Instant, now: Instant) {
+        self.lock().probation.record_served(target, sent, now);
+    }
+
+    /// Returns whether targets may be on probation.
+    pub fn has_probation(&self) -> bool {
+        self.lock().probation.is_enabled()
+    }
+
+    /// Returns the targets on probation.
+    pub fn targets_on_probation(&self, now: Instant) -> Vec<key::Target> {
+        self.lock().probation.targets(now).collect()
+    }
+
+    /// Returns which targets have begun or ended their probation since the last call.
+    pub fn take_probation_changes(&self, now: Instant) -> Changes {
+        self.lock().probation.take_changes(now)
+    }
+
     /// Records the latency of a plain service's target.
     pub fn record_latency(&self, target: key::Target, time: Duration, now: Instant) {
         self.lock().placement.record_latency(target, time, now);
@@ -389,7 +429,10 @@
 
     /// Records a request that failed at a target.
     pub fn record_failure(&self, target: key::Target, now: Instant) {
-        self.lock().placement.record_failure(target, now);
+        let mut state = self.lock();
+        state.placement.record_failure(target, now);
+        state.probation.record_failure(target, now);
+        drop(state);
         self.notifier.notify();
     }
 
@@ -414,13 +457,18 @@
         if state.paces.needs_readings(now) {
             state.paces.set_readings(peers.paces(now), now);
         }
-        state.placement.set_peer_load(peers.load(now));
+        let placement = &mut state.placement;
+        placement.refill_peer_load(|loads| peers.add_load(loads, now));
         state
             .placement
             .set_summarized(peers.summarized_data_centres(now));
         state
             .placement
             .set_failure_reports(&peers.failure_counts(now), now);
+        if state.probation.is_enabled() {
+            let failed_counts = peers.failed_counts(now);
+            state.probation.set_reporters(&failed_counts, now);
+        }
         state
             .queues
             .set_remote_waiters(peers.waiters(local_data_centre, now));
@@ -436,6 +484,17 @@
         failing
     }
 
+    /// Returns those of the failing targets that failed no request, if peers need the difference.
+    ///
+    /// They want a pause, or their answer is overdue.
+    pub fn delayed_targets(&self, now: Instant) -> Vec<key::Target> {
+        let mut failing = self.failing_targets(now);
+        let state = self.lock();
+        let is_enabled = state.probation.is_enabled();
+        failing.retain(|target| is_enabled && !state.placement.has_failed(*target, now));
+        failing
+    }
+
     /// Queues a request for a service if capacity is expected by `wait_deadline`.
     ///
     /// `targets` are those whose runs make room for it.
@@ -648,8 +707,8 @@
     fn new_reservation(
         &self,
         (run, target): (RunId, key::Target),
-        basis: Basis,
-        chosen: Option<Instant>,
+        (basis, chosen): (Basis, Option<Instant>),
+        now: Instant,
         notifies_peers: bool,
     ) -> Reservation {
         let reservation = Reservation {
@@ -658,6 +717,7 @@
             target,
             basis,
             chosen,
+            reserved: now,
             notifier: self.notifier.clone(),
             notifies_peers,
         };
@@ -712,6 +772,13 @@
         self.notify();
     }
 
+    /// Records that the target has served the request: its first event or its whole response.
+    pub fn record_served(&self, now: Instant) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let sent = self.reserved;
+        state.probation.record_served(self.target, sent, now);
+    }
+
     /// Measures the target's pace by the time to the first event of a request.
     pub fn record_first_event(&self, prompt_tokens: u32, now: Instant) {
         let Some(chosen) = self.chosen else {
