feat(gateway): let returning requests leave capacity to new ones

Change: returning requests go after all new ones, leave capacity for one of them for every six engines until the end of their wait, wait for a quarter of their remaining time and are told to come back later.

--- a/crates/dispatch/src/evacuation.rs
+++ b/crates/dispatch/src/evacuation.rs
@@ -105,7 +105,7 @@
         self.engines.push(engine);
     }
 
-    /// Permits all engines again, as no other one has room.
+    /// Permits all engines again.
     pub fn clear(&mut self) {
         self.engines.clear();
     }
--- a/crates/dispatch/src/probation.rs
+++ b/crates/dispatch/src/probation.rs
@@ -119,6 +119,11 @@
         self.begin(target, Cause::Failed, now);
     }
 
+    /// Forgets the failures that no peer names, as they were this VM's own.
+    pub fn forget_own(&mut self) {
+        self.targets.retain(|_, failing| failing.reporters > 0);
+    }
+
     /// Replaces the number of peers that name each target as failing.
     ///
     /// A peer names a target for as long as it avoids it, so after a success only a higher number
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -35,7 +35,7 @@
 /// Maximum number of queued requests in a report.
 const MAX_QUEUED: usize = 16;
 /// Maximum number of places in a report.
-const MAX_PLACES: usize = 32;
+pub const MAX_PLACES: usize = 32;
 /// Longest time that a client of a place may have left, in milliseconds; no route permits an hour.
 const MAX_REMAINING_MS: u32 = 3_600_000;
 /// Maximum number of targets without load in a report whose pace the sender has measured.
@@ -231,7 +231,7 @@
 }
 
 impl KeptPlace {
-    /// Encodes the newest places of requests that this VM rejected.
+    /// Encodes the newest places of requests that this VM rejected and whose clients are not due yet.
     pub fn newest(places: &Places, now: Instant) -> Vec<Self> {
         let places = places.local(MAX_PLACES, now).map(|place| Self {
             fingerprint: place.fingerprint.raw(),
--- a/crates/dispatch/src/returning.rs
+++ b/crates/dispatch/src/returning.rs
@@ -8,7 +8,7 @@
 
 use {
     base::{Instant, key},
-    std::{collections::VecDeque, time::Duration},
+    std::time::Duration,
 };
 
 /// Time after a client may return for which its place is kept.
@@ -17,8 +17,9 @@
 const EARLY_MARGIN: Duration = Duration::from_millis(50);
 /// Time by which the deadline of a returning client may be later than it was, for the same reason.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(500);
-/// Share of its remaining time for which a returning request may wait.
-const WAIT_SHARE: f64 = 0.5;
+/// Share of its remaining time for which a returning request may wait. It has no other retry, so a
+/// rejection that comes later helps its client less than an early one.
+const WAIT_SHARE: f64 = 0.25;
 /// Share of a client's remaining time after which it comes back at the latest, whatever delay it got.
 const RETURN_SHARE: f64 = 1.0 / 3.0;
 
@@ -42,25 +43,38 @@
 
     fn fits(&self, fingerprint: key::Fingerprint, deadline: Instant, now: Instant) -> bool {
         self.fingerprint == fingerprint
-            && now + EARLY_MARGIN >= self.returns
             && now < self.ends()
             && deadline <= self.deadline + DEADLINE_MARGIN
     }
+
+    fn is_due(&self, now: Instant) -> bool {
+        now + EARLY_MARGIN >= self.returns
+    }
+}
+
+/// The return of a client that was rejected before.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Return {
+    /// The client has come back to its place.
+    Due(Place),
+    /// It comes sooner than it was told, or again; it gains nothing over those that wait.
+    Early,
 }
 
 /// The places of the rejected requests that one VM knows.
 #[derive(Debug)]
 pub struct Places {
     capacity: usize,
-    /// The newest place is the last one.
-    places: VecDeque<(Place, Origin)>,
+    places: Vec<Entry>,
 }
 
-/// Which VM rejected a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Origin {
-    Local,
-    Peer,
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    place: Place,
+    /// Whether this VM rejected the request.
+    is_local: bool,
+    /// Whether the client has come back. The entry stays, as reports of peers name it again.
+    is_used: bool,
 }
 
 impl Places {
@@ -68,7 +82,7 @@
     pub fn new(capacity: usize) -> Self {
         Self {
             capacity,
-            places: VecDeque::new(),
+            places: Vec::new(),
         }
     }
 
@@ -77,75 +91,96 @@
         self.capacity > 0
     }
 
-    /// Returns the number of places that are kept.
-    pub fn len(&self) -> usize {
-        self.places.len()
-    }
-
-    /// Returns whether no place is kept.
-    pub fn is_empty(&self) -> bool {
-        self.places.is_empty()
+    /// Returns the number of clients that are expected back.
+    pub fn count(&self, now: Instant) -> usize {
+        let expected = |entry: &&Entry| !entry.is_used && now < entry.place.ends();
+        self.places.iter().filter(expected).count()
     }
 
     /// Keeps the place of a request that this VM rejects.
     pub fn keep(&mut self, place: Place, now: Instant) {
-        self.insert(place, Origin::Local, now);
+        self.insert(place, true, now);
     }
 
     /// Adds a place that another VM keeps.
     pub fn receive(&mut self, place: Place, now: Instant) {
-        let is_known = |(known, _): &(Place, Origin)| {
-            known.fingerprint == place.fingerprint
-                && known.returns + DEADLINE_MARGIN >= place.returns
+        let is_known = |known: &Entry| {
+            known.place.fingerprint == place.fingerprint
+                && known.place.returns + DEADLINE_MARGIN >= place.returns
         };
         if !self.places.iter().any(is_known) {
-            self.insert(place, Origin::Peer, now);
+            self.insert(place, false, now);
         }
     }
 
-    /// Returns the newest places of requests that this VM rejected, at most `count`.
+    /// Returns places of requests that this VM rejected and whose clients are not due yet, at most
+    /// `count`.
     pub fn local(&self, count: usize, now: Instant) -> impl Iterator<Item = Place> {
-        let local = self.places.iter().rev();
-        let local =
-            local.filter(move |(place, origin)| *origin == Origin::Local && now < place.ends());
-        local.map(|(place, _)| *place).take(count)
+        let local = self
+            .places
+            .iter()
+            .rev()
+            .filter(move |entry| entry.is_local && !entry.is_used && now < entry.place.returns);
+        local.map(|entry| entry.place).take(count)
     }
 
-    /// Uses the place of a request that arrives; `None` if there is none or it comes too soon.
+    /// Uses the place of a request that arrives; `None` if it was not rejected lately.
     pub fn take(
         &mut self,
         fingerprint: key::Fingerprint,
         deadline: Instant,
         now: Instant,
-    ) -> Option<Place> {
-        let fits = |(place, _): &(Place, Origin)| place.fits(fingerprint, deadline, now);
-        let index = self.places.iter().position(fits)?;
-        self.places.remove(index).map(|(place, _)| place)
+    ) -> Option<Return> {
+        let mut places = self.places.iter_mut();
+        let entry = places.find(|entry| entry.place.fits(fingerprint, deadline, now))?;
+        if entry.is_used || !entry.place.is_due(now) {
+            return Some(Return::Early);
+        }
+        entry.is_used = true;
+        Some(Return::Due(entry.place))
     }
 
-    fn insert(&mut self, place: Place, origin: Origin, now: Instant) {
+    fn insert(&mut self, place: Place, is_local: bool, now: Instant) {
         if self.capacity == 0 {
             return;
         }
-        self.places
-            .retain(|(known, _)| now < known.ends() && known.fingerprint != place.fingerprint);
-        while self.places.len() >= self.capacity {
-            self.places.pop_front();
+        self.places.retain(|known| {
+            now < known.place.ends() && known.place.fingerprint != place.fingerprint
+        });
+        if self.places.len() >= self.capacity {
+            let earliest = self.places.iter().enumerate();
+            let earliest = earliest.min_by_key(|(_, entry)| entry.place.returns);
+            if let Some((index, _)) = earliest {
+                self.places.remove(index);
+            }
         }
-        self.places.push_back((place, origin));
+        self.places.push(Entry {
+            place,
+            is_local,
+            is_used: false,
+        });
     }
 }
 
-/// Returns the time by which a returning request must get its first event.
+/// Returns the time by which a request that returned at `arrived` should have its first event.
 ///
-/// `patience` is the time after which its client gives up without an event.
-pub fn first_event_deadline(arrived: Instant, deadline: Instant, patience: Duration) -> Instant {
+/// `usual` is the wait of a new request, and `patience` the time after which its client gives up
+/// without an event.
+pub fn first_event_deadline(
+    arrived: Instant,
+    deadline: Instant,
+    usual: Duration,
+    patience: Duration,
+) -> Instant {
     let wait = deadline.since(arrived).mul_f64(WAIT_SHARE);
-    arrived + wait.min(patience)
+    arrived + wait.max(usual).min(patience)
 }
 
-/// Returns the delay after which a rejected client should return if capacity is expected after
-/// `expected`; clients with less time come sooner whatever they are told.
+/// Returns the delay after which a rejected client should return if those that wait now are expected to
+/// be served after `expected`.
+///
+/// Requests that arrive meanwhile go first as well, as many as wait now while the load lasts. Clients
+/// with less time come sooner whatever they are told.
 pub fn return_delay(expected: Duration, remaining: Duration) -> Duration {
-    expected.min(remaining.mul_f64(RETURN_SHARE))
+    (expected * 2).min(remaining.mul_f64(RETURN_SHARE))
 }
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -25,7 +25,7 @@
         listing::Target,
         placement::{Query, overdue_delay, prefill_time, prefill_tokens},
         probation,
-        returning::{self, Place},
+        returning::{self, Place, Return},
         waiting::Arrival,
     },
     futures_util::stream,
@@ -54,8 +54,8 @@
 const PREFILL_SHARE: f64 = 0.85;
 /// Retry delay sent when no engine has capacity: roughly how often an engine completes a request.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(400);
-/// Number of new requests for which a returning one leaves capacity (trunk reservation).
-const RETURN_HEADROOM: usize = 8;
+/// Number of engines for each new request for which a returning one leaves capacity (trunk reservation).
+const ENGINES_PER_HEADROOM: usize = 6;
 /// Minimum time without an event after which clients leave.
 const MIN_CLIENT_PATIENCE: Duration = Duration::from_secs(2);
 /// Time without an event after which clients leave, in latency objectives.
@@ -78,6 +78,8 @@
     pub duration: Duration,
     /// Time by which the request should have its first event.
     pub first_event_deadline: Instant,
+    /// When the request arrived.
+    pub arrived: Instant,
     /// When the client sent the request for the first time.
     pub first_arrived: Instant,
     /// Whether the client has come back to its place after a rejection.
@@ -99,16 +101,29 @@
 
     /// Returns the number of further requests for which capacity has to be left.
     ///
-    /// Each request whose objective has passed would otherwise fill the last capacity just before one
+    /// A request whose objective has passed would otherwise fill the last capacity just before one
     /// arrives that can still meet its objective.
-    fn headroom(&self) -> usize {
-        if self.is_returning {
-            RETURN_HEADROOM
+    ///
+    /// At the end of its wait it takes what is left, so that it does not wait behind all others in vain.
+    fn headroom(&self, engines: usize, now: Instant) -> usize {
+        if self.is_returning && now < self.wait_deadline() {
+            engines / ENGINES_PER_HEADROOM
         } else {
             0
         }
     }
 
+    /// Returns until when the request may wait for capacity; its own prefill must be over by the time its
+    /// first event is due.
+    fn wait_deadline(&self) -> Instant {
+        let prefill = prefill_time(self.generation.prompt_tokens);
+        self.arrived
+            + self
+                .first_event_deadline
+                .since(self.arrived)
+                .saturating_sub(prefill)
+    }
+
     /// Returns the load that the entire run adds to its engine.
     pub fn run_load(&self) -> Load {
         Load {
@@ -140,11 +155,12 @@
 /// # Errors
 /// The refusal's verdict states whether the request may have run.
 pub async fn serve(exchange: &Arc<Exchange>) -> Result<Response<Body>, Refusal> {
-    let plan = plan(exchange);
+    let mut plan = plan(exchange);
     exchange.check_drain(plan.duration)?;
     exchange.check_cordon()?;
     resumption::check(exchange)?;
     exchange.check_quarantine()?;
+    claim_place(exchange, &mut plan);
     let mut excluded = Vec::new();
     let mut attempts = 0;
     let mut last_refusal: Option<Refusal> = None;
@@ -212,21 +228,6 @@
 fn plan(exchange: &Exchange) -> Plan {
     let dispatcher = &exchange.shared.dispatcher;
     let route = &exchange.route;
-    let place = dispatcher.take_place(exchange.fingerprint, exchange.deadline, exchange.arrived);
-    let first_event_deadline = match place {
-        Some(place) => {
-            log::info!(
-                target: "returned", request:% = exchange.head.attempt_id, route:% = route.name,
-                age_ms = exchange.arrived.since(place.arrived).as_millis() as u64,
-                late_ms = exchange.arrived.since(place.returns).as_millis() as u64;
-                "a client came back to its place after a rejection"
-            );
-            exchange.shared.metrics.record_return();
-            let patience = client_patience(route.latency_objective).mul_f64(PREFILL_SHARE);
-            returning::first_event_deadline(exchange.arrived, exchange.deadline, patience)
-        }
-        None => exchange.arrived + route.latency_objective.mul_f64(PREFILL_SHARE),
-    };
     let generation = exchange.head.generation.unwrap_or_default();
     let service = exchange.published.configuration.service(exchange.service);
     let estimated_tokens = dispatcher.estimate_tokens(&route.name, &generation);
@@ -240,21 +241,60 @@
         generation,
         estimated_tokens,
         duration: route.latency_objective + TOKEN_INTERVAL * expected_tokens,
-        first_event_deadline,
-        first_arrived: place.map_or(exchange.arrived, |place| place.arrived),
-        is_returning: place.is_some(),
+        first_event_deadline: exchange.arrived + usual_wait(exchange),
+        arrived: exchange.arrived,
+        first_arrived: exchange.arrived,
+        is_returning: false,
     }
 }
 
+/// Returns the time for which a new request may await its first event.
+fn usual_wait(exchange: &Exchange) -> Duration {
+    exchange.route.latency_objective.mul_f64(PREFILL_SHARE)
+}
+
+/// Uses the place of a request whose client was rejected before.
+fn claim_place(exchange: &Exchange, plan: &mut Plan) {
+    let shared = &exchange.shared;
+    let arrived = exchange.arrived;
+    let claim = shared
+        .dispatcher
+        .take_place(exchange.fingerprint, exchange.deadline, arrived);
+    plan.is_returning = claim.is_some();
+    let Some(Return::Due(place)) = claim else {
+        return;
+    };
+    log::info!(
+        target: "returned", request:% = exchange.head.attempt_id, route:% = exchange.route.name,
+        age_ms = arrived.since(place.arrived).as_millis() as u64,
+        late_ms = arrived.since(place.returns).as_millis() as u64;
+        "a client came back to its place after a rejection"
+    );
+    shared.metrics.record_return();
+    let patience = client_patience(exchange.route.latency_objective).mul_f64(PREFILL_SHARE);
+    let usual = usual_wait(exchange);
+    plan.first_arrived = place.arrived;
+    plan.first_event_deadline =
+        returning::first_event_deadline(arrived, exchange.deadline, usual, patience);
+}
+
 /// Returns the time without an event after which clients give up.
 pub fn client_patience(latency_objective: Duration) -> Duration {
     MIN_CLIENT_PATIENCE.max(latency_objective * CLIENT_PATIENCE)
 }
 
 /// Rejects a request that there is no capacity for, and keeps its place if its client may return.
-fn reject(exchange: &Exchange, plan: &Plan, refusal: Refusal, delay: Duration) -> Refusal {
+///
+/// After an attempt (`excluded` has its engine) the client gets the refusal of that one instead.
+fn reject(
+    exchange: &Exchange,
+    plan: &Plan,
+    excluded: &[key::Target],
+    refusal: Refusal,
+    delay: Duration,
+) -> Refusal {
     let dispatcher = &exchange.shared.dispatcher;
-    if !dispatcher.keeps_places() {
+    if !dispatcher.keeps_places() || !excluded.is_empty() {
         return refusal.retry_after(delay);
     }
     let now = exchange.shared.now();
@@ -273,15 +313,16 @@
 ///
 /// In a large fleet, requests that wait in other data centres are not known, so the runs there are
 /// left to these.
-fn targets_with_known_queues(exchange: &Exchange) -> Vec<Target> {
+fn targets_with_known_queues(exchange: &Exchange) -> Arc<[Target]> {
     let shared = &exchange.shared;
-    let mut targets = shared.directory.targets_of(exchange.service).to_vec();
+    let targets = shared.directory.targets_of(exchange.service);
     let dispatcher = &shared.dispatcher;
-    if dispatcher.keeps_places() && dispatcher.live_vms() > reports::MAX_FULL_MESH_VMS {
-        let settings = shared.settings.load();
-        targets.retain(|target| target.data_centre == settings.vm.data_centre);
+    if !dispatcher.keeps_places() || dispatcher.live_vms() <= reports::MAX_FULL_MESH_VMS {
+        return targets;
     }
-    targets
+    let settings = shared.settings.load();
+    let is_local = |target: &&Target| target.data_centre == settings.vm.data_centre;
+    targets.iter().filter(is_local).cloned().collect()
 }
 
 /// Queues the request until an engine has capacity or the objective can no longer be met.
@@ -314,13 +355,7 @@
     // A client that keeps its place comes back rather than lose its only run at a failing engine.
     let has_last_resort =
         dispatcher.has_probation() && (is_repeatable || !dispatcher.keeps_places());
-    let prefill = prefill_time(plan.generation.prompt_tokens);
-    // The request's own prefill must be over by the time its first event is due.
-    let wait_deadline = exchange.arrived
-        + plan
-            .first_event_deadline
-            .since(exchange.arrived)
-            .saturating_sub(prefill);
+    let wait_deadline = plan.wait_deadline();
     let arrival = plan.arrival(exchange.route.priority, now);
     let ahead = shared.dispatcher.ahead_of_arrival(service, arrival);
     if let Some(reserved) = reserve(exchange, plan, excluded, access, ahead, now) {
@@ -334,7 +369,7 @@
     {
         let message = "all engines get as many requests as they take";
         let refusal = Refusal::not_run(Reason::Overloaded, message);
-        return Err(reject(exchange, plan, refusal, delay));
+        return Err(reject(exchange, plan, excluded, refusal, delay));
     }
     let targets = targets_with_known_queues(exchange);
     let entry = shared
@@ -350,7 +385,7 @@
             }
             let message = "no engine is expected to have room within the objective";
             let refusal = Refusal::not_run(Reason::Overloaded, message);
-            return Err(reject(exchange, plan, refusal, delay));
+            return Err(reject(exchange, plan, excluded, refusal, delay));
         }
     };
     loop {
@@ -362,13 +397,19 @@
         } else {
             access
         };
-        if let Some(ahead) = entry.ahead(now)
+        let ahead = if is_expired && plan.is_returning {
+            Some(0)
+        } else {
+            entry.ahead(now)
+        };
+        if let Some(ahead) = ahead
             && let Some(reserved) = reserve(exchange, plan, excluded, access, ahead, now)
         {
             return Ok(reserved);
         }
         exchange.check_cordon()?;
         if is_expired || exchange.outlasts_drain(plan.duration) {
+            drop(entry);
             let targets = targets_with_known_queues(exchange);
             let delay = shared.dispatcher.retry_delay(
                 service,
@@ -377,7 +418,7 @@
                 now,
             );
             let refusal = Refusal::not_run(Reason::NoTarget, "no engine had room");
-            return Err(reject(exchange, plan, refusal, delay));
+            return Err(reject(exchange, plan, excluded, refusal, delay));
         }
         Timer::after(CAPACITY_POLL_INTERVAL).await;
     }
@@ -392,10 +433,11 @@
     ahead: usize,
     now: Instant,
 ) -> Option<(Target, Reservation)> {
+    let engines = exchange.shared.directory.targets_of(exchange.service).len();
     reserve_with(exchange, plan.run_load(), plan, now, |query| {
         query.excluded = excluded;
         query.release = exchange.origin().map(|origin| &*origin.release);
-        query.queued_ahead = ahead + plan.headroom();
+        query.queued_ahead = ahead + plan.headroom(engines, now);
         query.probation = Some(probation);
         query.max_pending_prefill = max_pending_prefill(exchange, plan, now);
     })
@@ -419,11 +461,14 @@
 /// Returns how many prompt tokens an engine may process ahead of this request without delaying its
 /// first event beyond the objective.
 ///
-/// A returning request may wait for longer, but not at an engine: what awaits prefill there is lost if
-/// the engine leaves.
+/// A returning request may wait for longer, but no longer at an engine than a new one: what awaits
+/// prefill there is lost if the engine leaves.
 fn max_pending_prefill(exchange: &Exchange, plan: &Plan, now: Instant) -> u32 {
-    let usual = exchange.route.latency_objective.mul_f64(PREFILL_SHARE);
-    let time = plan.first_event_deadline.since(now).min(usual);
+    let time = if plan.is_returning {
+        usual_wait(exchange)
+    } else {
+        plan.first_event_deadline.since(now)
+    };
     prefill_tokens(time).saturating_sub(plan.generation.prompt_tokens)
 }
 
--- a/crates/gateway/src/control/status.rs
+++ b/crates/gateway/src/control/status.rs
@@ -33,6 +33,8 @@
     pub cordon: Cordon,
     /// Targets that are warming up, those with the longest remaining time first.
     pub cold_targets: List<Cold>,
+    /// Instances on probation after they failed a request, by name.
+    pub probation: List<Box<str>>,
     /// Targets that are slower or faster than normal, those that differ most first.
     pub paces: List<Pace>,
     /// Services with queued requests, those with the most first.
@@ -128,9 +130,10 @@
             configuration_version: configuration.map_or(0, Configuration::version),
             cordon: cordon(shared),
             cold_targets: cold_targets(shared, configuration),
+            probation: probation(shared),
             paces: paces(shared, configuration),
             queued: queued(shared, configuration),
-            kept_places: shared.dispatcher.kept_places(),
+            kept_places: shared.dispatcher.kept_places(shared.now()),
         }
     }
 }
@@ -219,6 +222,12 @@
     }))
 }
 
+fn probation(shared: &Shared) -> List<Box<str>> {
+    let targets = shared.dispatcher.targets_on_probation(shared.now());
+    let known = targets.iter().filter_map(|key| shared.directory.get(*key));
+    List::new(known.map(|target| target.instance))
+}
+
 fn paces(shared: &Shared, configuration: Option<&Configuration>) -> List<Pace> {
     let targets = shared.directory.all();
     let factors = shared.dispatcher.factors(&targets, shared.now());
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -136,7 +136,7 @@
     }
 
     /// Applies reloaded settings; the bound addresses, the thread count, whether data centres may
-    /// be cordoned and the time of probation stay as they are.
+    /// be cordoned, the time of probation and the number of kept places stay as they are.
     pub fn reload(&self, settings: Gateway) {
         log::info!(target: "reload", seeds = settings.seeds.len(); "settings reloaded");
         self.shared.settings.store(Arc::new(settings));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -198,7 +198,7 @@
         self.cordoned
             .record(shared.cordon.names().len() as u64, &[]);
         self.places
-            .record(shared.dispatcher.kept_places() as u64, &[]);
+            .record(shared.dispatcher.kept_places(shared.now()) as u64, &[]);
     }
 }
 
--- a/crates/gateway/src/targets/dispatcher.rs
+++ b/crates/gateway/src/targets/dispatcher.rs
@@ -15,7 +15,7 @@
         placement::{self, Basis, Choice, Query, RunId, overdue_delay},
         probation::Changes,
         report::{self, KeptPlace},
-        returning::{Place, Places},
+        returning::{Place, Places, Return},
         waiting::{Arrival, Count, Demand, Position, Queues, Waiter},
     },
     rand::Rng,
@@ -315,7 +315,10 @@
 
     /// Forgets the failures of targets, as they were this VM's own.
     pub fn forget_failures(&self) {
-        self.lock().placement.forget_failures();
+        let mut state = self.lock();
+        state.placement.forget_failures();
+        state.probation.forget_own();
+        drop(state);
         self.notifier.notify();
     }
 
@@ -481,6 +484,11 @@
         let state = self.lock();
         let mut failing = state.placement.failing(now);
         failing.extend(state.limits.paused(now));
+        if state.probation.is_enabled() {
+            // A target that is named twice would count as a failure at two VMs.
+            failing.sort_unstable();
+            failing.dedup();
+        }
         failing
     }
 
@@ -555,23 +563,23 @@
     }
 
     /// Returns the number of rejected requests whose clients are expected back.
-    pub fn kept_places(&self) -> usize {
-        self.lock().places.len()
+    pub fn kept_places(&self, now: Instant) -> usize {
+        self.lock().places.count(now)
     }
 
-    /// Keeps the place of a request that this VM rejects, and tells the peers.
+    /// Keeps the place of a request that this VM rejects, and notifies the peers.
     pub fn keep_place(&self, place: Place, now: Instant) {
         self.lock().places.keep(place, now);
         self.notifier.notify();
     }
 
-    /// Uses the place of a request that was rejected before.
+    /// Uses the place of a request; `None` if it was not rejected lately.
     pub fn take_place(
         &self,
         fingerprint: key::Fingerprint,
         deadline: Instant,
         now: Instant,
-    ) -> Option<Place> {
+    ) -> Option<Return> {
         self.lock().places.take(fingerprint, deadline, now)
     }
 
@@ -581,7 +589,8 @@
             return;
         }
         let mut state = self.lock();
-        for place in places.iter().filter_map(|place| place.to_place(now)) {
+        let places = places.iter().take(report::MAX_PLACES);
+        for place in places.filter_map(|place| place.to_place(now)) {
             state.places.receive(place, now);
         }
     }
--- a/crates/gateway/tests/status.rs
+++ b/crates/gateway/tests/status.rs
@@ -67,6 +67,7 @@
             data_centres: List::new(["dc-2".into()]),
         },
         cold_targets: List::new([cold(1_500)]),
+        probation: List::new(["e-1".into()]),
         paces: List::new(pace(2.504, 2.396)),
         queued: List::new([queue("engines", 4, 7)]),
         kept_places: 3,
@@ -89,6 +90,7 @@
             "factor": 2.5, "usual_factor": 2.4,
         }]},
         "queued": {"total": 1, "entries": [{"service": "engines", "local": 4, "remote": 7}]},
+        "probation": {"total": 1, "entries": ["e-1"]},
         "kept_places": 3,
     });
     assert_eq!(to_json(&report), expected);
