test(soak): put failing targets on probation

Cause: the soak has to learn new parts. Change: its gateways put targets that failed a request on probation for 3 s, beside the kept places.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -396,7 +396,7 @@
         site.publish(1, add_cold_starts);
         site.data_centres = vec!["dc-1", "dc-2"];
         site.settings = format!(
-            "cordon = {}s\n\n[limits]\nkept_places = 256\n",
+            "cordon = {}s\nprobation = 3s\n\n[limits]\nkept_places = 256\n",
             CORDON_BOUND.as_secs()
         );
         soak.proxy_command(&format!("tcp store {store} {}", site.store.address));
