--- a/crates/dispatch/tests/returning.rs
+++ b/crates/dispatch/tests/returning.rs
@@ -51,14 +51,14 @@
     lost: usize,
 }
 
-/// Replays 60 slots with runs of 8 s, of which the usual load takes seven tenths, and a burst of 2.5
+/// Replays 60 slots with runs of 8 s, of which the usual load takes eight tenths, and a burst of 2.5
 /// times the usual requests from second 10 to 16; each rejected client returns once.
 fn replay(kept_places: usize) -> Outcome {
     const SLOTS: usize = 60;
     const RUN_MS: u64 = 8_000;
     /// Slots that returning requests leave free.
     const HEADROOM: usize = 2;
-    const INTERVAL_MS: u64 = RUN_MS * 100 / (SLOTS as u64 * 70);
+    const INTERVAL_MS: u64 = RUN_MS * 10 / (SLOTS as u64 * 8);
     let mut queues = Queues::default();
     let mut places = Places::new(kept_places);
     let mut running: Vec<u64> = Vec::new();
@@ -158,7 +158,6 @@
 fn clients_that_return_after_a_burst_are_served_and_delay_no_others() {
     let without = replay(0);
     let with = replay(256);
-    println!("{without:?} {with:?}");
     assert!(without.lost > 0, "{without:?}");
     assert_eq!(with.lost, 0, "{with:?}");
     assert!(with.late >= without.late, "{with:?} {without:?}");
