--- a/crates/fakes/src/site/store.rs
+++ b/crates/fakes/src/site/store.rs
@@ -7,17 +7,23 @@
     },
     base64::{Engine, engine::general_purpose::STANDARD},
     hyper::StatusCode,
+    percent_encoding::percent_decode_str,
     serde_json::{Value, json},
     smol::{Task, net::TcpListener},
     std::{
         collections::BTreeMap,
         io,
         net::SocketAddr,
+        ops::Bound,
         sync::{Arc, Mutex},
         time::{Duration, Instant},
     },
 };
 
+/// Number of items in a page of a list unless a test sets another one; the lists of large deployments
+/// have several pages.
+const DEFAULT_PAGE_ITEMS: usize = 3;
+
 /// How the store responds to requests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Mode {
@@ -57,6 +63,7 @@
     /// Increases with each restored backup.
     era: u64,
     mode: Mode,
+    page_items: usize,
     request_count: u64,
     /// Number of requests for each path and first query field.
     calls: BTreeMap<String, u64>,
@@ -93,6 +100,7 @@
             content: Content::default(),
             era: 1,
             mode: Mode::Normal,
+            page_items: DEFAULT_PAGE_ITEMS,
             request_count: 0,
             calls: BTreeMap::new(),
             callers: Vec::new(),
@@ -226,6 +234,11 @@
         self.changed.notify();
     }
 
+    /// Sets the maximum number of items in a page of a list.
+    pub fn set_page_items(&self, count: usize) {
+        lock(&self.state).page_items = count;
+    }
+
     /// Returns the number of requests for each path and first query field.
     pub fn calls(&self) -> BTreeMap<String, u64> {
         lock(&self.state).calls.clone()
@@ -297,11 +310,14 @@
     let query_text = |name: &str| {
         let mut pairs = request.query.split('&');
         let value = pairs.find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
-        value.unwrap_or_default().to_owned()
+        decode_query_value(value.unwrap_or_default())
     };
     match &*request.path {
         "/v1/kv-key" => Ok(read(&lock(state).content, &query_text("Key"))),
-        "/v1/kv-range" => Ok(list(&lock(state).content, &query_text("PathPrefix"))),
+        "/v1/kv-range" => {
+            let (prefix, after) = (query_text("PathPrefix"), query_text("After"));
+            Ok(list(&lock(state), &prefix, &after))
+        }
         "/v1/kv-watch" => {
             let after = request.query_number("After").unwrap_or_default();
             let timeout = Duration::from_millis(request.query_number("WaitMs").unwrap_or_default());
@@ -321,15 +337,27 @@
     }))
 }
 
-fn list(content: &Content, prefix: &str) -> hyper::Response<http::Body> {
-    let items = content
+/// Returns the page of the items with a prefix that begins after a key.
+fn list(state: &State, prefix: &str, after: &str) -> hyper::Response<http::Body> {
+    let content = &state.content;
+    let start = (Bound::Excluded(after), Bound::Unbounded);
+    let mut items = content
         .items
-        .iter()
-        .filter(|(key, _)| key.starts_with(prefix));
-    let items: Vec<_> = items
+        .range::<str, _>(start)
+        .filter(|(key, _)| key.starts_with(prefix))
+        .peekable();
+    let page = items.by_ref().take(state.page_items);
+    let page: Vec<_> = page
         .map(|(key, (revision, value))| item_json(*revision, key, Some(value)))
         .collect();
-    http::json(&json!({"Items": items, "HasMore": false, "At": content.revision}))
+    let has_more = items.peek().is_some();
+    http::json(&json!({"Items": page, "HasMore": has_more, "At": content.revision}))
+}
+
+/// Decodes a value of a query, in which a plus sign stands for a blank.
+fn decode_query_value(value: &str) -> String {
+    let value = value.replace('+', " ");
+    percent_decode_str(&value).decode_utf8_lossy().into_owned()
 }
 
 /// Waits for changes after a revision, or for the timeout.
--- /dev/null
+++ b/tests/odd_entries.rs
@@ -0,0 +1,88 @@
+//! Entries of other writers in the store: they name no target, and everything else stays in use.
+
+mod support;
+
+use {
+    hyper::{Method, StatusCode},
+    support::{
+        site::{Connection, SAFE_PATH, STREAM_PATH, Site, read_to_end},
+        wait_until,
+    },
+};
+
+/// Characters that mean something else in a query, or that a request can't hold as they are.
+const ODD_CHARACTERS: [char; 14] = [
+    '&', '+', '#', '%', ' ', '=', '?', '/', '"', '\\', '\n', '\u{1}', 'é', '😀',
+];
+/// Number of engines, which is also that of the services.
+const TARGETS: usize = 2;
+
+/// Names of entries that sort before, between and after those of the targets.
+fn odd_names() -> Vec<String> {
+    let prefixes = ["a", "e-0", "f", "s-0", "z"];
+    let names = prefixes
+        .iter()
+        .flat_map(|prefix| ODD_CHARACTERS.map(|odd| format!("{prefix}{odd}x")));
+    // Decoded twice, it is a key after those of all targets.
+    names.chain(["a%7A".to_owned()]).collect()
+}
+
+/// Starts gateways on a store whose lists have pages of some items.
+fn start(page_items: usize, write: impl FnOnce(&Site)) -> Site {
+    let mut site = Site::new();
+    site.store.set_page_items(page_items);
+    site.publish(1, |_| {});
+    (0..TARGETS).for_each(|index| site.add_engine(index, "dc-1"));
+    site.add_services(TARGETS);
+    write(&site);
+    let store = site.store.address;
+    site.start_gateways(3, store);
+    site
+}
+
+fn write_odd_entries(site: &Site) {
+    for (index, name) in odd_names().into_iter().enumerate() {
+        let value = ["", "{}", "no JSON", "{\"Service\": 7}"][index % 4];
+        site.store.put(&format!("servers/{name}"), value);
+    }
+}
+
+/// Asserts that each gateway knows all targets and nothing else, and serves through them.
+fn assert_in_service(site: &Site) {
+    let known = format!("targets{{leaving=\"false\"}} {}\n", 2 * TARGETS);
+    for (index, gateway) in site.gateways.iter().enumerate() {
+        wait_until("the gateway knows all targets and nothing else", || {
+            site.metrics(index).contains(&known)
+        });
+        for (method, path) in [(Method::GET, SAFE_PATH), (Method::POST, STREAM_PATH)] {
+            let headers = [("x-attempt-id", "a-1"), ("x-token-usage", "10,40")];
+            let mut connection = Connection::open(gateway.clients).expect("it accepts");
+            let response = connection
+                .send(&method, path, &headers)
+                .expect("it answers");
+            let response = read_to_end(response);
+            assert_eq!(response.status, StatusCode::OK, "{path}: {response:?}");
+        }
+    }
+}
+
+/// The last key of a page goes into the query of the next one. As it was, an odd one made the request
+/// invalid, led back to the same page, or to another place of the list.
+#[test]
+fn odd_names_at_the_end_of_a_page_hide_no_target() {
+    for page_items in [1, 2, 3, 5, 500] {
+        let mut site = start(page_items, write_odd_entries);
+        assert_in_service(&site);
+        (0..site.gateways.len()).for_each(|index| site.restart(index));
+        assert_in_service(&site);
+    }
+}
+
+/// The entries are read by a watch instead of the list.
+#[test]
+fn odd_entries_that_are_written_later_change_nothing() {
+    let site = start(1, |_| {});
+    assert_in_service(&site);
+    write_odd_entries(&site);
+    assert_in_service(&site);
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -60,6 +60,8 @@
 const CLIENTS: usize = 10;
 /// Data centre of each endpoint: two engines and a service in each.
 const DATA_CENTRES: [&str; ENGINES + SERVICES] = ["dc-1", "dc-1", "dc-2", "dc-2", "dc-1", "dc-2"];
+/// Names of another writer's entries in the list of targets; some end a page of it.
+const ODD_NAMES: [&str; 4] = ["e-0&x", "e-2-0#x", "f 1%+", "s-4-0?x=1"];
 /// Events of every complete stream.
 const EVENTS: u64 = 40;
 const EVENT_INTERVAL: Duration = Duration::from_millis(10);
@@ -394,6 +396,9 @@
         let store = free_address();
         let mut site = lock(&soak.site);
         site.publish(1, add_cold_starts);
+        for name in ODD_NAMES {
+            site.store.put(&format!("servers/{name}"), "{}");
+        }
         site.data_centres = vec!["dc-1", "dc-2"];
         site.settings = format!(
             "cordon = {}s\nprobation = 3s\n\n[limits]\nkept_places = 256\n",
