fix(platform): bound lists that do not advance or have no end

What callers saw: nothing by itself, but it made the fault before this one worse: with a name such as `a&b` at the end of a page, three restarted gateways read the same page tens of thousands of times in seconds, kept what they read each time, and took the reads that the store permits to all VMs. Cause: the loop over the pages of the targets ended only with the list. A page with the last key of the page before it was not noticed, an empty one before the end was taken for the end, and nothing bounded the number of pages or entries. The operator's keys had a check, but no bound. Why it works: each attempt ends after a known number of calls, and each way to end has a delay after it.

--- a/crates/fakes/src/site/store.rs
+++ b/crates/fakes/src/site/store.rs
@@ -36,6 +36,8 @@
     Unresponsive,
     /// Reads are answered, but watches return no changes.
     SilentWatches,
+    /// Requests are answered, but each page of a list is the first one.
+    RepeatedPages,
 }
 
 /// What the store holds; a copy of it is a backup.
@@ -303,7 +305,7 @@
         state.mode
     };
     match mode {
-        Mode::Normal | Mode::SilentWatches => {}
+        Mode::Normal | Mode::SilentWatches | Mode::RepeatedPages => {}
         Mode::Unavailable => return Ok(http::text(StatusCode::SERVICE_UNAVAILABLE, "busy")),
         Mode::Unresponsive => smol::future::pending().await,
     }
@@ -340,6 +342,11 @@
 /// Returns the page of the items with a prefix that begins after a key.
 fn list(state: &State, prefix: &str, after: &str) -> hyper::Response<http::Body> {
     let content = &state.content;
+    let after = if state.mode == Mode::RepeatedPages {
+        ""
+    } else {
+        after
+    };
     let start = (Bound::Excluded(after), Bound::Unbounded);
     let mut items = content
         .items
--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -101,7 +101,7 @@
                     // Others take over the watch.
                     reports::send_now(&shared, true).await;
                 }
-                Timer::after(backoff.next_delay()).await;
+                Timer::after(backoff.next_delay(&failure)).await;
             }
         }
     }
--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -49,6 +49,9 @@
 /// Time for which the pages of a list that was not read to its end are kept; the store's history
 /// reaches back further.
 const LISTING_LIFETIME: Duration = Duration::from_secs(10);
+/// Delay before a list goes on that has more pages than are read at once, as all VMs share the reads
+/// that the store permits.
+const PAGES_DELAY: Duration = Duration::from_millis(500);
 /// Delay after a failure to read the history of the targets.
 const HISTORY_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Interval at which expired targets are removed.
@@ -67,7 +70,8 @@
     loop {
         let role = update_role(&shared, &mut last_role);
         let response = if !has_history {
-            if shared.now().since(listing_begun) > LISTING_LIFETIME {
+            if shared.now().since(listing_begun) > LISTING_LIFETIME && !listing.is_empty() {
+                log::warn!(target: "store", of = "targets"; "the list was not read to its end in time; reading it from its beginning");
                 listing = store::Listing::default();
             }
             if listing.is_empty() {
@@ -137,9 +141,12 @@
                 log::info!(target: "store", of = "targets", reason:% = failure; "reading the full list instead of its history");
                 has_history = false;
             }
+            Err(Failure::Unfinished) => {
+                Timer::after(PAGES_DELAY).await;
+            }
             Err(failure) => {
                 mark_store_unreachable(&shared, &failure);
-                Timer::after(backoff.next_delay()).await;
+                Timer::after(backoff.next_delay(&failure)).await;
             }
         }
     }
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -3,7 +3,9 @@
 mod support;
 
 use {
+    fakes::site::store::Mode,
     hyper::{Method, StatusCode},
+    std::{thread, time::Duration},
     support::{
         site::{Connection, SAFE_PATH, STREAM_PATH, Site, read_to_end},
         wait_until,
@@ -86,3 +88,27 @@
     write_odd_entries(&site);
     assert_in_service(&site);
 }
+
+/// The same page was read again at once and without end, and what was read kept each time.
+#[test]
+fn a_list_that_repeats_its_first_page_is_read_with_pauses() {
+    /// Reads that the store permits in a second to all VMs, and the VMs of the largest deployment.
+    const READS: u64 = 2_000;
+    const VMS: u64 = 350;
+    const SECONDS: u64 = 4;
+    let mut site = start(1, |_| {});
+    assert_in_service(&site);
+    site.store.set_mode(Mode::RepeatedPages);
+    (0..site.gateways.len()).for_each(|index| site.restart(index));
+    let calls = || site.store.calls()["/v1/kv-range?PathPrefix=servers/"];
+    let before = calls();
+    thread::sleep(Duration::from_secs(SECONDS));
+    let share = READS * SECONDS * site.gateways.len() as u64 / VMS;
+    let count = calls() - before;
+    assert!(
+        count <= share,
+        "{count} reads of the list, {share} permitted"
+    );
+    site.store.set_mode(Mode::Normal);
+    assert_in_service(&site);
+}
