--- a/crates/fakes/src/http.rs
+++ b/crates/fakes/src/http.rs
@@ -93,7 +93,12 @@
 
 /// Returns a 200 response with a JSON body.
 pub fn json(value: &serde_json::Value) -> hyper::Response<Body> {
-    let mut response = text(StatusCode::OK, &value.to_string());
+    json_text(&value.to_string())
+}
+
+/// Returns a 200 response with a JSON body that is already encoded.
+pub fn json_text(body: &str) -> hyper::Response<Body> {
+    let mut response = text(StatusCode::OK, body);
     let json = hyper::header::HeaderValue::from_static("application/json");
     response.headers_mut().insert(CONTENT_TYPE, json);
     response
--- a/crates/fakes/src/site/store.rs
+++ b/crates/fakes/src/site/store.rs
@@ -24,6 +24,9 @@
 /// have several pages.
 const DEFAULT_PAGE_ITEMS: usize = 3;
 
+/// Character of a key that responses have as half of a UTF-16 pair, which no Rust string holds.
+pub const HALF_PAIR: char = '\u{e000}';
+
 /// How the store responds to requests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Mode {
@@ -358,7 +361,12 @@
         .map(|(key, (revision, value))| item_json(*revision, key, Some(value)))
         .collect();
     let has_more = items.peek().is_some();
-    http::json(&json!({"Items": page, "HasMore": has_more, "At": content.revision}))
+    json(&json!({"Items": page, "HasMore": has_more, "At": content.revision}))
+}
+
+/// Returns a 200 response in which [`HALF_PAIR`] is an escape.
+fn json(value: &Value) -> hyper::Response<http::Body> {
+    http::json_text(&value.to_string().replace(HALF_PAIR, "\\ud800"))
 }
 
 /// Decodes a value of a query, in which a plus sign stands for a blank.
@@ -400,7 +408,7 @@
                 .map(|(revision, key, value)| item_json(*revision, key, value.as_ref()))
                 .collect();
             if !is_silent && !events.is_empty() || Instant::now() >= deadline {
-                return http::json(&json!({"events": events, "At": content.revision}));
+                return json(&json!({"events": events, "At": content.revision}));
             }
         }
         waiter
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use {
-    fakes::site::store::Mode,
+    fakes::site::store::{HALF_PAIR, Mode},
     hyper::{Method, StatusCode},
     std::{thread, time::Duration},
     support::{
@@ -13,8 +13,8 @@
 };
 
 /// Characters that mean something else in a query, or that a request can't hold as they are.
-const ODD_CHARACTERS: [char; 14] = [
-    '&', '+', '#', '%', ' ', '=', '?', '/', '"', '\\', '\n', '\u{1}', 'é', '😀',
+const ODD_CHARACTERS: [char; 15] = [
+    '&', '+', '#', '%', ' ', '=', '?', '/', '"', '\\', '\n', '\u{1}', 'é', '😀', HALF_PAIR,
 ];
 /// Number of engines, which is also that of the services.
 const TARGETS: usize = 2;
