fix(platform): read pages of the store that hold a large value

What callers saw: in a trial with the store of the tests, no request was served after a start, as long as another writer's entries of 740 kB and 1 MiB stood at the beginning of the list of targets. Cause: a page holds about 1 MB, and a value up to 1 MiB. A value that is added to a page of just under 1 MB makes it 2.4 MB in Base64, more than the 2 MiB that a response could have. The list was given up and read again for ever. The store of the tests ends a page once its values have 1 MB.

--- a/crates/fakes/src/site/store.rs
+++ b/crates/fakes/src/site/store.rs
@@ -24,6 +24,8 @@
 /// have several pages.
 const DEFAULT_PAGE_ITEMS: usize = 3;
 
+/// Size of the values in a page after which no further item is added, in bytes.
+const MAX_PAGE_BYTES: usize = 1_000_000;
 /// Character of a key that responses have as half of a UTF-16 pair, which no Rust string holds.
 pub const HALF_PAIR: char = '\u{e000}';
 
@@ -356,10 +358,14 @@
         .range::<str, _>(start)
         .filter(|(key, _)| key.starts_with(prefix))
         .peekable();
-    let page = items.by_ref().take(state.page_items);
-    let page: Vec<_> = page
-        .map(|(key, (revision, value))| item_json(*revision, key, Some(value)))
-        .collect();
+    let (mut page, mut bytes) = (Vec::new(), 0);
+    while page.len() < state.page_items
+        && bytes < MAX_PAGE_BYTES
+        && let Some((key, (revision, value))) = items.next()
+    {
+        bytes += value.len();
+        page.push(item_json(*revision, key, Some(value)));
+    }
     let has_more = items.peek().is_some();
     json(&json!({"Items": page, "HasMore": has_more, "At": content.revision}))
 }
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -80,6 +80,28 @@
     }
 }
 
+/// A page may hold somewhat more than 1 MB, and a value up to 1 MiB, of which Base64 makes a third more.
+#[test]
+fn large_odd_entries_hide_no_target() {
+    let write = |site: &Site| {
+        for (name, length) in [
+            ("a", 740_000),
+            ("b", 1 << 20),
+            ("y", 740_000),
+            ("z", 1 << 20),
+        ] {
+            site.store
+                .put(&format!("servers/{name}"), &"x".repeat(length));
+        }
+    };
+    let mut site = start(500, write);
+    assert_in_service(&site);
+    (0..site.gateways.len()).for_each(|index| site.restart(index));
+    assert_in_service(&site);
+    write(&site);
+    assert_in_service(&site);
+}
+
 /// The entries are read by a watch instead of the list.
 #[test]
 fn odd_entries_that_are_written_later_change_nothing() {
