--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -12,6 +12,7 @@
 pub mod client;
 mod deployment;
 pub mod process;
+pub mod raw;
 pub mod site;
 
 pub use client::{Completion, Outcome, Response, Stream, TIMEOUT};
--- a/tests/truncated_heads.rs
+++ b/tests/truncated_heads.rs
@@ -5,21 +5,9 @@
 mod support;
 
 use {
-    fakes::site::{Target, target::Copies},
     hyper::{Method, StatusCode},
-    socket2::SockRef,
-    std::{
-        io::{Read, Write},
-        net::{TcpListener, TcpStream},
-        sync::{
-            Arc, Mutex,
-            atomic::{AtomicUsize, Ordering},
-        },
-        thread,
-        time::Duration,
-    },
     support::{
-        process::free_address,
+        raw::{self, End},
         site::{
             RESUMABLE_PATH, Response, SAFE_PATH, STREAM_PATH, Site, UNSAFE_PATH, read_to_end,
             send_body,
@@ -36,70 +24,6 @@
     "Content-Length: 0\r\n",
 ];
 
-/// How a connection ends.
-#[derive(Clone, Copy, Debug)]
-enum End {
-    Close,
-    Reset,
-}
-
-/// A target that sends a text and ends the connection, whatever the request.
-struct Truncating {
-    text: Arc<Mutex<(String, Option<End>)>>,
-    requests: Arc<AtomicUsize>,
-}
-
-impl Truncating {
-    /// Starts the target and registers it as the only one of a service.
-    fn start(site: &Site, service: &str) -> Self {
-        let listener = TcpListener::bind(free_address()).expect("the address is free");
-        let entry = Target::start(free_address(), "truncating", false, &Copies::default());
-        let address = listener.local_addr().expect("it is bound");
-        let entry = entry.expect("the address is free");
-        site.register_at(&entry, address, service, "dc-1", "ready");
-        let text = Arc::new(Mutex::new((String::new(), None)));
-        let requests = Arc::new(AtomicUsize::new(0));
-        let (served_text, counter) = (Arc::clone(&text), Arc::clone(&requests));
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                if read_request(&stream).is_some() {
-                    counter.fetch_add(1, Ordering::Relaxed);
-                    let (text, end) = served_text.lock().expect("not poisoned").clone();
-                    respond(stream, &text, end);
-                }
-            }
-        });
-        Self { text, requests }
-    }
-}
-
-/// Reads a request whose body has a length; `None` if the connection ends before.
-fn read_request(mut stream: &TcpStream) -> Option<String> {
-    let mut request = Vec::new();
-    let mut buffer = [0; 4096];
-    loop {
-        let text = String::from_utf8_lossy(&request).to_ascii_lowercase();
-        if let Some((head, body)) = text.split_once("\r\n\r\n") {
-            let length = head.split("content-length: ").nth(1);
-            let length = length.and_then(|rest| rest.split("\r\n").next()?.parse().ok());
-            if body.len() >= length.unwrap_or(0) {
-                return Some(text);
-            }
-        }
-        let count = stream.read(&mut buffer).ok().filter(|count| *count > 0)?;
-        request.extend_from_slice(&buffer[..count]);
-    }
-}
-
-fn respond(mut stream: TcpStream, text: &str, end: Option<End>) {
-    let _ = stream.write_all(text.as_bytes());
-    if let Some(End::Reset) = end {
-        // The gateway reads what was sent before the reset drops it.
-        thread::sleep(Duration::from_millis(20));
-        let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
-    }
-}
-
 fn fetch(site: &Site, path: &str, number: usize) -> Response {
     let attempt = format!("a-{number}");
     let headers = [
@@ -117,7 +41,7 @@
 fn check(service: &str, path: &str, content_type: &str) {
     let (engines, services) = if service == "engines" { (0, 1) } else { (1, 0) };
     let site = Site::start(engines, services, 1);
-    let target = Truncating::start(&site, service);
+    let target = raw::Target::start(&site, service);
     site.wait_for_targets(2, 0);
     let mut number = 0;
     for framing in FRAMINGS {
@@ -128,7 +52,7 @@
             let last = head.len() - 1;
             for length in (0..last).step_by(STEP).chain([last - 2, last]) {
                 number += 1;
-                *target.text.lock().expect("not poisoned") = (head[..length].to_owned(), Some(end));
+                target.set_answer(&head[..length], end);
                 let response = fetch(&site, path, number);
                 let sent = &head[..length];
                 assert!(
@@ -144,7 +68,7 @@
             }
         }
     }
-    let requests = target.requests.load(Ordering::Relaxed);
+    let requests = target.request_count();
     assert!(
         requests > 10,
         "{path}: {requests} of {number} requests came"
