--- a/crates/fakes/src/site/target.rs
+++ b/crates/fakes/src/site/target.rs
@@ -99,6 +99,8 @@
     pub leaves: bool,
     /// Number of copies of runs, the first ones, that are refused as if the other engine were full.
     pub copy_refusals: usize,
+    /// Handle of all copies, in place of one made from the attempt.
+    pub copy_handle: Option<Box<str>>,
     /// Header fields that the target adds to all its responses.
     pub notices: Vec<(&'static str, String)>,
     /// Shared part of a prompt on which an engine crashes as it begins to answer.
@@ -132,6 +134,7 @@
             answers_for: None,
             leaves: false,
             copy_refusals: 0,
+            copy_handle: None,
             notices: Vec::new(),
             crashes_on: None,
             crashes_on_request: None,
@@ -697,7 +700,8 @@
         return http::text(StatusCode::SERVICE_UNAVAILABLE, "full");
     }
     state.copied_to.push(move_request.to);
-    let handle = format!("h-{}", move_request.id);
+    let handle = state.behaviour.copy_handle.as_deref();
+    let handle = handle.map_or_else(|| format!("h-{}", move_request.id), str::to_owned);
     lock(&state.copies).insert((state.address, handle.as_str().into()));
     http::json(&json!({"Handle": handle, "Created": 0}))
 }
--- a/tests/odd_answers.rs
+++ b/tests/odd_answers.rs
@@ -209,3 +209,48 @@
         assert!(received.ends_with("\n\n"), "{answer:?}: {received}");
     }
 }
+
+/// The handle of a copy goes into a header. Without one, the run would begin again at the engine with
+/// the copy, though it may run only once.
+#[test]
+fn a_run_does_not_begin_again_for_want_of_a_usable_handle() {
+    for handle in [
+        "",
+        "h\n1",
+        "h\u{1}1",
+        "h\u{7f}1",
+        "h 1",
+        "\u{e9}",
+        &"h".repeat(100_000),
+    ] {
+        let behaviour = Behaviour {
+            events: 1_000,
+            copy_handle: Some(handle.into()),
+            ..Behaviour::default()
+        };
+        let mut site = Site::start(1, 1, 1);
+        site.set_engine_behaviour(&behaviour);
+        let stream = site.open_stream("a-1", 600);
+        wait_until("an engine runs the stream", || {
+            site.engines[0].active_streams() == 1
+        });
+        site.add_engine(1, "dc-1");
+        site.set_engine_behaviour(&behaviour);
+        site.wait_for_targets(3, 0);
+        site.register(&site.engines[0], "engines", "dc-1", "draining");
+        wait_until("the run is copied", || {
+            !site.engines[0].copied_to().is_empty()
+        });
+        // The gateway learns of the copy when the call has ended.
+        std::thread::sleep(Duration::from_millis(200));
+        site.engines[0].crash();
+        let response = read_to_end(stream);
+        let received = site.engines[1].received();
+        let begun = received
+            .iter()
+            .find(|request| !request.headers.contains_key("kv-from"));
+        assert!(begun.is_none(), "{handle:.9?}: {begun:?}");
+        let whole = event_stream(1_000);
+        assert!(whole.starts_with(&*response.received), "{handle:.9?}");
+    }
+}
