fix(gateway): log an invalid entry of the store once

What operators saw: two lines at each watching VM, and one at each other, every time that another writer renewed an invalid entry, and one for each invalid entry each time that a resumed stream had the list checked. Cause: each change that was read was logged, also if it changed nothing. Changes from a peer are logged if they change the list. Why it works: what is logged is what the process learns, not what it reads.

--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -21,6 +21,7 @@
     platform::store::{self, Change, Failure, Kind, Store, Versioned},
     smol::Timer,
     std::{
+        collections::HashSet,
         net::{IpAddr, Ipv4Addr, SocketAddr},
         sync::Arc,
         time::Duration,
@@ -57,6 +58,35 @@
 /// Interval at which expired targets are removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Maximum number of invalid entries that are remembered and logged.
+const MAX_LOGGED: usize = 256;
+
+/// The invalid entries that are logged already, as their writers may renew them all the time.
+#[derive(Debug, Default)]
+struct Logged(HashSet<key::Target>);
+
+impl Logged {
+    /// Logs an invalid entry unless that was done before.
+    fn record(&mut self, target: key::Target, revision: u64, error: &platform::Error) {
+        if self.0.len() < MAX_LOGGED && self.0.insert(target) {
+            log::warn!(target: "target", target_key:% = target, revision, error:% = error; "failed to parse a target's entry in the store");
+        }
+    }
+
+    /// Forgets an entry that is valid or was removed.
+    fn forget(&mut self, target: key::Target) {
+        self.0.remove(&target);
+    }
+
+    /// Forgets all entries that a full list has not as invalid.
+    fn retain(&mut self, listed: &[Change]) {
+        let listed = listed.iter();
+        let invalid = listed.filter(|change| matches!(change.kind, Kind::Invalid(..)));
+        let invalid: HashSet<_> = invalid.map(Change::key).collect();
+        self.0.retain(|target| invalid.contains(target));
+    }
+}
+
 /// Keeps the list up to date until the process exits.
 pub async fn run(shared: Arc<Shared>, store: Arc<Store>) {
     // Whether the store can report changes since the known revision; if not, the full list is read.
@@ -64,6 +94,7 @@
     let mut backoff = Backoff::default();
     let mut catch_up = CatchUp::new(shared.fleet.incarnation());
     let mut last_role = None;
+    let mut logged = Logged::default();
     let started = shared.now();
     let mut listing = store::Listing::default();
     let mut listing_begun = started;
@@ -120,7 +151,7 @@
                         read_history(Arc::clone(&shared), Arc::clone(&store), response.position);
                     shared.runtime.spawn(history).detach();
                 }
-                let changes = apply_response(&shared, response, !has_history);
+                let changes = apply_response(&shared, response, !has_history, &mut logged);
                 if !std::mem::replace(&mut has_history, true) {
                     let announced = shared.fleet.peers().announced_targets(shared.now());
                     catch_up.record_list(shared.directory.state(), announced);
@@ -251,8 +282,8 @@
     }
     let now = shared.now();
     let removal_delay = Duration::from_millis(changes.removal_delay_ms.into());
+    let mut is_changed = false;
     shared.directory.update(|listing| {
-        let mut is_changed = false;
         for entry in &changes.entries {
             let key = key::Target::from_raw(entry.target);
             if !listing.record(key, entry.revision, entry.description.is_some()) {
@@ -266,10 +297,12 @@
         listing.advance(changes.to, changes.to);
         is_changed
     });
-    log::info!(
-        target: "target", revision = changes.to, changes = changes.entries.len();
-        "applied target changes received from a peer"
-    );
+    if is_changed {
+        log::info!(
+            target: "target", revision = changes.to, changes = changes.entries.len();
+            "applied target changes received from a peer"
+        );
+    }
 }
 
 /// Compares the list of targets with that of a VM that watches the store.
@@ -314,9 +347,10 @@
     shared: &Shared,
     response: Versioned<Vec<Change>>,
     is_full_list: bool,
+    logged: &mut Logged,
 ) -> Option<Changes> {
     if is_full_list {
-        replace_list(shared, response);
+        replace_list(shared, response, logged);
         return None;
     }
     let now = shared.now();
@@ -341,12 +375,14 @@
                 Kind::Put(target) => {
                     let entry = encode_entry(change.revision, &target);
                     let (key, is_leaving) = (target.key, target.is_leaving);
+                    logged.forget(key);
                     let cold_ms = cold_remaining_ms(&target).unwrap_or_default();
                     let is_change = is_news && listing.put(target, now);
                     log::info!(target: "target", target_key:% = key, is_leaving, cold_ms, revision = change.revision, is_change; "target listed by the store");
                     (entry, is_change)
                 }
                 Kind::Removed(key) => {
+                    logged.forget(key);
                     let is_change = is_news && listing.remove(key, removal_delay, now);
                     log::info!(target: "target", target_key:% = key, revision = change.revision, at_once = is_change; "target removed from the store");
                     (encode_removal(change.revision, key), is_change)
@@ -354,7 +390,7 @@
                 // Such an entry names no target, even if it did before.
                 Kind::Invalid(key, error) => {
                     let is_change = is_news && listing.remove(key, removal_delay, now);
-                    log::warn!(target: "target", target_key:% = key, revision = change.revision, at_once = is_change, error:% = error; "failed to parse a target's entry in the store");
+                    logged.record(key, change.revision, &error);
                     (encode_removal(change.revision, key), is_change)
                 }
             };
@@ -368,13 +404,19 @@
 }
 
 /// Applies the full list that the store had at a position.
-fn replace_list(shared: &Shared, response: Versioned<Vec<Change>>) {
+fn replace_list(shared: &Shared, response: Versioned<Vec<Change>>, logged: &mut Logged) {
     let now = shared.now();
     let position = response.position;
     let before = shared.directory.known_position();
     if shared.directory.has_list() && position.era != before.era {
         log::warn!(target: "store", of = "targets", era = position.era, revision = position.revision, era_before = before.era, revision_before = before.revision; "the store has begun a new history");
     }
+    logged.retain(&response.value);
+    for change in &response.value {
+        if let Kind::Invalid(key, error) = &change.kind {
+            logged.record(*key, change.revision, error);
+        }
+    }
     let listed = response.value.into_iter().filter_map(into_target).collect();
     shared
         .directory
@@ -385,11 +427,7 @@
 fn into_target(change: Change) -> Option<(u64, Target)> {
     match change.kind {
         Kind::Put(target) => Some((change.revision, target)),
-        Kind::Removed(_) => None,
-        Kind::Invalid(key, error) => {
-            log::warn!(target: "target", target_key:% = key, error:% = error; "failed to parse a target's entry in the store");
-            None
-        }
+        Kind::Removed(_) | Kind::Invalid(..) => None,
     }
 }
 
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -134,3 +134,39 @@
     site.store.set_mode(Mode::Normal);
     assert_in_service(&site);
 }
+
+/// Its writer may renew an entry every second or so, as targets do.
+#[test]
+fn an_odd_entry_takes_no_log_line_each_time_it_is_written() {
+    const WRITES: usize = 20;
+    let folder = tempfile::tempdir().expect("a temporary directory is created");
+    let path = folder.path().join("vm.log");
+    let mut site = Site::new();
+    site.settings = format!("[log]\nfile = {}\n", path.display());
+    site.publish(1, |_| {});
+    site.add_engine(0, "dc-1");
+    site.add_services(1);
+    let store = site.store.address;
+    site.start_gateways(2, store);
+    site.wait_for_targets(2, 0);
+    site.wait_for_peers();
+    let lines = || {
+        let log = std::fs::read_to_string(&path).expect("the log is readable");
+        let lines = log.lines();
+        let lines = lines.filter(|line| line.contains("\"event\":\"target\""));
+        lines.map(str::to_owned).collect::<Vec<_>>()
+    };
+    let before = lines().len();
+    for _ in 0..WRITES {
+        write_odd_entry(&site);
+        // More than between two watches.
+        thread::sleep(Duration::from_millis(250));
+    }
+    let lines = &lines()[before..];
+    // One for each gateway, and for each that it hears from.
+    assert!((1..=4).contains(&lines.len()), "{lines:#?}");
+}
+
+fn write_odd_entry(site: &Site) {
+    site.store.put("servers/a\n\u{1}&", "{\"Service\": 7}");
+}
