test: odd names beside a cordon

Cause: the operator's keys are read like the targets, and nothing tested them with odd names in pages of a few items. Change: a test with fourteen odd characters and half of a pair, at 1, 2 and 5 items a page, before and after a restart. Measured: passes; half of a pair needs the decoding of items one by one.

--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -111,6 +111,46 @@
     assert_in_service(&site);
 }
 
+/// The operator's keys are read like the targets. An odd name cordons no data centre that there is, and
+/// a sound one beside it does.
+#[test]
+fn odd_names_beside_a_cordon_change_nothing_else() {
+    for page_items in [1, 2, 5] {
+        let mut site = Site::new();
+        site.store.set_page_items(page_items);
+        site.settings = "cordon = 5s\n".to_owned();
+        site.publish(1, |_| {});
+        site.add_engine(0, "dc-1");
+        site.add_services(1);
+        for odd in ODD_CHARACTERS {
+            site.store.put(&format!("op/evacuate/dc-1{odd}"), "{}");
+            site.store.put(&format!("op/{odd}"), "no JSON");
+        }
+        let store = site.store.address;
+        site.start_gateways(2, store);
+        for is_cordoned in [false, true] {
+            let (count, expected) = match is_cordoned {
+                false => (ODD_CHARACTERS.len(), StatusCode::OK),
+                true => (ODD_CHARACTERS.len() + 1, StatusCode::SERVICE_UNAVAILABLE),
+            };
+            for index in 0..2 {
+                wait_until("the cordon is known", || {
+                    site.metric(index, "cordoned") == count
+                });
+            }
+            wait_until("requests are handled as the cordon says", || {
+                let response = site.fetch(&Method::GET, SAFE_PATH, &[("x-attempt-id", "a-1")]);
+                response.status == expected
+            });
+            site.store.put("op/evacuate/dc-1", "{}");
+        }
+        (0..2).for_each(|index| site.restart(index));
+        wait_until("the cordon is known", || {
+            site.metric(0, "cordoned") == ODD_CHARACTERS.len() + 1
+        });
+    }
+}
+
 /// The same page was read again at once and without end, and what was read kept each time.
 #[test]
 fn a_list_that_repeats_its_first_page_is_read_with_pauses() {
