fix(entry): take an invalid status for a lost answer

What callers saw: the same as through the gateway. A service answered 600, and the caller got that with the verdict `ran`, as the whole answer. Cause: the interface of `mastictrail serve` has an HTTP client of its own, with the same library. Change: both clients ask one function whether a status is that of a final response; here, too, another one means that the request may have run. Evidence: failed_with_an_invalid_status, a new case of tests/verdicts.rs, failed with a status of 600 passed on, and passes. Why it works: all of its requests to targets and the platform go through the function that sends them.

--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -8,7 +8,9 @@
     base::{Reason, Refusal},
     bytes::Bytes,
     http_body_util::{BodyExt, Full, Limited},
-    hyper::{Method, Request, Response, body::Incoming, client::conn::http1, header::HOST},
+    hyper::{
+        Method, Request, Response, StatusCode, body::Incoming, client::conn::http1, header::HOST,
+    },
     smol::net::TcpStream,
     smol_hyper::rt::FuturesIo,
     std::{net::SocketAddr, time::Duration},
@@ -52,14 +54,27 @@
     context.spawn(async move {
         let _ = connection.await;
     });
-    sender.send_request(request).await.map_err(|error| {
+    let response = sender.send_request(request).await.map_err(|error| {
         let message = format!("the target was lost: {error}");
         if error.is_canceled() {
             Refusal::not_run(Reason::TargetLost, message)
         } else {
             Refusal::may_have_run(Reason::TargetLost, message)
         }
-    })
+    })?;
+    if !is_final(response.status()) {
+        let message = format!("invalid status {}", response.status().as_u16());
+        return Err(Refusal::may_have_run(Reason::TargetInvalid, message));
+    }
+    Ok(response)
+}
+
+/// Returns whether a status is that of a final response (RFC 9110, section 15).
+///
+/// The HTTP library accepts all numbers from 100 to 999, and a switch to another protocol that was not
+/// asked for.
+pub fn is_final(status: StatusCode) -> bool {
+    !status.is_informational() && status.as_u16() < 600
 }
 
 /// Reads a body of at most `limit` bytes.
@@ -112,6 +127,6 @@
 
 /// Returns whether a target refused a request before starting it.
 pub fn is_refused_before_start(response: &Response<Incoming>) -> bool {
-    response.status() == hyper::StatusCode::SERVICE_UNAVAILABLE
+    response.status() == StatusCode::SERVICE_UNAVAILABLE
         && response.headers().contains_key("x-not-started")
 }
--- a/crates/fakes/src/service/mod.rs
+++ b/crates/fakes/src/service/mod.rs
@@ -44,6 +44,8 @@
     After,
     /// Runs the call and responds with 500.
     Error,
+    /// Runs the call and responds with a status that no response has.
+    Status,
 }
 
 /// Faults to inject, the body of `POST /test/behaviour`.
@@ -224,6 +226,9 @@
         Some(FailurePoint::During) => return Err(http::aborted()),
         Some(FailurePoint::After) => truncated(&reply.body)?,
         Some(FailurePoint::Error) => http::text(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
+        Some(FailurePoint::Status) => {
+            http::text(StatusCode::from_u16(600).map_err(io::Error::other)?, "odd")
+        }
         _ => http::text(StatusCode::OK, &reply.body),
     };
     let headers = response.headers_mut();
--- a/crates/gateway/src/targets/client.rs
+++ b/crates/gateway/src/targets/client.rs
@@ -12,7 +12,10 @@
     base::{Verdict, transfer::Bounds},
     bytes::{Bytes, BytesMut},
     derive_more::{Debug, Display, Error, From},
-    entry::runtime::{Runtime, with_timeout},
+    entry::{
+        http::is_final,
+        runtime::{Runtime, with_timeout},
+    },
     futures_lite::{AsyncRead, AsyncWrite},
     http_body_util::{BodyExt, Full, Limited},
     hyper::{
@@ -256,7 +259,12 @@
                 is_local: is_peer_lost(&error),
                 ..Failure::may_have_run(format!("no answer: {error}"))
             })?;
-        check_status(response.status())?;
+        let status = response.status();
+        if !is_final(status) {
+            // What such a response says of whether the request ran doesn't count, either.
+            let message = format!("no answer: invalid status {}", status.as_u16());
+            return Err(Failure::may_have_run(message));
+        }
         // The body is read only once it is polled, so no byte of it was refused before.
         let is_stream = is_event_stream(response.headers());
         allowance.set(if is_stream { u64::MAX } else { MAX_BODY_BYTES });
@@ -318,18 +326,6 @@
     }
 }
 
-/// Checks that a status is that of a final response; the HTTP library accepts all numbers from 100 to
-/// 999, and a switch to another protocol that was not asked for.
-///
-/// # Errors
-/// The request may have run: what the response says about that doesn't count, either.
-fn check_status(status: StatusCode) -> Result<(), Failure> {
-    let is_final = !status.is_informational() && status.as_u16() < 600;
-    let failure =
-        || Failure::may_have_run(format!("no answer: invalid status {}", status.as_u16()));
-    is_final.then_some(()).ok_or_else(failure)
-}
-
 fn late() -> Failure {
     Failure::may_have_run("no answer in time")
 }
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -128,11 +128,11 @@
         }
         let store = site.store.address;
         site.start_gateways(2, store);
-        for is_cordoned in [false, true] {
-            let (count, expected) = match is_cordoned {
-                false => (ODD_CHARACTERS.len(), StatusCode::OK),
-                true => (ODD_CHARACTERS.len() + 1, StatusCode::SERVICE_UNAVAILABLE),
-            };
+        let odd = ODD_CHARACTERS.len();
+        for (count, expected) in [
+            (odd, StatusCode::OK),
+            (odd + 1, StatusCode::SERVICE_UNAVAILABLE),
+        ] {
             for index in 0..2 {
                 wait_until("the cordon is known", || {
                     site.metric(index, "cordoned") == count
@@ -146,7 +146,7 @@
         }
         (0..2).for_each(|index| site.restart(index));
         wait_until("the cordon is known", || {
-            site.metric(0, "cordoned") == ODD_CHARACTERS.len() + 1
+            site.metric(0, "cordoned") == odd + 1
         });
     }
 }
--- a/tests/verdicts.rs
+++ b/tests/verdicts.rs
@@ -203,6 +203,8 @@
     failed_during_the_run: "/release", {"fail": "during"}, no_op, Expected::PossibleRun;
     failed_after_the_run: "/release", {"fail": "after"}, no_op, Expected::PossibleRun;
     failed_with_an_answer: "/release", {"fail": "error"}, no_op, Expected::PossibleRun;
+    failed_with_an_invalid_status: "/release", {"fail": "status"}, no_op,
+        Expected::Verdict("may_have_run");
     failed_before_the_run_of_a_read: "/read", {"fail": "before"}, no_op, Expected::PossibleRun;
     failed_during_the_run_of_a_read: "/read", {"fail": "during"}, no_op, Expected::PossibleRun;
     answered_twice: "/release", {"twice": true}, no_op, Expected::OwnResponse;
