--- a/crates/gateway/src/control/discovery.rs
+++ b/crates/gateway/src/control/discovery.rs
@@ -78,7 +78,7 @@
         self.0.remove(&target);
     }
 
-    /// Forgets all entries that a full list has not as invalid.
+    /// Forgets the entries that are not among the invalid ones of a full list.
     fn retain(&mut self, listed: &[Change]) {
         let listed = listed.iter();
         let invalid = listed.filter(|change| matches!(change.kind, Kind::Invalid(..)));
