test(review): a resumed stream goes on at another version after its route moved

Cause: where the origin of a stream is not known, only the releases of the route's present service are looked at, not the service to which the route led when the stream began.

--- a/review/site-2/client.rs
+++ b/review/site-2/client.rs
@@ -21,6 +21,8 @@
     pub deadline_ms: u64,
     /// Prompt tokens and maximum number of output tokens of a generation.
     pub usage: Option<(u32, u32)>,
+    /// Event after which a stream is resumed.
+    pub last_event: Option<usize>,
 }
 
 /// What a client got.
@@ -42,8 +44,11 @@
         let own = format!("{:016x}", call.attempt.bytes().fold(7_u64, |hash, byte| hash.wrapping_mul(31) + u64::from(byte)));
         format!("X-Model: m\r\nX-Token-Usage: {prompt},{output}\r\nX-Prefix-Hash: 5c1e07a2:79,{own}:{}\r\n", prompt - 79)
     });
+    let resumed = call
+        .last_event
+        .map_or(String::new(), |event| format!("Last-Event-Id: {event}\r\n"));
     let request = format!(
-        "{} {} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {}\r\n{usage}X-Deadline-Ms: {}\r\nAuthorization: Token {KEY}\r\nContent-Length: 0\r\n\r\n",
+        "{} {} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {}\r\n{usage}{resumed}X-Deadline-Ms: {}\r\nAuthorization: Token {KEY}\r\nContent-Length: 0\r\n\r\n",
         call.method, call.path, call.attempt, call.deadline_ms
     );
     record.line(&format!(
--- a/review/site-2/gateway.rs
+++ b/review/site-2/gateway.rs
@@ -28,6 +28,28 @@
 pub struct Gateway {
     pub clients: SocketAddr,
     readiness: SocketAddr,
+    process: u32,
+    log: PathBuf,
+}
+
+impl Gateway {
+    /// Sends a signal to the process.
+    pub fn signal(&self, name: &str) {
+        let pid = self.process.to_string();
+        let sent = Command::new("kill").args(["-s", name, &pid]).status();
+        assert!(sent.is_ok_and(|status| status.success()), "signal {name}");
+    }
+
+    /// Returns whether it watches the list of runners on behalf of others, by its own log.
+    pub fn is_watching(&self) -> bool {
+        let log = fs::read_to_string(&self.log).unwrap_or_default();
+        let changes = log.lines().rev();
+        let mut changes =
+            changes.filter(|line| line.contains("the role in watching the store has changed"));
+        changes
+            .next()
+            .is_some_and(|line| !line.contains("\"role\":\"none\""))
+    }
 }
 
 /// Starts a gateway in each of the zones and waits until all are ready.
@@ -58,25 +80,24 @@
 }
 
 fn start(settings: &Path, ip: Ipv4Addr, ports: &[u16; 5], index: usize) -> Result<Gateway, String> {
-    let log = match env::var_os("LOGS") {
-        Some(folder) => {
-            let path = PathBuf::from(folder).join(format!("gateway-{index}.log"));
-            Stdio::from(fs::File::create(path).map_err(|error| error.to_string())?)
-        }
-        None => Stdio::null(),
-    };
+    let folder = env::var_os("LOGS").map_or_else(directory, PathBuf::from);
+    let log = folder.join(format!("gateway-{index}.log"));
+    let output = fs::File::create(&log).map_err(|error| error.to_string())?;
     let child = Command::new("target/release/mastictrail")
         .arg("gateway")
         .env("MASTICTRAIL_NODE_FILE", settings)
         .stdin(Stdio::null())
-        .stdout(log)
+        .stdout(output)
         .stderr(Stdio::inherit())
         .spawn()
         .map_err(|error| format!("target/release/mastictrail: {error}"))?;
+    let process = child.id();
     CHILDREN.lock().unwrap().push(child);
     Ok(Gateway {
         clients: (ip, ports[0]).into(),
         readiness: (ip, ports[1]).into(),
+        process,
+        log,
     })
 }
 
--- a/review/site-2/record.rs
+++ b/review/site-2/record.rs
@@ -8,6 +8,9 @@
     time::{Duration, Instant},
 };
 
+/// Prefix of the attempts that are not recorded, as there are thousands of them.
+pub const BACKGROUND: &str = "bg-";
+
 /// Writes lines with the time since the start; clones share the file.
 #[derive(Clone)]
 pub struct Record {
@@ -30,7 +33,11 @@
         self.started.elapsed()
     }
 
+    /// Writes a line, unless it is about [`BACKGROUND`] traffic.
     pub fn line(&self, text: &str) {
+        if text.contains(BACKGROUND) {
+            return;
+        }
         let seconds = self.now().as_secs_f64();
         let mut file = self.file.lock().unwrap();
         writeln!(file, "{seconds:8.3} {text}").expect("record.txt is written");
--- a/review/site-2/runner.rs
+++ b/review/site-2/runner.rs
@@ -39,6 +39,10 @@
 pub struct Run {
     pub runner: String,
     pub attempt: String,
+    /// Version of the runner's software.
+    pub release: &'static str,
+    /// Event after which it begins.
+    pub after: u64,
     /// Whether it goes on from a copy.
     pub is_continued: bool,
     pub arrived: Duration,
@@ -62,6 +66,8 @@
 pub struct Runner {
     pub id: String,
     pub zone: &'static str,
+    /// Version of its software.
+    release: &'static str,
     pub proxy: Proxy,
     kind: Kind,
     pool: Pool,
@@ -71,16 +77,26 @@
     /// Requests that fail after they ran, in percent.
     pub failing_percent: Arc<AtomicU64>,
     count: Arc<AtomicU64>,
+    /// Whether its process has ended.
+    has_exited: Arc<AtomicBool>,
     /// An attempt whose answer is lost, with the number of events before that.
     pub lost_answer: Arc<Mutex<Option<(String, u64)>>>,
 }
 
 impl Runner {
-    pub fn start(id: &str, zone: &'static str, kind: Kind, pool: &Pool, record: &Record) -> Self {
+    pub fn start(
+        id: &str,
+        zone: &'static str,
+        release: &'static str,
+        kind: Kind,
+        pool: &Pool,
+        record: &Record,
+    ) -> Self {
         let listener = link::listen_anywhere();
         let runner = Self {
             id: id.into(),
             zone,
+            release,
             proxy: Proxy::start(listener.local_addr().unwrap()),
             kind,
             pool: pool.clone(),
@@ -88,6 +104,7 @@
             active: Arc::default(),
             failing_percent: Arc::default(),
             count: Arc::default(),
+            has_exited: Arc::default(),
             lost_answer: Arc::default(),
         };
         let serving = runner.clone();
@@ -109,16 +126,27 @@
     pub fn entry(&self, service: &str, state: &str) -> String {
         let slots = if self.kind == Kind::Engine { 32 } else { 6 };
         format!(
-            r#"{{"Service":"{service}","Address":"{}","Zone":"{}","Version":"v1","Slots":{slots},"State":"{state}","ColdRemainingMs":0,"Phase":"mixed","Models":[{{"Name":"m","Version":1,"Adapters":[]}}],"Sequence":4,"born":1790000000000}}"#,
+            r#"{{"Service":"{service}","Address":"{}","Zone":"{}","Version":"{}","Slots":{slots},"State":"{state}","ColdRemainingMs":0,"Phase":"mixed","Models":[{{"Name":"m","Version":1,"Adapters":[]}}],"Sequence":4,"born":1790000000000}}"#,
             self.address(),
-            self.zone
+            self.zone,
+            self.release
         )
     }
 
+    /// Ends the process: all its channels end, and new ones are closed.
+    pub fn exit(&self) {
+        self.record.line(&format!("runner {}: exits", self.id));
+        self.has_exited.store(true, Ordering::SeqCst);
+    }
+
+    fn has_exited(&self) -> bool {
+        self.has_exited.load(Ordering::SeqCst)
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         while let Some(request) = link::read_request(&mut stream) {
-            if !self.answer(&mut stream, &request) {
+            if self.has_exited() || !self.answer(&mut stream, &request) {
                 return;
             }
         }
@@ -147,7 +175,7 @@
         }
     }
 
-    fn begin(&self, attempt: &str, is_continued: bool, arrived: Duration) -> usize {
+    fn begin(&self, attempt: &str, is_continued: bool, after: u64, arrived: Duration) -> usize {
         let how = if is_continued {
             "goes on with"
         } else {
@@ -159,6 +187,8 @@
         runs.push(Run {
             runner: self.id.clone(),
             attempt: attempt.into(),
+            release: self.release,
+            after,
             is_continued,
             arrived,
             begun: self.record.now(),
@@ -183,7 +213,7 @@
     }
 
     fn work(&self, stream: &mut TcpStream, attempt: &str, arrived: Duration) -> bool {
-        let run = self.begin(attempt, false, arrived);
+        let run = self.begin(attempt, false, 0, arrived);
         thread::sleep(WORK_TIME);
         self.end(run, "has done");
         let count = self.count.fetch_add(1, Ordering::Relaxed) + 1;
@@ -260,7 +290,7 @@
         if is_closed.load(Ordering::SeqCst) {
             return false;
         }
-        let run = self.begin(attempt, copy.is_some(), arrived);
+        let run = self.begin(attempt, copy.is_some(), first - 1, arrived);
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nX-Attempt-Id: {attempt}\r\nX-Server-Signature: {}\r\nX-Server-Load: 1,0,32\r\n\r\n",
             self.signature()
@@ -289,7 +319,7 @@
             }
             // The run ends with its channel, unless its answer is lost while it goes on.
             let is_left = is_closed.load(Ordering::SeqCst) && !loses_answer;
-            if is_left || is_stopped.load(Ordering::SeqCst) {
+            if is_left || is_stopped.load(Ordering::SeqCst) || self.has_exited() {
                 self.active.lock().unwrap().remove(attempt);
                 let how = if is_left { "drops" } else { "stops" };
                 self.end(run, &format!("{how} after event {} of", event - 1));
--- a/review/site-2/scenario.rs
+++ b/review/site-2/scenario.rs
@@ -5,7 +5,7 @@
         client::{self, Call},
         gateway::{self, Gateway},
         link,
-        record::Record,
+        record::{BACKGROUND, Record},
         runner::{Kind, Pool, Run, Runner},
         store::Store,
     },
@@ -17,10 +17,18 @@
 /// The key of the only tenant.
 pub const KEY: &str = "xd9dnn2ctnfzs989anu6";
 const ENGINES: &str = "huvo11a";
+/// Another service of engines, to which a route moves.
+const OTHER_ENGINES: &str = "nixo83c";
 const PORTAL: &str = "wuno96b";
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 /// `StableWindowMs`.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
+/// `DrainMs`.
+const DRAIN: Duration = Duration::from_secs(2);
+/// Time for which a machine stands still.
+const FREEZE: Duration = Duration::from_secs(4);
+/// Number of clients that send short streams one after the other.
+const TRAFFIC_CLIENTS: usize = 16;
 /// Time after which a request may not be at work at the runner before.
 const HANDOVER: Duration = Duration::from_millis(400);
 /// Time without an event after which clients abandon a stream: four times its objective.
@@ -38,12 +46,15 @@
     match name {
         "silent-channel" => handover(record, has_trouble, Loss::SilentChannel),
         "lost-answer" => handover(record, has_trouble, Loss::LostAnswer),
+        "moved-route" => moved_route(record, has_trouble),
+        "missed-release" => missed_release(record, has_trouble),
         "failed-after-work" => failed_after_work(record, has_trouble),
         _ => Err(format!("no scenario {name}")),
     }
 }
 
 struct Site {
+    store: Store,
     engines: Vec<Runner>,
     plain: Vec<Runner>,
     gateways: Vec<Gateway>,
@@ -52,14 +63,19 @@
 }
 
 impl Site {
-    fn start(record: &Record, engines: usize, plain: usize) -> Result<Self, String> {
+    fn start(
+        record: &Record,
+        engines: usize,
+        plain: usize,
+        machines: usize,
+    ) -> Result<Self, String> {
         let pool = Pool::default();
         let store = Store::start(link::listen_anywhere());
         store.put("op/config", &configuration());
         let start = |kind, count: usize, prefix: &str| {
             let runners = (0..count).map(|index| {
                 let id = format!("i-{prefix}{index:02}");
-                Runner::start(&id, ZONES[index % ZONES.len()], kind, &pool, record)
+                Runner::start(&id, ZONES[index % ZONES.len()], "v1", kind, &pool, record)
             });
             runners.collect::<Vec<_>>()
         };
@@ -81,17 +97,21 @@
                 ));
             }
         }
+        let zones: Vec<_> = (0..machines)
+            .map(|index| ZONES[index % ZONES.len()])
+            .collect();
         let settings = gateway::Site {
             store: store.address,
             link_mbps: 700.0,
             memory_mb: 182,
             retry_extra: 126,
         };
-        let gateways = gateway::start_all(&settings, &ZONES)?;
+        let gateways = gateway::start_all(&settings, &zones)?;
         // The machines find each other, and are in touch for the whole window before the case.
         thread::sleep(STABLE_WINDOW + Duration::from_secs(2));
         record.line("the site is up");
         Ok(Self {
+            store,
             engines,
             plain,
             gateways,
@@ -122,6 +142,7 @@
                 attempt: &attempt,
                 deadline_ms: 39_000,
                 usage: Some((1_460, 1_400)),
+                last_event: None,
             };
             client::call(entry, &call, PATIENCE, &record)
         })
@@ -183,7 +204,7 @@
         route("r-read", "/puxa403/", "safe", 1_000, 150, PORTAL, 2, ""),
     ];
     format!(
-        r#"{{"Version":7,"Routes":[{}],"Services":[{{"Name":"{ENGINES}","HealthCheckPath":"/healthz","MaxConnections":702,"Protocol":"h1","Tls":false,"Engine":{{"Slots":32,"KvCapacity":34481,"KvBytes":327680,"LinkMbps":47000.0,"Moves":true,"Backups":true,"Stride":4,"most":12,"PinMs":4000.0,"HoldMs":2000.0,"HandleTtlS":5.0,"Models":[{{"Name":"m"}}]}}}},{{"Name":"{PORTAL}","HealthCheckPath":"/healthz","MaxConnections":248,"Protocol":"h1","Tls":false}}],"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}},"Tenants":[{{"Name":"huka270","ApiKeys":["{KEY}"],"Priority":1}}]}}"#,
+        r#"{{"Version":7,"Routes":[{}],"Services":[{{"Name":"{ENGINES}","HealthCheckPath":"/healthz","MaxConnections":702,"Protocol":"h1","Tls":false,"Engine":{{"Slots":32,"KvCapacity":34481,"KvBytes":327680,"LinkMbps":47000.0,"Moves":true,"Backups":true,"Stride":4,"most":12,"PinMs":4000.0,"HoldMs":2000.0,"HandleTtlS":5.0,"Models":[{{"Name":"m"}}]}}}},{{"Name":"{OTHER_ENGINES}","HealthCheckPath":"/healthz","MaxConnections":702,"Protocol":"h1","Tls":false,"Engine":{{"Slots":32,"KvCapacity":34481,"KvBytes":327680,"LinkMbps":47000.0,"Moves":true,"Backups":true,"Stride":4,"most":12,"PinMs":4000.0,"HoldMs":2000.0,"HandleTtlS":5.0,"Models":[{{"Name":"m"}}]}}}},{{"Name":"{PORTAL}","HealthCheckPath":"/healthz","MaxConnections":248,"Protocol":"h1","Tls":false}}],"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}},"Tenants":[{{"Name":"huka270","ApiKeys":["{KEY}"],"Priority":1}}]}}"#,
         routes.join(",")
     )
 }
@@ -199,7 +220,7 @@
 
 /// TWICE: a stream goes on at another engine while the engine before still works on it.
 fn handover(record: &Record, has_trouble: bool, loss: Loss) -> Result<Outcome, String> {
-    let site = Site::start(record, 3, 1)?;
+    let site = Site::start(record, 3, 1, 3)?;
     let attempt = "9c41d07be2a35f68";
     let reader = site.draft(attempt);
     let engine = site.wait_for_run(attempt)?;
@@ -228,6 +249,7 @@
             attempt: &short,
             deadline_ms: 6_000,
             usage: Some((700, 16)),
+            last_event: None,
         };
         client::call(site.entry(), &call, PATIENCE, record);
         thread::sleep(Duration::from_millis(100));
@@ -264,7 +286,7 @@
 
 /// REFUSED: a request that ran at a failing runner is answered with the promise that it did not run.
 fn failed_after_work(record: &Record, has_trouble: bool) -> Result<Outcome, String> {
-    let site = Site::start(record, 1, 7)?;
+    let site = Site::start(record, 1, 7, 3)?;
     if has_trouble {
         site.plain[0]
             .failing_percent
@@ -283,6 +305,7 @@
             attempt: &attempt,
             deadline_ms: 1_000,
             usage: None,
+            last_event: None,
         };
         let answer = client::call(site.entry(), &call, Duration::from_secs(2), record);
         let runs = site.runs_of(&attempt).len();
@@ -309,3 +332,225 @@
         Outcome::Held
     })
 }
+
+/// ORDER: a stream that a release began goes on at another one, as a machine that stood still has missed that the
+/// release joined and left.
+fn missed_release(record: &Record, has_trouble: bool) -> Result<Outcome, String> {
+    let site = Site::start(record, 7, 1, 6)?;
+    // The list of runners must be known for as long as a stream may be old.
+    thread::sleep(Duration::from_secs(8));
+    let frozen = site
+        .gateways
+        .iter()
+        .position(|gateway| !gateway.is_watching())
+        .ok_or("all machines watch")?;
+    let others: Vec<_> = (0..site.gateways.len())
+        .filter(|index| *index != frozen)
+        .map(|index| site.gateways[index].clients)
+        .collect();
+    let end = record.now() + Duration::from_secs(12);
+    let traffic: Vec<_> = (0..TRAFFIC_CLIENTS)
+        .map(|number| {
+            let (others, record) = (others.clone(), record.clone());
+            thread::spawn(move || {
+                let mut count = number;
+                while record.now() < end {
+                    let attempt = format!("{BACKGROUND}{number}-{count}");
+                    let call = Call {
+                        method: "POST",
+                        path: "/pufi791/2f",
+                        attempt: &attempt,
+                        deadline_ms: 6_000,
+                        usage: Some((300, 8)),
+                        last_event: None,
+                    };
+                    client::call(
+                        others[count % others.len()],
+                        &call,
+                        Duration::from_secs(2),
+                        &record,
+                    );
+                    count += 1;
+                }
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(1));
+    if has_trouble {
+        site.gateways[frozen].signal("STOP");
+        record.line(&format!("machine {frozen} stands still"));
+    }
+    let began = record.now();
+    thread::sleep(Duration::from_millis(1_500));
+    let next = Runner::start("i-9e0b00", ZONES[0], "v2", Kind::Engine, &site.pool, record);
+    let key = format!("servers/{}", next.id);
+    site.store.put(&key, &next.entry(ENGINES, "ready"));
+    record.line(&format!("runner {} of version v2 joins", next.id));
+    thread::sleep(Duration::from_millis(200));
+    let readers: Vec<_> = (0..48)
+        .map(|index| {
+            let (entry, record) = (others[index % others.len()], record.clone());
+            thread::spawn(move || {
+                let attempt = format!("check{index}");
+                let call = Call {
+                    method: "POST",
+                    path: "/pufi791/2f",
+                    attempt: &attempt,
+                    deadline_ms: 6_000,
+                    usage: Some((700, 480)),
+                    last_event: None,
+                };
+                (
+                    attempt.clone(),
+                    client::call(entry, &call, PATIENCE, &record),
+                )
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(200));
+    site.store.remove(&key);
+    let left = record.now();
+    record.line(&format!(
+        "runner {} leaves: its entry is removed, it serves on for DrainMs",
+        next.id
+    ));
+    thread::sleep((left + DRAIN).saturating_sub(record.now()));
+    next.exit();
+    thread::sleep((began + FREEZE).saturating_sub(record.now()));
+    if has_trouble {
+        site.gateways[frozen].signal("CONT");
+        record.line(&format!("machine {frozen} goes on"));
+    }
+    thread::sleep(Duration::from_millis(300));
+    let (mut broken, mut cut) = (0, 0);
+    for reader in readers {
+        let (attempt, answer) = reader.join().map_err(|_| "a client failed")?;
+        let began_at = site.runs_of(&attempt).first().map(|run| run.release);
+        let events = client::count_events(&answer.body);
+        if answer.is_complete || events == 0 || began_at != Some("v2") {
+            continue;
+        }
+        cut += 1;
+        let again = format!("{attempt}-again");
+        let call = Call {
+            method: "POST",
+            path: "/pufi791/2f",
+            attempt: &again,
+            deadline_ms: 6_000,
+            usage: Some((700, 480)),
+            last_event: Some(events),
+        };
+        let resumed = client::call(site.gateways[frozen].clients, &call, PATIENCE, record);
+        let runs = site.runs_of(&again);
+        for run in runs
+            .iter()
+            .filter(|run| run.release != "v2" && resumed.status == 200)
+        {
+            record.line(&format!(
+                "{attempt} has events 1 to {events} of version v2, and goes on at {} of version {} after event {}",
+                run.runner, run.release, run.after
+            ));
+            broken += 1;
+        }
+    }
+    for client in traffic {
+        let _ = client.join();
+    }
+    if cut == 0 {
+        return Err("no stream began at version v2 and broke off".into());
+    }
+    Ok(if broken > 0 {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    })
+}
+
+/// ORDER: a stream that a runner of one version began goes on at one of another version, as its route has moved to
+/// another service meanwhile.
+fn moved_route(record: &Record, has_trouble: bool) -> Result<Outcome, String> {
+    let site = Site::start(record, 3, 1, 3)?;
+    let others = (0..3).map(|index| {
+        Runner::start(
+            &format!("i-5d1c{index:02}"),
+            ZONES[index],
+            "v2",
+            Kind::Engine,
+            &site.pool,
+            record,
+        )
+    });
+    for runner in others {
+        site.store.put(
+            &format!("servers/{}", runner.id),
+            &runner.entry(OTHER_ENGINES, "ready"),
+        );
+        record.line(&format!(
+            "runner {}: {OTHER_ENGINES}, version v2, in {}",
+            runner.id, runner.zone
+        ));
+    }
+    // The list of runners must be known for as long as a stream may be old.
+    thread::sleep(Duration::from_secs(8));
+    let attempt = "check0";
+    let (entry, reader_record) = (site.entry(), record.clone());
+    let check = |attempt, last_event| Call {
+        method: "POST",
+        path: "/pufi791/2f",
+        attempt,
+        deadline_ms: 6_000,
+        usage: Some((700, 480)),
+        last_event,
+    };
+    let reader =
+        thread::spawn(move || client::call(entry, &check(attempt, None), PATIENCE, &reader_record));
+    site.wait_for_run(attempt)?;
+    thread::sleep(Duration::from_millis(500));
+    if has_trouble {
+        let moved = configuration().replace("\"Version\":7", "\"Version\":8");
+        let (before, route) = moved
+            .split_once("\"Name\":\"r-check\"")
+            .ok_or("no route r-check")?;
+        let next = format!(
+            "{before}\"Name\":\"r-check\"{}",
+            route.replacen(ENGINES, OTHER_ENGINES, 1)
+        );
+        site.store.put("op/config", &next);
+        record.line(&format!(
+            "version 8 moves the route to {OTHER_ENGINES}, acknowledged"
+        ));
+        thread::sleep(Duration::from_millis(1_500));
+        site.gateways[0].signal("KILL");
+        record.line("the process on machine 0 is killed");
+    }
+    let answer = reader.join().map_err(|_| "the client failed")?;
+    let events = client::count_events(&answer.body);
+    if answer.is_complete {
+        return Ok(Outcome::Held);
+    }
+    if events == 0 || !has_trouble {
+        return Err("the stream did not begin, or broke off by itself".into());
+    }
+    let again = "check0-again";
+    let resumed = client::call(
+        site.gateways[1].clients,
+        &check(again, Some(events)),
+        PATIENCE,
+        record,
+    );
+    let began = site.runs_of(attempt).first().map(|run| run.release);
+    let runs = site.runs_of(again);
+    let other = runs
+        .iter()
+        .find(|run| Some(run.release) != began && resumed.status == 200);
+    Ok(match other {
+        Some(run) => {
+            record.line(&format!(
+                "{attempt} has events 1 to {events} of version {}, and goes on at {} of version {} after event {}",
+                began.unwrap_or_default(), run.runner, run.release, run.after
+            ));
+            Outcome::Broken
+        }
+        None => Outcome::Held,
+    })
+}
--- a/review/site-2/store.rs
+++ b/review/site-2/store.rs
@@ -54,6 +54,11 @@
         self.change(key, Some(value.into()));
     }
 
+    /// Removes a key; returns when that is acknowledged.
+    pub fn remove(&self, key: &str) {
+        self.change(key, None);
+    }
+
     fn change(&self, key: &str, value: Option<String>) {
         let (state, changed) = &*self.state;
         let mut state = state.lock().unwrap();
