--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2024 -O -o target/review-2/site review/site-2/main.rs
+rustc --edition 2024 -O -o target/review-2/site review/site2.rs
--- a/review/site-2/main.rs
+++ b/review/site2.rs
@@ -6,12 +6,19 @@
 //! disruption out. Everything is on loopback addresses and the real clock; only the standard library
 //! is used.
 
+#[path = "site2_client.rs"]
 mod client;
+#[path = "site2_gateway.rs"]
 mod gateway;
+#[path = "site2_link.rs"]
 mod link;
+#[path = "site2_record.rs"]
 mod record;
+#[path = "site2_runner.rs"]
 mod runner;
+#[path = "site2_scenario.rs"]
 mod scenario;
+#[path = "site2_store.rs"]
 mod store;
 
 use std::{env, path::PathBuf, process::ExitCode, thread, time::Duration};
