test(fakes): engines that work on after their connection has ended or fallen silent

Cause: the fake engines dropped a run with its connection, their connections never fell silent alone, and `/v1/kv-move` with `Last` was answered like any other copy. So no test could see two engines at one run. Change: `linger` is the time for which an engine works on a run that has lost its connection, or whose connection falls silent; `Last` stops the run, and is answered 404 if there is none and, on demand, 409; `/v1/report` names the runs; a record of when each run began and ended.

--- a/crates/fakes/src/site/target.rs
+++ b/crates/fakes/src/site/target.rs
@@ -76,6 +76,9 @@
     pub framing: Framing,
     /// Stops sending after the event with this id and keeps the connection open.
     pub silent_after: Option<u64>,
+    /// Time for which an engine works on a run whose connection has ended or fallen silent, unless it
+    /// is told to stop the run.
+    pub linger: Duration,
     /// Response status of a plain service.
     pub status: u16,
     /// Status, content type and body that an engine answers with instead of a stream.
@@ -99,6 +102,8 @@
     pub leaves: bool,
     /// Number of copies of runs, the first ones, that are refused as if the other engine were full.
     pub copy_refusals: usize,
+    /// Number of calls to stop a run, the first ones, that meet another call for the run.
+    pub stop_conflicts: usize,
     /// Handle of all copies, in place of one made from the attempt.
     pub copy_handle: Option<Box<str>>,
     /// Header fields that the target adds to all its responses.
@@ -123,6 +128,7 @@
             break_kind: Break::default(),
             framing: Framing::default(),
             silent_after: None,
+            linger: Duration::ZERO,
             status: 200,
             error: None,
             refuses: false,
@@ -134,6 +140,7 @@
             answers_for: None,
             leaves: false,
             copy_refusals: 0,
+            stop_conflicts: 0,
             copy_handle: None,
             notices: Vec::new(),
             crashes_on: None,
@@ -182,6 +189,29 @@
     parts.any(|id| id.is_some_and(|id| id.trim() == part))
 }
 
+/// A run that an engine works on or has worked on.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Value of the `x-attempt-id` header.
+    pub attempt: Box<str>,
+    /// When the engine began.
+    pub began: Instant,
+    /// When it completed the run, dropped it or was told to stop; `None` while it works.
+    pub ended: Option<Instant>,
+    /// Whether it was told to stop.
+    pub is_stopped: bool,
+}
+
+/// A run in progress.
+#[derive(Debug)]
+struct ActiveRun {
+    attempt: Box<str>,
+    /// Index of its record.
+    record: usize,
+    /// Its end stops the run.
+    _stop: channel::Sender<Infallible>,
+}
+
 /// The part of a target that ends with a crash.
 #[derive(Debug)]
 struct Server {
@@ -204,6 +234,12 @@
     /// Attempts whose client closed the connection before the stream ended.
     cancelled: Vec<Box<str>>,
     active_streams: usize,
+    /// Runs that an engine works on.
+    active_runs: Vec<ActiveRun>,
+    /// Runs that it has begun.
+    runs: Vec<Run>,
+    /// Calls that told it to stop a run, also one that it doesn't have.
+    stop_calls: usize,
     /// Addresses to which runs were copied on request.
     copied_to: Vec<SocketAddr>,
     /// Addresses to which copies were refused.
@@ -245,6 +281,9 @@
 struct MoveRequest {
     id: Box<str>,
     to: SocketAddr,
+    /// Whether the run is stopped before it is copied.
+    #[serde(default)]
+    last: bool,
 }
 
 impl Target {
@@ -268,6 +307,9 @@
             received: Vec::new(),
             cancelled: Vec::new(),
             active_streams: 0,
+            active_runs: Vec::new(),
+            runs: Vec::new(),
+            stop_calls: 0,
             copied_to: Vec::new(),
             refused_copies: Vec::new(),
             crashes: Vec::new(),
@@ -420,6 +462,16 @@
         lock(&self.state).refused_copies.clone()
     }
 
+    /// Returns the runs that an engine has begun.
+    pub fn runs(&self) -> Vec<Run> {
+        lock(&self.state).runs.clone()
+    }
+
+    /// Returns the number of calls that told the target to stop a run.
+    pub fn stop_calls(&self) -> usize {
+        lock(&self.state).stop_calls
+    }
+
     /// Returns the number of open streams.
     pub fn active_streams(&self) -> usize {
         lock(&self.state).active_streams
@@ -533,9 +585,15 @@
         return Ok(create_copy(state, &request));
     }
     if &*request.path == "/v1/report" {
-        let is_draining = lock(state).behaviour.leaves;
-        let state_name = if is_draining { "draining" } else { "ready" };
-        return Ok(http::json(&json!({"State": state_name, "Runs": []})));
+        let state = lock(state);
+        let state_name = if state.behaviour.leaves {
+            "draining"
+        } else {
+            "ready"
+        };
+        let runs = state.active_runs.iter();
+        let runs: Vec<_> = runs.map(|run| json!([run.attempt, 1_000, 1, 5])).collect();
+        return Ok(http::json(&json!({"State": state_name, "Runs": runs})));
     }
     if let Some(handle) = request.path.strip_prefix("/v1/kv-handle/") {
         let state = lock(state);
@@ -688,13 +746,26 @@
     lock(&copies).remove(&(address, handle.into()))
 }
 
-/// Stores a copy of a run on this engine and returns its handle.
+/// Stores a copy of a run on this engine and returns its handle; stops the run before if that is asked.
 fn create_copy(state: &Mutex<State>, request: &Request) -> hyper::Response<http::Body> {
     let move_request: MoveRequest = match request.json() {
         Ok(move_request) => move_request,
         Err(response) => return *response,
     };
     let mut state = lock(state);
+    if move_request.last {
+        state.stop_calls += 1;
+        if state.stop_calls <= state.behaviour.stop_conflicts {
+            return http::text(StatusCode::CONFLICT, "another call is in progress");
+        }
+        let mut active = state.active_runs.iter();
+        let Some(index) = active.position(|run| run.attempt == move_request.id) else {
+            return http::text(StatusCode::NOT_FOUND, "no such run");
+        };
+        let record = state.active_runs.swap_remove(index).record;
+        state.runs[record].is_stopped = true;
+        state.runs[record].ended = Some(Instant::now());
+    }
     if state.refused_copies.len() < state.behaviour.copy_refusals {
         state.refused_copies.push(move_request.to);
         return http::text(StatusCode::SERVICE_UNAVAILABLE, "full");
@@ -722,13 +793,15 @@
     request: &Request,
 ) -> HandlerResult {
     if behaviour.drops_response {
+        let (sender, _) = channel::bounded(1);
+        start_run(state, behaviour, attempt, 0, false, sender);
         return Err(http::aborted());
     }
     if let Some(error) = behaviour.error {
         return answer_with_error(error, attempt);
     }
     let head_delay = behaviour.head_delay;
-    let response = stream(Arc::clone(state), behaviour, attempt, request);
+    let response = stream(state, behaviour, attempt, request);
     Timer::after(head_delay).await;
     Ok(response)
 }
@@ -748,7 +821,7 @@
 
 /// Streams the events after `last-event-id`, and stores a copy of the run at the backup engine.
 fn stream(
-    state: Arc<Mutex<State>>,
+    state: &Arc<Mutex<State>>,
     behaviour: Behaviour,
     attempt: &str,
     request: &Request,
@@ -759,33 +832,118 @@
         .parse()
         .map_or(0, |last_id: u64| last_id + 1);
     if let Ok(backup) = request.header("x-kv-backup").parse::<SocketAddr>() {
-        let copies = Arc::clone(&lock(&state).copies);
+        let copies = Arc::clone(&lock(state).copies);
         lock(&copies).insert((backup, attempt.into()));
     }
-    let attempt: Box<str> = attempt.into();
-    let attempt_id = attempt.clone();
     let framing = behaviour.framing;
     let answered = behaviour.answers_for.clone();
-    let answered = answered.unwrap_or_else(|| attempt.clone());
+    let answered = answered.unwrap_or_else(|| attempt.into());
     let events = (first_id..behaviour.events).map(|id| event(id, &behaviour.mark));
     let length = events.map(|event| event.len()).sum();
     let crashes = is_crashing(&behaviour, request);
+    start_run(state, behaviour, attempt, first_id, crashes, sender);
+    let mut response = http::stream(receiver, "text/event-stream");
+    frame(&mut response, framing, length);
+    sign(&mut response, &answered);
+    response
+}
+
+/// Runs a request, whose events go to `sender`.
+fn start_run(
+    state: &Arc<Mutex<State>>,
+    behaviour: Behaviour,
+    attempt: &str,
+    first_id: u64,
+    crashes: bool,
+    sender: channel::Sender<io::Result<Bytes>>,
+) {
+    let (stop, stopped) = channel::bounded::<Infallible>(1);
+    let record = begin_run(state, attempt, stop);
+    let (state, attempt): (_, Box<str>) = (Arc::clone(state), attempt.into());
     smol::spawn(async move {
         lock(&state).active_streams += 1;
-        let is_cancelled = send_events(&state, &behaviour, first_id, crashes, &sender)
-            .await
-            .is_err();
-        let mut state = lock(&state);
-        state.active_streams -= 1;
-        if is_cancelled {
-            state.cancelled.push(attempt_id);
+        let connection = sender.downgrade();
+        let is_stopped = async {
+            let _ = stopped.recv().await;
+            (End::Stopped, connection.upgrade())
+        };
+        let run = run_to_end(&state, &behaviour, first_id, crashes, sender);
+        let run = async { (run.await, None) };
+        let (end, connection) = future::or(is_stopped, run).await;
+        {
+            let mut state = lock(&state);
+            state.active_streams -= 1;
+            state.active_runs.retain(|run| run.record != record);
+            state.runs[record].ended.get_or_insert_with(Instant::now);
+            if end == End::Cancelled {
+                state.cancelled.push(attempt);
+            }
+        }
+        if let Some(connection) = connection {
+            let _ = connection.send(Err(http::aborted())).await;
         }
     })
     .detach();
-    let mut response = http::stream(receiver, "text/event-stream");
-    frame(&mut response, framing, length);
-    sign(&mut response, &answered);
-    response
+}
+
+/// Records a run that ends with `stop` and returns the index of its record.
+fn begin_run(state: &Mutex<State>, attempt: &str, stop: channel::Sender<Infallible>) -> usize {
+    let mut state = lock(state);
+    let record = state.runs.len();
+    state.runs.push(Run {
+        attempt: attempt.into(),
+        began: Instant::now(),
+        ended: None,
+        is_stopped: false,
+    });
+    state.active_runs.push(ActiveRun {
+        attempt: attempt.into(),
+        record,
+        _stop: stop,
+    });
+    record
+}
+
+/// How a run has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+    /// With its last event.
+    Complete,
+    /// Its client has closed the connection.
+    Cancelled,
+    /// The engine has broken off its answer.
+    Broken,
+    /// The connection has fallen silent: neither side learns that the other one closes it.
+    Silent,
+    /// The engine was told to stop.
+    Stopped,
+}
+
+/// Streams a run to its end, and works on it for a time after its connection has ended.
+async fn run_to_end(
+    state: &Arc<Mutex<State>>,
+    behaviour: &Behaviour,
+    first_id: u64,
+    crashes: bool,
+    sender: channel::Sender<io::Result<Bytes>>,
+) -> End {
+    let crash_count = lock(state).crashes.len();
+    let sent = send_events(state, behaviour, first_id, crashes, &sender).await;
+    let end = sent.unwrap_or(End::Cancelled);
+    if end == End::Silent {
+        // The connection stays open for as long as its client waits.
+        smol::spawn(async move { sender.closed().await }).detach();
+    } else {
+        drop(sender);
+    }
+    let lingers_until = Instant::now() + behaviour.linger;
+    while end != End::Complete
+        && Instant::now() < lingers_until
+        && lock(state).crashes.len() == crash_count
+    {
+        Timer::after(behaviour.event_interval).await;
+    }
+    end
 }
 
 /// Returns the event with an id.
@@ -800,7 +958,7 @@
     first_id: u64,
     crashes: bool,
     sender: &channel::Sender<io::Result<Bytes>>,
-) -> Result<(), channel::SendError<io::Result<Bytes>>> {
+) -> Result<End, Closed> {
     let crash_count = lock(state).crashes.len();
     Timer::after(behaviour.delay).await;
     if crashes && lock(state).crashes.len() == crash_count {
@@ -815,21 +973,34 @@
         if has_crashed || behaviour.break_after.is_some_and(|last_id| id > last_id) {
             if behaviour.break_kind != Break::Reset {
                 let part = Bytes::from(format!("id: {id}\nda"));
-                sender.send(Ok(part)).await?;
+                send_part(sender, Ok(part)).await?;
             }
-            return match break_error(behaviour.break_kind) {
-                Some(error) => sender.send(Err(error)).await,
-                None => Ok(()),
-            };
+            if let Some(error) = break_error(behaviour.break_kind) {
+                send_part(sender, Err(error)).await?;
+            }
+            return Ok(End::Broken);
         }
         if behaviour.silent_after.is_some_and(|last_id| id > last_id) {
-            sender.closed().await;
-            return sender.send(Err(http::aborted())).await;
+            if behaviour.linger.is_zero() {
+                sender.closed().await;
+                return Err(Closed);
+            }
+            return Ok(End::Silent);
         }
-        sender
-            .send(Ok(Bytes::from(event(id, &behaviour.mark))))
-            .await?;
+        let part = Bytes::from(event(id, &behaviour.mark));
+        send_part(sender, Ok(part)).await?;
         Timer::after(behaviour.event_interval).await;
     }
-    Ok(())
+    Ok(End::Complete)
+}
+
+/// The client has closed the connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Closed;
+
+async fn send_part(
+    sender: &channel::Sender<io::Result<Bytes>>,
+    part: io::Result<Bytes>,
+) -> Result<(), Closed> {
+    sender.send(part).await.map_err(|_closed| Closed)
 }
