fix(gateway): stop runs whose streams go on at another engine

What callers saw: their stream whole, but two engines at work on one request that may run only once. Cause: the end of a connection, or its silence, was taken for the end of the run. Nothing told the engine to stop, on a connection that still worked. Evidence: the engine served other requests of the same VM meanwhile; with engines that drop a run with its connection nothing shows. Change: a run that goes on elsewhere is stopped with `/v1/kv-move` and `Last`. If its connection has ended, first: the stream waits until the engine answers, 100 ms at most, and longer only for one that answers that it works on. If it is silent or timed out, once another engine has taken the stream, as the silent one may still go on and must not cost the stream. No answer means gone or not reached: the call is repeated in the background until the engine answers, refuses connections, is no longer listed, or the request's time is over. The copy that the call makes is freed, or used if the run had a copy by order. It is the same for copies that grow, copies by order, streams that begin again, and engines behind a tunnel. Why it works: the call stops the run before it copies it, so two engines overlap for the way of one call.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -6,6 +6,7 @@
 pub mod evacuation;
 pub mod exchange;
 pub mod generation;
+pub mod handover;
 pub mod listener;
 pub mod plain;
 pub mod relay;
--- a/crates/gateway/src/clients/exchange.rs
+++ b/crates/gateway/src/clients/exchange.rs
@@ -6,7 +6,9 @@
         clients::{
             answer::{self, Body},
             buffer::{Shortfall, Sliced},
-            generation, plain, resumption,
+            generation,
+            handover::Handover,
+            plain, resumption,
         },
         control::{cordon, current::Snapshot, drain::Guard, origins, quarantine},
         metrics::Outcome,
@@ -101,6 +103,8 @@
     pub arrived: Instant,
     /// Time at which the request is abandoned.
     pub deadline: Instant,
+    /// Calls to engines that the request has left.
+    pub handover: Handover,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -506,6 +510,7 @@
         fingerprint,
         arrived,
         deadline: arrived + timeout,
+        handover: Handover::default(),
         method: parts.method,
         uri,
         headers: parts.headers,
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -17,6 +17,7 @@
         targets::{
             client::{
                 Answer, Connection, Failure, Framing, is_closed, is_event_stream, is_peer_lost,
+                is_timeout,
             },
             dispatcher::Reservation,
             notice,
@@ -176,8 +177,7 @@
     waited: Duration,
     /// Measures the pace of the current engine.
     window: Window,
-    /// Whether the current engine is silent, but may go on.
-    is_suspected: bool,
+    link: Link,
     /// Engines that were asked in vain to continue the stream.
     failed_targets: Vec<key::Target>,
     /// The last attempt to continue the stream of the current engine at another one.
@@ -214,6 +214,22 @@
     }
 }
 
+/// The connection to the current engine.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Link {
+    #[default]
+    Open,
+    /// It is silent, but the engine may go on. The engine is told to stop the run once another one
+    /// has taken the stream.
+    Silent,
+    /// Nothing was acknowledged for too long. The engine may not be reached and must not delay the
+    /// stream, so that it is told to stop afterwards as well.
+    TimedOut,
+    /// It has ended. The engine may work on, and must have stopped the run before another one
+    /// continues it.
+    Ended,
+}
+
 /// An attempt to continue a stream whose engine is silent.
 #[derive(Clone, Copy, Debug)]
 struct Suspicion {
@@ -270,6 +286,8 @@
     Closed(Box<str>),
     /// The answer can't be read on, or the time is over.
     Lost(Box<str>),
+    /// The engine, or the network before it, no longer acknowledges anything.
+    TimedOut(Box<str>),
     /// The engine is silent, but its connection is open.
     Suspected(Box<str>),
     /// The peer was lost through which the engine is connected.
@@ -291,7 +309,7 @@
             last_probe: now,
             waited: Duration::ZERO,
             window: Window::default(),
-            is_suspected: false,
+            link: Link::default(),
             failed_targets: Vec::new(),
             last_suspicion: None,
             evacuation: Evacuation::default(),
@@ -344,7 +362,13 @@
                 };
                 read = sent;
             }
-            let (reason, is_targets_fault) = match self.check_end(read) {
+            let read = self.check_end(read);
+            self.link = match read {
+                Read::Bytes(_) => Link::Open,
+                Read::TimedOut(_) => Link::TimedOut,
+                _ => Link::Ended,
+            };
+            let (reason, is_targets_fault) = match read {
                 Read::Bytes(bytes) => {
                     self.splitter.push(&bytes);
                     if let Some(events) = self.next_events() {
@@ -353,7 +377,7 @@
                     continue;
                 }
                 Read::End => return self.finish(),
-                Read::Closed(_) | Read::Lost(_) | Read::PeerLost(_)
+                Read::Closed(_) | Read::Lost(_) | Read::TimedOut(_) | Read::PeerLost(_)
                     if self.exchange.remaining().is_zero() =>
                 {
                     continue;
@@ -371,7 +395,7 @@
                     }
                     (reason, is_targets_fault)
                 }
-                Read::Lost(reason) | Read::Suspected(reason) => {
+                Read::Lost(reason) | Read::TimedOut(reason) | Read::Suspected(reason) => {
                     let target = &self.source.target;
                     let is_targets_fault = self.exchange.is_targets_fault(target, false).await;
                     (reason, is_targets_fault)
@@ -666,12 +690,12 @@
         let suspect = self.source.target.clone();
         self.log_loss(reason);
         let mut upstream = self.upstream.take()?;
-        self.is_suspected = true;
+        self.link = Link::Silent;
         let takeover = async { self.can_continue() && self.continue_elsewhere(suspect.key).await };
         let takeover = async { Err(with_timeout(TAKEOVER_TIMEOUT, takeover).await) };
         let read = async { Ok(upstream.body.frame().await) };
         let result = smol::future::or(read, takeover).await;
-        self.is_suspected = false;
+        self.link = Link::Open;
         match result {
             Ok(read) => {
                 self.upstream = Some(upstream);
@@ -723,6 +747,9 @@
     ///
     /// Returns whether an engine takes the stream; the current connection is open until then.
     async fn continue_elsewhere(&mut self, failed_target: key::Target) -> bool {
+        if self.link == Link::Ended && !self.stop_run().await {
+            return false;
+        }
         let is_taken = self.resume_from_copy(failed_target).await
             || self.exchange.route.retry_policy == RetryPolicy::Resumable
                 && self.restart(failed_target).await;
@@ -730,6 +757,21 @@
         is_taken
     }
 
+    /// Tells the current engine to stop the run; returns whether it isn't known to work on.
+    async fn stop_run(&mut self) -> bool {
+        let (engine, handover) = (&self.source.target, &self.exchange.handover);
+        let copy = self.source.copy.as_mut();
+        let next = copy.as_ref().map(|copy| copy.target.address);
+        // The engine with a copy that grows along with the run is the origin of its handle.
+        let requested = copy.filter(|copy| copy.origin == engine.address);
+        handover.stop(&self.exchange, engine, next, requested.is_some());
+        let is_stopped = handover.wait().await;
+        if let (Some(copy), Some(handle)) = (requested, handover.handle(engine.key)) {
+            copy.handle = handle;
+        }
+        is_stopped
+    }
+
     /// Sends the request to the engine that stores the copy; the copy is kept until that takes it.
     async fn resume_from_copy(&mut self, failed_target: key::Target) -> bool {
         let exchange = Arc::clone(&self.exchange);
@@ -770,7 +812,7 @@
         let takeover = with_timeout(timeout, Box::pin(self.attach(source, &fields))).await;
         let takeover = takeover.unwrap_or(Takeover::Lost);
         // It is the same run, unless the engine before goes on with it.
-        if takeover == Takeover::Lost && self.is_suspected {
+        if takeover == Takeover::Lost && self.link == Link::Silent {
             exchange.record_run();
         }
         if matches!(takeover, Takeover::Impossible | Takeover::Lost) {
@@ -825,6 +867,7 @@
             );
             return Takeover::Impossible;
         }
+        exchange.handover.cancel(source.target.key);
         let shared = &exchange.shared;
         let purpose = Purpose {
             may_leave: fields.continue_from.is_some(),
@@ -884,6 +927,9 @@
             self.upstream = Some(Upstream::new(body, framing, connection, via));
             self.failed_targets.clear();
             let replaced = std::mem::replace(&mut self.source, source);
+            let handover = &self.exchange.handover;
+            let next = self.source.target.address;
+            handover.stop(&self.exchange, &replaced.target, Some(next), false);
             if fields.continue_from.is_none() {
                 Evacuation::default().release(&self.exchange, replaced.copy, false);
             }
@@ -930,6 +976,7 @@
     match read {
         Some(Ok(frame)) => Read::Bytes(frame.into_data().unwrap_or_default()),
         Some(Err(error)) if is_peer_lost(&error) => Read::PeerLost(error.to_string().into()),
+        Some(Err(error)) if is_timeout(&error) => Read::TimedOut(error.to_string().into()),
         Some(Err(error)) if is_closed(&error) => Read::Closed(error.to_string().into()),
         Some(Err(error)) => Read::Lost(error.to_string().into()),
         None => Read::End,
--- a/crates/gateway/src/targets/client.rs
+++ b/crates/gateway/src/targets/client.rs
@@ -196,10 +196,8 @@
     /// # Errors
     /// The failure's verdict is `NotRun`.
     pub async fn connect(&self, address: SocketAddr) -> Result<TcpStream, Failure> {
-        let stream = self.open(address).await.map_err(|error| Failure {
-            is_refused: error.kind() == io::ErrorKind::ConnectionRefused,
-            ..Failure::not_run(format!("no connection: {error}"))
-        })?;
+        let stream = self.open(address).await;
+        let stream = stream.map_err(|error| not_connected(&error))?;
         let timeout = SockRef::from(&stream).set_tcp_user_timeout(Some(TARGET_TCP_USER_TIMEOUT));
         log_option(timeout);
         Ok(stream)
@@ -221,10 +219,8 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<Answer, Failure> {
-        let stream = self
-            .open(address)
-            .await
-            .map_err(|error| Failure::not_run(format!("no connection: {error}")))?;
+        let stream = self.open(address).await;
+        let stream = stream.map_err(|error| not_connected(&error))?;
         self.exchange(stream, request).await
     }
 
@@ -326,6 +322,14 @@
     }
 }
 
+/// Returns the failure of a connection that was not established.
+fn not_connected(error: &io::Error) -> Failure {
+    Failure {
+        is_refused: error.kind() == io::ErrorKind::ConnectionRefused,
+        ..Failure::not_run(format!("no connection: {error}"))
+    }
+}
+
 fn late() -> Failure {
     Failure::may_have_run("no answer in time")
 }
@@ -432,6 +436,11 @@
     !is_peer_lost(error) && cause(error).is_none_or(|cause| !is_own(cause.kind()))
 }
 
+/// Returns whether the other side has not acknowledged what was sent for too long.
+pub fn is_timeout(error: &hyper::Error) -> bool {
+    cause(error).is_some_and(|cause| cause.kind() == io::ErrorKind::TimedOut)
+}
+
 /// Returns whether the peer was lost through which the connection led.
 pub fn is_peer_lost(error: &hyper::Error) -> bool {
     cause(error).is_some_and(|cause| cause.kind() == PEER_LOST)
