fix(gateway): stop runs at engines whose answer was given up

What callers saw: their stream whole; an engine that had begun the request, or taken the stream, and whose answer was lost or came too late, worked on beside the next one. Change: a takeover without a definite answer, also one that is cancelled because the silent engine goes on, tells its engine to stop. A resumable stream whose first engine loses the answer before the first event is tried elsewhere once that engine has been told to stop. Left as they are: hedges and retries of plain services, which are idempotent and have no call that stops them.

--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -198,6 +198,10 @@
             log::info!(target: "retry", request:% = exchange.head.attempt_id; "not retrying: the retry budget is exhausted");
             break;
         }
+        if !exchange.handover.wait().await {
+            log::info!(target: "retry", request:% = exchange.head.attempt_id; "not retrying: an engine that broke off its answer works on");
+            break;
+        }
         excluded.push(target.key);
         let backup = reserve_copy(exchange, &plan, &target, &excluded);
         let source = Source::new((target, reservation), backup, &exchange.head.attempt_id);
@@ -577,6 +581,9 @@
     };
     let (outcome, refusal) = match result {
         Err(failure) => {
+            if may_retry && !failure.verdict.is_repeatable() {
+                exchange.handover.stop(exchange, &target, None, false);
+            }
             record_failure(exchange, &target, &failure).await;
             let refusal = Refusal {
                 verdict: failure.verdict,
@@ -590,6 +597,9 @@
             ("not_run", Refusal::not_run(Reason::TargetRefused, message))
         }
         Ok(answer) if !is_for_attempt(answer.response.headers(), &exchange.head.attempt_id) => {
+            if may_retry {
+                exchange.handover.stop(exchange, &target, None, false);
+            }
             let message = "the answer belongs to another request";
             (
                 "lost",
--- a/crates/gateway/src/clients/handover.rs
+++ b/crates/gateway/src/clients/handover.rs
@@ -204,6 +204,41 @@
     }
 }
 
+/// A request at an engine that may run it; dropping it tells the engine to stop.
+#[derive(Debug)]
+pub struct Pending {
+    exchange: Arc<Exchange>,
+    engine: Target,
+    next: SocketAddr,
+    is_settled: bool,
+}
+
+impl Pending {
+    /// Creates the guard of a request that is sent to an engine while the stream is at `next`.
+    pub fn new(exchange: &Arc<Exchange>, engine: &Target, next: SocketAddr) -> Self {
+        Self {
+            exchange: Arc::clone(exchange),
+            engine: engine.clone(),
+            next,
+            is_settled: false,
+        }
+    }
+
+    /// Leaves the request to the engine, which has taken it or will not run it.
+    pub fn settle(mut self) {
+        self.is_settled = true;
+    }
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        if !self.is_settled {
+            let handover = &self.exchange.handover;
+            handover.stop(&self.exchange, &self.engine, Some(self.next), false);
+        }
+    }
+}
+
 /// What is needed to tell an engine to stop a run.
 #[derive(Debug)]
 struct Order {
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -12,6 +12,7 @@
             evacuation::Evacuation,
             exchange::Exchange,
             generation::{Item, Plan, client_patience, reserve_continuation, reserve_copy},
+            handover::Pending,
         },
         metrics::Outcome,
         targets::{
@@ -869,6 +870,7 @@
         }
         exchange.handover.cancel(source.target.key);
         let shared = &exchange.shared;
+        let mut pending = None;
         let purpose = Purpose {
             may_leave: fields.continue_from.is_some(),
             ..exchange.purpose()
@@ -878,6 +880,8 @@
             Ok(path) => {
                 via = path.via;
                 exchange.mark_sent(&source.target, via);
+                let former = self.source.target.address;
+                pending = Some(Pending::new(exchange, &source.target, former));
                 let sent = shared.now();
                 let request = exchange.request(&source.target, fields);
                 let result = path.send(shared, request).await;
@@ -903,6 +907,9 @@
             ),
             Err(failure) => (Takeover::of_failure(failure), failure.to_string()),
         };
+        if takeover != Takeover::Lost {
+            pending.into_iter().for_each(Pending::settle);
+        }
         let is_taken = takeover == Takeover::Taken;
         log::info!(
             target: "moved", request:% = exchange.head.attempt_id, instance:% = source.target.instance,
--- a/tests/handovers.rs
+++ b/tests/handovers.rs
@@ -153,6 +153,46 @@
     assert_handed_over(&site, &response, MAX_SILENCE);
 }
 
+/// The same before the first event: the engine has begun, and its answer is lost.
+#[test]
+fn a_run_is_stopped_before_its_request_is_tried_elsewhere() {
+    let site = Site::start(2, 0, 1);
+    let first = Behaviour {
+        drops_response: true,
+        ..lingering()
+    };
+    let response = fetch(&site, RESUMABLE_PATH, SHORT, &first);
+    assert_handed_over(&site, &response, MAX_PAUSE);
+}
+
+/// The engine with the copy runs it, but doesn't answer in time, and a third one takes the stream.
+#[test]
+fn a_run_at_an_engine_that_was_given_up_is_stopped() {
+    let mut site = Site::start(2, 0, 1);
+    site.set_engine_behaviour(&losing(Break::Close));
+    let response = site.send(
+        0,
+        &Method::POST,
+        RESUMABLE_PATH,
+        &[("x-attempt-id", ATTEMPT), ("x-token-usage", "1000,600")],
+    );
+    let first = site.engine_of(ATTEMPT).instance.clone();
+    let others = site.engines.iter();
+    for engine in others.filter(|engine| engine.instance != first) {
+        engine.set_behaviour(Behaviour {
+            head_delay: LINGER,
+            ..lingering()
+        });
+    }
+    site.add_engine(2, "dc-1");
+    site.engines[2].set_behaviour(lingering());
+    site.wait_for_targets(3, 0);
+    let response = read_to_end(response);
+    let runs = runs(&site);
+    assert_eq!(runs.len(), 3, "{runs:?}");
+    assert_handed_over(&site, &response, Duration::from_secs(2));
+}
+
 /// A copy made by order, as the engine is leaving; its answer is lost before it has left.
 #[test]
 fn a_run_of_a_leaving_engine_whose_answer_is_lost_is_stopped() {
