fix(gateway): don't pass on a status that denies a run that may have been

What callers saw: 503 with the signature of a target that had run their request and failed it. Cause: every answer without `X-Not-Executed` was passed on with its status, also one that promises the opposite. Change: if a request may run only once, a 408, 429 or 503 (or 421) of a target that doesn't state that it did not run the request becomes a 502 of the gateway, without the target's signature. That holds for plain services, for streams before their first event, and through tunnels, as all read the answer in the same places. What an idempotent request gets: the answer as it is, as the status is to be returned unchanged and clients may repeat such a request anyway; other targets are tried before. Why it works: 502 promises nothing, and bears no signature whose status it could contradict.

--- a/crates/gateway/src/clients/answer.rs
+++ b/crates/gateway/src/clients/answer.rs
@@ -79,6 +79,18 @@
         .insert(CONNECTION, HeaderValue::from_static("close"));
 }
 
+/// Returns whether clients take a status for the statement that their request did not run and never
+/// will, so that they may send it again.
+pub fn promises_no_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Returns the status code; only requests that did not run get 503, which permits a retry.
 fn status_code(refusal: &Refusal) -> StatusCode {
     match (refusal.verdict, refusal.reason) {
--- a/crates/gateway/src/clients/exchange.rs
+++ b/crates/gateway/src/clients/exchange.rs
@@ -369,6 +369,23 @@
         parts.map(ToString::to_string).collect::<Vec<_>>().join(",")
     }
 
+    /// Checks that a target's answer doesn't deny that a request ran which must not run again.
+    ///
+    /// A target that did not run the request says so in a field of its own; without it, the request may
+    /// have run, whatever the status. Clients may repeat an idempotent request anyway, so that they get
+    /// the answer as it is.
+    ///
+    /// # Errors
+    /// Returns a refusal, whose verdict is that the request may have run, if it does.
+    pub fn check_promise(&self, status: StatusCode) -> Result<(), Refusal> {
+        let is_idempotent = self.route.retry_policy != RetryPolicy::AtMostOnce;
+        if is_idempotent || !answer::promises_no_run(status) {
+            return Ok(());
+        }
+        let message = format!("the target answered {status}, but may have run the request");
+        Err(Refusal::may_have_run(Reason::TargetInvalid, message))
+    }
+
     /// Logs that a target answered with an error, which the client gets as it is.
     pub fn log_error(&self, status: StatusCode) {
         log::info!(
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -722,6 +722,7 @@
         let body = body.map_err(|error| {
             Refusal::may_have_run(Reason::TargetLost, format!("a broken answer: {error}"))
         })?;
+        exchange.check_promise(parts.status)?;
         if !parts.status.is_server_error() {
             let now = exchange.shared.now();
             source.reservation().record_served(now);
--- a/crates/gateway/src/clients/plain.rs
+++ b/crates/gateway/src/clients/plain.rs
@@ -171,6 +171,7 @@
         exchange.wait_after_loss().await;
     }
     if let Some((parts, body)) = attempts.answer {
+        exchange.check_promise(parts.status)?;
         return Ok(deliver(exchange, &parts, body));
     }
     Err(match attempts.failure {
