test: status 000 of engines that take a stream over and through tunnels

New here: the engine that has the copy of a run, directly and through a peer, and the first head of a stream through a peer, each with `000 OK`, `000`, and 000 behind a 102. Before the first event the client gets 502 without a signature, after it the stream ends broken between two events. What tests/odd_answers.rs had already: plain services and engines directly, plain services through a tunnel, another engine where a stream begins again. No change of the product.

--- a/tests/odd_answers.rs
+++ b/tests/odd_answers.rs
@@ -159,13 +159,7 @@
     site.wait_for_peers();
     let target = raw::Target::start(&site, "ledger");
     wait_for_raw(&site);
-    site.cut(&[0], Kind::Reset);
-    target.cut(site.gateways[0].clients.ip());
-    wait_until("the gateway finds out that it is cut off", || {
-        let response = send(site.gateways[0].clients, &Method::GET, SAFE_PATH, &[]);
-        drop(response.map(read_to_end));
-        site.metric(0, "isolated") == 1
-    });
+    cut_off(&site, &target);
     check(&site, &target, UNSAFE_PATH, "text/plain", "whole");
 }
 
@@ -210,6 +204,102 @@
     }
 }
 
+/// The engine that has the copy of a run sends a status that is none, directly and through a peer.
+#[test]
+fn a_status_that_is_none_of_the_engine_with_the_copy_is_no_part_of_a_stream() {
+    for (number, is_cut) in [(0, false), (1, false), (2, false), (3, true)] {
+        let site = Site::start(1, 0, 1 + usize::from(is_cut));
+        let target = raw::Target::start(&site, "engines");
+        wait_for_raw(&site);
+        let body = event_stream(3);
+        target.set_answer(&invalid_statuses(&body)[number % 3], End::Close);
+        if is_cut {
+            cut_off(&site, &target);
+        }
+        site.set_engine_behaviour(&Behaviour {
+            events: 1_000,
+            ..Behaviour::default()
+        });
+        let mut attempt = 0;
+        let mut stream = None;
+        // A target that has just failed gets no copies for a moment.
+        wait_until("the other engine has a copy of a stream", || {
+            attempt += 1;
+            let response = site.open_stream(&format!("a-{attempt}"), 600);
+            let received = site.engines[0].received();
+            let run = received.iter().find(|request| {
+                *request.attempt == *format!("a-{attempt}")
+                    && request.headers.contains_key("x-kv-backup")
+            });
+            stream = run.map(|_| response);
+            stream.is_some()
+        });
+        let stream = stream.expect("there is a stream");
+        std::thread::sleep(Duration::from_millis(300));
+        site.engines[0].crash();
+        let response = read_to_end(stream);
+        let requests = target.requests();
+        let is_asked = requests.iter().any(|request| request.contains("kv-from"));
+        assert!(is_asked, "{number}: {requests:?}");
+        assert_eq!(response.body, None, "{number}");
+        let received = &response.received;
+        assert!(
+            event_stream(1_000).starts_with(&**received),
+            "{number}: {received}"
+        );
+        assert!(received.ends_with("\n\n"), "{number}: {received}");
+    }
+}
+
+/// Streams that go through a peer from their first event.
+#[test]
+fn a_status_that_is_none_of_an_engine_through_a_tunnel_is_a_failure_that_may_have_run() {
+    let site = Site::start(0, 1, 2);
+    site.wait_for_peers();
+    let target = raw::Target::start(&site, "engines");
+    wait_for_raw(&site);
+    cut_off(&site, &target);
+    for (number, answer) in invalid_statuses(&event_stream(3)).iter().enumerate() {
+        target.set_answer(answer, End::Close);
+        for path in [STREAM_PATH, RESUMABLE_PATH] {
+            let response = fetch(&site, &target, path, &format!("{path}-{number}"));
+            let context = format!("{path} after {answer:?}: {response:?}");
+            assert_eq!(response.status, StatusCode::BAD_GATEWAY, "{context}");
+            let signature = response.headers.get("x-server-signature");
+            assert!(signature.is_none(), "{context}");
+        }
+    }
+}
+
+/// Answers whose status is 000: with a reason, without one, and behind an interim response.
+fn invalid_statuses(body: &str) -> [String; 3] {
+    let lines = [
+        "HTTP/1.1 000 OK",
+        "HTTP/1.1 000",
+        "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 000 OK",
+    ];
+    lines.map(|line| {
+        format!(
+            "{line}\r\nContent-Type: text/event-stream\r\nX-Server-Signature: signed\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        )
+    })
+}
+
+/// Cuts the first gateway off from all targets, and waits until it knows.
+fn cut_off(site: &Site, target: &raw::Target) {
+    site.cut(&[0], Kind::Reset);
+    target.cut(site.gateways[0].clients.ip());
+    wait_until("the gateway finds out that it is cut off", || {
+        for path in [SAFE_PATH, RESUMABLE_PATH] {
+            let headers = [("x-token-usage", "10,40")];
+            let response = send(site.gateways[0].clients, &Method::POST, path, &headers);
+            drop(response.map(read_to_end));
+        }
+        site.metric(0, "isolated") == 1
+    });
+}
+
 /// The handle of a copy goes into a header. Without one, the run would begin again at the engine with
 /// the copy, though it may run only once.
 #[test]
