test(gateway): break off a read with each service that leaves

Cause: whether services that leave break off reads was left to chance. The test needs three of some 950 reads to be broken off; 2 to 13 were in 12 runs, and one run of the 12 failed. No read was refused or not served in any of them. Change: a service announces that it leaves when it has just begun a read, which has not ended when the service is gone 30 ms later. The checks are as before.

--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -390,6 +390,15 @@
     });
 }
 
+/// Waits until a service has just begun a read.
+fn wait_for_read(service: &Target) {
+    wait_until("the service has begun a read", || {
+        let received = service.received();
+        let latest = received.last();
+        latest.is_some_and(|request| request.at.elapsed() < DELAY / 4)
+    });
+}
+
 /// Services leave by plan at short notice and break off what they still run; others replace them.
 #[test]
 fn no_read_is_refused_because_services_leave() {
@@ -409,8 +418,9 @@
                 Some(index) => &successors[index],
                 None => &site.services[number],
             };
+            wait_for_read(leaving);
             site.register(leaving, "ledger", "dc-1", "draining");
-            // Some VMs have read it by then, and no running request has ended.
+            // Some VMs have read it by then, and the latest read has not ended.
             thread::sleep(DELAY / 2);
             leaving.crash();
             thread::sleep(Duration::from_millis(200));
