fix(gateway): stop requests that an engine begins after they were left

What callers saw: their stream whole; the engine that had lost its answer, or stayed silent, had the request in its queue and began it later, beside the engine that served it, to its end. Cause: an engine that doesn't know the run (404) was taken for one that never will. A request in its queue is no run yet, and engines that don't drop requests with their connection begin it later. Change: a call to an engine that has sent no event is repeated after 404 as well, until the engine has stopped the run, is gone, was restarted, or the time of the request is over. After an event, 404 stays final. The fakes keep requests in a queue; the soak loses answers of such requests. A run counts as the one before another if its engine got the request first, and its overlap from when both had begun; for runs without a queue that is the same as before. Left: a run that was preempted after its first event and is not known meanwhile.

--- a/crates/fakes/src/site/target.rs
+++ b/crates/fakes/src/site/target.rs
@@ -60,7 +60,10 @@
 pub struct Behaviour {
     /// Delay of the response of a plain service, or of the first event of an engine.
     pub delay: Duration,
-    /// Time after which an engine that has begun to run a request sends the head of its answer.
+    /// Time for which a request waits in an engine's queue; it is dropped from there with its connection,
+    /// unless `linger` is set.
+    pub queue_delay: Duration,
+    /// Time after which an engine sends the head of its answer, or drops the response.
     pub head_delay: Duration,
     /// Delay between two events.
     pub event_interval: Duration,
@@ -120,6 +123,7 @@
     fn default() -> Self {
         Self {
             delay: Duration::from_millis(5),
+            queue_delay: Duration::ZERO,
             head_delay: Duration::ZERO,
             event_interval: Duration::from_millis(10),
             events: 20,
@@ -194,6 +198,8 @@
 pub struct Run {
     /// Value of the `x-attempt-id` header.
     pub attempt: Box<str>,
+    /// When the engine got the request.
+    pub received: Instant,
     /// When the engine began.
     pub began: Instant,
     /// When it completed the run, dropped it or was told to stop; `None` while it works.
@@ -202,6 +208,14 @@
     pub is_stopped: bool,
 }
 
+impl Run {
+    /// Returns for how long the engine worked while another one, which got the request later, had begun it.
+    pub fn overlap(&self, next: &Self) -> Duration {
+        let ended = self.ended.unwrap_or_else(Instant::now);
+        ended.saturating_duration_since(next.began.max(self.began))
+    }
+}
+
 /// A run in progress.
 #[derive(Debug)]
 struct ActiveRun {
@@ -792,15 +806,16 @@
     attempt: &str,
     request: &Request,
 ) -> HandlerResult {
+    let head_delay = behaviour.head_delay;
     if behaviour.drops_response {
         let (sender, _) = channel::bounded(1);
         start_run(state, behaviour, attempt, 0, false, sender);
+        Timer::after(head_delay).await;
         return Err(http::aborted());
     }
     if let Some(error) = behaviour.error {
         return answer_with_error(error, attempt);
     }
-    let head_delay = behaviour.head_delay;
     let response = stream(state, behaviour, attempt, request);
     Timer::after(head_delay).await;
     Ok(response)
@@ -848,7 +863,7 @@
     response
 }
 
-/// Runs a request, whose events go to `sender`.
+/// Runs a request, whose events go to `sender`, once it has waited in the queue.
 fn start_run(
     state: &Arc<Mutex<State>>,
     behaviour: Behaviour,
@@ -856,9 +871,38 @@
     first_id: u64,
     crashes: bool,
     sender: channel::Sender<io::Result<Bytes>>,
+) {
+    let received = Instant::now();
+    if behaviour.queue_delay.is_zero() {
+        leave_queue(
+            state, behaviour, attempt, received, first_id, crashes, sender,
+        );
+        return;
+    }
+    let (state, attempt): (_, Box<str>) = (Arc::clone(state), attempt.into());
+    smol::spawn(async move {
+        Timer::after(behaviour.queue_delay).await;
+        if !sender.is_closed() || !behaviour.linger.is_zero() {
+            leave_queue(
+                &state, behaviour, &attempt, received, first_id, crashes, sender,
+            );
+        }
+    })
+    .detach();
+}
+
+/// Runs a request that the engine got at the time `received`.
+fn leave_queue(
+    state: &Arc<Mutex<State>>,
+    behaviour: Behaviour,
+    attempt: &str,
+    received: Instant,
+    first_id: u64,
+    crashes: bool,
+    sender: channel::Sender<io::Result<Bytes>>,
 ) {
     let (stop, stopped) = channel::bounded::<Infallible>(1);
-    let record = begin_run(state, attempt, stop);
+    let record = begin_run(state, attempt, received, stop);
     let (state, attempt): (_, Box<str>) = (Arc::clone(state), attempt.into());
     smol::spawn(async move {
         lock(&state).active_streams += 1;
@@ -887,11 +931,17 @@
 }
 
 /// Records a run that ends with `stop` and returns the index of its record.
-fn begin_run(state: &Mutex<State>, attempt: &str, stop: channel::Sender<Infallible>) -> usize {
+fn begin_run(
+    state: &Mutex<State>,
+    attempt: &str,
+    received: Instant,
+    stop: channel::Sender<Infallible>,
+) -> usize {
     let mut state = lock(state);
     let record = state.runs.len();
     state.runs.push(Run {
         attempt: attempt.into(),
+        received,
         began: Instant::now(),
         ended: None,
         is_stopped: false,
--- a/crates/gateway/src/clients/generation.rs
+++ b/crates/gateway/src/clients/generation.rs
@@ -5,6 +5,7 @@
         clients::{
             answer::{self, Body, BodyError},
             exchange::Exchange,
+            handover::Progress,
             relay::{Relay, Source, Upstream},
             resumption,
         },
@@ -582,7 +583,8 @@
     let (outcome, refusal) = match result {
         Err(failure) => {
             if may_retry && !failure.verdict.is_repeatable() {
-                exchange.handover.stop(exchange, &target, None, false);
+                let progress = Progress::Unstarted;
+                exchange.handover.stop(exchange, &target, None, progress);
             }
             record_failure(exchange, &target, &failure).await;
             let refusal = Refusal {
@@ -598,7 +600,8 @@
         }
         Ok(answer) if !is_for_attempt(answer.response.headers(), &exchange.head.attempt_id) => {
             if may_retry {
-                exchange.handover.stop(exchange, &target, None, false);
+                let progress = Progress::Unstarted;
+                exchange.handover.stop(exchange, &target, None, progress);
             }
             let message = "the answer belongs to another request";
             (
--- a/crates/gateway/src/clients/handover.rs
+++ b/crates/gateway/src/clients/handover.rs
@@ -66,11 +66,6 @@
 }
 
 impl Outcome {
-    /// Returns whether the engine no longer works on the run.
-    fn is_final(self) -> bool {
-        matches!(self, Self::Stopped | Self::Unknown | Self::Gone)
-    }
-
     /// Returns the delay that follows a delay before the call is repeated.
     ///
     /// It grows slowly at an engine that answers: another one may have the stream already, and the run
@@ -84,6 +79,18 @@
     }
 }
 
+/// How far an engine has come with a request that it is told to stop.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Progress {
+    /// It has sent no event: the request may wait in its queue, and begin later.
+    Unstarted,
+    /// It streams the run. The copy that the call makes is freed.
+    Streaming,
+    /// The same, but the run continues from an earlier copy that was made by such a call: the new one
+    /// brings it up to date.
+    Copied,
+}
+
 /// Calls that tell one engine to stop a run; they go on when this is dropped.
 #[derive(Debug)]
 struct Stop {
@@ -116,15 +123,12 @@
     ///
     /// The call copies the run to `next`, the engine that continues it, or to any other one if that is
     /// not known. It is left out at engines that can't move runs.
-    ///
-    /// `keeps_copy` states whether the run continues from an earlier copy that was made by such a call:
-    /// this one brings it up to date. Otherwise the new copy is freed.
     pub fn stop(
         &self,
         exchange: &Exchange,
         engine: &Target,
         next: Option<SocketAddr>,
-        keeps_copy: bool,
+        progress: Progress,
     ) {
         let service = exchange.published.configuration.service(exchange.service);
         let properties = service.and_then(|service| service.engine);
@@ -150,7 +154,8 @@
             next,
             deadline: exchange.deadline,
             is_at_work: Arc::clone(&is_at_work),
-            kept: keeps_copy.then(|| Arc::clone(&handle)),
+            is_unstarted: progress == Progress::Unstarted,
+            kept: (progress == Progress::Copied).then(|| Arc::clone(&handle)),
             notifier,
         };
         stops.push(Stop {
@@ -246,7 +251,8 @@
     fn drop(&mut self) {
         if !self.is_settled {
             let handover = &self.exchange.handover;
-            handover.stop(&self.exchange, &self.engine, Some(self.next), false);
+            let (next, progress) = (Some(self.next), Progress::Unstarted);
+            handover.stop(&self.exchange, &self.engine, next, progress);
         }
     }
 }
@@ -260,6 +266,8 @@
     next: SocketAddr,
     deadline: Instant,
     is_at_work: Arc<AtomicBool>,
+    /// Whether the request may wait in the engine's queue.
+    is_unstarted: bool,
     /// Takes the handle of the copy; `None` if that is freed.
     kept: Option<Arc<OnceLock<Box<str>>>>,
     notifier: Sender<()>,
@@ -280,8 +288,7 @@
             self.is_at_work.store(is_at_work, Ordering::Relaxed);
             // If the channel is full, an answer is already pending.
             let _ = self.notifier.try_send(());
-            let is_gone = outcome == Outcome::Unreached && !self.is_listed();
-            if outcome.is_final() || is_gone || self.shared.now() + delay >= self.deadline {
+            if self.is_over(outcome) || self.shared.now() + delay >= self.deadline {
                 return;
             }
             Timer::after(delay).await;
@@ -289,6 +296,18 @@
         }
     }
 
+    /// Returns whether the engine neither works on the run nor will.
+    ///
+    /// An engine doesn't know a run that waits in its queue.
+    fn is_over(&self, outcome: Outcome) -> bool {
+        match outcome {
+            Outcome::Stopped | Outcome::Gone => true,
+            Outcome::Unknown => !self.is_unstarted || !self.is_listed(),
+            Outcome::AtWork => false,
+            Outcome::Unreached => !self.is_listed(),
+        }
+    }
+
     /// Returns whether the engine is still listed with the process that had the run.
     fn is_listed(&self) -> bool {
         let current = self.shared.directory.get(self.engine.key);
--- a/crates/gateway/src/clients/relay.rs
+++ b/crates/gateway/src/clients/relay.rs
@@ -12,7 +12,7 @@
             evacuation::Evacuation,
             exchange::Exchange,
             generation::{Item, Plan, client_patience, reserve_continuation, reserve_copy},
-            handover::Pending,
+            handover::{Pending, Progress},
         },
         metrics::Outcome,
         targets::{
@@ -760,12 +760,18 @@
 
     /// Tells the current engine to stop the run; returns whether it isn't known to work on.
     async fn stop_run(&mut self) -> bool {
+        let progress = self.progress();
         let (engine, handover) = (&self.source.target, &self.exchange.handover);
         let copy = self.source.copy.as_mut();
         let next = copy.as_ref().map(|copy| copy.target.address);
         // The engine with a copy that grows along with the run is the origin of its handle.
         let requested = copy.filter(|copy| copy.origin == engine.address);
-        handover.stop(&self.exchange, engine, next, requested.is_some());
+        let progress = if requested.is_some() {
+            Progress::Copied
+        } else {
+            progress
+        };
+        handover.stop(&self.exchange, engine, next, progress);
         let is_stopped = handover.wait().await;
         if let (Some(copy), Some(handle)) = (requested, handover.handle(engine.key)) {
             copy.handle = handle;
@@ -773,6 +779,15 @@
         is_stopped
     }
 
+    /// Returns how far the current engine has come with the request.
+    fn progress(&self) -> Progress {
+        if self.begun_at.is_none() {
+            Progress::Unstarted
+        } else {
+            Progress::Streaming
+        }
+    }
+
     /// Sends the request to the engine that stores the copy; the copy is kept until that takes it.
     async fn resume_from_copy(&mut self, failed_target: key::Target) -> bool {
         let exchange = Arc::clone(&self.exchange);
@@ -936,7 +951,12 @@
             let replaced = std::mem::replace(&mut self.source, source);
             let handover = &self.exchange.handover;
             let next = self.source.target.address;
-            handover.stop(&self.exchange, &replaced.target, Some(next), false);
+            handover.stop(
+                &self.exchange,
+                &replaced.target,
+                Some(next),
+                self.progress(),
+            );
             if fields.continue_from.is_none() {
                 Evacuation::default().release(&self.exchange, replaced.copy, false);
             }
--- a/tests/handovers.rs
+++ b/tests/handovers.rs
@@ -12,10 +12,7 @@
         target::{Behaviour, Break, Run},
     },
     hyper::Method,
-    std::{
-        thread,
-        time::{Duration, Instant},
-    },
+    std::{thread, time::Duration},
     support::{
         site::{
             HOST, RESUMABLE_PATH, Response, SAFE_PATH, STREAM_PATH, Site, event_stream,
@@ -80,21 +77,27 @@
             let response = send(address, &Method::POST, path, &headers);
             read_to_end(response.expect("the gateway responds"))
         });
-        wait_until("an engine runs the stream", || !runs(site).is_empty());
-        let first_run = site.engine_of(ATTEMPT);
+        let has_request = |engine: &Target| {
+            let received = engine.received();
+            received.iter().any(|request| &*request.attempt == ATTEMPT)
+        };
+        wait_until("an engine has the request", || {
+            site.engines.iter().any(has_request)
+        });
+        let first = site.engine_of(ATTEMPT);
         let others = site.engines.iter();
-        for engine in others.filter(|engine| engine.instance != first_run.instance) {
+        for engine in others.filter(|engine| engine.instance != first.instance) {
             engine.set_behaviour(lingering());
         }
         response.join().expect("the client does not panic")
     })
 }
 
-/// Returns the runs of the request at all engines, in the order in which they began.
+/// Returns the runs of the request at all engines, in the order in which these got it.
 fn runs(site: &Site) -> Vec<Run> {
     let runs = site.engines.iter().flat_map(Target::runs);
     let mut runs: Vec<_> = runs.filter(|run| &*run.attempt == ATTEMPT).collect();
-    runs.sort_by_key(|run| run.began);
+    runs.sort_by_key(|run| run.received);
     runs
 }
 
@@ -102,10 +105,8 @@
 fn assert_handed_over(site: &Site, response: &Response, max_pause: Duration) {
     let runs = runs(site);
     assert!(runs.len() > 1, "the stream did not go on: {runs:?}");
-    let now = Instant::now();
     for pair in runs.windows(2) {
-        let ended = pair[0].ended.unwrap_or(now);
-        let overlap = ended.saturating_duration_since(pair[1].began);
+        let overlap = pair[0].overlap(&pair[1]);
         assert!(
             overlap <= MAX_OVERLAP,
             "two engines at work for {overlap:?}: {runs:?}"
@@ -165,6 +166,33 @@
     assert_handed_over(&site, &response, MAX_PAUSE);
 }
 
+/// Guards against a run at two engines: the request still waits in the queue of the first engine when
+/// its answer is lost, and the engine, which has no such run yet, begins it later.
+#[test]
+fn a_request_that_waits_in_a_queue_is_stopped_once_it_begins() {
+    let site = Site::start(2, 0, 1);
+    let first = Behaviour {
+        drops_response: true,
+        head_delay: Duration::from_millis(300),
+        queue_delay: Duration::from_millis(800),
+        ..lingering()
+    };
+    let response = fetch(&site, RESUMABLE_PATH, SHORT, &first);
+    assert_handed_over(&site, &response, MAX_PAUSE);
+}
+
+/// The same after the head of the answer, as its stream stays silent.
+#[test]
+fn a_request_that_waits_in_a_queue_after_its_head_is_stopped_once_it_begins() {
+    let site = Site::start(2, 0, 1);
+    let first = Behaviour {
+        queue_delay: Duration::from_millis(5_600),
+        ..lingering()
+    };
+    let response = fetch(&site, RESUMABLE_PATH, SHORT, &first);
+    assert_handed_over(&site, &response, MAX_SILENCE);
+}
+
 /// The engine with the copy runs it, but doesn't answer in time, and a third one takes the stream.
 #[test]
 fn a_run_at_an_engine_that_was_given_up_is_stopped() {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -111,6 +111,8 @@
 
 /// Time for which an engine works on a run whose answer it has lost, unless it is told to stop.
 const LINGER: Duration = Duration::from_secs(4);
+/// Time for which a request waits in an engine's queue.
+const QUEUE_DELAY: Duration = Duration::from_millis(300);
 /// Time for which an engine may work on a run that goes on at another one.
 const MAX_OVERLAP: Duration = Duration::from_millis(400);
 /// Statuses that promise that a request did not run.
@@ -224,6 +226,8 @@
     Silent,
     /// The connection ends before the answer begins.
     Unanswered,
+    /// The same, while the request waits in the engine's queue.
+    Queued,
 }
 
 impl Endpoint {
@@ -235,6 +239,7 @@
             Loss::Broken(Break::End),
             Loss::Silent,
             Loss::Unanswered,
+            Loss::Queued,
         ];
         let loss = *losses.choose(random).expect("the list is not empty");
         let last_id = random.random_range(0..EVENTS - 1);
@@ -249,6 +254,10 @@
             }
             Loss::Silent => behaviour.silent_after = Some(last_id),
             Loss::Unanswered => behaviour.drops_response = true,
+            Loss::Queued => {
+                behaviour.drops_response = true;
+                behaviour.queue_delay = QUEUE_DELAY;
+            }
         }
         self.behave(behaviour, duration);
     }
@@ -1012,14 +1021,14 @@
             let Some(vm) = vm_of(&attempt) else {
                 continue;
             };
-            runs.sort_by_key(|(_, run)| run.began);
+            runs.sort_by_key(|(_, run)| run.received);
             stopped += runs.iter().filter(|(_, run)| run.is_stopped).count();
             for pair in runs.windows(2) {
                 let [(engine, former), (_, next)] = pair else {
                     continue;
                 };
                 let ended = former.ended.unwrap_or(now);
-                let overlap = ended.saturating_duration_since(next.began);
+                let overlap = former.overlap(next);
                 let is_link_calm = !link_faults.iter().any(|(name, begun, healed)| {
                     engine.starts_with(&**name)
                         && *begun < ended
