test(gateway): send reads for as long as their targets are disturbed

Cause: the reads ended after 10 s, and the twelve departures last some 9 s. Change: the reads go on until the disturbance is over, 90 s at most, and for 10 s at least. The checks are as before.

--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -14,7 +14,7 @@
     std::{
         collections::HashSet,
         net::SocketAddr,
-        sync::atomic::{AtomicU32, AtomicUsize, Ordering},
+        sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering},
         thread,
         time::{Duration, Instant},
     },
@@ -46,6 +46,8 @@
 const MIN_LOAD_DURATION: Duration = Duration::from_secs(14);
 /// The same at most, on a machine that is busy with other work.
 const MAX_LOAD_DURATION: Duration = Duration::from_secs(90);
+/// Time for which reads are sent at least while their targets fail.
+const MIN_READ_DURATION: Duration = Duration::from_secs(10);
 /// Number of requests after the settling time of which a share is taken.
 const MIN_REQUESTS: u32 = 20;
 /// Number of clients that send requests without pause.
@@ -178,23 +180,23 @@
     })
 }
 
-/// Sends reads without pause, and each word for word until it is served, to all gateways in turn.
+/// Sends reads without pause, and each word for word until it is served, to all gateways in turn, while
+/// `goes_on` returns true.
 ///
 /// `body` returns the body of a client's next one.
 fn insist(
     site: &Site,
-    duration: Duration,
+    goes_on: impl Fn() -> bool + Sync,
     body: impl Fn(usize, usize) -> String + Sync,
 ) -> Vec<Exchange> {
-    let end = Instant::now() + duration;
-    let body = &body;
+    let (goes_on, body) = (&goes_on, &body);
     thread::scope(|scope| {
         let clients: Vec<_> = (0..BUSY_CLIENTS)
             .map(|client| {
                 scope.spawn(move || {
                     let mut exchanges: Vec<Exchange> = Vec::new();
                     let mut served = 0;
-                    while Instant::now() < end {
+                    while goes_on() {
                         let number = exchanges.len();
                         let gateway = &site.gateways[(client + number) % site.gateways.len()];
                         let attempt = format!("busy-{client}-{number}");
@@ -358,9 +360,16 @@
         },
     );
     let body = |_client, served| format!("look up again {}", served % 3);
+    let (begun, is_disturbed) = (Instant::now(), AtomicBool::new(true));
+    let goes_on = || {
+        let elapsed = begun.elapsed();
+        elapsed < MIN_READ_DURATION
+            || elapsed < MAX_LOAD_DURATION && is_disturbed.load(Ordering::Relaxed)
+    };
     let (reads, added) = thread::scope(|scope| {
-        let reads = scope.spawn(|| insist(&site, Duration::from_secs(10), body));
+        let reads = scope.spawn(|| insist(&site, goes_on, body));
         let added = disturb(&site);
+        is_disturbed.store(false, Ordering::Relaxed);
         (reads.join().unwrap(), added)
     });
     let arrivals = targets(&site).chain(&added).flat_map(Target::received);
@@ -481,7 +490,8 @@
     let site = &site;
     let sound = thread::scope(|scope| {
         let body = |client, served| format!("look up {client} {served}");
-        let sound = scope.spawn(move || insist(site, Duration::from_secs(14), body));
+        let end = Instant::now() + Duration::from_secs(14);
+        let sound = scope.spawn(move || insist(site, || Instant::now() < end, body));
         thread::sleep(Duration::from_secs(2));
         let duration = Duration::from_secs(12);
         load(site, "bad", SAFE_PATH, duration, |_| BAD_BODY.to_owned());
